Core skeleton: records, events, timers, configuration, thin modules

Cause: nothing stood yet. Every event, effect, message and settings section is a record whose fields are listed once; from that list come the struct, copies, digests, JSON with findings and msgpack. Before: an empty tree. Conclusion: modules can grow side by side on these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,123 @@
+# Two commands set a fresh machine up: make demo, make check.
+
+PACKAGES = pkg-config libapr1-dev libaprutil1-dev libmsgpack-dev \
+	libmicrohttpd-dev libglib2.0-dev libjson-c-dev libcsv-dev \
+	libcurl4-openssl-dev libxxhash-dev libgtest-dev g++ \
+	clang-format clang-tidy cppcheck python3-minimal curl
+
+CC ?= cc
+CXX ?= c++
+OPT ?= -O2
+BUILD ?= build
+WARN = -Wall -Wextra -Werror
+LIBS = apr-1 msgpack libmicrohttpd glib-2.0 json-c libcurl
+CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SAN) -iquote src -MMD -MP \
+	$(shell pkg-config --cflags $(LIBS) 2>/dev/null)
+CXXFLAGS = -std=gnu++17 -g $(OPT) -Wall -Wextra -Werror -Wno-missing-field-initializers \
+	$(SAN) -iquote src -iquote tests -MMD -MP \
+	$(shell pkg-config --cflags $(LIBS) gtest 2>/dev/null)
+LDLIBS = $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lcsv
+
+# The shell: whatever touches sockets, clocks, files or threads.
+SHELL_MODULES = io wire http log metrics timeline settings client
+
+CORE_SRC = $(filter-out $(SHELL_MODULES:%=src/%.c),$(wildcard src/*.c))
+SHELL_SRC = $(wildcard $(SHELL_MODULES:%=src/%.c))
+STANDIN_SRC = $(wildcard standin/*.c)
+CORE_OBJ = $(CORE_SRC:%.c=$(BUILD)/%.o)
+SHELL_OBJ = $(SHELL_SRC:%.c=$(BUILD)/%.o)
+STANDIN_OBJ = $(STANDIN_SRC:%.c=$(BUILD)/%.o)
+TEST_OBJ = $(patsubst %.cc,$(BUILD)/%.o,$(wildcard tests/*.cc tests/naive/*.cc))
+BENCH_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/*.c))
+NAIVE_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/naive/*.c))
+
+CORE = $(BUILD)/libwagtailpass-core.a
+LIB = $(BUILD)/libwagtailpass.a
+PROGRAMS = $(patsubst daemons/%.c,$(BUILD)/%,$(wildcard daemons/*.c)) \
+	$(if $(STANDIN_SRC),$(BUILD)/wagtailpass-standin)
+
+all: $(CORE) $(LIB) $(PROGRAMS)
+
+packages:
+	@pkg-config --exists $(LIBS) gtest 2>/dev/null && \
+	  command -v clang-tidy >/dev/null && command -v cppcheck >/dev/null \
+	  || { apt-get update -qq && apt-get install -y -qq $(PACKAGES); }
+
+print-packages:
+	@echo $(PACKAGES)
+
+print-sanitize:
+	@echo $(SANITIZE)
+
+$(CORE): $(CORE_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(LIB): $(SHELL_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -c $< -o $@
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -c $< -o $@
+
+$(BUILD)/wagtailpass-standin: $(STANDIN_OBJ) $(LIB) $(CORE)
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/%: $(BUILD)/daemons/%.o $(LIB) $(CORE)
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/unit-tests: $(TEST_OBJ) $(NAIVE_OBJ) $(LIB) $(CORE)
+	$(CXX) $(SAN) -o $@ $^ $(LDLIBS) $(shell pkg-config --libs gtest_main)
+
+$(BUILD)/bench-all: $(BENCH_OBJ) $(NAIVE_OBJ) $(LIB) $(CORE)
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS) -lm
+
+unit: $(BUILD)/unit-tests
+	$(BUILD)/unit-tests --gtest_brief=1
+
+# Every test, under AddressSanitizer and UndefinedBehaviorSanitizer; the
+# closing line is "N passed, N failed".
+SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=all
+check: packages
+	$(MAKE) -s all
+	$(MAKE) -s BUILD=build-asan OPT=-O1 SAN="$(SANITIZE)" build-asan/unit-tests
+	tools/run-tests build-asan/unit-tests
+
+C_FILES = $(wildcard src/*.c daemons/*.c standin/*.c bench/*.c tests/naive/*.c)
+ALL_FILES = $(C_FILES) $(wildcard src/*.h standin/*.h bench/*.h tests/*.h tests/naive/*.h tests/*.cc)
+
+format:
+	clang-format -i $(ALL_FILES)
+
+lint: format-check tidy cppcheck symbols
+
+format-check:
+	clang-format --dry-run -Werror $(ALL_FILES)
+
+tidy: $(C_FILES:%.c=$(BUILD)/tidy/%.ok)
+
+$(BUILD)/tidy/%.ok: %.c $(BUILD)/%.o .clang-tidy
+	@mkdir -p $(@D)
+	clang-tidy --quiet $< -- $(filter-out -MMD -MP,$(CFLAGS)) 2>/dev/null
+	@touch $@
+
+cppcheck:
+	cppcheck --quiet --error-exitcode=1 --enable=warning,portability \
+	  --inline-suppr --suppressions-list=tools/cppcheck-suppressions \
+	  --cppcheck-build-dir=$(shell mkdir -p $(BUILD)/cppcheck && echo $(BUILD)/cppcheck) \
+	  -j 4 -iquote src $(C_FILES)
+
+symbols: $(CORE)
+	tools/check-symbols $(CORE) tools/core-symbols
+
+clean:
+	rm -rf build
+
+.PHONY: print-packages print-sanitize all packages unit check format lint format-check tidy cppcheck symbols clean
+-include $(CORE_OBJ:.o=.d) $(SHELL_OBJ:.o=.d) $(STANDIN_OBJ:.o=.d) \
+	$(TEST_OBJ:.o=.d) $(BENCH_OBJ:.o=.d) $(NAIVE_OBJ:.o=.d) $(wildcard $(BUILD)/daemons/*.d)
--- /dev/null
+++ b/src/oper_event.h
@@ -0,0 +1,15 @@
+#ifndef OPER_EVENT_H
+#define OPER_EVENT_H
+
+#include "caller_event.h"
+
+#define OPER_EVENTS(X)                                                         \
+  X (EV_OPERATOR, "operator", caller_operator, oper_on_question)
+
+#define OPER_EFFECTS(X)
+
+#define OPER_COUNTERS(X)
+
+#define OPER_NOTES(X)
+
+#endif
--- /dev/null
+++ b/src/util.c
@@ -0,0 +1,96 @@
+#include "util.h"
+
+#include <string.h>
+
+static const gsize max_name_bytes = 64;
+
+static void
+finding_free (gpointer p)
+{
+  Finding *f = p;
+
+  g_free (f->place);
+  g_free (f->text);
+  g_free (f);
+}
+
+/* Prepares F for use; findings_clear releases it. */
+void
+findings_init (Findings *f)
+{
+  f->list = g_ptr_array_new_with_free_func (finding_free);
+}
+
+/* Releases everything that F holds. */
+void
+findings_clear (Findings *f)
+{
+  g_clear_pointer (&f->list, g_ptr_array_unref);
+}
+
+/* Adds one finding at PLACE, its text made from FORMAT. */
+void
+findings_add (Findings *f, const char *place, const char *format, ...)
+{
+  Finding *finding = g_new0 (Finding, 1);
+  va_list args;
+
+  va_start (args, format);
+  finding->place = g_strdup (place);
+  finding->text = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_ptr_array_add (f->list, finding);
+}
+
+/* Returns the number of findings in F. */
+guint
+findings_count (const Findings *f)
+{
+  return f->list->len;
+}
+
+/* Returns finding I of F, in the order of discovery. */
+const Finding *
+findings_at (const Findings *f, guint i)
+{
+  return g_ptr_array_index (f->list, i);
+}
+
+/* Returns all findings as "PLACE: TEXT" lines; the caller frees them. */
+char *
+findings_text (const Findings *f)
+{
+  GString *s = g_string_new (NULL);
+  guint i;
+
+  for (i = 0; i < f->list->len; i++)
+    {
+      const Finding *finding = findings_at (f, i);
+
+      g_string_append_printf (s, "%s: %s\n", finding->place, finding->text);
+    }
+  return g_string_free (s, FALSE);
+}
+
+/* Returns S, or the empty string for NULL. */
+const char *
+util_str (const char *s)
+{
+  return s ? s : "";
+}
+
+/* Tells whether S can name a workspace, host, upstream or worker: 1 to 64
+   letters, digits, dots, dashes and underscores. */
+gboolean
+util_is_name (const char *s)
+{
+  gsize n = strlen (s);
+  gsize i;
+
+  if (n == 0 || n > max_name_bytes)
+    return FALSE;
+  for (i = 0; i < n; i++)
+    if (!g_ascii_isalnum (s[i]) && !strchr ("._-", s[i]))
+      return FALSE;
+  return TRUE;
+}
