Lists decode into room made at once

Cause: clang-analyzer lost track of a list that grew while it was decoded. Ruled out: a real use after free (both sanitizers are clean). Before: lint fails on rec.c.

--- a/src/rec.c
+++ b/src/rec.c
@@ -49,8 +49,7 @@
 {
   guint i;
 
-  /* The analyzer loses track of a list that has just been grown. */
-  memset (rec, 0, d->size); /* NOLINT(clang-analyzer-unix.Malloc) */
+  memset (rec, 0, d->size);
   for (i = 0; i < d->n_fields; i++)
     if (d->fields[i].type == REC_STR)
       *AT (rec, &d->fields[i], const char *) = empty_str;
@@ -113,6 +112,31 @@
   *list = (RecList) { 0 };
 }
 
+static guint
+room_for (guint n)
+{
+  guint room = 1;
+
+  while (room < n)
+    room *= 2;
+  return room;
+}
+
+/* Makes LIST one of N empty records. */
+static void
+list_make (const RecDesc *d, RecList *list, guint n)
+{
+  guint i;
+
+  list_clear (d, list);
+  if (n == 0)
+    return;
+  list->items = g_malloc_n (room_for (n), d->size);
+  for (i = 0; i < n; i++)
+    rec_init (d, rec_list_at (d, list, i));
+  list->n = n;
+}
+
 static void
 list_copy (const RecDesc *d, RecList *to, const RecList *from)
 {
@@ -404,11 +428,11 @@
 
   if (!ok)
     return FALSE;
-  list_clear (f->item (), list);
+  list_make (f->item (), list, (guint)n);
   for (i = 0; i < n; i++)
     {
       char *at = g_strdup_printf ("%s[%" G_GSIZE_FORMAT "]", place, i);
-      void *item = rec_list_add (f->item (), list);
+      void *item = rec_list_at (f->item (), list, (guint)i);
 
       ok &= from_json (f->item (), item, json_object_array_get_idx (v, i), at,
                        decode);
@@ -675,8 +699,9 @@
 
   if (!check_length (f, o->via.array.size, f->name, findings))
     return FALSE;
+  list_make (f->item (), list, o->via.array.size);
   for (i = 0; i < o->via.array.size; i++)
-    if (!unpack (f->item (), rec_list_add (f->item (), list),
+    if (!unpack (f->item (), rec_list_at (f->item (), list, i),
                  &o->via.array.ptr[i], findings))
       return FALSE;
   return TRUE;
