--- /dev/null
+++ b/daemons/wagtailpassd.c
@@ -0,0 +1,168 @@
+#include "io.h"
+
+#include <apr_signal.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+/* One entry host's process: settings in, then the shell until SIGTERM. */
+
+enum
+{
+  EXIT_FINDING = 1,
+  EXIT_USAGE = 2
+};
+
+typedef struct Options
+{
+  char *settings;
+  char *trace;
+  gboolean check;
+} Options;
+
+static int stop_pipe[2];
+
+static gboolean
+parse_options (int argc, char **argv, Options *o)
+{
+  const GOptionEntry entries[] = {
+    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &o->settings,
+      "Settings, in JSON with comments", "FILE" },
+    { "check-settings", 0, 0, G_OPTION_ARG_NONE, &o->check,
+      "Check the settings, print all findings and exit", NULL },
+    { "trace", 0, 0, G_OPTION_ARG_FILENAME, &o->trace,
+      "Write every event fed to the core as a line of JSON", "FILE" },
+    { 0 }
+  };
+  GOptionContext *context =
+      g_option_context_new ("- entry host of wagtailpass");
+  GError *error = NULL;
+  gboolean ok;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  ok = g_option_context_parse (context, &argc, &argv, &error);
+  g_option_context_free (context);
+  if (ok && o->settings && argc == 1)
+    return TRUE;
+  fprintf (stderr, "wagtailpassd: %s\n",
+           error ? error->message : "needs --settings FILE and no arguments");
+  g_clear_error (&error);
+  return FALSE;
+}
+
+static Settings *
+read_settings (const char *file)
+{
+  Findings findings;
+  Settings *s;
+  char *text;
+
+  findings_init (&findings);
+  s = settings_load (file, &findings);
+  text = findings_text (&findings);
+  fputs (text, stderr);
+  g_free (text);
+  findings_clear (&findings);
+  return s;
+}
+
+static void
+on_signal (int number)
+{
+  char byte = (char)number;
+
+  if (write (stop_pipe[1], &byte, 1) != 1)
+    _exit (EXIT_FAILURE);
+}
+
+/* The first signal starts a drain, the second one ends the process. */
+static void
+on_stop (void *owner, int events)
+{
+  Io *io = owner;
+  char byte;
+
+  (void)events;
+  if (read (stop_pipe[0], &byte, 1) != 1)
+    return;
+  if (io_draining (io))
+    _exit (EXIT_FAILURE);
+  io_drain (io);
+}
+
+static gboolean
+catch_signals (Io *io)
+{
+  if (pipe (stop_pipe) != 0)
+    return FALSE;
+  io_watch (io, stop_pipe[0], APR_POLLIN, on_stop, io);
+  apr_signal (SIGPIPE, SIG_IGN);
+  apr_signal (SIGTERM, on_signal);
+  apr_signal (SIGINT, on_signal);
+  return TRUE;
+}
+
+static FILE *
+open_trace (const char *file)
+{
+  FILE *f = file ? fopen (file, "w") : NULL;
+
+  if (file && !f)
+    fprintf (stderr, "wagtailpassd: %s: %s\n", file, g_strerror (errno));
+  return f;
+}
+
+static int
+serve (const Settings *s, FILE *trace)
+{
+  GError *error = NULL;
+  Io *io = io_new (s, trace, &error);
+  gboolean ok;
+
+  if (!io)
+    {
+      fprintf (stderr, "wagtailpassd: %s\n", error->message);
+      g_error_free (error);
+      return EXIT_FINDING;
+    }
+  ok = catch_signals (io) && io_run (io);
+  io_free (io);
+  return ok ? EXIT_SUCCESS : EXIT_FINDING;
+}
+
+static int
+run (const Options *o)
+{
+  Settings *s = read_settings (o->settings);
+  FILE *trace = NULL;
+  int status;
+
+  if (!s)
+    return EXIT_FINDING;
+  if (!o->check)
+    trace = open_trace (o->trace);
+  if (o->check)
+    status = EXIT_SUCCESS;
+  else if (o->trace && !trace)
+    status = EXIT_FINDING;
+  else
+    status = serve (s, trace);
+  if (trace)
+    fclose (trace);
+  settings_free (s);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  Options o = { 0 };
+  int status = EXIT_USAGE;
+
+  if (parse_options (argc, argv, &o))
+    status = run (&o);
+  g_free (o.settings);
+  g_free (o.trace);
+  return status;
+}
--- /dev/null
+++ b/src/client.c
@@ -0,0 +1,861 @@
+#include "client.h"
+
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum
+{
+  MAX_IDLE_HANDLES = 256,
+  MAX_IDLE_CONNECTIONS = 1024,
+  STORE_CONNECTIONS = 16,
+  WORKER_CONNECTIONS = 4,
+  CONNECT_MS = 1000,
+  WATCH_GRACE_MS = 2000, /* a watch's answer may take as long beyond it */
+  KEEP_IDLE_S = 5,
+  KEEP_INTERVAL_S = 2,
+  USER_TIMEOUT_MS = 10000,
+  HTTP_OK = 200,
+  HTTP_ACCEPTED = 202,
+  HTTP_NOT_FOUND = 404,
+  HTTP_TOO_MANY = 429,
+  HTTP_UNAVAILABLE = 503
+};
+
+typedef struct Call Call;
+
+/* Where calls go to: the store, a worker or an upstream.  CAP bounds the
+   calls under way, and so the connections. */
+typedef struct Target
+{
+  char *base; /* "http://ADDRESS:PORT" */
+  guint cap;
+  guint open;
+  GQueue waiting; /* of Call */
+} Target;
+
+/* How the calls of one effect are made and how their end is told. */
+typedef struct CallKind
+{
+  const char *method;
+  gboolean fresh; /* on a new connection, ahead of those that wait */
+  void (*prepare) (Call *call);
+  void (*finish) (Call *call);
+} CallKind;
+
+struct Call
+{
+  APR_RING_ENTRY (Call) link;
+  Client *client;
+  Target *target;
+  const CallKind *kind;
+  Event *effect;
+  ClockMs deadline;
+  char *url;
+  GBytes *body;
+  CURL *easy;
+  struct curl_slist *headers;
+  GByteArray *answer;
+  guint transfers; /* how often sending began */
+  gboolean whole;  /* an answer came, and all of it */
+  gboolean sized;  /* the answer says where it ends */
+  gboolean leaving;
+  gboolean not_run;
+  gboolean cut; /* the answer exceeds max_answer_bytes */
+  int status;
+};
+
+APR_RING_HEAD (CallRing, Call);
+
+struct Client
+{
+  Io *io;
+  CURLM *multi;
+  struct CallRing calls;
+  GHashTable *upstreams; /* name to Target */
+  GHashTable *workers;   /* name to Target */
+  Target *store;
+  GPtrArray *idle; /* of CURL */
+  ClockMs timer;
+};
+
+static const CallKind call_kinds[N_EVENT_KINDS];
+
+static Target *
+target_new (const char *address, gint64 port, guint cap)
+{
+  Target *t = g_new0 (Target, 1);
+  gboolean v6 = strchr (address, ':') != NULL;
+
+  t->base = g_strdup_printf ("http://%s%s%s:%" G_GINT64_FORMAT, v6 ? "[" : "",
+                             address, v6 ? "]" : "", port);
+  t->cap = cap;
+  g_queue_init (&t->waiting);
+  return t;
+}
+
+static void
+target_free (gpointer p)
+{
+  Target *t = p;
+
+  g_queue_clear (&t->waiting);
+  g_free (t->base);
+  g_free (t);
+}
+
+static void
+add_targets (Client *c)
+{
+  const Settings *s = io_settings (c->io);
+  const Config *cfg = (const Config *)s;
+  guint i;
+
+  c->store = target_new (s->store_address, s->store_port, STORE_CONNECTIONS);
+  for (i = 0; i < cfg->upstreams.n; i++)
+    {
+      const ConfigUpstream *u = config_upstream (cfg, i);
+
+      g_hash_table_insert (c->upstreams, g_strdup (u->name),
+                           target_new (u->address, u->port,
+                                       (guint)u->connections));
+    }
+  for (i = 0; i < cfg->workers.n; i++)
+    {
+      const ConfigWorker *w = config_worker (cfg, i);
+
+      g_hash_table_insert (c->workers, g_strdup (w->name),
+                           target_new (w->address, w->port,
+                                       WORKER_CONNECTIONS));
+    }
+}
+
+static void
+call_free (Call *call)
+{
+  if (call->easy && call->client->idle->len < MAX_IDLE_HANDLES)
+    g_ptr_array_add (call->client->idle, call->easy);
+  else if (call->easy)
+    curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  if (call->answer)
+    g_byte_array_unref (call->answer);
+  if (call->body)
+    g_bytes_unref (call->body);
+  event_free (call->effect);
+  g_free (call->url);
+  g_free (call);
+}
+
+static size_t
+on_answer (char *data, size_t size, size_t n, void *owner)
+{
+  Call *call = owner;
+  gsize most = (gsize)io_settings (call->client->io)->max_answer_bytes;
+
+  if (call->answer->len + size * n > most)
+    {
+      call->cut = TRUE;
+      return 0;
+    }
+  g_byte_array_append (call->answer, (const guint8 *)data, (guint)(size * n));
+  return size * n;
+}
+
+static gboolean
+header_is (const char *line, gsize n, const char *header)
+{
+  gsize length = strlen (header);
+
+  return n >= length && g_ascii_strncasecmp (line, header, length) == 0;
+}
+
+static size_t
+on_header (char *line, size_t size, size_t n, void *owner)
+{
+  Call *call = owner;
+
+  n *= size;
+  if (header_is (line, n, "X-Leaving: 1"))
+    call->leaving = TRUE;
+  else if (header_is (line, n, "X-Not-Run: 1"))
+    call->not_run = TRUE;
+  else if (header_is (line, n, "Content-Length:") ||
+           header_is (line, n, "Transfer-Encoding: chunked"))
+    call->sized = TRUE;
+  return n;
+}
+
+/* Called before each sending.  curl would send a request again when a
+   connection that it used before closes without an answer; the first one
+   may have been executed, so there is no second sending here. */
+static int
+on_sending (void *owner, char *ip, char *local_ip, int port, int local_port)
+{
+  Call *call = owner;
+
+  (void)ip;
+  (void)local_ip;
+  (void)port;
+  (void)local_port;
+  return call->transfers++ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+static int
+on_socket_made (void *owner, curl_socket_t fd, curlsocktype purpose)
+{
+  int user_timeout_ms = USER_TIMEOUT_MS;
+
+  (void)owner;
+  (void)purpose;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+              sizeof user_timeout_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+static void
+add_header (Call *call, const char *name, const char *value)
+{
+  char *line = g_strdup_printf ("%s: %s", name, value);
+
+  call->headers = curl_slist_append (call->headers, line);
+  g_free (line);
+}
+
+static void
+set_body (Call *call)
+{
+  gsize n = 0;
+  gconstpointer data = call->body ? g_bytes_get_data (call->body, &n) : NULL;
+
+  curl_easy_setopt (call->easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)n);
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, data ? data : "");
+  add_header (call, "Expect", "");
+}
+
+static void
+set_callbacks (Call *call)
+{
+  CURL *easy = call->easy;
+
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_sending);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+}
+
+static void
+set_options (Call *call, ClockMs left)
+{
+  CURL *easy = call->easy;
+
+  curl_easy_setopt (easy, CURLOPT_URL, call->url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)left);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)MIN (left, CONNECT_MS));
+  curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE, (long)KEEP_IDLE_S);
+  curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, (long)KEEP_INTERVAL_S);
+  if (call->kind->fresh)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  if (strcmp (call->kind->method, "POST") == 0)
+    set_body (call);
+  else if (strcmp (call->kind->method, "GET") != 0)
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, call->kind->method);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+static CURL *
+take_handle (Client *c)
+{
+  CURL *easy;
+
+  if (c->idle->len == 0)
+    return curl_easy_init ();
+  easy = g_ptr_array_steal_index_fast (c->idle, c->idle->len - 1);
+  curl_easy_reset (easy);
+  return easy;
+}
+
+static void
+begin (Call *call, ClockMs left)
+{
+  call->target->open++;
+  io_count (call->client->io, SHELL_CALLS_OPEN, 1);
+  call->easy = take_handle (call->client);
+  call->answer = g_byte_array_new ();
+  set_callbacks (call);
+  set_options (call, left);
+  curl_multi_add_handle (call->client->multi, call->easy);
+}
+
+/* Tells the core how CALL ended and forgets it. */
+static void
+finish (Call *call)
+{
+  Client *c = call->client;
+
+  if (call->transfers == 0)
+    io_count (c->io, SHELL_CALLS_UNSENT, 1);
+  else if (!call->whole)
+    io_count (c->io, SHELL_CALLS_LOST, 1);
+  if (call->kind->finish)
+    call->kind->finish (call);
+  APR_RING_REMOVE (call, link);
+  call_free (call);
+}
+
+/* Begins calls to T as far as its connections go.  Calls on a fresh
+   connection may use the last one, so that an upstream whose connections
+   all hang can still be asked. */
+static void
+begin_waiting (Client *c, Target *t)
+{
+  Call *call;
+
+  while ((call = g_queue_peek_head (&t->waiting)))
+    {
+      ClockMs left = call->deadline - io_now (c->io);
+      guint cap = call->kind->fresh || t->cap == 1 ? t->cap : t->cap - 1;
+
+      if (left > 0 && t->open >= cap)
+        return;
+      g_queue_pop_head (&t->waiting);
+      io_count (c->io, SHELL_CALLS_WAITING, -1);
+      if (left > 0)
+        begin (call, left);
+      else
+        finish (call);
+    }
+}
+
+static Target *
+find_target (Client *c, const Event *effect)
+{
+  const WorkerCall *worker = effect->body;
+  const UpstreamSend *send = effect->body;
+  const UpstreamAsk *ask = effect->body;
+  const UpstreamProbe *probe = effect->body;
+
+  switch ((int)effect->kind)
+    {
+    case FX_STORE_CALL:
+      return c->store;
+    case FX_WORKER_CALL:
+      return g_hash_table_lookup (c->workers, worker->worker);
+    case FX_UPSTREAM_SEND:
+      return g_hash_table_lookup (c->upstreams, send->upstream);
+    case FX_UPSTREAM_PROBE:
+      return g_hash_table_lookup (c->upstreams, probe->upstream);
+    default:
+      return g_hash_table_lookup (c->upstreams, ask->upstream);
+    }
+}
+
+/* Makes the call that EFFECT asks for; its end is posted to the core as
+   the event that answers it. */
+void
+client_call (Client *c, const Event *effect)
+{
+  Call *call = g_new0 (Call, 1);
+
+  call->client = c;
+  call->kind = &call_kinds[effect->kind];
+  call->effect =
+      event_new (effect->kind, effect->at, effect->peer, effect->body);
+  call->target = find_target (c, effect);
+  APR_RING_INSERT_TAIL (&c->calls, call, Call, link);
+  io_count (c->io, SHELL_CALLS, 1);
+  if (!call->target)
+    {
+      finish (call);
+      return;
+    }
+  call->kind->prepare (call);
+  if (call->kind->fresh)
+    g_queue_push_head (&call->target->waiting, call);
+  else
+    g_queue_push_tail (&call->target->waiting, call);
+  io_count (c->io, SHELL_CALLS_WAITING, 1);
+  begin_waiting (c, call->target);
+}
+
+static void
+set_deadline (Call *call, gint64 timeout_ms)
+{
+  const Settings *s = io_settings (call->client->io);
+
+  if (timeout_ms == 0)
+    timeout_ms = s->request_deadline_ms;
+  call->deadline = io_now (call->client->io) + timeout_ms;
+}
+
+static void
+set_json_body (Call *call, const RecDesc *d)
+{
+  char *text = rec_to_json (d, call->effect->body);
+
+  call->body = g_bytes_new_take (text, strlen (text));
+  call->url = g_strconcat (call->target->base, "/v1/call", NULL);
+  add_header (call, "Content-Type", "application/json");
+}
+
+/* Reads the answer as a record of kind D; returns NULL if it is none. */
+static void *
+read_json_answer (Call *call, const RecDesc *d)
+{
+  void *rec = rec_new (d);
+  Findings findings;
+  gboolean ok;
+
+  findings_init (&findings);
+  ok =
+      rec_from_json (d, rec, (const char *)call->answer->data,
+                     call->answer->len, REC_MISSING_REFUSE, d->name, &findings);
+  if (!ok)
+    log_event (io_log (call->client->io), LOG_WARNING,
+               io_now (call->client->io), "bad_answer", "url", call->url, "why",
+               findings_at (&findings, 0)->text, NULL);
+  findings_clear (&findings);
+  if (ok)
+    return rec;
+  rec_free (d, rec);
+  return NULL;
+}
+
+static void
+prepare_store (Call *call)
+{
+  const StoreCall *s = call->effect->body;
+  ClockMs grace = s->op == STORE_WATCH ? WATCH_GRACE_MS : 0;
+
+  set_json_body (call, store_call_desc ());
+  set_deadline (call, s->timeout_ms + grace);
+}
+
+static void
+finish_store (Call *call)
+{
+  const StoreCall *s = call->effect->body;
+  StoreReply failure = { .call = s->call, .op = s->op };
+  StoreReply *reply = NULL;
+
+  failure.status = call->transfers ? STORE_LOST : STORE_UNSENT;
+  if (call->whole &&
+      (call->status == HTTP_TOO_MANY || call->status == HTTP_UNAVAILABLE))
+    failure.status = STORE_REFUSED;
+  else if (call->whole && call->status == HTTP_OK)
+    reply = read_json_answer (call, store_reply_desc ());
+  if (reply && (reply->call != s->call || reply->op != s->op))
+    {
+      rec_free (store_reply_desc (), reply);
+      reply = NULL;
+    }
+  io_post (call->client->io, EV_STORE_REPLY, reply ? reply : &failure);
+  rec_free (store_reply_desc (), reply);
+}
+
+static void
+prepare_worker (Call *call)
+{
+  const WorkerCall *w = call->effect->body;
+
+  set_json_body (call, worker_call_desc ());
+  set_deadline (call, w->timeout_ms);
+}
+
+static void
+finish_worker (Call *call)
+{
+  const WorkerCall *w = call->effect->body;
+  WorkerReply failure = { .call = w->call, .worker = w->worker, .op = w->op };
+  WorkerReply *reply = NULL;
+
+  failure.status = call->transfers ? WORKER_LOST : WORKER_UNSENT;
+  if (call->whole && call->status == HTTP_OK)
+    reply = read_json_answer (call, worker_reply_desc ());
+  if (reply &&
+      (reply->call != w->call || strcmp (reply->worker, w->worker) != 0))
+    {
+      rec_free (worker_reply_desc (), reply);
+      reply = NULL;
+    }
+  io_post (call->client->io, EV_WORKER_REPLY, reply ? reply : &failure);
+  rec_free (worker_reply_desc (), reply);
+}
+
+static char *
+request_url (Call *call, const char *request)
+{
+  char *id = g_uri_escape_string (request, NULL, FALSE);
+  char *url = g_strconcat (call->target->base, "/requests/", id, NULL);
+
+  g_free (id);
+  return url;
+}
+
+static void
+prepare_send (Call *call)
+{
+  const UpstreamSend *s = call->effect->body;
+  char attempt[24];
+
+  g_snprintf (attempt, sizeof attempt, "%" G_GINT64_FORMAT, s->attempt);
+  call->url = request_url (call, s->request);
+  call->body = s->body ? g_bytes_ref (s->body) : NULL;
+  add_header (call, "Content-Type", "application/octet-stream");
+  add_header (call, "X-Attempt", attempt);
+  add_header (call, "X-Workspace", s->workspace);
+  add_header (call, "X-Caller", s->caller);
+  add_header (call, "X-Kind", s->work_kind);
+  set_deadline (call, s->timeout_ms);
+}
+
+static GBytes *
+take_answer (Call *call)
+{
+  GBytes *bytes;
+
+  if (!call->whole || call->answer->len == 0)
+    return NULL;
+  bytes = g_byte_array_free_to_bytes (call->answer);
+  call->answer = NULL;
+  return bytes;
+}
+
+static void
+post_upstream_reply (Call *call, UpstreamReply *reply)
+{
+  reply->status = call->whole ? call->status : 0;
+  reply->leaving = call->leaving;
+  reply->body = take_answer (call);
+  io_post (call->client->io, EV_UPSTREAM_REPLY, reply);
+  if (reply->body)
+    g_bytes_unref (reply->body);
+}
+
+static gboolean
+is_success (int status)
+{
+  return status / 100 == 2;
+}
+
+static void
+finish_send (Call *call)
+{
+  const UpstreamSend *s = call->effect->body;
+  UpstreamReply reply = { .upstream = s->upstream,
+                          .request = s->request,
+                          .attempt = s->attempt };
+
+  if (call->transfers == 0)
+    reply.result = UPSTREAM_UNSENT;
+  else if (!call->whole)
+    reply.result = UPSTREAM_LOST;
+  else if (is_success (call->status))
+    reply.result = UPSTREAM_ANSWERED;
+  else if (call->status == HTTP_UNAVAILABLE && call->not_run)
+    reply.result = UPSTREAM_BUSY;
+  else
+    reply.result = UPSTREAM_FAILED;
+  post_upstream_reply (call, &reply);
+}
+
+static void
+prepare_ask (Call *call)
+{
+  const UpstreamAsk *a = call->effect->body;
+
+  call->url = request_url (call, a->request);
+  set_deadline (call, a->timeout_ms);
+}
+
+static Call *
+find_send (Client *c, const UpstreamAsk *a)
+{
+  Call *call;
+
+  APR_RING_FOREACH (call, &c->calls, Call, link)
+    {
+      const UpstreamSend *s = call->effect->body;
+
+      if (call->effect->kind == FX_UPSTREAM_SEND && call->easy &&
+          s->attempt == a->attempt && strcmp (s->request, a->request) == 0 &&
+          strcmp (s->upstream, a->upstream) == 0)
+        return call;
+    }
+  return NULL;
+}
+
+static void end_transfer (Call *call);
+
+/* The upstream has told over a new connection what became of the request,
+   so its old connection, which is silent, is given up. */
+static void
+drop_send (Client *c, const UpstreamAsk *a)
+{
+  Call *call = find_send (c, a);
+
+  if (!call)
+    return;
+  end_transfer (call);
+  APR_RING_REMOVE (call, link);
+  call_free (call);
+}
+
+static void
+finish_ask (Call *call)
+{
+  const UpstreamAsk *a = call->effect->body;
+  UpstreamReply reply = { .upstream = a->upstream,
+                          .request = a->request,
+                          .attempt = a->attempt,
+                          .asked = 1 };
+
+  if (!call->whole)
+    reply.result = UPSTREAM_LOST;
+  else if (call->status == HTTP_OK)
+    reply.result = UPSTREAM_ANSWERED;
+  else if (call->status == HTTP_ACCEPTED)
+    reply.result = UPSTREAM_RUNNING;
+  else if (call->status == HTTP_NOT_FOUND)
+    reply.result = UPSTREAM_NEVER_SEEN;
+  else if (call->status == HTTP_UNAVAILABLE)
+    reply.result = UPSTREAM_LOST;
+  else
+    reply.result = UPSTREAM_FAILED;
+  if (reply.result != UPSTREAM_LOST && reply.result != UPSTREAM_RUNNING)
+    drop_send (call->client, a);
+  post_upstream_reply (call, &reply);
+}
+
+static void
+prepare_probe (Call *call)
+{
+  const UpstreamProbe *p = call->effect->body;
+
+  call->url = g_strconcat (call->target->base, "/health", NULL);
+  set_deadline (call, p->timeout_ms);
+}
+
+static void
+finish_probe (Call *call)
+{
+  const UpstreamProbe *p = call->effect->body;
+
+  io_post (call->client->io, EV_UPSTREAM_PROBED,
+           &(UpstreamProbed) { .upstream = p->upstream,
+                               .healthy =
+                                   call->whole && call->status == HTTP_OK,
+                               .leaving = call->leaving });
+}
+
+static const CallKind call_kinds[N_EVENT_KINDS] = {
+  [FX_STORE_CALL] = { "POST", FALSE, prepare_store, finish_store },
+  [FX_WORKER_CALL] = { "POST", FALSE, prepare_worker, finish_worker },
+  [FX_UPSTREAM_SEND] = { "POST", FALSE, prepare_send, finish_send },
+  [FX_UPSTREAM_ASK] = { "GET", TRUE, prepare_ask, finish_ask },
+  [FX_UPSTREAM_CANCEL] = { "DELETE", FALSE, prepare_ask, NULL },
+  [FX_UPSTREAM_PROBE] = { "GET", TRUE, prepare_probe, finish_probe },
+};
+
+/* An answer that neither names its length nor is chunked ends where the
+   connection does, which a fault looks like, too. */
+static gboolean
+is_whole (const Call *call, CURLcode code, long status)
+{
+  gboolean empty = status == 204 || status == 304;
+
+  return code == CURLE_OK && !call->cut && (call->sized || empty);
+}
+
+/* Takes CALL's transfer away from curl. */
+static void
+end_transfer (Call *call)
+{
+  curl_multi_remove_handle (call->client->multi, call->easy);
+  call->target->open--;
+  io_count (call->client->io, SHELL_CALLS_OPEN, -1);
+}
+
+static void
+on_transfer_end (Client *c, CURL *easy, CURLcode code)
+{
+  Target *target;
+  Call *call;
+  long status = 0;
+
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  call->whole = is_whole (call, code, status);
+  call->status = status >= 100 && status <= 599 ? (int)status : 0;
+  target = call->target;
+  end_transfer (call);
+  finish (call);
+  begin_waiting (c, target);
+}
+
+static void
+take_ends (Client *c)
+{
+  CURLMsg *m;
+  int left;
+
+  while ((m = curl_multi_info_read (c->multi, &left)))
+    if (m->msg == CURLMSG_DONE)
+      on_transfer_end (c, m->easy_handle, m->data.result);
+}
+
+static void
+act (Client *c, curl_socket_t fd, int flags)
+{
+  int running;
+
+  curl_multi_socket_action (c->multi, fd, flags, &running);
+}
+
+typedef struct Socket
+{
+  Client *client;
+  curl_socket_t fd;
+  IoWatch *watch;
+} Socket;
+
+static void
+on_ready (void *owner, int events)
+{
+  Socket *s = owner;
+  int flags = 0;
+
+  if (events & APR_POLLIN)
+    flags |= CURL_CSELECT_IN;
+  if (events & APR_POLLOUT)
+    flags |= CURL_CSELECT_OUT;
+  if (events & (APR_POLLERR | APR_POLLHUP))
+    flags |= CURL_CSELECT_ERR;
+  act (s->client, s->fd, flags);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *owner, void *socket)
+{
+  Client *c = owner;
+  Socket *s = socket;
+  int events = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      io_unwatch (c->io, s ? s->watch : NULL);
+      curl_multi_assign (c->multi, fd, NULL);
+      g_free (s);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    events |= APR_POLLIN;
+  if (what & CURL_POLL_OUT)
+    events |= APR_POLLOUT;
+  if (s)
+    {
+      io_watch_set (c->io, s->watch, events);
+      return 0;
+    }
+  s = g_new (Socket, 1);
+  *s = (Socket) { .client = c, .fd = fd };
+  s->watch = io_watch (c->io, fd, events, on_ready, s);
+  curl_multi_assign (c->multi, fd, s);
+  return 0;
+}
+
+static int
+on_timer (CURLM *multi, long timeout_ms, void *owner)
+{
+  Client *c = owner;
+
+  (void)multi;
+  c->timer = timeout_ms < 0 ? CLOCK_NEVER : io_now (c->io) + timeout_ms;
+  return 0;
+}
+
+/* Returns a client of the store, workers and upstreams in IO's settings. */
+Client *
+client_new (Io *io)
+{
+  Client *c = g_new0 (Client, 1);
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  c->io = io;
+  c->timer = CLOCK_NEVER;
+  c->multi = curl_multi_init ();
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS,
+                     (long)MAX_IDLE_CONNECTIONS);
+  curl_multi_setopt (c->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+  APR_RING_INIT (&c->calls, Call, link);
+  c->upstreams =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, target_free);
+  c->workers =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, target_free);
+  c->idle = g_ptr_array_new_with_free_func ((GDestroyNotify)curl_easy_cleanup);
+  add_targets (c);
+  return c;
+}
+
+/* Drops all calls and releases C. */
+void
+client_free (Client *c)
+{
+  if (!c)
+    return;
+  while (!APR_RING_EMPTY (&c->calls, Call, link))
+    {
+      Call *call = APR_RING_FIRST (&c->calls);
+
+      if (call->easy)
+        end_transfer (call);
+      APR_RING_REMOVE (call, link);
+      call_free (call);
+    }
+  g_ptr_array_unref (c->idle);
+  curl_multi_cleanup (c->multi);
+  g_hash_table_unref (c->upstreams);
+  g_hash_table_unref (c->workers);
+  target_free (c->store);
+  curl_global_cleanup ();
+  g_free (c);
+}
+
+/* Runs what curl's timer asks for and tells the core which calls ended. */
+void
+client_run (Client *c)
+{
+  if (c->timer <= io_now (c->io))
+    {
+      c->timer = CLOCK_NEVER;
+      act (c, CURL_SOCKET_TIMEOUT, 0);
+    }
+  take_ends (c);
+}
+
+/* Returns when client_run wants to be called without an event. */
+ClockMs
+client_next_deadline (const Client *c)
+{
+  return c->timer;
+}
--- a/src/rec.c
+++ b/src/rec.c
@@ -369,6 +369,65 @@
   return FALSE;
 }
 
+static gboolean
+check_field (const RecField *f,
+             const void *rec,
+             const char *place,
+             Findings *findings)
+{
+  const RecList *list = AT (rec, f, const RecList);
+  GBytes *bytes;
+  gboolean ok;
+  guint i;
+
+  switch (f->type)
+    {
+    case REC_INT:
+      return check_int (f, *AT (rec, f, const gint64), place, findings);
+    case REC_STR:
+      return check_length (f, strlen (*AT (rec, f, char *const)), place,
+                           findings);
+    case REC_BYTES:
+      bytes = *AT (rec, f, GBytes *const);
+      return check_length (f, bytes ? g_bytes_get_size (bytes) : 0, place,
+                           findings);
+    case REC_LIST:
+      ok = check_length (f, list->n, place, findings);
+      for (i = 0; i < list->n; i++)
+        {
+          char *at = g_strdup_printf ("%s[%u]", place, i);
+
+          ok &= rec_check (f->item (), rec_list_at (f->item (), list, i), at,
+                           findings);
+          g_free (at);
+        }
+      return ok;
+    }
+  return FALSE;
+}
+
+/* Checks the ranges and lengths of all fields of REC, as made by rec_new
+   and filled since.  Returns FALSE and adds a finding for every fault, its
+   place being PLACE and the path below it. */
+gboolean
+rec_check (const RecDesc *d,
+           const void *rec,
+           const char *place,
+           Findings *findings)
+{
+  gboolean ok = TRUE;
+  guint i;
+
+  for (i = 0; i < d->n_fields; i++)
+    {
+      char *at = g_strdup_printf ("%s.%s", place, d->fields[i].name);
+
+      ok &= check_field (&d->fields[i], rec, at, findings);
+      g_free (at);
+    }
+  return ok;
+}
+
 static gboolean
 set_str (const RecField *f,
          void *rec,
--- a/src/rec.h
+++ b/src/rec.h
@@ -113,6 +113,11 @@
 
 guint64 rec_digest (const RecDesc *d, const void *rec, guint64 seed);
 
+gboolean rec_check (const RecDesc *d,
+                    const void *rec,
+                    const char *place,
+                    Findings *findings);
+
 char *rec_to_json (const RecDesc *d, const void *rec);
 gboolean rec_from_json (const RecDesc *d,
                         void *rec,
--- /dev/null
+++ b/src/wire.c
@@ -0,0 +1,883 @@
+#include "wire.h"
+
+#include <apr_general.h>
+#include <apr_network_io.h>
+#include <apr_portable.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum
+{
+  LENGTH_BYTES = 4,
+  READ_BYTES = 64 << 10,
+  LISTEN_BACKLOG = 128,
+  MAX_UNPROVEN = 64, /* accepted connections that have not yet proved a key */
+  MAX_WAITING = 64,  /* messages for a peer whose connection is being made */
+  HANDSHAKE_MS = 3000,
+  SWEEP_MS = 100,
+  BACK_OFF_LEAST_MS = 100,
+  BACK_OFF_MOST_MS = 5000,
+  WANTED_MS = 30000, /* a peer is redialled so long after the last message */
+  KEEP_IDLE_S = 5,
+  KEEP_INTERVAL_S = 2,
+  USER_TIMEOUT_MS = 5000
+};
+
+/* The dialler's first frame: who it is, and whom it means to reach. */
+#define WIRE_HELLO_FIELDS(INT, STR, BYTES, LIST)                               \
+  INT (version, WIRE_VERSION, WIRE_VERSION)                                    \
+  STR (host, 1, WIRE_MAX_NAME)                                                 \
+  STR (peer, 1, WIRE_MAX_NAME)                                                 \
+  BYTES (nonce, WIRE_NONCE)
+REC_DECLARE (WireHello, wire_hello, WIRE_HELLO_FIELDS)
+REC_DEFINE (WireHello, wire_hello, WIRE_HELLO_FIELDS)
+
+/* The accepter's answer: its own nonce, and proof of the key. */
+#define WIRE_CHALLENGE_FIELDS(INT, STR, BYTES, LIST)                           \
+  INT (version, WIRE_VERSION, WIRE_VERSION)                                    \
+  BYTES (nonce, WIRE_NONCE)                                                    \
+  BYTES (proof, WIRE_MAC)
+REC_DECLARE (WireChallenge, wire_challenge, WIRE_CHALLENGE_FIELDS)
+REC_DEFINE (WireChallenge, wire_challenge, WIRE_CHALLENGE_FIELDS)
+
+/* The dialler's proof, after which it sends frames. */
+#define WIRE_PROOF_FIELDS(INT, STR, BYTES, LIST) BYTES (proof, WIRE_MAC)
+REC_DECLARE (WireProof, wire_proof, WIRE_PROOF_FIELDS)
+REC_DEFINE (WireProof, wire_proof, WIRE_PROOF_FIELDS)
+
+/* One message.  On the wire a MAC under the session's key follows it. */
+#define WIRE_FRAME_FIELDS(INT, STR, BYTES, LIST)                               \
+  INT (sequence, 0, G_MAXINT64)                                                \
+  STR (kind, 1, 64)                                                            \
+  INT (ms, 0, G_MAXINT64)                                                      \
+  INT (count, 0, HLC_MAX_COUNT)                                                \
+  BYTES (body, 64 << 20)
+REC_DECLARE (WireFrame, wire_frame, WIRE_FRAME_FIELDS)
+REC_DEFINE (WireFrame, wire_frame, WIRE_FRAME_FIELDS)
+
+typedef enum LinkState
+{
+  LINK_CONNECTING,
+  LINK_HELLO,     /* accepted: waits for the hello */
+  LINK_CHALLENGE, /* dialled: waits for the challenge */
+  LINK_PROOF,     /* accepted: waits for the proof */
+  LINK_OPEN
+} LinkState;
+
+typedef struct Peer Peer;
+
+/* One connection.  Messages go from its dialler to its accepter only, so
+   two hosts that talk have two. */
+typedef struct Link
+{
+  APR_RING_ENTRY (Link) link;
+  Wire *wire;
+  Peer *peer; /* of an accepted one: once the hello has named it */
+  gboolean dialled;
+  LinkState state;
+  apr_pool_t *pool;
+  apr_socket_t *socket;
+  IoWatch *watch;
+  ClockMs until; /* the handshake's end */
+  guint8 nonce[WIRE_NONCE];
+  guint8 peer_nonce[WIRE_NONCE];
+  guint8 key[WIRE_MAC];
+  gint64 sequence; /* of the next frame */
+  GByteArray *in;
+  GByteArray *out;
+  gsize sent; /* of OUT */
+} Link;
+
+APR_RING_HEAD (LinkRing, Link);
+
+struct Peer
+{
+  const ConfigHost *host;
+  Link *out;
+  Link *in;
+  GQueue waiting; /* of WireFrame */
+  ClockMs retry_at;
+  ClockMs back_off;
+  ClockMs wanted_until;
+};
+
+struct Wire
+{
+  Io *io;
+  apr_socket_t *socket;
+  IoWatch *watch;
+  GHashTable *peers; /* name to Peer */
+  struct LinkRing links;
+  guint n_unproven;
+  ClockMs sweep_at;
+};
+
+static void
+frame_free (gpointer f)
+{
+  rec_free (wire_frame_desc (), f);
+}
+
+static void
+random_bytes (guint8 *to, gsize n)
+{
+  if (apr_generate_random_bytes (to, n) != APR_SUCCESS)
+    g_error ("the system gives no random numbers");
+}
+
+/* Returns SPAN plus or minus up to half of it. */
+static ClockMs
+jitter (ClockMs span)
+{
+  guint32 r;
+
+  random_bytes ((guint8 *)&r, sizeof r);
+  return span / 2 + (ClockMs)(r % (guint32)(span + 1));
+}
+
+/* Computes into MAC the HMAC-SHA256 under the pre-shared key of LABEL and
+   all that both ends said.  LABEL keeps the uses apart, so that no end can
+   be made to answer its own challenge. */
+static void
+sign_handshake (const Link *l, const char *label, guint8 *mac)
+{
+  const Settings *s = io_settings (l->wire->io);
+  const char *dialler = l->dialled ? s->host : l->peer->host->name;
+  const char *accepter = l->dialled ? l->peer->host->name : s->host;
+  GHmac *h = g_hmac_new (G_CHECKSUM_SHA256, (const guchar *)s->peer_key,
+                         strlen (s->peer_key));
+  gsize n = WIRE_MAC;
+
+  g_hmac_update (h, (const guchar *)label, (gssize)strlen (label) + 1);
+  g_hmac_update (h, (const guchar *)dialler, (gssize)strlen (dialler) + 1);
+  g_hmac_update (h, (const guchar *)accepter, (gssize)strlen (accepter) + 1);
+  g_hmac_update (h, l->dialled ? l->nonce : l->peer_nonce, WIRE_NONCE);
+  g_hmac_update (h, l->dialled ? l->peer_nonce : l->nonce, WIRE_NONCE);
+  g_hmac_get_digest (h, mac, &n);
+  g_hmac_unref (h);
+}
+
+static void
+sign_frame (const Link *l, gconstpointer data, gsize n, guint8 *mac)
+{
+  GHmac *h = g_hmac_new (G_CHECKSUM_SHA256, l->key, WIRE_MAC);
+  gsize size = WIRE_MAC;
+
+  g_hmac_update (h, data, (gssize)n);
+  g_hmac_get_digest (h, mac, &size);
+  g_hmac_unref (h);
+}
+
+/* Compares in a time that does not tell where the difference is. */
+static gboolean
+same_mac (const guint8 *a, const guint8 *b)
+{
+  guint8 difference = 0;
+  int i;
+
+  for (i = 0; i < WIRE_MAC; i++)
+    difference |= a[i] ^ b[i];
+  return difference == 0;
+}
+
+static gboolean
+proof_is_good (const Link *l, const char *label, GBytes *proof)
+{
+  guint8 mac[WIRE_MAC];
+
+  if (!proof || g_bytes_get_size (proof) != WIRE_MAC)
+    return FALSE;
+  sign_handshake (l, label, mac);
+  return same_mac (mac, g_bytes_get_data (proof, NULL));
+}
+
+static int
+link_fd (const Link *l)
+{
+  apr_os_sock_t fd = -1;
+
+  apr_os_sock_get (&fd, l->socket);
+  return fd;
+}
+
+static void
+set_socket_options (Link *l)
+{
+  int fd = link_fd (l);
+  int idle = KEEP_IDLE_S;
+  int interval = KEEP_INTERVAL_S;
+  int user_timeout_ms = USER_TIMEOUT_MS;
+
+  apr_socket_opt_set (l->socket, APR_SO_NONBLOCK, 1);
+  apr_socket_timeout_set (l->socket, 0);
+  apr_socket_opt_set (l->socket, APR_TCP_NODELAY, 1);
+  apr_socket_opt_set (l->socket, APR_SO_KEEPALIVE, 1);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+              sizeof user_timeout_ms);
+}
+
+static Link *
+link_new (Wire *w, apr_pool_t *pool, apr_socket_t *socket, Peer *peer)
+{
+  Link *l = g_new0 (Link, 1);
+
+  l->wire = w;
+  l->pool = pool;
+  l->socket = socket;
+  l->peer = peer;
+  l->dialled = peer != NULL;
+  l->state = peer ? LINK_CONNECTING : LINK_HELLO;
+  l->until = io_now (w->io) + HANDSHAKE_MS;
+  l->in = g_byte_array_new ();
+  l->out = g_byte_array_new ();
+  random_bytes (l->nonce, WIRE_NONCE);
+  set_socket_options (l);
+  APR_RING_INSERT_TAIL (&w->links, l, Link, link);
+  w->n_unproven += !l->dialled;
+  return l;
+}
+
+/* The first retry comes soon, later ones ever later. */
+static void
+back_off (Wire *w, Peer *p)
+{
+  p->back_off = CLAMP (2 * p->back_off, BACK_OFF_LEAST_MS, BACK_OFF_MOST_MS);
+  p->retry_at = io_now (w->io) + jitter (p->back_off);
+}
+
+static void
+forget_peer (Link *l)
+{
+  Wire *w = l->wire;
+  Peer *p = l->peer;
+
+  if (l->dialled)
+    {
+      if (l->state == LINK_OPEN)
+        {
+          io_count (w->io, SHELL_WIRE_PEERS, -1);
+          log_event (io_log (w->io), LOG_INFO, io_now (w->io), "peer_down",
+                     "peer", p->host->name, NULL);
+        }
+      p->out = NULL;
+      io_count (w->io, SHELL_WIRE_DROPPED, p->waiting.length);
+      g_queue_clear_full (&p->waiting, frame_free);
+      back_off (w, p);
+    }
+  else if (p && p->in == l)
+    p->in = NULL;
+}
+
+static void
+link_close (Link *l)
+{
+  Wire *w = l->wire;
+
+  forget_peer (l);
+  if (!l->dialled && l->state != LINK_OPEN)
+    w->n_unproven--;
+  APR_RING_REMOVE (l, link);
+  io_unwatch (w->io, l->watch);
+  apr_pool_destroy (l->pool);
+  g_byte_array_unref (l->in);
+  g_byte_array_unref (l->out);
+  g_free (l);
+}
+
+/* Closes a connection whose other end is at fault. */
+static void
+link_refuse (Link *l, const char *why)
+{
+  Wire *w = l->wire;
+
+  io_count (w->io, SHELL_WIRE_REFUSED, 1);
+  log_event (io_log (w->io), LOG_WARNING, io_now (w->io), "peer_refused",
+             "peer", l->peer ? l->peer->host->name : "", "why", why, NULL);
+  link_close (l);
+}
+
+static void
+watch_link (Link *l)
+{
+  gboolean sending = l->state == LINK_CONNECTING || l->out->len > l->sent;
+
+  io_watch_set (l->wire->io, l->watch,
+                sending ? APR_POLLIN | APR_POLLOUT : APR_POLLIN);
+}
+
+/* Sends what it can of OUT.  Returns FALSE when the connection is gone. */
+static gboolean
+flush_link (Link *l)
+{
+  while (l->sent < l->out->len)
+    {
+      apr_size_t n = l->out->len - l->sent;
+      apr_status_t rv =
+          apr_socket_send (l->socket, (char *)l->out->data + l->sent, &n);
+
+      l->sent += n;
+      io_count (l->wire->io, SHELL_WIRE_BYTES_OUT, (gint64)n);
+      if (APR_STATUS_IS_EAGAIN (rv))
+        break;
+      if (rv != APR_SUCCESS)
+        return FALSE;
+    }
+  if (l->sent == l->out->len)
+    {
+      g_byte_array_set_size (l->out, 0);
+      l->sent = 0;
+    }
+  watch_link (l);
+  return TRUE;
+}
+
+static void
+append (Link *l, const RecDesc *d, const void *rec, gboolean sign)
+{
+  GBytes *packed = rec_pack (d, rec);
+  gsize n;
+  gconstpointer data = g_bytes_get_data (packed, &n);
+  guint32 length = g_htonl ((guint32)n + (sign ? WIRE_MAC : 0));
+  guint8 mac[WIRE_MAC];
+
+  g_byte_array_append (l->out, (guint8 *)&length, LENGTH_BYTES);
+  g_byte_array_append (l->out, data, (guint)n);
+  if (sign)
+    {
+      sign_frame (l, data, n, mac);
+      g_byte_array_append (l->out, mac, WIRE_MAC);
+    }
+  g_bytes_unref (packed);
+}
+
+static void
+append_frame (Link *l, WireFrame *f)
+{
+  f->sequence = l->sequence++;
+  io_count (l->wire->io, SHELL_WIRE_FRAMES_OUT, 1);
+  append (l, wire_frame_desc (), f, TRUE);
+}
+
+static void
+send_hello (Link *l)
+{
+  GBytes *nonce = g_bytes_new_static (l->nonce, WIRE_NONCE);
+
+  append (l, wire_hello_desc (),
+          &(WireHello) { .version = WIRE_VERSION,
+                         .host = io_settings (l->wire->io)->host,
+                         .peer = l->peer->host->name,
+                         .nonce = nonce },
+          FALSE);
+  g_bytes_unref (nonce);
+  l->state = LINK_CHALLENGE;
+}
+
+static gboolean
+take_nonce (Link *l, GBytes *nonce)
+{
+  if (!nonce || g_bytes_get_size (nonce) != WIRE_NONCE)
+    return FALSE;
+  memcpy (l->peer_nonce, g_bytes_get_data (nonce, NULL), WIRE_NONCE);
+  return TRUE;
+}
+
+/* Each step of the handshake and each message takes one frame's content;
+   it returns NULL, or why the connection is to be closed. */
+
+static const char *
+take_hello (Link *l, gconstpointer rec)
+{
+  const WireHello *hello = rec;
+  const char *self = io_settings (l->wire->io)->host;
+  guint8 mac[WIRE_MAC];
+  WireChallenge answer = { .version = WIRE_VERSION };
+
+  if (strcmp (hello->peer, self) != 0)
+    return "means another host";
+  l->peer = g_hash_table_lookup (l->wire->peers, hello->host);
+  if (!l->peer)
+    return "is no host of the settings";
+  if (!take_nonce (l, hello->nonce))
+    return "bad nonce";
+  sign_handshake (l, "accepter", mac);
+  answer.nonce = g_bytes_new_static (l->nonce, WIRE_NONCE);
+  answer.proof = g_bytes_new_static (mac, WIRE_MAC);
+  append (l, wire_challenge_desc (), &answer, FALSE);
+  g_bytes_unref (answer.nonce);
+  g_bytes_unref (answer.proof);
+  l->state = LINK_PROOF;
+  return NULL;
+}
+
+static void
+send_waiting (Link *l)
+{
+  WireFrame *f;
+
+  while ((f = g_queue_pop_head (&l->peer->waiting)))
+    {
+      append_frame (l, f);
+      frame_free (f);
+    }
+}
+
+static const char *
+take_challenge (Link *l, gconstpointer rec)
+{
+  const WireChallenge *challenge = rec;
+  guint8 mac[WIRE_MAC];
+  WireProof proof;
+
+  if (!take_nonce (l, challenge->nonce))
+    return "bad nonce";
+  if (!proof_is_good (l, "accepter", challenge->proof))
+    return "wrong key";
+  sign_handshake (l, "dialler", mac);
+  proof.proof = g_bytes_new_static (mac, WIRE_MAC);
+  append (l, wire_proof_desc (), &proof, FALSE);
+  g_bytes_unref (proof.proof);
+  sign_handshake (l, "session", l->key);
+  l->state = LINK_OPEN;
+  l->peer->back_off = 0;
+  io_count (l->wire->io, SHELL_WIRE_PEERS, 1);
+  log_event (io_log (l->wire->io), LOG_INFO, io_now (l->wire->io), "peer_up",
+             "peer", l->peer->host->name, NULL);
+  send_waiting (l);
+  return NULL;
+}
+
+static const char *
+take_proof (Link *l, gconstpointer rec)
+{
+  const WireProof *proof = rec;
+
+  if (!proof_is_good (l, "dialler", proof->proof))
+    return "wrong key";
+  sign_handshake (l, "session", l->key);
+  l->state = LINK_OPEN;
+  l->wire->n_unproven--;
+  if (l->peer->in)
+    link_close (l->peer->in);
+  l->peer->in = l;
+  return NULL;
+}
+
+static Event *
+read_message (const Link *l, const WireFrame *f, Findings *findings)
+{
+  int kind = event_from_name (f->kind);
+  const RecDesc *d;
+  void *body;
+  gsize n = 0;
+  gconstpointer data = f->body ? g_bytes_get_data (f->body, &n) : NULL;
+  Event *e = NULL;
+
+  if (kind < 0 || !event_is_message ((EventKind)kind))
+    return NULL;
+  d = event_desc ((EventKind)kind);
+  body = rec_new (d);
+  if (rec_unpack (d, body, data, n, findings))
+    e = event_new ((EventKind)kind, io_now (l->wire->io), l->peer->host->name,
+                   body);
+  rec_free (d, body);
+  return e;
+}
+
+static const char *
+take_frame (Link *l, gconstpointer rec)
+{
+  const WireFrame *f = rec;
+  Findings findings;
+  Event *e;
+
+  if (l->dialled)
+    return "sends on the connection's other way";
+  if (f->sequence != l->sequence)
+    return "wrong sequence number";
+  l->sequence++;
+  io_count (l->wire->io, SHELL_WIRE_FRAMES_IN, 1);
+  findings_init (&findings);
+  e = read_message (l, f, &findings);
+  findings_clear (&findings);
+  if (!e)
+    return "no message of a known kind and form";
+  io_post_message (l->wire->io, e, (Hlc) { .ms = f->ms, .count = f->count });
+  return NULL;
+}
+
+/* What each state expects. */
+typedef struct LinkStep
+{
+  RecDescFunc record;
+  const char *(*take) (Link *l, gconstpointer rec);
+} LinkStep;
+
+static const LinkStep steps[] = {
+  [LINK_HELLO] = { wire_hello_desc, take_hello },
+  [LINK_CHALLENGE] = { wire_challenge_desc, take_challenge },
+  [LINK_PROOF] = { wire_proof_desc, take_proof },
+  [LINK_OPEN] = { wire_frame_desc, take_frame },
+};
+
+static const char *
+take_content (Link *l, const guint8 *data, gsize n)
+{
+  const LinkStep *step = &steps[l->state];
+  const RecDesc *d = step->record ();
+  const char *why = "bad frame";
+  guint8 mac[WIRE_MAC];
+  Findings findings;
+  void *rec;
+
+  if (l->state == LINK_OPEN)
+    {
+      if (n < WIRE_MAC)
+        return "bad frame";
+      n -= WIRE_MAC;
+      sign_frame (l, data, n, mac);
+      if (!same_mac (mac, data + n))
+        return "wrong code";
+    }
+  rec = rec_new (d);
+  findings_init (&findings);
+  if (rec_unpack (d, rec, data, n, &findings))
+    why = step->take (l, rec);
+  findings_clear (&findings);
+  rec_free (d, rec);
+  return why;
+}
+
+/* Takes all whole frames out of IN. */
+static const char *
+take_frames (Link *l)
+{
+  const char *why = NULL;
+  gsize used = 0;
+
+  while (!why && l->in->len - used >= LENGTH_BYTES)
+    {
+      gsize most = l->state == LINK_OPEN
+                       ? (gsize)io_settings (l->wire->io)->max_frame_bytes
+                       : WIRE_MAX_HANDSHAKE;
+      guint32 length;
+
+      memcpy (&length, l->in->data + used, LENGTH_BYTES);
+      length = g_ntohl (length);
+      if (length > most)
+        return "frame too large";
+      if (l->in->len - used - LENGTH_BYTES < length)
+        break;
+      why = take_content (l, l->in->data + used + LENGTH_BYTES, length);
+      used += LENGTH_BYTES + length;
+    }
+  if (!why && used)
+    g_byte_array_remove_range (l->in, 0, (guint)used);
+  return why;
+}
+
+/* Reads once and takes what is whole; the pollset reports what is left.
+   Returns FALSE when the connection has been closed. */
+static gboolean
+read_link (Link *l)
+{
+  static guint8 buffer[READ_BYTES];
+  apr_size_t n = sizeof buffer;
+  apr_status_t rv = apr_socket_recv (l->socket, (char *)buffer, &n);
+  const char *why;
+
+  if (APR_STATUS_IS_EAGAIN (rv))
+    return TRUE;
+  if (rv != APR_SUCCESS)
+    {
+      link_close (l);
+      return FALSE;
+    }
+  io_count (l->wire->io, SHELL_WIRE_BYTES_IN, (gint64)n);
+  g_byte_array_append (l->in, buffer, (guint)n);
+  why = take_frames (l);
+  if (!why)
+    return TRUE;
+  link_refuse (l, why);
+  return FALSE;
+}
+
+static gboolean
+is_connected (const Link *l)
+{
+  int error = 0;
+  socklen_t n = sizeof error;
+
+  return getsockopt (link_fd (l), SOL_SOCKET, SO_ERROR, &error, &n) == 0 &&
+         error == 0;
+}
+
+static void
+on_link_ready (void *owner, int events)
+{
+  Link *l = owner;
+
+  if (l->state == LINK_CONNECTING)
+    {
+      if (!is_connected (l))
+        {
+          link_close (l);
+          return;
+        }
+      send_hello (l);
+    }
+  else if (events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR) && !read_link (l))
+    return;
+  if (!flush_link (l))
+    link_close (l);
+}
+
+static void
+dial (Wire *w, Peer *p)
+{
+  apr_sockaddr_t *address;
+  apr_socket_t *socket;
+  apr_pool_t *pool;
+
+  apr_pool_create (&pool, io_pool (w->io));
+  if (apr_sockaddr_info_get (&address, p->host->address, APR_UNSPEC,
+                             (apr_port_t)p->host->port, 0,
+                             pool) != APR_SUCCESS ||
+      apr_socket_create (&socket, address->family, SOCK_STREAM, APR_PROTO_TCP,
+                         pool) != APR_SUCCESS)
+    {
+      apr_pool_destroy (pool);
+      back_off (w, p);
+      return;
+    }
+  p->out = link_new (w, pool, socket, p);
+  p->out->watch = io_watch (w->io, link_fd (p->out), APR_POLLIN | APR_POLLOUT,
+                            on_link_ready, p->out);
+  /* The pollset tells how it went, also when it fails at once. */
+  apr_socket_connect (socket, address);
+}
+
+static WireFrame *
+frame_new (const Event *e, Hlc stamp)
+{
+  WireFrame *f = rec_new (wire_frame_desc ());
+
+  rec_set_str (&f->kind, event_name (e->kind));
+  f->ms = stamp.ms;
+  f->count = stamp.count;
+  f->body = rec_pack (event_desc (e->kind), e->body);
+  return f;
+}
+
+static void
+send_frame (Wire *w, Peer *p, WireFrame *f)
+{
+  gsize most = (gsize)io_settings (w->io)->max_frame_bytes;
+  gsize n = g_bytes_get_size (f->body);
+
+  if (p->out && p->out->state != LINK_OPEN && p->waiting.length < MAX_WAITING)
+    {
+      g_queue_push_tail (&p->waiting, f);
+      return;
+    }
+  if (p->out && p->out->state == LINK_OPEN && n + WIRE_MAX_HANDSHAKE <= most &&
+      p->out->out->len - p->out->sent + n <= 2 * most)
+    {
+      append_frame (p->out, f);
+      if (!flush_link (p->out))
+        link_close (p->out);
+    }
+  else
+    io_count (w->io, SHELL_WIRE_DROPPED, 1);
+  frame_free (f);
+}
+
+/* Sends message E, stamped STAMP, to its peer.  A message is dropped and
+   counted when there is no connection and none may be tried yet, or when
+   the peer takes nothing: the core's protocols outlast that. */
+void
+wire_send (Wire *w, const Event *e, Hlc stamp)
+{
+  Peer *p = g_hash_table_lookup (w->peers, e->peer);
+
+  if (!p)
+    {
+      io_count (w->io, SHELL_WIRE_DROPPED, 1);
+      return;
+    }
+  p->wanted_until = io_now (w->io) + WANTED_MS;
+  if (!p->out && p->retry_at <= io_now (w->io))
+    dial (w, p);
+  send_frame (w, p, frame_new (e, stamp));
+}
+
+static void
+on_accept (void *owner, int events)
+{
+  Wire *w = owner;
+  apr_socket_t *socket;
+  apr_pool_t *pool;
+  Link *l;
+
+  (void)events;
+  apr_pool_create (&pool, io_pool (w->io));
+  if (apr_socket_accept (&socket, w->socket, pool) != APR_SUCCESS ||
+      w->n_unproven >= MAX_UNPROVEN)
+    {
+      apr_pool_destroy (pool);
+      return;
+    }
+  l = link_new (w, pool, socket, NULL);
+  l->watch = io_watch (w->io, link_fd (l), APR_POLLIN, on_link_ready, l);
+}
+
+static void
+sweep_links (Wire *w)
+{
+  ClockMs now = io_now (w->io);
+  Link *l;
+  Link *next;
+
+  APR_RING_FOREACH_SAFE (l, next, &w->links, Link, link)
+    if (l->state != LINK_OPEN && l->until <= now)
+      link_close (l);
+}
+
+static void
+sweep_peers (Wire *w)
+{
+  ClockMs now = io_now (w->io);
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, w->peers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      Peer *p = value;
+
+      if (!p->out && p->wanted_until > now && p->retry_at <= now)
+        dial (w, p);
+    }
+}
+
+/* Ends handshakes that take too long, and redials. */
+void
+wire_run (Wire *w)
+{
+  if (io_now (w->io) < w->sweep_at)
+    return;
+  w->sweep_at = io_now (w->io) + SWEEP_MS;
+  sweep_links (w);
+  sweep_peers (w);
+}
+
+/* Returns when wire_run wants to be called without an event. */
+ClockMs
+wire_next_deadline (const Wire *w)
+{
+  return w->sweep_at;
+}
+
+static void
+add_peers (Wire *w)
+{
+  const Config *cfg = (const Config *)io_settings (w->io);
+  guint i;
+
+  for (i = 0; i < cfg->hosts.n; i++)
+    {
+      const ConfigHost *host = config_host (cfg, i);
+      Peer *p;
+
+      if (strcmp (host->name, cfg->host) == 0)
+        continue;
+      p = g_new0 (Peer, 1);
+      p->host = host;
+      g_queue_init (&p->waiting);
+      g_hash_table_insert (w->peers, (gpointer)host->name, p);
+    }
+}
+
+static apr_status_t
+open_listener (Wire *w)
+{
+  const Settings *s = io_settings (w->io);
+  apr_sockaddr_t *address;
+  apr_status_t rv;
+
+  rv = apr_sockaddr_info_get (&address, s->peers_address, APR_UNSPEC,
+                              (apr_port_t)s->peers_port, 0, io_pool (w->io));
+  if (rv == APR_SUCCESS)
+    rv = apr_socket_create (&w->socket, address->family, SOCK_STREAM,
+                            APR_PROTO_TCP, io_pool (w->io));
+  if (rv != APR_SUCCESS)
+    return rv;
+  apr_socket_opt_set (w->socket, APR_SO_REUSEADDR, 1);
+  apr_socket_opt_set (w->socket, APR_SO_NONBLOCK, 1);
+  apr_socket_timeout_set (w->socket, 0);
+  rv = apr_socket_bind (w->socket, address);
+  if (rv == APR_SUCCESS)
+    rv = apr_socket_listen (w->socket, LISTEN_BACKLOG);
+  return rv;
+}
+
+/* Returns the connections to and from the hosts in IO's settings, of which
+   there are none yet, and listens.  Returns NULL and sets ERROR (IO_ERROR)
+   when it can't. */
+Wire *
+wire_new (Io *io, GError **error)
+{
+  const Settings *s = io_settings (io);
+  Wire *w = g_new0 (Wire, 1);
+  apr_status_t rv;
+  apr_os_sock_t fd;
+  char text[128];
+
+  w->io = io;
+  w->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  APR_RING_INIT (&w->links, Link, link);
+  add_peers (w);
+  rv = open_listener (w);
+  if (rv != APR_SUCCESS)
+    {
+      g_set_error (error, IO_ERROR, IO_ERROR_LISTEN,
+                   "can't listen on %s port %" G_GINT64_FORMAT ": %s",
+                   s->peers_address, s->peers_port,
+                   apr_strerror (rv, text, sizeof text));
+      wire_free (w);
+      return NULL;
+    }
+  apr_os_sock_get (&fd, w->socket);
+  w->watch = io_watch (io, fd, APR_POLLIN, on_accept, w);
+  return w;
+}
+
+/* Closes all connections and releases W. */
+void
+wire_free (Wire *w)
+{
+  if (!w)
+    return;
+  while (!APR_RING_EMPTY (&w->links, Link, link))
+    link_close (APR_RING_FIRST (&w->links));
+  io_unwatch (w->io, w->watch);
+  if (w->socket)
+    apr_socket_close (w->socket);
+  g_hash_table_unref (w->peers);
+  g_free (w);
+}
+
+/* Returns the port that other hosts reach. */
+guint
+wire_port (const Wire *w)
+{
+  apr_sockaddr_t *address;
+
+  if (apr_socket_addr_get (&address, APR_LOCAL, w->socket) != APR_SUCCESS)
+    return 0;
+  return address->port;
+}
