--- a/Makefile
+++ b/Makefile
@@ -110,7 +110,7 @@
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability \
 	  --inline-suppr --suppressions-list=tools/cppcheck-suppressions \
 	  --cppcheck-build-dir=$(shell mkdir -p $(BUILD)/cppcheck && echo $(BUILD)/cppcheck) \
-	  -j 4 -iquote src $(C_FILES)
+	  -j 4 -I src $(C_FILES)
 
 symbols: $(CORE)
 	tools/check-symbols $(CORE) tools/core-symbols
