--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,379 @@
+#include "fleet.h"
+
+#include <string.h>
+
+/* What a start that is resumed from a checkpoint costs at most. */
+static const ClockMs resume_cost_ms = 60000;
+
+/* Returns the mask of accelerators FIRST .. FIRST + COUNT - 1. */
+guint64
+fleet_run_mask (guint first, guint count)
+{
+  if (count == 0)
+    return 0;
+  return (G_MAXUINT64 >> (FLEET_MAX_ACCELERATORS - count)) << first;
+}
+
+/* Returns the length of the lowest run of ones in MASK, which isn't 0. */
+guint
+fleet_run_length (guint64 mask)
+{
+  guint64 tail = ~(mask >> __builtin_ctzll (mask));
+
+  return tail ? (guint)__builtin_ctzll (tail) : FLEET_MAX_ACCELERATORS;
+}
+
+static void
+worker_free (gpointer p)
+{
+  FleetWorker *w = p;
+
+  g_free (w->name);
+  g_free (w);
+}
+
+/* Makes F an empty fleet. */
+void
+fleet_init (Fleet *f)
+{
+  memset (f, 0, sizeof *f);
+  f->workers = g_ptr_array_new_with_free_func (worker_free);
+  f->racks = g_ptr_array_new_with_free_func (g_free);
+  f->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+}
+
+/* Releases what F holds; jobs that still stand in it are left alone. */
+void
+fleet_clear (Fleet *f)
+{
+  g_hash_table_unref (f->by_name);
+  g_ptr_array_unref (f->workers);
+  g_ptr_array_unref (f->racks);
+}
+
+/* Returns worker I. */
+FleetWorker *
+fleet_worker (const Fleet *f, guint i)
+{
+  return g_ptr_array_index (f->workers, i);
+}
+
+/* Finds the worker called NAME and sets I.  Returns FALSE if there is
+   none. */
+gboolean
+fleet_find (const Fleet *f, const char *name, guint *i)
+{
+  const FleetWorker *w = g_hash_table_lookup (f->by_name, name);
+
+  if (w)
+    *i = w->index;
+  return w != NULL;
+}
+
+static guint
+rack_index (Fleet *f, const char *rack)
+{
+  guint i;
+
+  for (i = f->racks->len; i > 0; i--)
+    if (strcmp (g_ptr_array_index (f->racks, i - 1), rack) == 0)
+      return i - 1;
+  g_ptr_array_add (f->racks, g_strdup (rack));
+  return f->racks->len - 1;
+}
+
+/* Adds SIGN times the runs of W that may serve guarantees to the bins. */
+static void
+count_bins (Fleet *f, const FleetWorker *w, int sign)
+{
+  guint64 open = fleet_run_mask (0, w->accelerators) & ~w->held;
+
+  if (!w->usable)
+    return;
+  while (open)
+    {
+      guint first = (guint)__builtin_ctzll (open);
+      guint len = fleet_run_length (open);
+
+      f->bins[len] += (guint)sign;
+      open &= ~fleet_run_mask (first, len);
+    }
+}
+
+static void
+count_worker (Fleet *f, const FleetWorker *w, int sign)
+{
+  if (!w->usable)
+    return;
+  f->n_accelerators += (guint)sign * w->accelerators;
+  f->n_used += (guint)sign * (guint)__builtin_popcountll (w->used);
+  f->cores += sign * w->cores;
+  f->memory_mb += sign * w->memory_mb;
+  count_bins (f, w, sign);
+}
+
+/* Adds a usable, empty worker and returns its index.  A name that F knows
+   already is not added again. */
+guint
+fleet_add_worker (Fleet *f,
+                  const char *name,
+                  const char *rack,
+                  guint accelerators,
+                  gint64 cores,
+                  gint64 memory_mb)
+{
+  guint i = f->workers->len;
+  FleetWorker *w;
+
+  if (fleet_find (f, name, &i))
+    return i;
+  w = g_new0 (FleetWorker, 1);
+  w->name = g_strdup (name);
+  w->index = i;
+  w->rack = rack_index (f, rack);
+  w->accelerators = MIN (accelerators, FLEET_MAX_ACCELERATORS);
+  w->cores = w->cores_free = cores;
+  w->memory_mb = w->memory_free = memory_mb;
+  w->usable = TRUE;
+  APR_RING_INIT (&w->parts, FleetPart, link);
+  g_ptr_array_add (f->workers, w);
+  g_hash_table_insert (f->by_name, w->name, w);
+  f->max_accelerators = MAX (f->max_accelerators, w->accelerators);
+  count_worker (f, w, 1);
+  f->releases++;
+  return i;
+}
+
+/* Makes worker I count, or not: one that is down, leaving or in quarantine
+   gets no work and serves no guarantee.  What runs there is left alone. */
+void
+fleet_set_usable (Fleet *f, guint i, gboolean usable)
+{
+  FleetWorker *w = fleet_worker (f, i);
+
+  if (w->usable == usable)
+    return;
+  count_worker (f, w, -1);
+  w->usable = usable;
+  count_worker (f, w, 1);
+  if (usable)
+    f->releases++;
+}
+
+/* Tells whether J may be stopped for the sake of others: it is outside its
+   guarantee, and another start continues it or does no harm. */
+gboolean
+fleet_can_stop (const FleetJob *j)
+{
+  return !j->in_guarantee && (j->checkpointable || j->repeatable);
+}
+
+/* Returns the work that is lost when J is stopped at NOW, in milliseconds
+   of accelerators, or of its parts when it has none.  Work that can save
+   itself loses what a start from the checkpoint costs. */
+gint64
+fleet_stop_cost (const FleetJob *j, ClockMs now)
+{
+  gint64 width = (gint64)j->parts * MAX (j->accelerators, 1);
+  ClockMs lost = now - MAX (j->started, j->saved) + 1;
+
+  if (j->checkpointable)
+    lost = MIN (lost, resume_cost_ms);
+  return width * lost;
+}
+
+static void
+set_masks (Fleet *f, FleetWorker *w, guint64 used, guint64 held)
+{
+  count_worker (f, w, -1);
+  w->used = used;
+  w->held = held;
+  count_worker (f, w, 1);
+}
+
+/* Moves the cores and memory of one part of J at W by SIGN. */
+static void
+take_shares (FleetWorker *w, const FleetJob *j, int sign)
+{
+  w->cores_free -= sign * j->cores;
+  w->memory_free -= sign * j->memory_mb;
+  if (fleet_can_stop (j))
+    return;
+  w->cores_pinned += sign * j->cores;
+  w->memory_pinned += sign * j->memory_mb;
+}
+
+static guint64
+part_mask (const FleetPart *part)
+{
+  return fleet_run_mask (part->first, part->job->accelerators);
+}
+
+static void
+put_part (Fleet *f, FleetPart *part)
+{
+  FleetWorker *w = fleet_worker (f, part->worker);
+  FleetJob *j = part->job;
+  guint64 mask = part_mask (part);
+
+  set_masks (f, w, w->used | mask, j->in_guarantee ? w->held | mask : w->held);
+  take_shares (w, j, 1);
+  APR_RING_INSERT_TAIL (&w->parts, part, FleetPart, link);
+}
+
+static void
+drop_part (Fleet *f, FleetPart *part)
+{
+  FleetWorker *w = fleet_worker (f, part->worker);
+  FleetJob *j = part->job;
+  guint64 mask = part_mask (part);
+
+  set_masks (f, w, w->used & ~mask,
+             j->in_guarantee ? w->held & ~mask : w->held);
+  take_shares (w, j, -1);
+  APR_RING_REMOVE (part, link);
+}
+
+static gboolean
+part_has_room (const Fleet *f, const FleetPart *part)
+{
+  const FleetWorker *w;
+  const FleetJob *j = part->job;
+
+  if (part->worker >= f->workers->len)
+    return FALSE;
+  w = fleet_worker (f, part->worker);
+  return part->first + j->accelerators <= w->accelerators &&
+         !((w->used | w->claimed) & part_mask (part)) &&
+         w->cores_free >= j->cores && w->memory_free >= j->memory_mb;
+}
+
+static void
+unclaim (Fleet *f, FleetJob *j)
+{
+  guint i;
+
+  for (i = 0; i < j->parts; i++)
+    {
+      FleetWorker *w = fleet_worker (f, j->part[i].worker);
+      guint64 mask = part_mask (&j->part[i]);
+
+      w->claimed &= ~mask;
+      set_masks (f, w, w->used, w->held & ~mask);
+      take_shares (w, j, -1);
+    }
+  j->state = FLEET_WAITING;
+}
+
+/* Puts J where its parts say; a claim of J is used up.  Returns FALSE, with
+   nothing taken, if a part has no room there. */
+gboolean
+fleet_place (Fleet *f, FleetJob *j)
+{
+  guint i;
+
+  if (j->state == FLEET_CLAIMED)
+    unclaim (f, j);
+  for (i = 0; i < j->parts && part_has_room (f, &j->part[i]); i++)
+    put_part (f, &j->part[i]);
+  if (i == j->parts)
+    {
+      j->state = FLEET_PLACED;
+      return TRUE;
+    }
+  while (i-- > 0)
+    drop_part (f, &j->part[i]);
+  return FALSE;
+}
+
+/* Holds the place that the parts of J name against everybody else, though
+   work that is to be stopped is still there. */
+void
+fleet_claim (Fleet *f, FleetJob *j)
+{
+  guint i;
+
+  for (i = 0; i < j->parts; i++)
+    {
+      FleetWorker *w = fleet_worker (f, j->part[i].worker);
+      guint64 mask = part_mask (&j->part[i]);
+
+      w->claimed |= mask;
+      set_masks (f, w, w->used, w->held | mask);
+      take_shares (w, j, 1);
+    }
+  j->state = FLEET_CLAIMED;
+}
+
+/* Tells whether all that J claimed is free by now. */
+gboolean
+fleet_claim_is_free (const Fleet *f, const FleetJob *j)
+{
+  guint i;
+
+  for (i = 0; i < j->parts; i++)
+    {
+      const FleetWorker *w = fleet_worker (f, j->part[i].worker);
+
+      if ((w->used & part_mask (&j->part[i])) || w->cores_free < 0 ||
+          w->memory_free < 0)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Frees what J occupies or claims. */
+void
+fleet_release (Fleet *f, FleetJob *j)
+{
+  guint i;
+
+  if (j->state == FLEET_CLAIMED)
+    unclaim (f, j);
+  else if (j->state == FLEET_PLACED)
+    for (i = 0; i < j->parts; i++)
+      drop_part (f, &j->part[i]);
+  j->state = FLEET_WAITING;
+  f->releases++;
+}
+
+/* Counts the placed job J as inside its guarantee, or as borrowing. */
+void
+fleet_hold (Fleet *f, FleetJob *j, gboolean in_guarantee)
+{
+  guint i;
+
+  if (j->in_guarantee == in_guarantee)
+    return;
+  for (i = 0; i < j->parts; i++)
+    drop_part (f, &j->part[i]);
+  j->in_guarantee = in_guarantee;
+  for (i = 0; i < j->parts; i++)
+    put_part (f, &j->part[i]);
+}
+
+/* Returns the share of the free accelerators on usable workers that no part
+   of ACCELERATORS adjacent ones can use, 0 when none is free. */
+double
+fleet_fragmentation (const Fleet *f, guint accelerators)
+{
+  guint64 n_free = 0;
+  guint64 lost = 0;
+  guint i;
+
+  for (i = 0; i < f->workers->len; i++)
+    {
+      const FleetWorker *w = fleet_worker (f, i);
+      guint64 open = fleet_run_mask (0, w->accelerators) & ~w->used;
+
+      while (w->usable && open)
+        {
+          guint len = fleet_run_length (open);
+
+          n_free += len;
+          lost += len % accelerators;
+          open &= ~fleet_run_mask ((guint)__builtin_ctzll (open), len);
+        }
+    }
+  return n_free ? (double)lost / (double)n_free : 0;
+}
--- /dev/null
+++ b/src/place.h
@@ -0,0 +1,32 @@
+#ifndef PLACE_H
+#define PLACE_H
+
+#include "fleet.h"
+
+/* Finding room for all parts of a job at once, or for none.  A placement
+   changes nothing but WORKER and FIRST of the job's parts: the caller then
+   takes the room by fleet_place or fleet_claim. */
+
+typedef struct PlaceAsk
+{
+  Fleet *fleet;
+  FleetJob *job;
+  ClockMs ends; /* when it is expected to end, CLOCK_NEVER if unknown */
+  gboolean ignore_drain;
+  GRand *rng; /* for placers that draw */
+} PlaceAsk;
+
+typedef struct PlaceOps
+{
+  const char *name;
+  gboolean (*find) (const PlaceAsk *ask);
+} PlaceOps;
+
+extern const PlaceOps place_best;      /* keeps the largest holes */
+extern const PlaceOps place_first_fit; /* the naive peers */
+extern const PlaceOps place_random;
+
+gboolean place_worker_takes (const PlaceAsk *ask, const FleetWorker *w);
+gboolean place_could_ever (const Fleet *f, const FleetJob *j);
+
+#endif
