--- a/src/plan.c
+++ b/src/plan.c
@@ -293,8 +293,8 @@
     [PLAN_WAIT_ROOM] = "no room for its shape is free now",
     [PLAN_WAIT_LIMIT] = "its workspace is at a limit",
     [PLAN_WAIT_RECLAIM] = "borrowed work is being stopped for it",
-    [PLAN_WAIT_GUARANTEE] = "it can't be taken back, so it runs only inside "
-                            "its workspace's guarantee, which is in use",
+    [PLAN_WAIT_GUARANTEE] =
+        "it can only run inside its guarantee, which is in use",
     [PLAN_WAIT_NONE] = "it doesn't wait",
   };
 
