--- a/src/client.c
+++ b/src/client.c
@@ -13,6 +13,7 @@
   STORE_CONNECTIONS = 16,
   WORKER_CONNECTIONS = 4,
   CONNECT_MS = 1000,
+  EXPIRE_MS = 50,        /* how exact the deadlines of waiting calls are */
   WATCH_GRACE_MS = 2000, /* a watch's answer may take as long beyond it */
   KEEP_IDLE_S = 5,
   KEEP_INTERVAL_S = 2,
@@ -78,7 +79,9 @@
   GHashTable *workers;   /* name to Target */
   Target *store;
   GPtrArray *idle; /* of CURL */
+  guint n_waiting;
   ClockMs timer;
+  ClockMs expire_at; /* when calls that wait are looked at next */
 };
 
 static const CallKind call_kinds[N_EVENT_KINDS];
@@ -334,6 +337,7 @@
       if (left > 0 && t->open >= cap)
         return;
       g_queue_pop_head (&t->waiting);
+      c->n_waiting--;
       io_count (c->io, SHELL_CALLS_WAITING, -1);
       if (left > 0)
         begin (call, left);
@@ -389,6 +393,7 @@
     g_queue_push_head (&call->target->waiting, call);
   else
     g_queue_push_tail (&call->target->waiting, call);
+  c->n_waiting++;
   io_count (c->io, SHELL_CALLS_WAITING, 1);
   begin_waiting (c, call->target);
 }
@@ -625,7 +630,7 @@
                           .attempt = a->attempt,
                           .asked = 1 };
 
-  if (!call->whole)
+  if (!call->whole || call->status == HTTP_UNAVAILABLE)
     reply.result = UPSTREAM_LOST;
   else if (call->status == HTTP_OK)
     reply.result = UPSTREAM_ANSWERED;
@@ -633,8 +638,6 @@
     reply.result = UPSTREAM_RUNNING;
   else if (call->status == HTTP_NOT_FOUND)
     reply.result = UPSTREAM_NEVER_SEEN;
-  else if (call->status == HTTP_UNAVAILABLE)
-    reply.result = UPSTREAM_LOST;
   else
     reply.result = UPSTREAM_FAILED;
   if (reply.result != UPSTREAM_LOST && reply.result != UPSTREAM_RUNNING)
@@ -821,12 +824,13 @@
 void
 client_free (Client *c)
 {
+  Call *call;
+  Call *next;
+
   if (!c)
     return;
-  while (!APR_RING_EMPTY (&c->calls, Call, link))
+  APR_RING_FOREACH_SAFE (call, next, &c->calls, Call, link)
     {
-      Call *call = APR_RING_FIRST (&c->calls);
-
       if (call->easy)
         end_transfer (call);
       APR_RING_REMOVE (call, link);
@@ -841,6 +845,51 @@
   g_free (c);
 }
 
+static void
+expire_waiting (Client *c, Target *t)
+{
+  ClockMs now = io_now (c->io);
+  GList *l = t->waiting.head;
+
+  while (l)
+    {
+      Call *call = l->data;
+      GList *next = l->next;
+
+      if (call->deadline <= now)
+        {
+          g_queue_delete_link (&t->waiting, l);
+          c->n_waiting--;
+          io_count (c->io, SHELL_CALLS_WAITING, -1);
+          finish (call);
+        }
+      l = next;
+    }
+}
+
+static void
+expire_all (Client *c, GHashTable *targets)
+{
+  GHashTableIter i;
+  gpointer target;
+
+  g_hash_table_iter_init (&i, targets);
+  while (g_hash_table_iter_next (&i, NULL, &target))
+    expire_waiting (c, target);
+}
+
+/* Ends the calls whose time was over before they found a connection. */
+static void
+run_expiry (Client *c)
+{
+  if (c->n_waiting == 0 || io_now (c->io) < c->expire_at)
+    return;
+  c->expire_at = io_now (c->io) + EXPIRE_MS;
+  expire_waiting (c, c->store);
+  expire_all (c, c->workers);
+  expire_all (c, c->upstreams);
+}
+
 /* Runs what curl's timer asks for and tells the core which calls ended. */
 void
 client_run (Client *c)
@@ -851,11 +900,12 @@
       act (c, CURL_SOCKET_TIMEOUT, 0);
     }
   take_ends (c);
+  run_expiry (c);
 }
 
 /* Returns when client_run wants to be called without an event. */
 ClockMs
 client_next_deadline (const Client *c)
 {
-  return c->timer;
+  return c->n_waiting ? MIN (c->timer, c->expire_at) : c->timer;
 }
--- a/src/io.c
+++ b/src/io.c
@@ -62,7 +62,12 @@
   gint64 counters[N_SHELL_COUNTERS];
 };
 
-G_DEFINE_QUARK (wagtailpass - io, io_error)
+/* Returns the domain of the shell's errors. */
+GQuark
+io_error_quark (void)
+{
+  return g_quark_from_static_string ("wagtailpass-io-error-quark");
+}
 
 /* Wall time as it was at the start plus what has passed since: it neither
    jumps nor runs backwards when the wall clock is set. */
--- a/src/settings.c
+++ b/src/settings.c
@@ -20,7 +20,7 @@
   const char *at;
   const char *end;
   guint line;
-  GHashTable *lines; /* path to line */
+  GHashTable *lines; /* path to its line, a guint */
   const char *file;
   Findings *findings;
 } Scan;
@@ -135,7 +135,8 @@
 scan_value (Scan *s, const char *path, guint depth)
 {
   skip_blank (s);
-  g_hash_table_insert (s->lines, g_strdup (path), GUINT_TO_POINTER (s->line));
+  g_hash_table_insert (s->lines, g_strdup (path),
+                       g_memdup2 (&s->line, sizeof s->line));
   if (depth >= max_depth)
     s->at = s->end;
   else if (take (s, '{'))
@@ -274,12 +275,11 @@
   for (i = 0; i < findings_count (from); i++)
     {
       const Finding *f = findings_at (from, i);
-      guint line =
-          GPOINTER_TO_UINT (g_hash_table_lookup (scan->lines, f->place));
+      const guint *line = g_hash_table_lookup (scan->lines, f->place);
       const char *path = *f->place == '.' ? f->place + 1 : f->place;
       const char *gap = *path ? ": " : "";
       char *place =
-          line ? g_strdup_printf ("%s:%u%s%s", scan->file, line, gap, path)
+          line ? g_strdup_printf ("%s:%u%s%s", scan->file, *line, gap, path)
                : g_strdup_printf ("%s%s%s", scan->file, gap, path);
 
       if (g_hash_table_add (said, g_strconcat (place, ": ", f->text, NULL)))
@@ -314,7 +314,7 @@
 
   findings_init (&found);
   scan.findings = findings;
-  scan.lines = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  scan.lines = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   rec_from_json (settings_desc (), s, text, n, REC_MISSING_KEEP, "", &found);
   if (is_json_object (text, n))
     {
--- a/src/wire.c
+++ b/src/wire.c
@@ -112,6 +112,7 @@
   struct LinkRing links;
   guint n_unproven;
   ClockMs sweep_at;
+  guint8 buffer[READ_BYTES];
 };
 
 static void
@@ -249,27 +250,34 @@
   p->retry_at = io_now (w->io) + jitter (p->back_off);
 }
 
+static void
+note_down (Wire *w, const Peer *p)
+{
+  io_count (w->io, SHELL_WIRE_PEERS, -1);
+  log_event (io_log (w->io), LOG_INFO, io_now (w->io), "peer_down", "peer",
+             p->host->name, NULL);
+}
+
 static void
 forget_peer (Link *l)
 {
   Wire *w = l->wire;
   Peer *p = l->peer;
 
-  if (l->dialled)
+  if (!p)
+    return;
+  if (!l->dialled)
     {
-      if (l->state == LINK_OPEN)
-        {
-          io_count (w->io, SHELL_WIRE_PEERS, -1);
-          log_event (io_log (w->io), LOG_INFO, io_now (w->io), "peer_down",
-                     "peer", p->host->name, NULL);
-        }
-      p->out = NULL;
-      io_count (w->io, SHELL_WIRE_DROPPED, p->waiting.length);
-      g_queue_clear_full (&p->waiting, frame_free);
-      back_off (w, p);
+      if (p->in == l)
+        p->in = NULL;
+      return;
     }
-  else if (p && p->in == l)
-    p->in = NULL;
+  if (l->state == LINK_OPEN)
+    note_down (w, p);
+  p->out = NULL;
+  io_count (w->io, SHELL_WIRE_DROPPED, p->waiting.length);
+  g_queue_clear_full (&p->waiting, frame_free);
+  back_off (w, p);
 }
 
 static void
@@ -585,8 +593,8 @@
 static gboolean
 read_link (Link *l)
 {
-  static guint8 buffer[READ_BYTES];
-  apr_size_t n = sizeof buffer;
+  guint8 *buffer = l->wire->buffer;
+  apr_size_t n = READ_BYTES;
   apr_status_t rv = apr_socket_recv (l->socket, (char *)buffer, &n);
   const char *why;
 
@@ -860,10 +868,13 @@
 void
 wire_free (Wire *w)
 {
+  Link *l;
+  Link *next;
+
   if (!w)
     return;
-  while (!APR_RING_EMPTY (&w->links, Link, link))
-    link_close (APR_RING_FIRST (&w->links));
+  APR_RING_FOREACH_SAFE (l, next, &w->links, Link, link)
+    link_close (l);
   io_unwatch (w->io, w->watch);
   if (w->socket)
     apr_socket_close (w->socket);
