Invariants, replay of recorded traces

Cause: promises need one check each that every multi-node test runs, and recorded events need a way back into nodes. Conclusion: the fixture records traces in the form that the replay reads.

--- a/tests/fixture.cc
+++ b/tests/fixture.cc
@@ -2,6 +2,11 @@
 
 #include <algorithm>
 
+extern "C"
+{
+#include "replay.h"
+}
+
 namespace
 {
 
@@ -245,6 +250,14 @@
   return f;
 }
 
+void
+World::add_line (char *line)
+{
+  *trace += line;
+  *trace += "\n";
+  g_free (line);
+}
+
 void
 World::boot (Node &n)
 {
@@ -255,10 +268,11 @@
   n.paused_until = 0;
   n.next_tick = CLOCK_NEVER;
   n.drained = false;
-  n.core = core_new (cfg,
-                     seed + g_str_hash (n.name.c_str ()) +
-                         static_cast<guint32> (now),
-                     now);
+  guint32 node_seed =
+      seed + g_str_hash (n.name.c_str ()) + static_cast<guint32> (now);
+  n.core = core_new (cfg, node_seed, now);
+  if (trace)
+    add_line (replay_start_line (cfg, node_seed, now));
   feed (n.name, EV_TICK, nullptr);
 }
 
@@ -324,6 +338,13 @@
   feed (host, EV_DRAIN, nullptr);
 }
 
+void
+World::note_conn (const std::string &host, gint64 conn)
+{
+  sent_to[conn] = host;
+  sent_incarnation[conn] = nodes.at (host).incarnation;
+}
+
 gint64
 World::request (const std::string &host,
                 CallerRequest q,
@@ -332,6 +353,9 @@
   q.conn = ++conns;
   q.body = bytes_of (body);
   sent_bodies[q.conn] = body;
+  if (!q.repeatable)
+    once_bodies.insert (body);
+  note_conn (host, q.conn);
   feed (host, EV_REQUEST, &q);
   if (q.body)
     g_bytes_unref (q.body);
@@ -356,6 +380,10 @@
 World::job (const std::string &host, CallerJob q)
 {
   q.conn = ++conns;
+  job_parts[q.conn] = static_cast<int> (q.parts);
+  if (!q.repeatable)
+    once_jobs.insert (q.conn);
+  note_conn (host, q.conn);
   feed (host, EV_JOB, &q);
   return q.conn;
 }
@@ -448,6 +476,8 @@
       return;
     }
   e->at = now;
+  if (trace)
+    add_line (event_to_json (e.get (), host.c_str ()));
   core_feed (n.core, e.get ());
   while (Event *x = core_next_effect (n.core))
     {
@@ -485,6 +515,11 @@
           l.state = LEASE_LAPSED;
         l.dirty |= before != l.state;
       }
+  for (auto &u : upstreams)
+    if (!u.second.leaving)
+      leaving_since.erase (u.first);
+    else
+      leaving_since.insert ({ u.first, now });
   for (auto &check : invariants)
     check (*this);
 }
@@ -674,6 +709,9 @@
   std::string body = "answer to " + text_of (call.body);
   Rec<UpstreamReply> r (upstream_reply_desc ());
 
+  if (u.leaving && leaving_since.count (name) &&
+      now > leaving_since[name] + leaving_bound)
+    late_sends.push_back (n.name + " to " + name);
   rec_set_str (&r->upstream, call.upstream);
   rec_set_str (&r->request, call.request);
   r->attempt = call.attempt;
@@ -695,6 +733,7 @@
   r->status = u.fails_all ? 500 : 200;
   r->body = bytes_of (body);
   u.executed[call.request]++;
+  executions[text_of (call.body)]++;
   u.runs[call.request] = { call.caller, body, call.attempt, now + service,
                            static_cast<UpstreamResult> (r->result) };
   if (static_cast<int> (random (1000)) < u.lose_permille)
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -223,8 +223,21 @@
   std::vector<Reply> replies;
   std::vector<Note> notes;
   std::map<gint64, std::string> sent_bodies; /* of requests, by conn */
+  std::map<gint64, std::string> sent_to;     /* host of each conn */
+  std::map<gint64, gint64> sent_incarnation; /* of that host */
+  std::set<std::string> once_bodies;         /* of requests that may run once */
+  std::map<std::string, int> executions;     /* of requests, by body */
+  std::set<gint64> once_jobs;                /* conns of such jobs */
+  std::map<gint64, int> job_parts;           /* by conn */
+  std::map<std::string, std::set<int> > job_starts;           /* runs, by job */
+  std::map<std::string, ClockMs> leaving_since;               /* of upstreams */
+  std::map<std::pair<std::string, gint64>, gint64> revisions; /* seen */
+  std::vector<std::string> late_sends; /* to upstreams that had left */
   gint64 conns = 0;
 
+  /* How long after an upstream's leaving it may still be sent work. */
+  ClockMs leaving_bound = 3000;
+
   /* The links between hosts. */
   ClockMs link_delay = 1;
   ClockMs link_jitter = 0;
@@ -233,11 +246,17 @@
   gint64 messages = 0;
   gint64 message_bytes = 0;
 
+  /* A trace of all nodes from here on, for the replay; see replay.h. */
+  std::string *trace = nullptr;
+
   /* Run after every event; see invariants.h. */
   std::vector<std::function<void (World &)> > invariants;
   /* Sees every effect before it is carried out; true swallows it. */
   std::function<bool (Node &, const Event &)> tap;
 
+  /* Carries out an effect of N as if it had just come out of it. */
+  void carry_out (Node &n, const Event &e);
+
 private:
   struct Action
   {
@@ -251,11 +270,12 @@
     }
   };
 
+  void add_line (char *line);
+  void note_conn (const std::string &host, gint64 conn);
   void boot (Node &n);
   void deliver (const std::string &host,
                 gint64 incarnation,
                 std::shared_ptr<Event> e);
-  void carry_out (Node &n, const Event &e);
   void post (Node &n,
              ClockMs delay,
              EventKind kind,
--- a/tests/fixture_worker.cc
+++ b/tests/fixture_worker.cc
@@ -155,6 +155,8 @@
       w.term = std::max (w.term, call.term);
       if (r->status == WORKER_OK)
         r->status = apply (w, call, now);
+      if (r->status == WORKER_OK && call.op == WORKER_START)
+        job_starts[call.job].insert (static_cast<int> (call.run));
       if (r->status == WORKER_OK && !w.lossy)
         report (w, call, now, r);
       r->term = w.term;
