Table, membership and store session for real

The thin modules took the first cell of each line, held every host for live and sent each store call at once. Heartbeats with relayed sightings give the view of the hosts. The session bounds calls by purpose, backs off, and settles time-outs.

--- a/src/core.c
+++ b/src/core.c
@@ -31,6 +31,7 @@
     return;
   c->draining = TRUE;
   core_write_note (c, &(CoreNote) { .kind = NOTE_DRAINING });
+  member_announce (c);
 }
 
 /* Returns a new node that is configured by a copy of CFG, draws its random
--- a/src/oper_event.h
+++ b/src/oper_event.h
@@ -8,7 +8,9 @@
 
 #define OPER_EFFECTS(X)
 
-#define OPER_COUNTERS(X)
+#define OPER_COUNTERS(X)                                                       \
+  X (COUNT_OPERATOR_QUESTIONS, "operator_questions_total",                     \
+     "Questions and edits of operators.")
 
 #define OPER_NOTES(X)
 
--- a/src/store.h
+++ b/src/store.h
@@ -29,6 +29,26 @@
                            gpointer owner,
                            guint64 arg);
 
+/* A watch that the session keeps up over timeouts, silence and outages.
+   CHANGED is called with every item whose revision exceeds REVISION, the
+   last one known; the owner may raise or lower REVISION at any time by
+   store_watch_from.  To be embedded, zeroed when new. */
+typedef struct StoreWatch StoreWatch;
+typedef void (*StoreChanged) (Core *c, StoreWatch *w, const StoreItem *item);
+
+struct StoreWatch
+{
+  StorePurpose purpose;
+  const char *key;
+  gint64 revision;
+  StoreChanged changed;
+  void *owner;
+  gint64 call; /* 0: none is waiting */
+  ClockMs sent_at;
+  guint failures; /* in a row */
+  Timer retry;
+};
+
 Store *store_new (Core *c);
 void store_start (Core *c);
 void store_free (Store *s);
@@ -39,7 +59,10 @@
                      gpointer owner,
                      guint64 arg);
 void store_forget (Core *c, gint64 call);
+void store_watch_start (Core *c, StoreWatch *w);
+void store_watch_from (Core *c, StoreWatch *w, gint64 revision);
 gboolean store_is_up (const Core *c);
+ClockMs store_answered_at (const Core *c);
 void store_on_reply (Core *c, const Event *e);
 
 #endif
--- a/src/store_event.h
+++ b/src/store_event.h
@@ -87,7 +87,33 @@
 #define STORE_EFFECTS(X) X (FX_STORE_CALL, "store_call", store_call)
 
 #define STORE_COUNTERS(X)                                                      \
-  X (COUNT_STORE_CALLS, "store_calls_total", "Calls sent to the store.")
+  X (COUNT_STORE_CALLS, "store_calls_total", "Calls sent to the store.")       \
+  X (COUNT_STORE_CALLS_LEASE, "store_calls_lease_total",                       \
+     "Calls sent for leases.")                                                 \
+  X (COUNT_STORE_CALLS_CLAIM, "store_calls_claim_total",                       \
+     "Calls sent for claims of idempotency keys.")                             \
+  X (COUNT_STORE_CALLS_JOB, "store_calls_job_total",                           \
+     "Calls sent for job records.")                                            \
+  X (COUNT_STORE_CALLS_TABLE, "store_calls_table_total",                       \
+     "Calls sent for the table, its waiting watches among them.")              \
+  X (COUNT_STORE_CALLS_LIST, "store_calls_list_total",                         \
+     "Calls sent for the platform's list of hosts.")                           \
+  X (COUNT_STORE_WRITES, "store_writes_total",                                 \
+     "Calls sent that change the store.")                                      \
+  X (COUNT_STORE_LOST, "store_calls_lost_total",                               \
+     "Calls sent of which no answer came.")                                    \
+  X (COUNT_STORE_REFUSED, "store_calls_refused_total",                         \
+     "Calls that the store refused.")                                          \
+  X (COUNT_STORE_EXPIRED, "store_calls_expired_total",                         \
+     "Calls that were never sent, for want of budget or of a store.")          \
+  X (COUNT_STORE_LATE, "store_answers_late_total",                             \
+     "Answers to calls that were given up.")                                   \
+  X (COUNT_STORE_WATCHES_LOST, "store_watches_lost_total",                     \
+     "Watches that were set up again after silence or an error.")              \
+  X (COUNT_STORE_OUTAGES, "store_outages_total",                               \
+     "Times that the store was taken for down.")                               \
+  X (COUNT_STORE_UP, "store_up", "1 while the store answers, else 0.")         \
+  X (COUNT_STORE_WAITING, "store_calls_waiting", "Calls that wait to be sent.")
 
 #define STORE_NOTES(X)                                                         \
   X (NOTE_STORE_UP, "store_up")                                                \
