--- a/src/io.c
+++ b/src/io.c
@@ -471,7 +471,7 @@
     }
   io->timeline = timeline_new (s->host, (guint)s->timeline_entries);
   io->client = client_new (io);
-  io->wire = wire_new (io, error);
+  io->wire = wire_new (io, s, error);
   if (!io->wire)
     return FALSE;
   io->http = http_new (io, error);
--- a/src/wire.c
+++ b/src/wire.c
@@ -106,6 +106,7 @@
 struct Wire
 {
   Io *io;
+  const Settings *settings;
   apr_socket_t *socket;
   IoWatch *watch;
   GHashTable *peers; /* name to Peer */
@@ -144,7 +145,7 @@
 static void
 sign_handshake (const Link *l, const char *label, guint8 *mac)
 {
-  const Settings *s = io_settings (l->wire->io);
+  const Settings *s = l->wire->settings;
   const char *dialler = l->dialled ? s->host : l->peer->host->name;
   const char *accepter = l->dialled ? l->peer->host->name : s->host;
   GHmac *h = g_hmac_new (G_CHECKSUM_SHA256, (const guchar *)s->peer_key,
@@ -377,7 +378,7 @@
 
   append (l, wire_hello_desc (),
           &(WireHello) { .version = WIRE_VERSION,
-                         .host = io_settings (l->wire->io)->host,
+                         .host = l->wire->settings->host,
                          .peer = l->peer->host->name,
                          .nonce = nonce },
           FALSE);
@@ -401,7 +402,7 @@
 take_hello (Link *l, gconstpointer rec)
 {
   const WireHello *hello = rec;
-  const char *self = io_settings (l->wire->io)->host;
+  const char *self = l->wire->settings->host;
   guint8 mac[WIRE_MAC];
   WireChallenge answer = { .version = WIRE_VERSION };
 
@@ -570,7 +571,7 @@
   while (!why && l->in->len - used >= LENGTH_BYTES)
     {
       gsize most = l->state == LINK_OPEN
-                       ? (gsize)io_settings (l->wire->io)->max_frame_bytes
+                       ? (gsize)l->wire->settings->max_frame_bytes
                        : WIRE_MAX_HANDSHAKE;
       guint32 length;
 
@@ -684,7 +685,7 @@
 static void
 send_frame (Wire *w, Peer *p, WireFrame *f)
 {
-  gsize most = (gsize)io_settings (w->io)->max_frame_bytes;
+  gsize most = (gsize)w->settings->max_frame_bytes;
   gsize n = g_bytes_get_size (f->body);
 
   if (p->out && p->out->state != LINK_OPEN && p->waiting.length < MAX_WAITING)
@@ -793,7 +794,7 @@
 static void
 add_peers (Wire *w)
 {
-  const Config *cfg = (const Config *)io_settings (w->io);
+  const Config *cfg = (const Config *)w->settings;
   guint i;
 
   for (i = 0; i < cfg->hosts.n; i++)
@@ -813,7 +814,7 @@
 static apr_status_t
 open_listener (Wire *w)
 {
-  const Settings *s = io_settings (w->io);
+  const Settings *s = w->settings;
   apr_sockaddr_t *address;
   apr_status_t rv;
 
@@ -833,19 +834,19 @@
   return rv;
 }
 
-/* Returns the connections to and from the hosts in IO's settings, of which
-   there are none yet, and listens.  Returns NULL and sets ERROR (IO_ERROR)
+/* Returns the connections to and from the hosts in S, which has to last, and
+   listens; there are none yet.  Returns NULL and sets ERROR (IO_ERROR)
    when it can't. */
 Wire *
-wire_new (Io *io, GError **error)
+wire_new (Io *io, const Settings *s, GError **error)
 {
-  const Settings *s = io_settings (io);
   Wire *w = g_new0 (Wire, 1);
   apr_status_t rv;
   apr_os_sock_t fd;
   char text[128];
 
   w->io = io;
+  w->settings = s;
   w->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   APR_RING_INIT (&w->links, Link, link);
   add_peers (w);
--- a/src/wire.h
+++ b/src/wire.h
@@ -16,7 +16,7 @@
   WIRE_MAX_NAME = 64
 };
 
-Wire *wire_new (Io *io, GError **error);
+Wire *wire_new (Io *io, const Settings *s, GError **error);
 void wire_free (Wire *w);
 guint wire_port (const Wire *w);
 void wire_send (Wire *w, const Event *e, Hlc stamp);
--- a/tests/shell_fixture.h
+++ b/tests/shell_fixture.h
@@ -183,10 +183,10 @@
   }
   // Starts one more node, with one workspace "a".
   Io *
-  start ()
+  start (FILE *trace = nullptr)
   {
     GError *error = nullptr;
-    Io *io = io_new (settings, nullptr, &error);
+    Io *io = io_new (settings, trace, &error);
     EXPECT_NE (io, nullptr) << error->message;
     nodes.push_back (io);
     static const char csv[] = "workspace,weight\na,1\n";
@@ -199,7 +199,7 @@
     io_step (io, 0);
     return io;
   }
-  void
+  virtual void
   step ()
   {
     for (auto *io : nodes)
