--- a/src/sheet.c
+++ b/src/sheet.c
@@ -934,13 +934,13 @@
 /* The fleet while guarantees are packed onto it, the largest gang first. */
 typedef struct Packing
 {
-  const SheetWorker *workers;
   guint n;
   gint64 *left; /* accelerators of each worker */
 } Packing;
 
-static gint64
-worker_packed (Packing *k, gint64 size)
+/* Takes SIZE accelerators of the worker that they leave the least on. */
+static gboolean
+gang_packed (Packing *k, gint64 size)
 {
   gint64 best = -1;
   guint i;
@@ -950,50 +950,7 @@
       best = i;
   if (best >= 0)
     k->left[best] -= size;
-  return best;
-}
-
-static gboolean
-same_group (const SheetWorker *a, const SheetWorker *b, gboolean by_rack)
-{
-  return strcmp (a->domain, b->domain) == 0 &&
-         (!by_rack || strcmp (a->rack, b->rack) == 0);
-}
-
-/* Takes SIZE accelerators from the group of worker FIRST, if it has them. */
-static gboolean
-group_packed (Packing *k, guint first, gboolean by_rack, gint64 size)
-{
-  gint64 sum = 0;
-  guint i;
-
-  for (i = first; i < k->n; i++)
-    if (same_group (&k->workers[i], &k->workers[first], by_rack))
-      sum += k->left[i];
-  if (sum < size)
-    return FALSE;
-  for (i = first; i < k->n && size; i++)
-    if (same_group (&k->workers[i], &k->workers[first], by_rack))
-      {
-        gint64 taken = MIN (size, k->left[i]);
-
-        k->left[i] -= taken;
-        size -= taken;
-      }
-  return TRUE;
-}
-
-static gboolean
-gang_packed (Packing *k, gint64 size)
-{
-  guint i;
-
-  if (worker_packed (k, size) >= 0)
-    return TRUE;
-  for (i = 0; i < 2 * k->n; i++)
-    if (group_packed (k, i % k->n, i < k->n, size))
-      return TRUE;
-  return FALSE;
+  return best >= 0;
 }
 
 static gint
@@ -1086,9 +1043,8 @@
 }
 
 /* Adds a finding, with the arithmetic, when the guarantees of S are more
-   than the fleet of N_WORKERS WORKERS has, or do not pack onto it with the
-   largest gangs placed first: inside a worker, else a rack, else a failure
-   domain. */
+   than the fleet has, or do not pack onto it with the largest gangs placed
+   first, each on one of the N_WORKERS WORKERS. */
 void
 sheet_check_fleet (const Sheet *s,
                    const SheetWorker *workers,
@@ -1096,12 +1052,11 @@
                    const char *place,
                    Findings *findings)
 {
-  Packing k = { .workers = workers, .n = n_workers };
+  Packing k = { .n = n_workers, .left = g_new0 (gint64, n_workers + 1) };
   guint before = findings_count (findings);
   gint64 fleet = 0;
   guint i;
 
-  k.left = g_new0 (gint64, n_workers + 1);
   for (i = 0; i < n_workers; i++)
     {
       k.left[i] = workers[i].accelerators;
--- a/src/sheet.h
+++ b/src/sheet.h
@@ -63,7 +63,7 @@
   char *after;
 } SheetChange;
 
-/* The accelerators of one worker, in the fleet that guarantees must fit. */
+/* A worker of the fleet that guarantees must fit. */
 typedef struct SheetWorker
 {
   const char *domain;
