--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,24 @@
 $(BUILD)/bench-all: $(BENCH_OBJ) $(NAIVE_OBJ) $(LIB) $(CORE)
 	$(CC) $(SAN) -o $@ $^ $(LDLIBS) -lm
 
+$(BUILD)/two_nodes: $(BUILD)/examples/two_nodes.o $(CORE)
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+demo: packages
+	$(MAKE) -s all
+	demo/run
+
+bench: $(BUILD)/bench-all
+	@$(BUILD)/bench-all $(ONLY)
+
+bench-report: $(BUILD)/bench-all
+	$(BUILD)/bench-all $(ONLY) > $(BUILD)/bench.txt
+	tools/bench-report $(BUILD)/bench.txt $(BUILD)/bench.html
+
+# Lines by what they do, and the share of tests; see tools/stats.
+stats:
+	@tools/stats
+
 unit: $(BUILD)/unit-tests
 	$(BUILD)/unit-tests --gtest_brief=1
 
@@ -88,7 +106,7 @@
 	$(MAKE) -s BUILD=build-asan OPT=-O1 SAN="$(SANITIZE)" build-asan/unit-tests
 	tools/run-tests build-asan/unit-tests
 
-C_FILES = $(wildcard src/*.c daemons/*.c standin/*.c bench/*.c tests/naive/*.c)
+C_FILES = $(wildcard src/*.c daemons/*.c examples/*.c standin/*.c bench/*.c tests/naive/*.c)
 ALL_FILES = $(C_FILES) $(wildcard src/*.h standin/*.h bench/*.h tests/*.h tests/naive/*.h tests/*.cc)
 
 format:
@@ -118,6 +136,6 @@
 clean:
 	rm -rf build
 
-.PHONY: print-packages print-sanitize all packages unit check format lint format-check tidy cppcheck symbols clean
+.PHONY: demo bench bench-report stats print-packages print-sanitize all packages unit check format lint format-check tidy cppcheck symbols clean
 -include $(CORE_OBJ:.o=.d) $(SHELL_OBJ:.o=.d) $(STANDIN_OBJ:.o=.d) \
 	$(TEST_OBJ:.o=.d) $(BENCH_OBJ:.o=.d) $(NAIVE_OBJ:.o=.d) $(wildcard $(BUILD)/daemons/*.d)
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -33,6 +33,7 @@
                   const char *unit,
                   BenchGoal goal,
                   double target);
+void bench_point (const char *curve, const char *series, double x, double y);
 gint64 bench_ns (void);
 
 #endif
--- a/bench/main.c
+++ b/bench/main.c
@@ -43,6 +43,13 @@
           verdict (goal, ours, target));
 }
 
+/* Prints one point of SERIES in CURVE, for tools/bench-report to draw. */
+void
+bench_point (const char *curve, const char *series, double x, double y)
+{
+  printf ("point %s %s %.6g %.6g\n", curve, series, x, y);
+}
+
 /* Returns a monotonic time in nanoseconds. */
 gint64
 bench_ns (void)
