--- a/Makefile
+++ b/Makefile
@@ -137,5 +137,4 @@
 	rm -rf build
 
 .PHONY: demo bench bench-report stats print-packages print-sanitize all packages unit check format lint format-check tidy cppcheck symbols clean
--include $(CORE_OBJ:.o=.d) $(SHELL_OBJ:.o=.d) $(STANDIN_OBJ:.o=.d) \
-	$(TEST_OBJ:.o=.d) $(BENCH_OBJ:.o=.d) $(NAIVE_OBJ:.o=.d) $(wildcard $(BUILD)/daemons/*.d)
+-include $(wildcard $(BUILD)/*/*.d $(BUILD)/*/*/*.d)
