Requests: fair queue, router, slot shares and claims

Cause: requests went to any upstream of the domain and every loss was an unknown outcome. Now a request passes admission, waits in a fair queue (class floors, workspaces by weight, callers equally), is routed by the better of two samples, replaced when it certainly did not run, retried within a budget when it is repeatable, and claimed in the store first when it must not run twice. Slots are shared among the hosts of a domain and lent between them.

Before: no limits, no retry.

--- a/src/core.c
+++ b/src/core.c
@@ -4,6 +4,7 @@
 #include "oper.h"
 #include "req.h"
 #include "sched.h"
+#include "slots.h"
 #include "store.h"
 #include "table.h"
 
@@ -31,6 +32,7 @@
     return;
   c->draining = TRUE;
   core_write_note (c, &(CoreNote) { .kind = NOTE_DRAINING });
+  req_on_drain (c);
 }
 
 /* Returns a new node that is configured by a copy of CFG, draws its random
--- /dev/null
+++ b/src/req_state.h
@@ -0,0 +1,130 @@
+#ifndef REQ_STATE_H
+#define REQ_STATE_H
+
+#include "claim_event.h"
+#include "fair.h"
+#include "req.h"
+#include "route.h"
+#include "store.h"
+
+/* What req.c, claim.c and slots.c share.  For these alone. */
+
+#define REQUEST_STATES(X)                                                      \
+  X (REQUEST_QUEUED, "queued")         /* in the fair queue */                 \
+  X (REQUEST_PLACING, "placing")       /* its turn, but no upstream yet */     \
+  X (REQUEST_CLAIMING, "claiming")     /* holds a slot, claim is on its way */ \
+  X (REQUEST_STORE_WAIT, "store_wait") /* the store is away */                 \
+  X (REQUEST_RUNNING, "running")       /* sent, and holds a slot */            \
+  X (REQUEST_FOLLOWING, "following")   /* another host or process runs it */
+
+#define REQUEST_STATE_ENUM(kind, name) kind,
+typedef enum RequestState
+{
+  REQUEST_STATES (REQUEST_STATE_ENUM) N_REQUEST_STATES
+} RequestState;
+
+typedef struct Slots Slots;
+typedef struct Claims Claims;
+
+/* One request from its arrival to its end.  FAIR comes first. */
+typedef struct Request
+{
+  FairItem fair;
+  APR_RING_ENTRY (Request) link; /* in PLACING */
+  RequestState state;
+  char *id;
+  char *workspace;
+  char *caller;
+  char *work_kind;
+  char *key;
+  GBytes *body;
+  GArray *conns; /* of gint64: the callers that wait for the reply */
+  WorkClass work_class;
+  gboolean demoted;
+  gboolean repeatable;
+  ClockMs arrived;
+  ClockMs deadline;
+  ClockMs sent;
+  ClockMs held_at; /* since when it holds its slot */
+  gint64 slot_ms;  /* slot time used up by earlier attempts */
+  Timer expiry;
+  Timer step;       /* what to do next: ask, claim again, look again */
+  ClockMs patience; /* span to the next step */
+  gint64 attempt;
+  guint retries;
+  int upstream;   /* of the present attempt */
+  gboolean holds; /* a slot of UPSTREAM */
+  guint n_tried;
+  int tried[ROUTE_MAX_TRIED];
+  guint ask_failures;
+  gboolean lost;         /* the present attempt's connection broke */
+  Outcome so_far;        /* what is true when no more comes */
+  ClaimValue *claim;     /* the newest that is known */
+  gint64 claim_revision; /* 0: none is known */
+  gint64 claim_call;     /* the store call under way */
+  gint64 serial;
+  gboolean claim_sent; /* a claim of ours may be in the store */
+  guint claim_tries;
+  char digest[17];
+} Request;
+
+APR_RING_HEAD (RequestRing, Request);
+
+struct Req
+{
+  GHashTable *by_id;   /* to Request */
+  GHashTable *by_conn; /* to Request */
+  GHashTable *costs;   /* "WORKSPACE KIND" to its CostEntry */
+  GHashTable *tenants; /* workspace to its rate */
+  GHashTable *ended;   /* id to the explanation of its end */
+  GQueue ended_order;
+  Fair *fair;
+  Route *route;
+  Slots *slots;
+  Claims *claims;
+  struct RequestRing placing;
+  guint n_placing;
+  guint n_store_wait;
+  guint n_spilled;
+  gint64 serial;
+  gint64 retry_tokens; /* in permille of a retry */
+  gint64 spill_bytes;
+  ClockMs spill_at;
+  Timer tick;
+  Timer *probes; /* one an upstream */
+  Timer drain_bound;
+};
+
+void req_pump (Core *c);
+void req_send (Core *c, Request *r);
+void req_ask_upstream (Core *c, Request *r);
+void req_release (Core *c, Request *r);
+void req_wait_for_store (Core *c, Request *r);
+void req_finish (Core *c,
+                 Request *r,
+                 Outcome outcome,
+                 int status,
+                 const char *reason,
+                 GBytes *body);
+ClockMs req_grow (ClockMs span, ClockMs most);
+
+Claims *claim_new (Core *c);
+void claim_free (Claims *k);
+gboolean claim_busy (const Core *c);
+void claim_make_id (const char *workspace, const char *key, char id[40]);
+void claim_take (Core *c, Request *r);
+void claim_follow (Core *c, Request *r);
+void
+claim_settle (Core *c, Request *r, ClaimState state, int status, GBytes *body);
+void claim_look_up (Core *c, Request *r);
+void claim_abandon (Core *c);
+
+Slots *slots_new (Core *c);
+void slots_free (Slots *s);
+void slots_sync (Core *c);
+void slots_borrow (Core *c, guint n);
+void slots_tick (Core *c);
+gboolean slots_lent_or_borrowed (const Core *c);
+guint slots_n_hosts (const Core *c);
+
+#endif
