Jobs: records, the domain's scheduler, gangs all or none

Cause: jobs were refused on every host. A job is now acknowledged once its record is in the store; the scheduler of its domain writes the placement, reserves every part, starts only when all are granted and records the end. Work that must not be repeated is recorded as started before its first part is. The role is a store lease with a term that workers take as fencing token; without the store the first live host in rank takes a provisional one, and a holder that was paused steps down before anything else.

Ruled out: one record key without a domain, which every scheduler would have to list; the domain of an idempotency key is settled by one more record.

Before: 7 tests, jobs answered 501. After: 13 tests pass (make unit). Conclusion: the path holds from any host; failures are tested next.

--- a/src/rec.c
+++ b/src/rec.c
@@ -101,8 +101,9 @@
   return item;
 }
 
-static void
-list_clear (const RecDesc *d, RecList *list)
+/* Releases all items of LIST, which becomes empty. */
+void
+rec_list_clear (const RecDesc *d, RecList *list)
 {
   guint i;
 
@@ -128,7 +129,7 @@
 {
   guint i;
 
-  list_clear (d, list);
+  rec_list_clear (d, list);
   if (n == 0)
     return;
   list->items = g_malloc_n (room_for (n), d->size);
@@ -211,7 +212,7 @@
       else if (f->type == REC_BYTES)
         g_clear_pointer (AT (rec, f, GBytes *), g_bytes_unref);
       else if (f->type == REC_LIST)
-        list_clear (f->item (), AT (rec, f, RecList));
+        rec_list_clear (f->item (), AT (rec, f, RecList));
     }
   if (rec)
     rec_init (d, rec);
--- a/src/rec.h
+++ b/src/rec.h
@@ -108,6 +108,7 @@
 void rec_clear (const RecDesc *d, void *rec);
 void rec_free (const RecDesc *d, void *rec);
 void *rec_list_add (const RecDesc *d, RecList *list);
+void rec_list_clear (const RecDesc *d, RecList *list);
 gpointer rec_list_at (const RecDesc *d, const RecList *list, guint i);
 void rec_set_str (const char **field, const char *value);
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -1,29 +1,136 @@
-#include "sched.h"
+#include "sched_state.h"
 
-struct Sched
+#include <json-c/json.h>
+#include <string.h>
+
+enum
 {
-  gint64 jobs;
+  SCHED_READY_MS = 1500,         /* the first plan waits so long for reports */
+  SCHED_TICK_MS = 1000,          /* between looks at table and quarantines */
+  SCHED_LIST_MS = 10000,         /* the least time between listings */
+  SCHED_LIST_BYTES_PER_S = 2000, /* what listings may cost on average */
+  SCHED_LIST_RETRY_MS = 500,     /* while no listing has come */
+  SCHED_MAX_STEPS = 256          /* of the plan in one go */
 };
 
+static void list_records (Core *c, Timer *t);
+static void plan_run (Core *c, Timer *t);
+static void tick (Core *c, Timer *t);
+static void on_ready_bound (Core *c, Timer *t);
+
+static void
+worker_free (gpointer p)
+{
+  g_free (p);
+}
+
+static void
+pending_free (gpointer p)
+{
+  g_free (p);
+}
+
+static void
+orphans_free (gpointer p)
+{
+  g_ptr_array_unref (p);
+}
+
+static void
+add_worker (Sched *s, const ConfigWorker *cfg)
+{
+  Worker *w = g_new0 (Worker, 1);
+
+  w->cfg = cfg;
+  APR_RING_INIT (&w->parts, Part, link);
+  w->timer.fire = gang_worker_tick;
+  w->timer.owner = w;
+  g_ptr_array_add (s->workers, w);
+  g_hash_table_insert (s->worker_by_name, (gpointer)cfg->name, w);
+}
+
 /* Returns the scheduling state of node C. */
 Sched *
 sched_new (Core *c)
 {
-  (void)c;
-  return g_new0 (Sched, 1);
+  Sched *s = g_new0 (Sched, 1);
+  guint i;
+
+  s->workers = g_ptr_array_new_with_free_func (worker_free);
+  s->worker_by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  s->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  s->pending =
+      g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, pending_free);
+  s->orphans =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, orphans_free);
+  s->writer = g_strdup_printf ("%s-%" G_GINT64_FORMAT, c->cfg->host,
+                               c->cfg->incarnation);
+  s->list_timer.fire = list_records;
+  s->plan_timer.fire = plan_run;
+  s->ready_timer.fire = on_ready_bound;
+  s->tick_timer.fire = tick;
+  for (i = 0; i < c->cfg->workers.n; i++)
+    if (strcmp (config_worker (c->cfg, i)->domain, c->cfg->domain) == 0)
+      add_worker (s, config_worker (c->cfg, i));
+  role_init (c, &s->role);
+  submit_new (s);
+  return s;
 }
 
 /* Starts to compete for the domain's scheduler role. */
 void
 sched_start (Core *c)
 {
-  (void)c;
+  role_start (c);
+}
+
+static void
+asker_free (gpointer p)
+{
+  JobAsker *a = p;
+
+  g_free (a->peer);
+  g_free (a);
+}
+
+static void
+job_free (Job *j)
+{
+  g_free (j->parts);
+  g_free (j->fleet.part);
+  g_ptr_array_unref (j->askers);
+  if (j->writing)
+    g_bytes_unref (j->writing);
+  job_record_free (j->rec);
+  g_free (j);
 }
 
 /* Releases S. */
 void
 sched_free (Sched *s)
 {
+  GHashTableIter it;
+  gpointer value;
+
+  submit_free (s);
+  g_hash_table_iter_init (&it, s->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      Job *j = value;
+
+      if (s->plan && j->planned)
+        plan_end (s->plan, &j->fleet, 0, FALSE);
+      job_free (j);
+    }
+  if (s->plan)
+    plan_free (s->plan);
+  g_hash_table_unref (s->jobs);
+  g_hash_table_unref (s->pending);
+  g_hash_table_unref (s->orphans);
+  g_hash_table_unref (s->worker_by_name);
+  g_ptr_array_unref (s->workers);
+  role_clear (&s->role);
+  g_free (s->writer);
   g_free (s);
 }
 
@@ -31,8 +138,7 @@
 gboolean
 sched_busy (const Core *c)
 {
-  (void)c;
-  return FALSE;
+  return submit_busy (c) || role_held (c);
 }
 
 /* Sees each step of time before anything else acts on it: a holder that
@@ -40,46 +146,572 @@
 void
 sched_on_time (Core *c, ClockMs at)
 {
-  (void)c;
-  (void)at;
+  role_on_time (c, at);
+}
+
+/* Has the plan looked at once this event has been dealt with. */
+void
+sched_plan_soon (Core *c)
+{
+  Sched *s = c->sched;
+
+  if (s->ready && !s->plan_timer.slot)
+    core_arm (c, &s->plan_timer, c->now);
+}
+
+static void
+sync_table (Core *c)
+{
+  Sched *s = c->sched;
+  GPtrArray *rows;
+  guint i;
+
+  if (s->table_revision == table_revision (c))
+    return;
+  s->table_revision = table_revision (c);
+  rows = g_ptr_array_new ();
+  for (i = 0; i < table_n_workspaces (c); i++)
+    g_ptr_array_add (rows, (gpointer)table_workspace (c, i));
+  plan_set_table (s->plan, (const Workspace *const *)rows->pdata, rows->len);
+  g_ptr_array_unref (rows);
+}
+
+static void
+place (Core *c, Job *j)
+{
+  Sched *s = c->sched;
+  RecList *seats = &j->rec->seats;
+  guint i;
+
+  rec_list_clear (job_seat_desc (), seats);
+  for (i = 0; i < j->fleet.parts; i++)
+    {
+      JobSeat *seat = rec_list_add (job_seat_desc (), seats);
+
+      rec_set_str (&seat->worker,
+                   plan_worker_name (s->plan, &j->fleet.part[i]));
+      seat->first = j->fleet.part[i].first;
+      seat->count = j->rec->accelerators;
+    }
+  gang_place (c, j);
 }
 
 static void
-refuse (Core *c, gint64 conn)
+make_room (Core *c, const PlanStep *step)
+{
+  guint i;
+
+  for (i = 0; i < step->n_victims; i++)
+    {
+      Job *v = step->victims[i]->owner;
+
+      core_add (c, step->kind == PLAN_MOVE ? COUNT_MOVES : COUNT_RECLAIMS, 1);
+      core_write_note (c, &(CoreNote) {
+                              .kind = NOTE_JOB_RECLAIMED,
+                              .job = v->rec->id,
+                              .workspace = v->rec->workspace,
+                              .detail =
+                                  step->kind == PLAN_MOVE
+                                      ? "against fragmentation"
+                                      : ((Job *)step->job->owner)->rec->id });
+      gang_save (c, v);
+    }
+}
+
+/* Carries out the plan's steps until there is none. */
+static void
+plan_run (Core *c, Timer *t)
+{
+  Sched *s = c->sched;
+  PlanStep step;
+  int n = 0;
+
+  if (!s->ready || c->draining)
+    return;
+  sync_table (c);
+  while (n++ < SCHED_MAX_STEPS && plan_next (s->plan, c->now, &step))
+    if (step.kind == PLAN_START)
+      place (c, step.job->owner);
+    else
+      make_room (c, &step);
+  if (n > SCHED_MAX_STEPS)
+    core_arm (c, t, c->now + 1);
+  core_set (c, COUNT_JOBS_WAITING, plan_n_waiting (s->plan));
+}
+
+/* Tells whether a gang is between its placement and its start, or its
+   stop. */
+static gboolean
+stepping (Core *c)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->sched->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      JobPhase p = ((Job *)value)->phase;
+
+      if (p != PHASE_WAITING && p != PHASE_RUN && p != PHASE_ENDED)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+tick (Core *c, Timer *t)
+{
+  Sched *s = c->sched;
+
+  core_arm (c, t, c->now + SCHED_TICK_MS);
+  plan_tick (s->plan, c->now);
+  sched_plan_soon (c);
+  if (c->draining && !stepping (c))
+    role_drain (c);
+}
+
+static void
+fill_fleet_job (Core *c, Job *j)
+{
+  Sched *s = c->sched;
+  const JobRecord *r = j->rec;
+
+  j->fleet = (FleetJob) { .id = ++s->last_number,
+                          .workspace = plan_workspace (s->plan, r->workspace),
+                          .kind = plan_kind (s->plan, r->work_kind),
+                          .work_class = (WorkClass)r->work_class,
+                          .parts = (guint)r->parts,
+                          .accelerators = (guint)r->accelerators,
+                          .cores = r->cores,
+                          .memory_mb = r->memory_mb,
+                          .run_ms = r->run_ms,
+                          .arrived = MIN (r->accepted_at, c->now),
+                          .checkpointable = r->checkpointable != 0,
+                          .repeatable = r->repeatable != 0,
+                          .started = r->started_at,
+                          .progress = r->saved_ms,
+                          .owner = j };
+}
+
+/* Adds the job of REC, which becomes its own, at REVISION. */
+Job *
+sched_job_add (Core *c, JobRecord *rec, gint64 revision)
+{
+  Sched *s = c->sched;
+  Job *j = g_new0 (Job, 1);
+
+  j->rec = rec;
+  j->revision = revision;
+  j->written_at = c->now;
+  j->askers = g_ptr_array_new_with_free_func (asker_free);
+  fill_fleet_job (c, j);
+  g_hash_table_insert (s->jobs, g_strdup (rec->id), j);
+  return j;
+}
+
+static void
+on_deleted (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
+{
+  (void)c;
+  (void)r;
+  (void)owner;
+  (void)arg;
+}
+
+/* Ends the keeping of J: its record goes, and so does J. */
+void
+sched_job_drop (Core *c, Job *j)
+{
+  char *key = job_key (j->rec->domain, j->rec->id);
+  StoreCall call = { .op = STORE_DELETE, .key = key, .expect = j->revision };
+
+  store_submit (c, STORE_FOR_JOB, &call, on_deleted, NULL, 0);
+  g_free (key);
+  gang_drop (c, j);
+  job_forget_write (c, j);
+  core_stop (c, &j->timer);
+  g_hash_table_remove (c->sched->jobs, j->rec->id);
+  job_free (j);
+}
+
+/* Makes J, whose gang holds nothing any more, wait again. */
+void
+sched_requeue (Core *c, Job *j)
+{
+  j->phase = PHASE_WAITING;
+  j->rec->state = JOB_QUEUED;
+  plan_requeue (c->sched->plan, &j->fleet, c->now);
+  if (j->rec->cancel)
+    gang_cancel (c, j);
+  else if (j->rec->saved_ms || !j->rec->repeatable)
+    job_write (c, j);
+  sched_plan_soon (c);
+}
+
+/* Makes J, which holds nothing and is not in the plan, wait. */
+void
+sched_submit (Core *c, Job *j)
 {
-  core_emit (c, FX_REPLY, NULL,
-             &(CallerReply) { .conn = conn,
-                              .outcome = OUTCOME_NOT_RUN,
-                              .status = 501,
-                              .reason = "jobs are not served" });
+  j->phase = PHASE_WAITING;
+  j->rec->state = JOB_QUEUED;
+  j->planned = TRUE;
+  plan_submit (c->sched->plan, &j->fleet);
+  if (j->rec->cancel)
+    gang_cancel (c, j);
+  sched_plan_soon (c);
 }
 
-/* Takes a caller's job. */
+/* Takes the record VALUE that the store has, or had, at REVISION. */
 void
-sched_on_job (Core *c, const Event *e)
+sched_job_seen (Core *c, GBytes *value, gint64 revision)
+{
+  Sched *s = c->sched;
+  JobRecord *r = job_decode (value);
+  Job *j;
+
+  if (!r)
+    return;
+  j = g_hash_table_lookup (s->jobs, r->id);
+  if (j)
+    {
+      StoreItem item = { .key = "", .revision = revision, .value = value };
+
+      j->listed = TRUE;
+      job_record_free (r);
+      if (!j->writing && !j->unwritten && revision > j->revision)
+        job_settle (c, j, &item);
+      return;
+    }
+  j = sched_job_add (c, r, revision);
+  j->listed = TRUE;
+  if (s->ready)
+    gang_adopt (c, j);
+}
+
+/* A record that the store has lost, or has in an older state, is written
+   again: the store went back, and its jobs have not. */
+static void
+heal (Core *c, const StoreReply *r)
+{
+  Sched *s = c->sched;
+  GHashTableIter it;
+  gpointer value;
+
+  (void)r;
+  g_hash_table_iter_init (&it, s->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      Job *j = value;
+
+      if (j->listed || j->writing || j->unwritten ||
+          j->written_at >= s->list_sent)
+        continue;
+      j->revision = 0;
+      job_write (c, j);
+    }
+}
+
+static void
+unlist (Core *c)
+{
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, c->sched->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    ((Job *)value)->listed = FALSE;
+}
+
+static void
+check_ready (Core *c)
+{
+  Sched *s = c->sched;
+
+  if (!s->ready && s->records_known && s->reports_due == 0)
+    core_arm (c, &s->ready_timer, c->now);
+}
+
+static void
+on_list (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
+{
+  Sched *s = c->sched;
+  gint64 bytes = 0;
+  guint i;
+
+  (void)owner;
+  (void)arg;
+  s->list_call = 0;
+  if (r->status != STORE_OK && r->status != STORE_MISSING)
+    {
+      core_arm (c, &s->list_timer, c->now + SCHED_LIST_RETRY_MS);
+      return;
+    }
+  unlist (c);
+  for (i = 0; i < r->items.n; i++)
+    {
+      const StoreItem *item = rec_list_at (store_item_desc (), &r->items, i);
+
+      bytes += item->value ? (gint64)g_bytes_get_size (item->value) : 0;
+      sched_job_seen (c, item->value, item->revision);
+    }
+  heal (c, r);
+  s->records_known = TRUE;
+  if (s->ready)
+    gang_reap_orphans (c, s->list_sent);
+  core_arm (c, &s->list_timer,
+            c->now +
+                MAX (SCHED_LIST_MS, bytes * 1000 / SCHED_LIST_BYTES_PER_S));
+  check_ready (c);
+}
+
+static void
+list_records (Core *c, Timer *t)
+{
+  Sched *s = c->sched;
+  char *key = g_strdup_printf ("jobs/%s/", c->cfg->domain);
+  StoreCall call = { .op = STORE_LIST, .key = key };
+
+  (void)t;
+  s->list_sent = c->now;
+  s->list_call = store_submit (c, STORE_FOR_JOB, &call, on_list, NULL, 0);
+  g_free (key);
+}
+
+static gint
+by_acceptance (gconstpointer a, gconstpointer b)
+{
+  const Job *x = *(Job *const *)a;
+  const Job *y = *(Job *const *)b;
+
+  if (x->rec->accepted_at != y->rec->accepted_at)
+    return x->rec->accepted_at < y->rec->accepted_at ? -1 : 1;
+  return strcmp (x->rec->id, y->rec->id);
+}
+
+/* Takes over, in the order of their acceptance, all jobs that were found;
+   what holds accelerators first. */
+static void
+adopt_all (Core *c)
+{
+  Sched *s = c->sched;
+  GPtrArray *all = g_ptr_array_new ();
+  GHashTableIter it;
+  gpointer value;
+  guint i;
+
+  g_hash_table_iter_init (&it, s->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    g_ptr_array_add (all, value);
+  g_ptr_array_sort (all, by_acceptance);
+  for (i = 0; i < all->len; i++)
+    ((Job *)g_ptr_array_index (all, i))->fleet.id = ++s->last_number;
+  for (i = 0; i < all->len; i++)
+    gang_adopt (c, g_ptr_array_index (all, i));
+  g_ptr_array_unref (all);
+}
+
+static void
+on_ready_bound (Core *c, Timer *t)
+{
+  Sched *s = c->sched;
+
+  (void)t;
+  if (s->ready)
+    return;
+  sync_table (c);
+  s->ready = TRUE;
+  adopt_all (c);
+  if (s->records_known)
+    gang_reap_orphans (c, s->list_sent);
+  core_write_note (c, &(CoreNote) { .kind = NOTE_ROLE_READY });
+  tick (c, &s->tick_timer);
+}
+
+static void
+make_plan (Core *c)
 {
-  c->sched->jobs++;
-  refuse (c, ((const CallerJob *)e->body)->conn);
+  Sched *s = c->sched;
+  guint i;
+
+  s->plan = plan_new (c->cfg->domain, (guint32)core_random (c, G_MAXINT32));
+  s->table_revision = -1;
+  for (i = 0; i < c->cfg->workers.n; i++)
+    {
+      const ConfigWorker *w = config_worker (c->cfg, i);
+
+      plan_add_worker (s->plan, w->domain, w->name, w->rack,
+                       (guint)w->accelerators, w->cores, w->memory_mb);
+    }
 }
 
-/* Takes a caller's question after a job. */
+/* Begins the work of a scheduler: rebuilds its state from the records and
+   the workers' reports. */
 void
-sched_on_ask (Core *c, const Event *e)
+sched_take (Core *c)
 {
-  refuse (c, ((const CallerAsk *)e->body)->conn);
+  Sched *s = c->sched;
+  guint i;
+
+  make_plan (c);
+  s->ready = s->records_known = FALSE;
+  s->reports_due = s->workers->len;
+  for (i = 0; i < s->workers->len; i++)
+    {
+      Worker *w = g_ptr_array_index (s->workers, i);
+
+      w->reported = FALSE;
+      w->silent = 0;
+      w->renewed = c->now;
+      plan_set_usable (s->plan, w->cfg->name, FALSE);
+      gang_report (c, w);
+    }
+  core_arm (c, &s->ready_timer, c->now + SCHED_READY_MS);
+  list_records (c, NULL);
 }
 
-/* Takes a caller's wish to cancel a job. */
+static void
+drop_all (Core *c)
+{
+  Sched *s = c->sched;
+  GHashTableIter it;
+  gpointer value;
+
+  g_hash_table_iter_init (&it, s->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      Job *j = value;
+
+      g_hash_table_iter_remove (&it);
+      gang_drop (c, j);
+      job_forget_write (c, j);
+      core_stop (c, &j->timer);
+      if (j->planned)
+        plan_end (s->plan, &j->fleet, c->now, FALSE);
+      sched_tell_askers (c, j);
+      job_free (j);
+    }
+}
+
+/* Ends the work of a scheduler on this host: everything is left as it is,
+   for the next one to find. */
 void
-sched_on_cancel (Core *c, const Event *e)
+sched_leave (Core *c)
 {
-  refuse (c, ((const CallerAsk *)e->body)->conn);
+  Sched *s = c->sched;
+  guint i;
+
+  s->ready = FALSE;
+  drop_all (c);
+  g_clear_pointer (&s->plan, plan_free);
+  g_hash_table_remove_all (s->pending);
+  g_hash_table_remove_all (s->orphans);
+  if (s->list_call)
+    store_forget (c, s->list_call);
+  s->list_call = 0;
+  s->n_running = 0;
+  core_set (c, COUNT_JOBS_RUNNING, 0);
+  core_set (c, COUNT_JOBS_WAITING, 0);
+  core_stop (c, &s->list_timer);
+  core_stop (c, &s->plan_timer);
+  core_stop (c, &s->ready_timer);
+  core_stop (c, &s->tick_timer);
+  for (i = 0; i < s->workers->len; i++)
+    {
+      Worker *w = g_ptr_array_index (s->workers, i);
+
+      w->call = 0;
+      core_stop (c, &w->timer);
+    }
 }
 
 /* Takes a worker's reply. */
 void
 sched_on_worker_reply (Core *c, const Event *e)
 {
-  (void)c;
-  (void)e;
+  gang_on_worker_reply (c, e);
+  if (role_held (c))
+    check_ready (c);
+}
+
+/* Takes the sign of a scheduler. */
+void
+sched_on_beat (Core *c, const Event *e)
+{
+  role_on_beat (c, e);
+}
+
+static json_object *
+member (json_object *o, const char *name, json_object *value)
+{
+  json_object_object_add (o, name, value);
+  return o;
+}
+
+static char *
+json_text (json_object *o)
+{
+  char *text =
+      g_strdup (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
+
+  json_object_put (o);
+  return text;
+}
+
+static const char *
+phase_name (JobPhase p)
+{
+#define PHASE_NAME(kind, name) name,
+  static const char *const names[] = { JOB_PHASES (PHASE_NAME) };
+
+  return names[p];
+}
+
+/* Returns, as JSON, where job ID stands here and why it waits, from the
+   last decision; NULL when this host is not its scheduler.  The caller
+   frees it. */
+char *
+sched_explain (Core *c, const char *id)
+{
+  Job *j = g_hash_table_lookup (c->sched->jobs, id);
+  json_object *o;
+
+  if (!j)
+    return NULL;
+  o = json_object_new_object ();
+  member (o, "id", json_object_new_string (id));
+  member (o, "workspace", json_object_new_string (j->rec->workspace));
+  member (o, "state",
+          json_object_new_string (job_state_name ((JobState)j->rec->state)));
+  member (o, "phase", json_object_new_string (phase_name (j->phase)));
+  member (o, "recorded",
+          json_object_new_boolean (!j->unwritten && !j->writing));
+  if (j->phase == PHASE_WAITING && j->planned)
+    member (o, "waits_for",
+            json_object_new_string (plan_wait_text (plan_wait (c->sched->plan,
+                                                               &j->fleet))));
+  if (j->rec->reason && *j->rec->reason)
+    member (o, "reason", json_object_new_string (j->rec->reason));
+  return json_text (o);
+}
+
+/* Returns, as JSON, the role of this host and, on the scheduler, the state
+   of its domain; the caller frees it. */
+char *
+sched_status (Core *c)
+{
+  Sched *s = c->sched;
+  json_object *o = json_object_new_object ();
+
+  member (o, "domain", json_object_new_string (c->cfg->domain));
+  member (o, "scheduler", json_object_new_string (util_str (s->role.holder)));
+  member (o, "held", json_object_new_boolean (s->role.held));
+  member (o, "confirmed", json_object_new_boolean (s->role.confirmed));
+  member (o, "term", json_object_new_int64 (s->role.term));
+  if (s->plan)
+    {
+      member (o, "ready", json_object_new_boolean (s->ready));
+      member (o, "waiting", json_object_new_int64 (plan_n_waiting (s->plan)));
+      member (o, "running", json_object_new_int64 (s->n_running));
+    }
+  return json_text (o);
 }
--- /dev/null
+++ b/src/sched_state.h
@@ -0,0 +1,188 @@
+#ifndef SCHED_STATE_H
+#define SCHED_STATE_H
+
+#include <apr_ring.h>
+
+#include "gang.h"
+#include "job.h"
+#include "plan.h"
+#include "role.h"
+#include "sched.h"
+#include "store.h"
+
+/* What the parts of the scheduler share.  For sched.c, submit.c, role.c,
+   gang.c and job.c only. */
+
+typedef struct Worker Worker;
+typedef struct Part Part;
+typedef struct Job Job;
+
+/* Where a gang stands on this host. */
+#define JOB_PHASES(X)                                                          \
+  X (PHASE_WAITING, "waiting")                                                 \
+  X (PHASE_INTENT, "intent")   /* the placement is being recorded */           \
+  X (PHASE_RESERVE, "reserve") /* reservations are out */                      \
+  X (PHASE_COMMIT, "commit")   /* the start is being recorded */               \
+  X (PHASE_START, "start")                                                     \
+  X (PHASE_RUN, "run")                                                         \
+  X (PHASE_SAVE, "save") /* checkpoints are being written */                   \
+  X (PHASE_UNDO, "undo") /* parts are being stopped */                         \
+  X (PHASE_ENDED, "ended")
+
+#define PART_STATES(X)                                                         \
+  X (PART_FREE, "free")                                                        \
+  X (PART_RESERVING, "reserving")                                              \
+  X (PART_RESERVED, "reserved")                                                \
+  X (PART_STARTING, "starting")                                                \
+  X (PART_RUNNING, "running")                                                  \
+  X (PART_SAVED, "saved")                                                      \
+  X (PART_DONE, "done")                                                        \
+  X (PART_GONE, "gone") /* ended badly, still reported */                      \
+  X (PART_STOPPING, "stopping")
+
+#define SCHED_ENUM(kind, name) kind,
+typedef enum JobPhase
+{
+  JOB_PHASES (SCHED_ENUM) N_JOB_PHASES
+} JobPhase;
+typedef enum PartState
+{
+  PART_STATES (SCHED_ENUM) N_PART_STATES
+} PartState;
+
+/* One part of a gang on its worker. */
+struct Part
+{
+  APR_RING_ENTRY (Part) link; /* on its worker */
+  Job *job;
+  Worker *worker;
+  guint index;
+  gint64 first;
+  gint64 count;
+  PartState state;
+  gint64 call;       /* in flight, 0: none */
+  ClockMs lease_end; /* the worker holds nothing for it after this */
+  gint64 progress_ms;
+  gboolean listed; /* by the report under way */
+  int tries;
+  Timer timer; /* to try again */
+};
+
+APR_RING_HEAD (PartRing, Part);
+
+/* A job that the scheduler of its domain knows. */
+struct Job
+{
+  JobRecord *rec;
+  gint64 revision; /* of the record in the store, 0: not there */
+  JobPhase phase;
+  gboolean unwritten; /* the record has changed since the last write */
+  GBytes *writing;    /* the value in flight, NULL: none */
+  gint64 store_call;
+  ClockMs written_at;
+  Timer write_timer;
+  Part *parts;
+  guint n_parts;    /* 0 while it has no seats */
+  JobState verdict; /* what follows when all parts are free */
+  Timer timer;      /* the bound of the phase; the end of keeping */
+  ClockMs waiting_since;
+  ClockMs run_since;
+  GPtrArray *askers; /* of JobAsker, told when the end is in the store */
+  gboolean planned;  /* the plan has it */
+  FleetJob fleet;    /* what the plan knows of it */
+  gboolean listed;   /* seen in the listing under way */
+};
+
+/* Who is to be told of a cancellation: a caller here, or a peer. */
+typedef struct JobAsker
+{
+  gint64 conn;
+  char *peer;
+} JobAsker;
+
+/* A worker of the own domain. */
+struct Worker
+{
+  const ConfigWorker *cfg;
+  guint index;
+  struct PartRing parts;
+  Timer timer;       /* the next renewal or poll */
+  gint64 call;       /* the renewal or report in flight */
+  ClockMs asked;     /* when it went out */
+  ClockMs renewed;   /* the last renewal that was answered */
+  ClockMs heard;     /* the last answer, 0: never */
+  gboolean reported; /* its leases are known to this term */
+  int silent;        /* calls without an answer in a row */
+};
+
+/* A call to a worker that is in flight. */
+typedef struct WorkerPending
+{
+  gint64 call;
+  Worker *worker;
+  Part *part; /* NULL: of the whole worker */
+  WorkerOp op;
+} WorkerPending;
+
+/* A lease that a worker reported of a job that is not known. */
+typedef struct Orphan
+{
+  Worker *worker;
+  WorkerLease *lease;
+  ClockMs seen;
+} Orphan;
+
+struct Sched
+{
+  Role role;
+  GPtrArray *workers; /* of Worker, the own domain's, in their order */
+  GHashTable *worker_by_name;
+  GHashTable *jobs; /* id to Job, while the role is held */
+  Plan *plan;
+  gint64 last_number;    /* of the plan's jobs */
+  gint64 table_revision; /* that the plan has */
+  GHashTable *pending;   /* call to WorkerPending */
+  gint64 last_call;
+  GHashTable *orphans; /* id to GPtrArray of Orphan */
+  gint64 last_write;
+  char *writer;
+  Timer list_timer;
+  gint64 list_call;
+  ClockMs list_sent;
+  gboolean records_known; /* a listing has come since the role was taken */
+  guint reports_due;
+  gboolean ready; /* may plan */
+  Timer ready_timer;
+  Timer plan_timer;
+  Timer tick_timer;
+  gint64 n_running;
+
+  /* The callers' side, on every host. */
+  gint64 sequence;
+  GHashTable *submits; /* set of Submit */
+  GHashTable *hints;   /* id to Hint */
+  GHashTable *asks;    /* set of Ask */
+};
+
+void sched_plan_soon (Core *c);
+Job *sched_job_add (Core *c, JobRecord *rec, gint64 revision);
+void sched_job_drop (Core *c, Job *j);
+void sched_requeue (Core *c, Job *j);
+void sched_submit (Core *c, Job *j);
+void sched_job_seen (Core *c, GBytes *value, gint64 revision);
+void sched_take (Core *c);
+void sched_leave (Core *c);
+void sched_cancel (Core *c, Job *j);
+void sched_tell_askers (Core *c, Job *j);
+
+void job_write (Core *c, Job *j);
+void job_settle (Core *c, Job *j, const StoreItem *item);
+void job_forget_write (Core *c, Job *j);
+
+void submit_new (Sched *s);
+void submit_free (Sched *s);
+gboolean submit_busy (const Core *c);
+void submit_reply (Core *c, gint64 conn, int status, const JobRecord *r);
+void submit_refuse (Core *c, gint64 conn, int status, const char *reason);
+
+#endif
--- /dev/null
+++ b/tests/sched_path_test.cc
@@ -0,0 +1,127 @@
+#include "sched_fixture.h"
+
+namespace
+{
+
+const char *const table = "workspace,weight\nalpha,1\nbeta,1\n";
+
+struct SchedPath : testing::Test
+{
+  JobWorld w { 1, 3, 4 };
+  void
+  SetUp () override
+  {
+    w.start ();
+    w.load_table (table);
+    ASSERT_TRUE (w.wait_scheduler (5000));
+  }
+};
+
+TEST_F (SchedPath, AGangRunsToItsEndFromAnyHost)
+{
+  for (const char *host : { "h0", "h1", "h2" })
+    {
+      std::string id = w.submit_wait (w.job_of (2, 8, 3000), host);
+      ASSERT_NE (id, "");
+      EXPECT_NE (w.record (id), "");
+      EXPECT_TRUE (w.wait_state (id, "done", 10000)) << w.record (id);
+      EXPECT_EQ (w.starts (id), 1);
+    }
+  w.run (2000);
+  EXPECT_EQ (w.live_leases (), 0);
+}
+
+TEST_F (SchedPath, AskingShowsTheJobToItsWorkspaceAlone)
+{
+  std::string id = w.submit_wait (w.job_of (1, 4, 60000));
+  w.run (2000);
+  for (const char *host : { "h0", "h1", "h2" })
+    {
+      gint64 mine = w.ask (host, EV_JOB_ASK, "alpha", id);
+      gint64 other = w.ask (host, EV_JOB_ASK, "beta", id);
+      gint64 stop = w.ask (host, EV_JOB_CANCEL, "beta", id);
+      w.run (500);
+      ASSERT_NE (w.reply (mine), nullptr);
+      EXPECT_EQ (w.reply (mine)->status, 200);
+      EXPECT_NE (w.reply (mine)->body.find (id), std::string::npos);
+      ASSERT_NE (w.reply (other), nullptr);
+      EXPECT_EQ (w.reply (other)->status, 404);
+      ASSERT_NE (w.reply (stop), nullptr);
+      EXPECT_EQ (w.reply (stop)->status, 404);
+    }
+  EXPECT_EQ (w.live_leases (), 1);
+}
+
+TEST_F (SchedPath, CancellingStopsTheJobFromAnyHost)
+{
+  for (const char *host : { "h0", "h1", "h2" })
+    {
+      std::string id = w.submit_wait (w.job_of (2, 4, 600000));
+      w.run (1000);
+      EXPECT_EQ (w.live_leases (), 2);
+      gint64 conn = w.ask (host, EV_JOB_CANCEL, "alpha", id);
+      EXPECT_TRUE (w.wait_state (id, "cancelled", 5000));
+      w.run (1000);
+      EXPECT_EQ (w.live_leases (), 0);
+      ASSERT_NE (w.reply (conn), nullptr);
+      EXPECT_EQ (w.reply (conn)->status, 200);
+      EXPECT_NE (w.reply (conn)->body.find ("cancelled"), std::string::npos);
+    }
+}
+
+TEST_F (SchedPath, AKeyNamesOneJobWhereverItIsUsed)
+{
+  CallerJob q = w.job_of (1, 1, 1000);
+  q.key = "nightly";
+  q.repeatable = 0;
+  gint64 a = w.submit (q, "h0");
+  gint64 b = w.submit (q, "h1");
+  std::string id = w.accepted (a);
+  EXPECT_NE (id, "");
+  EXPECT_EQ (w.accepted (b), id);
+  EXPECT_TRUE (w.wait_state (id, "done", 10000));
+  EXPECT_EQ (w.submit_wait (q, "h2"), id);
+  w.run (5000);
+  EXPECT_EQ (w.starts (id), 1);
+  q.parts = 2;
+  gint64 other = w.submit (q, "h2");
+  w.run (1000);
+  ASSERT_NE (w.reply (other), nullptr);
+  EXPECT_EQ (w.reply (other)->status, 409);
+  EXPECT_EQ (w.reply (other)->outcome, OUTCOME_NOT_RUN);
+}
+
+TEST_F (SchedPath, ADrainHandsTheRoleOverAndLosesNothing)
+{
+  std::string running = w.submit_wait (w.job_of (2, 8, 20000));
+  std::string old = w.scheduler ();
+  w.run (1000);
+  w.drain (old);
+  EXPECT_TRUE (w.run_until ([&] { return w.nodes[old].drained; }, 5000));
+  EXPECT_TRUE (w.run_until (
+      [&] { return w.scheduler () != "" && w.scheduler () != old; }, 1000));
+  EXPECT_TRUE (w.wait_state (running, "done", 30000));
+  EXPECT_EQ (w.starts (running), 1);
+}
+
+TEST_F (SchedPath, WhatCanNeverRunIsRefusedWithTheReason)
+{
+  CallerJob big = w.job_of (5, 8, 1000);
+  CallerJob keyless = w.job_of (1, 1, 1000);
+  CallerJob foreign = w.job_of (1, 1, 1000);
+  keyless.repeatable = 0;
+  foreign.workspace = "gamma";
+  std::map<gint64, int> want = { { w.submit (big), 422 },
+                                 { w.submit (keyless), 400 },
+                                 { w.submit (foreign), 403 } };
+  w.run (500);
+  for (auto &[conn, status] : want)
+    {
+      ASSERT_NE (w.reply (conn), nullptr);
+      EXPECT_EQ (w.reply (conn)->status, status);
+      EXPECT_EQ (w.reply (conn)->outcome, OUTCOME_NOT_RUN);
+      EXPECT_NE (w.reply (conn)->reason, "");
+    }
+}
+
+} // namespace
