--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 LDLIBS = $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lcsv
 
 # The shell: whatever touches sockets, clocks, files or threads.
-SHELL_MODULES = io wire http log metrics timeline settings client
+SHELL_MODULES = io wire http log metrics timeline settings client cli cli_table cli_job cli_show cli_timeline lanes
 
 CORE_SRC = $(filter-out $(SHELL_MODULES:%=src/%.c),$(wildcard src/*.c))
 SHELL_SRC = $(wildcard $(SHELL_MODULES:%=src/%.c))
@@ -110,7 +110,7 @@
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability \
 	  --inline-suppr --suppressions-list=tools/cppcheck-suppressions \
 	  --cppcheck-build-dir=$(shell mkdir -p $(BUILD)/cppcheck && echo $(BUILD)/cppcheck) \
-	  -j 4 -iquote src $(C_FILES)
+	  -j 4 -I src $(C_FILES)
 
 symbols: $(CORE)
 	tools/check-symbols $(CORE) tools/core-symbols
