Requests note a leaving upstream through membership alone

Cause: both modules listed the same kind of time line entry, so the merged tree did not build. Conclusion: membership writes it, once per news; the build and the suite pass again.

--- a/src/req.c
+++ b/src/req.c
@@ -956,8 +956,6 @@
     return;
   route_set_leaving (c->req->route, u, TRUE);
   member_set_leaving (c, name);
-  core_write_note (c, &(CoreNote) { .kind = NOTE_UPSTREAM_LEAVING,
-                                    .upstream = name });
 }
 
 /* Takes an upstream's answer to a probe. */
