Guarantees, reclaim, order, learning and the plan that ties them

Cause: jobs were first in, first out with first fit. Guarantees are kept as runs of adjacent accelerators; every placement that can't be taken back is checked against histograms of runs, not against the fleet. Reclaim picks the cheapest places one by one, goes back from dead ends and spares what it can. Ruled out: one assignment of guaranteed accelerators to places, which turns free room away.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -82,20 +82,46 @@
   return f->racks->len - 1;
 }
 
-/* Adds SIGN times the runs of W that may serve guarantees to the bins. */
-static void
-count_bins (Fleet *f, const FleetWorker *w, int sign)
+static guint
+shares_left (gint64 whole, gint64 pinned, guint n)
+{
+  gint64 share = whole / n;
+
+  if (share == 0)
+    return n;
+  return pinned >= whole ? 0 : (guint)((whole - pinned) / share);
+}
+
+/* Returns the accelerators of W that may serve guarantees: no work that
+   can't be taken back holds them, nor the cores and memory that belong to
+   them. */
+static guint64
+open_mask (const FleetWorker *w)
 {
   guint64 open = fleet_run_mask (0, w->accelerators) & ~w->held;
+  guint left;
+
+  if (!open)
+    return 0;
+  left = MIN (shares_left (w->cores, w->cores_pinned, w->accelerators),
+              shares_left (w->memory_mb, w->memory_pinned, w->accelerators));
+  while ((guint)__builtin_popcountll (open) > left)
+    open &= ~(1ULL << (63 - __builtin_clzll (open)));
+  return open;
+}
+
+/* Adds SIGN times the runs of W that may serve guarantees to BINS. */
+void
+fleet_count_bins (const FleetWorker *w, guint *bins, int sign)
+{
+  guint64 open = w->usable ? open_mask (w) : 0;
 
-  if (!w->usable)
-    return;
   while (open)
     {
       guint first = (guint)__builtin_ctzll (open);
       guint len = fleet_run_length (open);
 
-      f->bins[len] += (guint)sign;
+      bins[len] += (guint)sign;
       open &= ~fleet_run_mask (first, len);
     }
 }
@@ -109,7 +135,7 @@
   f->n_used += (guint)sign * (guint)__builtin_popcountll (w->used);
   f->cores += sign * w->cores;
   f->memory_mb += sign * w->memory_mb;
-  count_bins (f, w, sign);
+  fleet_count_bins (w, f->bins, sign);
 }
 
 /* Adds a usable, empty worker and returns its index.  A name that F knows
@@ -182,42 +208,62 @@
   return width * lost;
 }
 
-static void
-set_masks (Fleet *f, FleetWorker *w, guint64 used, guint64 held)
+static guint64
+part_mask (const FleetPart *part)
 {
-  count_worker (f, w, -1);
-  w->used = used;
-  w->held = held;
-  count_worker (f, w, 1);
+  return fleet_run_mask (part->first, part->job->accelerators);
+}
+
+/* Returns what a part with ACCELERATORS and AMOUNT of WHOLE of W takes from
+   the guarantees there: what it uses, and not less than the share that goes
+   with its accelerators. */
+static gint64
+pinned_share (const FleetWorker *w,
+              guint accelerators,
+              gint64 whole,
+              gint64 amount)
+{
+  if (!w->accelerators)
+    return amount;
+  return MAX (amount, whole / w->accelerators * accelerators);
 }
 
-/* Moves the cores and memory of one part of J at W by SIGN. */
+/* Moves one part of J at W, with its claim on guarantees, by SIGN. */
 static void
-take_shares (FleetWorker *w, const FleetJob *j, int sign)
+take_shares (FleetWorker *w, const FleetPart *part, int sign)
 {
+  const FleetJob *j = part->job;
+  guint64 mask = part_mask (part);
+
   w->cores_free -= sign * j->cores;
   w->memory_free -= sign * j->memory_mb;
   if (fleet_can_stop (j))
     return;
-  w->cores_pinned += sign * j->cores;
-  w->memory_pinned += sign * j->memory_mb;
+  w->cores_pinned +=
+      sign * pinned_share (w, j->accelerators, w->cores, j->cores);
+  w->memory_pinned +=
+      sign * pinned_share (w, j->accelerators, w->memory_mb, j->memory_mb);
+  w->held = sign > 0 ? w->held | mask : w->held & ~mask;
 }
 
-static guint64
-part_mask (const FleetPart *part)
+/* Fills W as it would be with one more part of J at FIRST.  For trials. */
+void
+fleet_try_part (FleetWorker *w, FleetJob *j, guint first)
 {
-  return fleet_run_mask (part->first, part->job->accelerators);
+  FleetPart part = { .job = j, .first = (guint8)first };
+
+  take_shares (w, &part, 1);
 }
 
 static void
 put_part (Fleet *f, FleetPart *part)
 {
   FleetWorker *w = fleet_worker (f, part->worker);
-  FleetJob *j = part->job;
-  guint64 mask = part_mask (part);
 
-  set_masks (f, w, w->used | mask, j->in_guarantee ? w->held | mask : w->held);
-  take_shares (w, j, 1);
+  count_worker (f, w, -1);
+  w->used |= part_mask (part);
+  take_shares (w, part, 1);
+  count_worker (f, w, 1);
   APR_RING_INSERT_TAIL (&w->parts, part, FleetPart, link);
 }
 
@@ -225,12 +271,11 @@
 drop_part (Fleet *f, FleetPart *part)
 {
   FleetWorker *w = fleet_worker (f, part->worker);
-  FleetJob *j = part->job;
-  guint64 mask = part_mask (part);
 
-  set_masks (f, w, w->used & ~mask,
-             j->in_guarantee ? w->held & ~mask : w->held);
-  take_shares (w, j, -1);
+  count_worker (f, w, -1);
+  w->used &= ~part_mask (part);
+  take_shares (w, part, -1);
+  count_worker (f, w, 1);
   APR_RING_REMOVE (part, link);
 }
 
@@ -249,20 +294,22 @@
 }
 
 static void
-unclaim (Fleet *f, FleetJob *j)
+move_claim (Fleet *f, FleetJob *j, int sign)
 {
   guint i;
 
   for (i = 0; i < j->parts; i++)
     {
-      FleetWorker *w = fleet_worker (f, j->part[i].worker);
-      guint64 mask = part_mask (&j->part[i]);
-
-      w->claimed &= ~mask;
-      set_masks (f, w, w->used, w->held & ~mask);
-      take_shares (w, j, -1);
+      FleetPart *part = &j->part[i];
+      FleetWorker *w = fleet_worker (f, part->worker);
+      guint64 mask = part_mask (part);
+
+      count_worker (f, w, -1);
+      w->claimed = sign > 0 ? w->claimed | mask : w->claimed & ~mask;
+      take_shares (w, part, sign);
+      count_worker (f, w, 1);
     }
-  j->state = FLEET_WAITING;
+  j->state = sign > 0 ? FLEET_CLAIMED : FLEET_WAITING;
 }
 
 /* Puts J where its parts say; a claim of J is used up.  Returns FALSE, with
@@ -273,7 +320,7 @@
   guint i;
 
   if (j->state == FLEET_CLAIMED)
-    unclaim (f, j);
+    move_claim (f, j, -1);
   for (i = 0; i < j->parts && part_has_room (f, &j->part[i]); i++)
     put_part (f, &j->part[i]);
   if (i == j->parts)
@@ -291,18 +338,7 @@
 void
 fleet_claim (Fleet *f, FleetJob *j)
 {
-  guint i;
-
-  for (i = 0; i < j->parts; i++)
-    {
-      FleetWorker *w = fleet_worker (f, j->part[i].worker);
-      guint64 mask = part_mask (&j->part[i]);
-
-      w->claimed |= mask;
-      set_masks (f, w, w->used, w->held | mask);
-      take_shares (w, j, 1);
-    }
-  j->state = FLEET_CLAIMED;
+  move_claim (f, j, 1);
 }
 
 /* Tells whether all that J claimed is free by now. */
@@ -329,7 +365,7 @@
   guint i;
 
   if (j->state == FLEET_CLAIMED)
-    unclaim (f, j);
+    move_claim (f, j, -1);
   else if (j->state == FLEET_PLACED)
     for (i = 0; i < j->parts; i++)
       drop_part (f, &j->part[i]);
@@ -341,14 +377,13 @@
 void
 fleet_hold (Fleet *f, FleetJob *j, gboolean in_guarantee)
 {
+  gboolean placed = j->state == FLEET_PLACED;
   guint i;
 
-  if (j->in_guarantee == in_guarantee)
-    return;
-  for (i = 0; i < j->parts; i++)
+  for (i = 0; placed && i < j->parts; i++)
     drop_part (f, &j->part[i]);
   j->in_guarantee = in_guarantee;
-  for (i = 0; i < j->parts; i++)
+  for (i = 0; placed && i < j->parts; i++)
     put_part (f, &j->part[i]);
 }
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -14,6 +14,7 @@
 {
   FLEET_MAX_ACCELERATORS = 64, /* of one worker */
   FLEET_MAX_PARTS = 128,       /* of one job */
+  FLEET_MAX_FAILURES = 3,      /* of a job, on distinct workers */
   FLEET_NO_SLOT = -1
 };
 
@@ -37,6 +38,7 @@
   FleetJob *job;
   guint32 worker;
   gint32 slot;
+  gint32 old_slot; /* before it was discharged */
   guint8 first;
 } FleetPart;
 
@@ -66,16 +68,22 @@
   ClockMs saved;    /* its last checkpoint, or started */
   ClockMs progress; /* work kept from earlier starts */
   ClockMs learnt_ms;
-  guint stopping;                 /* chosen by a reclaim that is under way */
-  guint mark;                     /* scratch of the searches */
-  FleetPart *part;                /* PARTS of them */
-  APR_RING_ENTRY (FleetJob) link; /* queue of its workspace */
-  APR_RING_ENTRY (FleetJob) run_link; /* placed jobs of its workspace */
+  guint stopping; /* chosen by a reclaim that is under way */
+  guint mark;     /* scratch of the searches */
+  guint seen;
+  guint wait;                          /* PlanWait */
+  guint failed_on[FLEET_MAX_FAILURES]; /* distinct healthy workers */
+  guint n_failures;
+  guint avoid;     /* 1 + the worker where it failed last, 0: none */
+  FleetPart *part; /* PARTS of them */
+  APR_RING_ENTRY (FleetJob) link; /* waiting or placed, in its workspace */
 };
 
 APR_RING_HEAD (FleetParts, FleetPart);
 
-/* One worker.  Bit I of a mask stands for accelerator I. */
+/* One worker.  Bit I of a mask stands for accelerator I.  What is pinned is
+   the share of cores and memory that work which can't be taken back uses or
+   is entitled to with its accelerators. */
 typedef struct FleetWorker
 {
   char *name;
@@ -86,12 +94,13 @@
   gint64 memory_mb;
   gint64 cores_free;
   gint64 memory_free;
-  gint64 cores_pinned; /* by work that can't be taken back */
+  gint64 cores_pinned;
   gint64 memory_pinned;
   guint64 used;     /* occupied */
   guint64 held;     /* by work inside its guarantee, claims included */
   guint64 claimed;  /* by a claimant that waits for borrowed work to stop */
-  gboolean usable;  /* up, and neither leaving nor in quarantine */
+  gboolean up;      /* by the plan's owner */
+  gboolean usable;  /* up, and not in quarantine */
   gboolean drained; /* kept for the draining reservation */
   struct FleetParts parts;
 } FleetWorker;
@@ -134,6 +143,8 @@
 gboolean fleet_can_stop (const FleetJob *j);
 gint64 fleet_stop_cost (const FleetJob *j, ClockMs now);
 double fleet_fragmentation (const Fleet *f, guint accelerators);
+void fleet_count_bins (const FleetWorker *w, guint *bins, int sign);
+void fleet_try_part (FleetWorker *w, FleetJob *j, guint first);
 guint64 fleet_run_mask (guint first, guint count);
 guint fleet_run_length (guint64 mask);
 
--- a/src/place.c
+++ b/src/place.c
@@ -4,7 +4,7 @@
 gboolean
 place_worker_takes (const PlaceAsk *ask, const FleetWorker *w)
 {
-  if (!w->usable)
+  if (!w->usable || ask->job->avoid == w->index + 1)
     return FALSE;
   return !w->drained || ask->ignore_drain ||
          ask->ends <= ask->fleet->drained_until;
@@ -44,15 +44,29 @@
   r.open = fleet_run_mask (0, w->accelerators) & ~(w->used | w->claimed);
   r.cores = w->cores_free;
   r.memory_mb = w->memory_free;
+  if (ask->keep_shares && w->accelerators)
+    {
+      gint64 n = w->accelerators - __builtin_popcountll (w->held);
+
+      r.cores = MIN (r.cores, w->cores - w->cores_pinned -
+                                  n * (w->cores / w->accelerators));
+      r.memory_mb = MIN (r.memory_mb, w->memory_mb - w->memory_pinned -
+                                          n * (w->memory_mb / w->accelerators));
+    }
   return r;
 }
 
+static gboolean
+room_has_shares (const Room *r, const FleetJob *j)
+{
+  return r->cores >= j->cores && r->memory_mb >= j->memory_mb;
+}
+
+/* Returns the first accelerator of the lowest place for a part, or -1. */
 static int
 room_find (const Room *r, const FleetJob *j)
 {
-  if (r->cores < j->cores || r->memory_mb < j->memory_mb)
-    return -1;
-  return first_run (r->open, j->accelerators);
+  return room_has_shares (r, j) ? first_run (r->open, j->accelerators) : -1;
 }
 
 static void
@@ -85,7 +99,7 @@
       Room r = room_of (ask, w);
       int first;
 
-      while (w->usable && done < ask->job->parts &&
+      while (place_worker_takes (ask, w) && done < ask->job->parts &&
              (first = room_find (&r, ask->job)) >= 0)
         {
           room_take (&r, ask->job, (guint)first);
@@ -121,11 +135,217 @@
   return found;
 }
 
-const PlaceOps place_best = { .name = "best", .find = find_first_fit };
 const PlaceOps place_first_fit = { .name = "first_fit",
                                    .find = find_first_fit };
 const PlaceOps place_random = { .name = "random", .find = find_random };
 
+/* Returns the place for COUNT in the smallest run of OPEN that holds them,
+   at the end that keeps the rest aligned, and sets HOLE to its length.
+   Returns -1 if there is none. */
+static int
+best_run (guint64 open, guint count, guint *hole)
+{
+  int best = -1;
+
+  *hole = 0;
+  while (open && count)
+    {
+      guint first = (guint)__builtin_ctzll (open);
+      guint len = fleet_run_length (open);
+
+      open &= ~fleet_run_mask (first, len);
+      if (len < count || (best >= 0 && len >= *hole))
+        continue;
+      *hole = len;
+      best = (int)(first % count == 0 ? first : first + len - count);
+    }
+  return count == 0 ? 0 : best;
+}
+
+/* Returns how many parts of J, MOST at most, R holds. */
+static guint
+room_parts (const Room *r, const FleetJob *j, guint most)
+{
+  gint64 n = most;
+  gint64 runs = 0;
+  guint64 open = r->open;
+
+  if (j->cores)
+    n = MIN (n, r->cores / j->cores);
+  if (j->memory_mb)
+    n = MIN (n, r->memory_mb / j->memory_mb);
+  if (!room_has_shares (r, j))
+    return 0;
+  if (n <= 0 || j->accelerators == 0)
+    return (guint)MAX (n, 0);
+  while (open && runs < n)
+    {
+      guint len = fleet_run_length (open);
+
+      runs += len / j->accelerators;
+      open &= ~fleet_run_mask ((guint)__builtin_ctzll (open), len);
+    }
+  return (guint)MIN (n, runs);
+}
+
+/* What the search knows of all workers: how many parts each can hold. */
+typedef struct Best
+{
+  const PlaceAsk *ask;
+  guint *parts; /* by worker */
+  guint *racks; /* by rack: the sum */
+  guint total;
+} Best;
+
+static void
+survey (Best *b)
+{
+  const Fleet *f = b->ask->fleet;
+  const FleetJob *j = b->ask->job;
+  guint i;
+
+  for (i = 0; i < f->workers->len; i++)
+    {
+      const FleetWorker *w = fleet_worker (f, i);
+      Room r;
+
+      b->parts[i] = 0;
+      if (w->accelerators < j->accelerators)
+        continue;
+      r = room_of (b->ask, w);
+      if (place_worker_takes (b->ask, w))
+        b->parts[i] = room_parts (&r, j, j->parts);
+      b->racks[w->rack] += b->parts[i];
+      b->total += b->parts[i];
+    }
+}
+
+/* Returns what taking N parts of J from W spoils; the less, the better.
+   Accelerators: the hole, then the worker that it is cut from.  None: the
+   accelerators of the worker, then the cores left over. */
+static gint64
+spoils (const Best *b, const FleetWorker *w)
+{
+  const FleetJob *j = b->ask->job;
+  Room r = room_of (b->ask, w);
+  guint hole;
+
+  if (j->accelerators == 0)
+    return ((gint64)w->accelerators << 32) + w->cores_free;
+  best_run (r.open, j->accelerators, &hole);
+  return ((gint64)hole << 32) + __builtin_popcountll (r.open);
+}
+
+/* Returns the worker of RACK (any if it is negative) to take parts from when
+   N are missing: the one that holds them all and spoils least, or else the
+   one that holds most.  Returns NULL if none holds any. */
+static FleetWorker *
+next_worker (const Best *b, int rack, guint n)
+{
+  FleetWorker *best = NULL;
+  gint64 least = 0;
+  guint i;
+
+  for (i = 0; i < b->ask->fleet->workers->len; i++)
+    {
+      FleetWorker *w;
+      guint takes = MIN (b->parts[i], n);
+      guint has = best ? MIN (b->parts[best->index], n) : 0;
+      gint64 cost;
+
+      if (takes == 0 || takes < has)
+        continue;
+      w = fleet_worker (b->ask->fleet, i);
+      if (rack >= 0 && w->rack != (guint)rack)
+        continue;
+      cost = spoils (b, w);
+      if (takes == has && cost >= least)
+        continue;
+      best = w;
+      least = cost;
+    }
+  return best;
+}
+
+/* Returns the rack that holds N parts with the least to spare, or else the
+   one that holds most. */
+static guint
+next_rack (const Best *b, guint n)
+{
+  guint best = 0;
+  guint i;
+
+  for (i = 1; i < b->ask->fleet->racks->len; i++)
+    {
+      guint x = b->racks[i];
+      guint y = b->racks[best];
+
+      if (y >= n ? x >= n && x < y : x > y)
+        best = i;
+    }
+  return best;
+}
+
+/* Puts up to N parts of the job, from part AT on, on W.  Returns how many. */
+static guint
+take_worker (Best *b, FleetWorker *w, guint at, guint n)
+{
+  FleetJob *j = b->ask->job;
+  Room r = room_of (b->ask, w);
+  guint taken = MIN (b->parts[w->index], n);
+  guint hole;
+  guint i;
+
+  for (i = 0; i < taken; i++)
+    {
+      int first = best_run (r.open, j->accelerators, &hole);
+
+      g_assert (first >= 0);
+      room_take (&r, j, (guint)first);
+      set_part (j, at + i, w, (guint)first);
+    }
+  b->racks[w->rack] -= b->parts[w->index];
+  b->parts[w->index] = 0;
+  return taken;
+}
+
+static void
+take_all (Best *b)
+{
+  guint n = b->ask->job->parts;
+  FleetWorker *w = next_worker (b, -1, n);
+  guint done = 0;
+
+  if (b->parts[w->index] >= n)
+    done = take_worker (b, w, 0, n);
+  while (done < n)
+    {
+      guint rack = next_rack (b, n - done);
+
+      while (done < n && (w = next_worker (b, (int)rack, n - done)))
+        done += take_worker (b, w, done, n - done);
+    }
+}
+
+static gboolean
+find_best (const PlaceAsk *ask)
+{
+  Best b = { .ask = ask,
+             .parts = g_new (guint, ask->fleet->workers->len + 1),
+             .racks = g_new0 (guint, ask->fleet->racks->len + 1) };
+  gboolean found;
+
+  survey (&b);
+  found = b.total >= ask->job->parts;
+  if (found)
+    take_all (&b);
+  g_free (b.parts);
+  g_free (b.racks);
+  return found;
+}
+
+const PlaceOps place_best = { .name = "best", .find = find_best };
+
 /* Tells whether the workers of F could hold J were they all free. */
 gboolean
 place_could_ever (const Fleet *f, const FleetJob *j)
--- a/src/place.h
+++ b/src/place.h
@@ -7,12 +7,15 @@
    changes nothing but WORKER and FIRST of the job's parts: the caller then
    takes the room by fleet_place or fleet_claim. */
 
+/* KEEP_SHARES leaves the cores and memory alone that belong to accelerators
+   which may serve guarantees.  IGNORE_DRAIN: the reservation is its own. */
 typedef struct PlaceAsk
 {
   Fleet *fleet;
   FleetJob *job;
   ClockMs ends; /* when it is expected to end, CLOCK_NEVER if unknown */
   gboolean ignore_drain;
+  gboolean keep_shares;
   GRand *rng; /* for placers that draw */
 } PlaceAsk;
 
--- a/src/plan.h
+++ b/src/plan.h
@@ -22,7 +22,9 @@
 #define PLAN_ERROR (g_quark_from_static_string ("plan"))
 typedef enum PlanError
 {
-  PLAN_ERROR_IMPOSSIBLE /* no state of the domain could hold the job */
+  PLAN_ERROR_IMPOSSIBLE, /* no state of the domain could hold the job */
+  PLAN_ERROR_LIMIT,      /* alone it is beyond a limit of its workspace */
+  PLAN_ERROR_FULL        /* its workspace has max_queued jobs waiting */
 } PlanError;
 
 /* START: all parts of JOB have their room; reserve and start them, and call
@@ -30,8 +32,8 @@
    RECLAIM: JOB's room is claimed and nobody else gets it; checkpoint or stop
    each of VICTIMS, then plan_requeue or plan_end each.  Once they are gone
    the next steps hold the START of JOB.
-   MOVE: checkpoint and stop VICTIMS[0] against fragmentation, then
-   plan_requeue it. */
+   MOVE: the same against fragmentation; each of VICTIMS can save itself and
+   has room elsewhere. */
 typedef enum PlanKind
 {
   PLAN_START,
@@ -47,17 +49,36 @@
   guint n_victims;
 } PlanStep;
 
-/* Why a job waits or was refused; plan_reason says it in words. */
+/* Why a job waits; plan_wait_text says it in words. */
+#define PLAN_WAITS(X)                                                          \
+  X (PLAN_WAIT_TURN, "other work goes first")                                  \
+  X (PLAN_WAIT_ROOM, "no room for its shape is free now")                      \
+  X (PLAN_WAIT_LIMIT, "its workspace is at a limit")                           \
+  X (PLAN_WAIT_RECLAIM, "borrowed work is being stopped for it")               \
+  X (PLAN_WAIT_GUARANTEE,                                                      \
+     "it can't be taken back and its workspace's guarantee is in use")         \
+  X (PLAN_WAIT_DRAIN, "workers are being kept free for it")                    \
+  X (PLAN_WAIT_NONE, "it doesn't wait")
+
+#define PLAN_WAIT_ENUM(kind, text) kind,
 typedef enum PlanWait
 {
-  PLAN_WAIT_TURN,      /* others go first */
-  PLAN_WAIT_ROOM,      /* no room for its shape now */
-  PLAN_WAIT_LIMIT,     /* its workspace is at a limit */
-  PLAN_WAIT_RECLAIM,   /* borrowed work is being stopped for it */
-  PLAN_WAIT_GUARANTEE, /* may run only inside its guarantee, which is used */
-  PLAN_WAIT_NONE       /* it doesn't wait */
+  PLAN_WAITS (PLAN_WAIT_ENUM) N_PLAN_WAITS
 } PlanWait;
 
+/* Nobody starves: of the jobs at the front of their queues, within their
+   limits and allowed to borrow, the oldest gets its shape at the latest
+   PLAN_DRAIN_AFTER_MS + PLAN_DRAIN_MOST_MS after it came, plus what stopping
+   borrowed work takes, if the accelerators that no guarantee holds can hold
+   its shape at all; the next oldest after that. */
+enum
+{
+  PLAN_DRAIN_AFTER_MS = 600000,
+  PLAN_DRAIN_MOST_MS = 3600000,
+  PLAN_MOVE_AFTER_MS = 60000,
+  PLAN_MOVE_EVERY_MS = 60000
+};
+
 /* What a guarantee lacks because hardware is missing. */
 typedef struct PlanShort
 {
@@ -79,8 +100,10 @@
                       guint accelerators,
                       gint64 cores,
                       gint64 memory_mb);
-void plan_set_usable (Plan *p, const char *worker, gboolean usable);
-void plan_set_table (Plan *p, const Workspace *const *rows, guint n);
+void
+plan_set_usable (Plan *p, const char *worker, gboolean usable, ClockMs now);
+void
+plan_set_table (Plan *p, const Workspace *const *rows, guint n, ClockMs now);
 guint plan_workspace (Plan *p, const char *name);
 guint plan_kind (Plan *p, const char *name);
 const char *plan_worker_name (const Plan *p, const FleetPart *part);
@@ -96,14 +119,18 @@
                          guint workspace,
                          double accelerators,
                          double cores,
-                         double memory_mb);
+                         double memory_mb,
+                         ClockMs now);
 
 PlanWait plan_wait (const Plan *p, const FleetJob *j);
 const char *plan_wait_text (PlanWait w);
 guint plan_n_waiting (const Plan *p);
 guint plan_n_short (const Plan *p);
 PlanShort plan_short_at (const Plan *p, guint i);
+guint plan_unplaced (const Plan *p);
 double plan_fragmentation (const Plan *p);
+gboolean plan_holds (const Plan *p);
+ClockMs plan_run_ms (const Plan *p, const FleetJob *j);
 const Fleet *plan_fleet (const Plan *p);
 
 /* How a run ended, for what is learnt of workers and jobs. */
@@ -114,6 +141,15 @@
   PLAN_BLAME_JOB     /* failed on enough distinct healthy workers: for good */
 } PlanBlame;
 
+/* What to do about a part that uses more memory than it may. */
+typedef enum PlanOver
+{
+  PLAN_OVER_NONE,
+  PLAN_OVER_THROTTLE,
+  PLAN_OVER_STOP
+} PlanOver;
+
+PlanOver plan_used_memory (Plan *p, const FleetJob *j, gint64 used_mb);
 PlanBlame plan_failed (Plan *p, FleetJob *j, const char *worker, ClockMs now);
 void plan_succeeded (Plan *p, FleetJob *j, ClockMs now);
 void plan_tick (Plan *p, ClockMs now); /* ends quarantines; once a second */
--- /dev/null
+++ b/src/reclaim.h
@@ -0,0 +1,32 @@
+#ifndef RECLAIM_H
+#define RECLAIM_H
+
+#include "fleet.h"
+
+/* The cheapest set of work to stop so that the shape of a job comes free. */
+
+/* Why work is stopped decides what may be. */
+typedef enum ReclaimKind
+{
+  RECLAIM_GUARANTEE, /* any borrowed work */
+  RECLAIM_DRAIN,     /* the same, for a gang that has waited too long */
+  RECLAIM_MOVE       /* only what can save itself */
+} ReclaimKind;
+
+/* NEED: the unused guaranteed runs that must still pack once the job is in
+   its place, by size; NULL checks nothing.  SCORES: each workspace's use of
+   its share; of equal sets the one of those most over it is taken. */
+typedef struct ReclaimAsk
+{
+  Fleet *fleet;
+  FleetJob *job;
+  ReclaimKind kind;
+  ClockMs now;
+  const guint *need;
+  const double *scores;
+  guint n_scores;
+} ReclaimAsk;
+
+gboolean reclaim_find (const ReclaimAsk *ask, GPtrArray *victims, double *cost);
+
+#endif
