--- a/src/gang.c
+++ b/src/gang.c
@@ -880,7 +880,7 @@
   if (w->silent >= GANG_SILENT)
     {
       w->reported = FALSE;
-      plan_set_usable (c->sched->plan, w->cfg->name, FALSE);
+      plan_set_usable (c->sched->plan, w->cfg->name, FALSE, c->now);
     }
   core_arm (c, &w->timer,
             c->now + core_jitter (c, MIN ((ClockMs)500 << MIN (w->silent, 5),
@@ -905,7 +905,7 @@
       if (!w->reported && c->sched->reports_due > 0)
         c->sched->reports_due--;
       w->reported = TRUE;
-      plan_set_usable (c->sched->plan, w->cfg->name, TRUE);
+      plan_set_usable (c->sched->plan, w->cfg->name, TRUE, c->now);
       sched_plan_soon (c);
     }
   core_arm (c, &w->timer,
@@ -918,7 +918,7 @@
 distrust (Core *c, Worker *w)
 {
   w->reported = FALSE;
-  plan_set_usable (c->sched->plan, w->cfg->name, FALSE);
+  plan_set_usable (c->sched->plan, w->cfg->name, FALSE, c->now);
   if (!w->call)
     core_arm (c, &w->timer, c->now);
 }
--- a/src/sched.c
+++ b/src/sched.c
@@ -172,7 +172,8 @@
   rows = g_ptr_array_new ();
   for (i = 0; i < table_n_workspaces (c); i++)
     g_ptr_array_add (rows, (gpointer)table_workspace (c, i));
-  plan_set_table (s->plan, (const Workspace *const *)rows->pdata, rows->len);
+  plan_set_table (s->plan, (const Workspace *const *)rows->pdata, rows->len,
+                  c->now);
   g_ptr_array_unref (rows);
 }
 
@@ -562,7 +563,7 @@
       w->reported = FALSE;
       w->silent = 0;
       w->renewed = c->now;
-      plan_set_usable (s->plan, w->cfg->name, FALSE);
+      plan_set_usable (s->plan, w->cfg->name, FALSE, c->now);
       gang_report (c, w);
     }
   core_arm (c, &s->ready_timer, c->now + SCHED_READY_MS);
