Records refuse msgpack that claims more items than follow

Cause: the library makes room for as many items as an array claims, so five bytes of a stranger asked for 64 GiB, before any proof of the key. Ruled out: a smaller frame limit (the claim needs five bytes). Conclusion: the claim is checked where every record is read.

--- a/src/rec.c
+++ b/src/rec.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 static const int max_json_depth = 16;
+static const int max_msgpack_depth = 8;
 static const char empty_str[] = "";
 
 #define AT(rec, field, Type) ((Type *)((char *)(rec) + (field)->offset))
@@ -743,6 +744,85 @@
   return bytes;
 }
 
+/* Walks msgpack as rec_pack writes it. */
+typedef struct Walk
+{
+  const guint8 *at;
+  const guint8 *end;
+} Walk;
+
+/* Takes a big-endian number of N bytes. */
+static gboolean
+walk_number (Walk *w, gsize n, guint64 *number)
+{
+  *number = 0;
+  if ((gsize)(w->end - w->at) < n)
+    return FALSE;
+  for (; n; n--)
+    *number = *number << 8 | *w->at++;
+  return TRUE;
+}
+
+static gboolean
+walk_over (Walk *w, guint64 n)
+{
+  if ((guint64)(w->end - w->at) < n)
+    return FALSE;
+  w->at += n;
+  return TRUE;
+}
+
+static gboolean walk_value (Walk *w, guint depth);
+
+static gboolean
+walk_array (Walk *w, guint64 n, guint depth)
+{
+  gboolean ok = depth > 0 && n <= (guint64)(w->end - w->at);
+
+  for (; ok && n; n--)
+    ok = walk_value (w, depth - 1);
+  return ok;
+}
+
+/* Passes over one value.  Numbers, strings, bytes and arrays are known,
+   the types that records are made of. */
+static gboolean
+walk_value (Walk *w, guint depth)
+{
+  guint64 type;
+  guint64 n;
+
+  if (!walk_number (w, 1, &type))
+    return FALSE;
+  if (type <= 0x7f || type >= 0xe0)
+    return TRUE;
+  if (type >= 0x90 && type <= 0x9f)
+    return walk_array (w, type & 0xf, depth);
+  if (type >= 0xa0 && type <= 0xbf)
+    return walk_over (w, type & 0x1f);
+  if (type >= 0xcc && type <= 0xd3)
+    return walk_over (w, (guint64)1 << (type & 3));
+  if (type >= 0xc4 && type <= 0xc6)
+    return walk_number (w, (gsize)1 << (type - 0xc4), &n) && walk_over (w, n);
+  if (type >= 0xd9 && type <= 0xdb)
+    return walk_number (w, (gsize)1 << (type - 0xd9), &n) && walk_over (w, n);
+  if (type == 0xdc || type == 0xdd)
+    return walk_number (w, (gsize)2 << (type - 0xdc), &n) &&
+           walk_array (w, n, depth);
+  return FALSE;
+}
+
+/* Tells whether the N bytes at DATA hold whole values only.  The library
+   makes room for as many items as an array claims to have, so a claim must
+   not exceed what follows it. */
+static gboolean
+is_plausible (const void *data, gsize n)
+{
+  Walk w = { .at = data, .end = (const guint8 *)data + n };
+
+  return walk_value (&w, (guint)max_msgpack_depth);
+}
+
 static gboolean unpack (const RecDesc *d,
                         void *rec,
                         const msgpack_object *o,
@@ -856,7 +936,9 @@
   gboolean ok = FALSE;
 
   msgpack_unpacked_init (&u);
-  if (msgpack_unpack_next (&u, data, n, &used) != MSGPACK_UNPACK_SUCCESS)
+  if (!is_plausible (data, n))
+    findings_add (findings, d->name, "is not a record in msgpack");
+  else if (msgpack_unpack_next (&u, data, n, &used) != MSGPACK_UNPACK_SUCCESS)
     findings_add (findings, d->name, "is not msgpack");
   else if (used != n)
     findings_add (findings, d->name, "%" G_GSIZE_FORMAT " bytes too many",
