--- a/src/cli_table.c
+++ b/src/cli_table.c
@@ -310,7 +310,7 @@
   json_object_object_add (o, "base_revision",
                           json_object_new_int64 (file->base));
   json_object_object_add (o, "csv", json_object_new_string (file->csv));
-  if (file->base_csv)
+  if (file->base_csv && *file->base_csv)
     json_object_object_add (o, "base", json_object_new_string (file->base_csv));
   text = g_strdup (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
   json_object_put (o);
