--- a/daemons/wagtailpass.c
+++ b/daemons/wagtailpass.c
@@ -79,7 +79,7 @@
   char **words = g_strsplit (command->words, " ", -1);
   int n = 0;
 
-  while (words[n] && n < argc && strcmp (words[n], argv[n]) == 0)
+  while (n < argc && words[n] && strcmp (words[n], argv[n]) == 0)
     n++;
   if (words[n])
     n = 0;
--- a/src/lanes.c
+++ b/src/lanes.c
@@ -195,7 +195,7 @@
   for (i = 0; i < entries->len; i++)
     add_arrow (&p, i);
   for (i = 0; i < entries->len; i++)
-    add_entry (&p, i, first->ms);
+    add_entry (&p, i, first ? first->ms : 0);
   g_string_append (p.s, "</svg>\n");
   g_ptr_array_unref (p.hosts);
   return g_string_free (p.s, FALSE);
