--- a/tests/sched_fault_test.cc
+++ b/tests/sched_fault_test.cc
@@ -6,7 +6,7 @@
 namespace
 {
 
-const char *const table = "workspace,weight\nalpha,1\nbeta,1\n";
+const char *const table = "workspace,weight,guarantee\nalpha,1,2x8\nbeta,1,\n";
 
 struct FaultKind
 {
--- a/tests/sched_path_test.cc
+++ b/tests/sched_path_test.cc
@@ -3,7 +3,7 @@
 namespace
 {
 
-const char *const table = "workspace,weight\nalpha,1\nbeta,1\n";
+const char *const table = "workspace,weight,guarantee\nalpha,1,2x8\nbeta,1,\n";
 
 struct SchedPath : testing::Test
 {
@@ -111,9 +111,13 @@
   CallerJob foreign = w.job_of (1, 1, 1000);
   keyless.repeatable = 0;
   foreign.workspace = "gamma";
+  CallerJob unkept = w.job_of (3, 8, 1000);
+  unkept.repeatable = 0;
+  unkept.key = "k";
   std::map<gint64, int> want = { { w.submit (big), 422 },
                                  { w.submit (keyless), 400 },
-                                 { w.submit (foreign), 403 } };
+                                 { w.submit (foreign), 403 },
+                                 { w.submit (unkept), 422 } };
   w.run (500);
   for (auto &[conn, status] : want)
     {
