--- a/src/req.c
+++ b/src/req.c
@@ -413,7 +413,9 @@
   Req *q = c->req;
   gint64 rate = c->cfg->spill_bytes_per_s;
 
-  if (rate == 0 || (route_slots (q->route) > 0 && !is_pressed (c)))
+  if (rate == 0 || !route_has_others (q->route))
+    return FALSE;
+  if (route_slots (q->route) > 0 && !is_pressed (c))
     return FALSE;
   if (route_slots (q->route) > 0 && route_free_slots (q->route) > 0)
     return FALSE;
@@ -551,6 +553,8 @@
   gint64 slots;
   FairItem *it;
 
+  if (q->closed)
+    return;
   place_waiting (c);
   while (q->n_placing < MAX_PLACING && fair_waiting (q->fair) && has_room (c))
     {
@@ -1383,6 +1387,7 @@
   guint i;
 
   (void)t;
+  c->req->closed = TRUE;
   g_hash_table_foreach (c->req->by_id, collect, list);
   for (i = 0; i < list->len; i++)
     {
--- a/src/req_state.h
+++ b/src/req_state.h
@@ -93,6 +93,7 @@
   Timer tick;
   Timer *probes; /* one an upstream */
   Timer drain_bound;
+  gboolean closed; /* a drain's bound has passed: nothing starts */
 };
 
 void req_pump (Core *c);
--- a/src/route.c
+++ b/src/route.c
@@ -236,6 +236,13 @@
   return at (r, u)->own;
 }
 
+/* Tells whether there are upstreams in other failure domains. */
+gboolean
+route_has_others (const Route *r)
+{
+  return r->others->len > 0;
+}
+
 /* Sets how many requests of this node U may have in flight at once. */
 void
 route_set_limit (Route *r, int u, gint64 limit)
--- a/src/route.h
+++ b/src/route.h
@@ -46,6 +46,7 @@
 guint route_n (const Route *r);
 const char *route_name (const Route *r, int u);
 gboolean route_is_own (const Route *r, int u);
+gboolean route_has_others (const Route *r);
 void route_set_limit (Route *r, int u, gint64 limit);
 gint64 route_limit (const Route *r, int u);
 gint64 route_running (const Route *r, int u);
--- a/src/slots.c
+++ b/src/slots.c
@@ -37,7 +37,7 @@
 struct Slots
 {
   GPtrArray *peers; /* of SlotsPeer, in the order of first loans */
-  guint n_live;
+  guint n_hosts;    /* that share the upstreams, the own one included */
   guint rank;
   gboolean drawn; /* the shares have been worked out */
   ClockMs synced;
@@ -115,7 +115,7 @@
   const Slots *s = c->req->slots;
   const ConfigUpstream *x = config_upstream (c->cfg, u);
 
-  return slots_share (MIN (x->slots, x->connections), s->n_live, s->rank, u);
+  return slots_share (MIN (x->slots, x->connections), s->n_hosts, s->rank, u);
 }
 
 static gint64
@@ -165,6 +165,28 @@
     }
 }
 
+/* Hosts that drain still count: they finish what waits at them. */
+static void
+rank_self (Core *c)
+{
+  Slots *s = c->req->slots;
+  guint i;
+
+  s->n_hosts = 0;
+  s->rank = 0;
+  for (i = 0; i < member_n_hosts (c); i++)
+    {
+      const MemberHost *h = member_host (c, i);
+
+      if (strcmp (h->domain, c->cfg->domain) != 0)
+        continue;
+      if (h->self)
+        s->rank = s->n_hosts;
+      if (h->self || h->state == MEMBER_LIVE || h->state == MEMBER_DRAINING)
+        s->n_hosts++;
+    }
+}
+
 /* Brings the shares in line with the hosts and upstreams known now; looks at
    most every SYNC_MS. */
 void
@@ -176,7 +198,7 @@
     return;
   s->drawn = TRUE;
   s->synced = c->now;
-  s->rank = member_live_rank (c, &s->n_live);
+  rank_self (c);
   apply_all (c);
 }
 
@@ -423,9 +445,9 @@
   return FALSE;
 }
 
-/* Returns how many live hosts share the own failure domain, at least 1. */
+/* Returns how many hosts share the own failure domain, at least 1. */
 guint
 slots_n_hosts (const Core *c)
 {
-  return MAX (1, c->req->slots->n_live);
+  return MAX (1, c->req->slots->n_hosts);
 }
