Findings of the table name their column in their place

Cause: "table check" promises FILE:LINE: column "C": for every finding, and three findings of the header and of a twin row named it in their text. Before: t.csv:1: unknown column "colour".

--- a/src/io.c
+++ b/src/io.c
@@ -2,6 +2,7 @@
 
 #include "client.h"
 #include "http.h"
+#include "replay.h"
 #include "wire.h"
 
 #include <apr_general.h>
@@ -444,6 +445,19 @@
   return FALSE;
 }
 
+/* A trace begins with what the replay needs to make the same node. */
+static void
+write_trace_start (Io *io, const Config *cfg, guint32 seed)
+{
+  char *line;
+
+  if (!io->trace)
+    return;
+  line = replay_start_line (cfg, seed, io->now);
+  fprintf (io->trace, "%s\n", line);
+  g_free (line);
+}
+
 static void
 start_core (Io *io)
 {
@@ -453,6 +467,7 @@
   if (cfg->incarnation == 0)
     cfg->incarnation = io->now;
   seed = g_str_hash (cfg->host) ^ (guint32)cfg->incarnation;
+  write_trace_start (io, cfg, seed);
   io->core = core_new (cfg, seed, io->now);
   config_free (cfg);
 }
--- a/src/sheet.c
+++ b/src/sheet.c
@@ -186,16 +186,25 @@
 }
 
 static void
-add_cell_finding (const SheetParse *p, SheetColumn column, const char *why)
+add_column_finding (const SheetParse *p, const char *column, const char *why)
 {
   char *place = g_strdup_printf ("%s:%u: column \"%s\"", p->place,
-                                 p->line->number, column_names[column]);
+                                 p->line->number, column);
 
-  findings_add (p->findings, place, "\"%s\" %s",
-                cell_of (p->sheet, p->line, column), why);
+  findings_add (p->findings, place, "%s", why);
   g_free (place);
 }
 
+static void
+add_cell_finding (const SheetParse *p, SheetColumn column, const char *why)
+{
+  char *text =
+      g_strdup_printf ("\"%s\" %s", cell_of (p->sheet, p->line, column), why);
+
+  add_column_finding (p, column_names[column], text);
+  g_free (text);
+}
+
 static void
 on_cell (void *data, size_t n, void *user)
 {
@@ -273,14 +282,14 @@
       int column = column_from_name (name);
 
       if (column < 0)
-        add_finding (p, "unknown column \"%s\"", name);
+        add_column_finding (p, name, "there is no such column");
       else if (s->place_of[column] >= 0)
-        add_finding (p, "column \"%s\" stands twice", name);
+        add_column_finding (p, name, "stands twice");
       else
         s->place_of[column] = (int)i;
     }
   if (s->place_of[SHEET_WORKSPACE] < 0)
-    add_finding (p, "column \"workspace\" is missing");
+    add_column_finding (p, column_names[SHEET_WORKSPACE], "is missing");
 }
 
 static gboolean
@@ -422,6 +431,15 @@
     }
 }
 
+static void
+add_twin_finding (const SheetParse *p, const SheetLine *twin)
+{
+  char *why = g_strdup_printf ("already stands in line %u", twin->number);
+
+  add_cell_finding (p, SHEET_WORKSPACE, why);
+  g_free (why);
+}
+
 static void
 read_name (const SheetParse *p, Workspace *w)
 {
@@ -433,8 +451,7 @@
     add_cell_finding (p, SHEET_WORKSPACE,
                       "is not a name of 1 to 64 letters, digits and \"._-\"");
   else if (twin)
-    add_finding (p, "workspace \"%s\" already stands in line %u", name,
-                 twin->number);
+    add_twin_finding (p, twin);
   else
     g_hash_table_insert (p->sheet->by_name, (gpointer)w->name, p->line);
 }
