--- a/src/fair.c
+++ b/src/fair.c
@@ -381,12 +381,10 @@
 /* Returns how many free slots are kept for class K: its recent demand up to
    its floor, less what runs already. */
 static gint64
-kept_for (FairClass *k, WorkClass kind, guint slots, ClockMs now)
+kept_for (const FairClass *k, WorkClass kind, guint slots)
 {
-  gint64 kept;
+  gint64 kept = MAX (k->demand.now, k->demand.before);
 
-  demand_note (k, now);
-  kept = MAX (k->demand.now, k->demand.before);
   kept = MIN (kept, fair_class_floor (kind, slots));
   if (kind == CLASS_INTERACTIVE)
     kept = MAX (kept, (gint64)slots * KEEP_PERCENT / 100);
@@ -394,7 +392,7 @@
 }
 
 static gboolean
-class_may_start (Fair *f, WorkClass kind, guint slots, ClockMs now)
+class_may_start (const Fair *f, WorkClass kind, guint slots)
 {
   gint64 spare = (gint64)slots - (gint64)fair_running (f);
   int other;
@@ -403,7 +401,7 @@
     return FALSE;
   for (other = 0; other < N_CLASSES; other++)
     if (other != (int)kind)
-      spare -= kept_for (&f->classes[other], (WorkClass)other, slots, now);
+      spare -= kept_for (&f->classes[other], (WorkClass)other, slots);
   return spare > 0;
 }
 
@@ -415,13 +413,15 @@
   int first = -1;
   int k;
 
+  for (k = 0; k < N_CLASSES; k++)
+    demand_note (&f->classes[k], now);
   for (k = 0; k < N_CLASSES; k++)
     if (level_first (&f->classes[k].workspaces) &&
         now - f->classes[k].served >= STARVED_MS)
       return k;
   for (k = 0; k < N_CLASSES; k++)
     {
-      if (!class_may_start (f, (WorkClass)k, slots, now))
+      if (!class_may_start (f, (WorkClass)k, slots))
         continue;
       if (f->classes[k].running < fair_class_floor ((WorkClass)k, slots))
         return k;
