--- a/src/req.c
+++ b/src/req.c
@@ -926,14 +926,29 @@
   drop_connection (c, r);
 }
 
+static void
+note_health (Core *c, const Request *r, RouteHealth was, RouteHealth is)
+{
+  NoteKind kind =
+      is == ROUTE_HEALTHY ? NOTE_UPSTREAM_HEALTHY : NOTE_UPSTREAM_DEGRADED;
+
+  if ((was == ROUTE_HEALTHY) == (is == ROUTE_HEALTHY))
+    return;
+  core_write_note (c, &(CoreNote) { .kind = kind,
+                                    .upstream = upstream_name (c, r),
+                                    .detail = r->work_kind });
+}
+
 static void
 learn (Core *c, Request *r, UpstreamResult result)
 {
   Req *q = c->req;
+  guint kind = route_kind (q->route, r->work_kind);
+  RouteHealth health = route_health (q->route, r->upstream, kind);
   gboolean was_reachable = route_is_reachable (q->route, r->upstream);
 
-  route_learn (q->route, r->upstream, route_kind (q->route, r->work_kind),
-               result, c->now - r->sent, c->now);
+  route_learn (q->route, r->upstream, kind, result, c->now - r->sent, c->now);
+  note_health (c, r, health, route_health (q->route, r->upstream, kind));
   if (was_reachable && !route_is_reachable (q->route, r->upstream))
     {
       core_write_note (c, &(CoreNote) { .kind = NOTE_UPSTREAM_UNREACHABLE,
--- a/src/req_event.h
+++ b/src/req_event.h
@@ -77,6 +77,8 @@
   X (NOTE_REQUEST_ENDED, "request_ended")                                      \
   X (NOTE_REQUEST_CUT_OFF, "request_cut_off")                                  \
   X (NOTE_UPSTREAM_UNREACHABLE, "upstream_unreachable")                        \
-  X (NOTE_UPSTREAM_REACHABLE, "upstream_reachable")
+  X (NOTE_UPSTREAM_REACHABLE, "upstream_reachable")                            \
+  X (NOTE_UPSTREAM_DEGRADED, "upstream_degraded")                              \
+  X (NOTE_UPSTREAM_HEALTHY, "upstream_healthy")
 
 #endif
