--- a/src/rec.c
+++ b/src/rec.c
@@ -7,7 +7,6 @@
 #include <xxhash.h>
 
 static const int max_json_depth = 16;
-static const int max_msgpack_depth = 8;
 static const char empty_str[] = "";
 
 #define AT(rec, field, Type) ((Type *)((char *)(rec) + (field)->offset))
@@ -744,85 +743,6 @@
   return bytes;
 }
 
-/* Walks msgpack as rec_pack writes it. */
-typedef struct Walk
-{
-  const guint8 *at;
-  const guint8 *end;
-} Walk;
-
-/* Takes a big-endian number of N bytes. */
-static gboolean
-walk_number (Walk *w, gsize n, guint64 *number)
-{
-  *number = 0;
-  if ((gsize)(w->end - w->at) < n)
-    return FALSE;
-  for (; n; n--)
-    *number = *number << 8 | *w->at++;
-  return TRUE;
-}
-
-static gboolean
-walk_over (Walk *w, guint64 n)
-{
-  if ((guint64)(w->end - w->at) < n)
-    return FALSE;
-  w->at += n;
-  return TRUE;
-}
-
-static gboolean walk_value (Walk *w, guint depth);
-
-static gboolean
-walk_array (Walk *w, guint64 n, guint depth)
-{
-  gboolean ok = depth > 0 && n <= (guint64)(w->end - w->at);
-
-  for (; ok && n; n--)
-    ok = walk_value (w, depth - 1);
-  return ok;
-}
-
-/* Passes over one value.  Numbers, strings, bytes and arrays are known,
-   the types that records are made of. */
-static gboolean
-walk_value (Walk *w, guint depth)
-{
-  guint64 type;
-  guint64 n;
-
-  if (!walk_number (w, 1, &type))
-    return FALSE;
-  if (type <= 0x7f || type >= 0xe0)
-    return TRUE;
-  if (type >= 0x90 && type <= 0x9f)
-    return walk_array (w, type & 0xf, depth);
-  if (type >= 0xa0 && type <= 0xbf)
-    return walk_over (w, type & 0x1f);
-  if (type >= 0xcc && type <= 0xd3)
-    return walk_over (w, (guint64)1 << (type & 3));
-  if (type >= 0xc4 && type <= 0xc6)
-    return walk_number (w, (gsize)1 << (type - 0xc4), &n) && walk_over (w, n);
-  if (type >= 0xd9 && type <= 0xdb)
-    return walk_number (w, (gsize)1 << (type - 0xd9), &n) && walk_over (w, n);
-  if (type == 0xdc || type == 0xdd)
-    return walk_number (w, (gsize)2 << (type - 0xdc), &n) &&
-           walk_array (w, n, depth);
-  return FALSE;
-}
-
-/* Tells whether the N bytes at DATA hold whole values only.  The library
-   makes room for as many items as an array claims to have, so a claim must
-   not exceed what follows it. */
-static gboolean
-is_plausible (const void *data, gsize n)
-{
-  Walk w = { .at = data, .end = (const guint8 *)data + n };
-
-  return walk_value (&w, (guint)max_msgpack_depth);
-}
-
 static gboolean unpack (const RecDesc *d,
                         void *rec,
                         const msgpack_object *o,
@@ -921,6 +841,79 @@
   return TRUE;
 }
 
+/* Where a check of packed bytes stands. */
+typedef struct PackedCheck
+{
+  const guint8 *p;
+  gsize left;
+} PackedCheck;
+
+static gboolean
+read_size (PackedCheck *k, guint width, guint64 *size)
+{
+  if (k->left < width)
+    return FALSE;
+  *size = 0;
+  k->left -= width;
+  while (width--)
+    *size = *size << 8 | *k->p++;
+  return TRUE;
+}
+
+static gboolean
+skip (PackedCheck *k, guint64 size)
+{
+  if (size > k->left)
+    return FALSE;
+  k->p += size;
+  k->left -= size;
+  return TRUE;
+}
+
+/* Passes one number, string or head of an array, the kinds that records
+   are made of, and adds the items of an array to *PENDING. */
+static gboolean
+pass_item (PackedCheck *k, guint64 *pending)
+{
+  guint8 tag = *k->p++;
+  guint64 size = 0;
+  gboolean ok = TRUE;
+
+  k->left--;
+  if (tag < 0x80 || tag >= 0xe0)
+    return TRUE;
+  if (tag >= 0x90 && tag <= 0x9f)
+    size = tag & 0x0f;
+  else if (tag == 0xdc || tag == 0xdd)
+    ok = read_size (k, tag == 0xdc ? 2 : 4, &size);
+  else if (tag >= 0xa0 && tag <= 0xbf)
+    return skip (k, tag & 0x1f);
+  else if (tag >= 0xc4 && tag <= 0xc6)
+    return read_size (k, 1u << (tag - 0xc4), &size) && skip (k, size);
+  else if (tag >= 0xd9 && tag <= 0xdb)
+    return read_size (k, 1u << (tag - 0xd9), &size) && skip (k, size);
+  else if (tag >= 0xcc && tag <= 0xd3)
+    return skip (k, (guint64)1 << (tag & 3));
+  else
+    return FALSE;
+  *pending += size;
+  return ok && *pending <= k->left;
+}
+
+/* Tells whether every array is followed by as many items as it promises.
+   The library makes room for all of them before it has seen the first. */
+static gboolean
+sizes_are_true (const void *data, gsize n)
+{
+  PackedCheck k = { .p = data, .left = n };
+  guint64 pending = 1;
+
+  while (pending--)
+    if (k.left == 0 || !pass_item (&k, &pending))
+      return FALSE;
+  return TRUE;
+}
+
 /* Reads REC, which has been made by rec_new, from the N bytes of msgpack at
    DATA.  Extra, missing, mistyped and out-of-range fields are refused:
    returns FALSE and adds a finding that names the first one. */
@@ -936,9 +929,8 @@
   gboolean ok = FALSE;
 
   msgpack_unpacked_init (&u);
-  if (!is_plausible (data, n))
-    findings_add (findings, d->name, "is not a record in msgpack");
-  else if (msgpack_unpack_next (&u, data, n, &used) != MSGPACK_UNPACK_SUCCESS)
+  if (!sizes_are_true (data, n) ||
+      msgpack_unpack_next (&u, data, n, &used) != MSGPACK_UNPACK_SUCCESS)
     findings_add (findings, d->name, "is not msgpack");
   else if (used != n)
     findings_add (findings, d->name, "%" G_GSIZE_FORMAT " bytes too many",
