Measure requests against one FIFO queue and random choice

Cause: no figure stood behind admission, fairness and routing. The bench found that hosts never borrowed slots: they waited for the last free slot to go, which the floor of interactive work keeps. They now ask when fewer than an eighth are free, and work goes to other failure domains by the same rule. Ruled out: membership, which saw all eight hosts live.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -18,7 +18,9 @@
 } BenchPart;
 
 /* X (name): the function is bench_NAME, in bench/NAME.c. */
-#define BENCH_PARTS(X) X (core)
+#define BENCH_PARTS(X)                                                         \
+  X (core)                                                                     \
+  X (req)
 
 #define BENCH_DECLARE(name) void bench_##name (void);
 BENCH_PARTS (BENCH_DECLARE)
--- a/src/req.c
+++ b/src/req.c
@@ -21,6 +21,7 @@
   RETRY_TOKENS_MAX = 100 * PERMILLE,
   RETRY_TOKENS_FIRST = 10 * PERMILLE,
   MAX_PLACING = 8,
+  BORROW_FREE_MAX = 8, /* slots are borrowed when fewer than 1/8 are free */
   PLACE_AGAIN_MS = 25,
   WAITING_TICK_MS = 100,
   LOAN_TICK_MS = 500,
@@ -417,8 +418,6 @@
     return FALSE;
   if (route_slots (q->route) > 0 && !is_pressed (c))
     return FALSE;
-  if (route_slots (q->route) > 0 && route_free_slots (q->route) > 0)
-    return FALSE;
   q->spill_bytes =
       MIN (rate, q->spill_bytes + rate * (c->now - q->spill_at) / 1000);
   q->spill_at = c->now;
@@ -426,19 +425,15 @@
 }
 
 static int
-choose (Core *c, Request *r)
+choose (Core *c, Request *r, gboolean elsewhere)
 {
   RouteWish wish = { .kind = route_kind (c->req->route, r->work_kind),
                      .repeatable = r->repeatable,
                      .pressed = is_pressed (c),
+                     .elsewhere = elsewhere,
                      .n_tried = r->n_tried };
-  int u;
 
   memcpy (wish.tried, r->tried, sizeof wish.tried);
-  u = route_choose (c->req->route, &wish, c->now);
-  if (u != ROUTE_NONE || !may_spill (c))
-    return u;
-  wish.elsewhere = TRUE;
   return route_choose (c->req->route, &wish, c->now);
 }
 
@@ -481,10 +476,12 @@
                                .body = r->body });
 }
 
+/* Puts R on an upstream, of the own domain or ELSEWHERE.  Returns FALSE when
+   there is none. */
 static gboolean
-place (Core *c, Request *r)
+place (Core *c, Request *r, gboolean elsewhere)
 {
-  int u = choose (c, r);
+  int u = choose (c, r, elsewhere);
 
   if (u == ROUTE_NONE)
     return FALSE;
@@ -517,16 +514,11 @@
 
       APR_RING_REMOVE (r, link);
       APR_RING_INSERT_TAIL (&q->placing, r, Request, link);
-      place (c, r);
+      if (!place (c, r, FALSE) && may_spill (c))
+        place (c, r, TRUE);
     }
 }
 
-static gboolean
-has_room (Core *c)
-{
-  return route_free_slots (c->req->route) > 0 || may_spill (c);
-}
-
 static void
 schedule_tick (Core *c)
 {
@@ -545,29 +537,50 @@
     core_arm (c, &q->tick, c->now + span);
 }
 
+/* Starts the next request.  Returns FALSE when none may start. */
+static gboolean
+start_next (Core *c)
+{
+  Req *q = c->req;
+  guint slots = (guint)route_slots (q->route) + q->n_spilled;
+  FairItem *it = NULL;
+  gboolean elsewhere = FALSE;
+
+  if (route_free_slots (q->route) > 0)
+    it = fair_pop (q->fair, slots, c->now);
+  if (!it && may_spill (c))
+    {
+      elsewhere = TRUE;
+      it = fair_pop (q->fair, slots + 1, c->now);
+    }
+  if (!it)
+    return FALSE;
+  enter_placing (c, (Request *)it);
+  return place (c, (Request *)it, elsewhere);
+}
+
+static gboolean
+wants_slots (Core *c)
+{
+  const Route *route = c->req->route;
+
+  return fair_waiting (c->req->fair) &&
+         route_free_slots (route) * BORROW_FREE_MAX < route_slots (route);
+}
+
 /* Starts whatever may start now. */
 void
 req_pump (Core *c)
 {
   Req *q = c->req;
-  gint64 slots;
-  FairItem *it;
 
   if (q->closed)
     return;
   place_waiting (c);
-  while (q->n_placing < MAX_PLACING && fair_waiting (q->fair) && has_room (c))
-    {
-      slots = route_slots (q->route) + q->n_spilled;
-      slots += route_free_slots (q->route) == 0;
-      it = fair_pop (q->fair, (guint)slots, c->now);
-      if (!it)
-        break;
-      enter_placing (c, (Request *)it);
-      if (!place (c, (Request *)it))
-        break;
-    }
-  if (fair_waiting (q->fair) && route_free_slots (q->route) == 0)
+  while (q->n_placing < MAX_PLACING && fair_waiting (q->fair))
+    if (!start_next (c))
+      break;
+  if (wants_slots (c))
     slots_borrow (c, fair_waiting (q->fair));
   core_set (c, COUNT_WAITING, fair_waiting (q->fair));
   core_set (c, COUNT_RUNNING, fair_running (q->fair));
