--- a/src/gang.c
+++ b/src/gang.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 static void part_call (Core *c, Part *p, WorkerOp op);
+static void worker_silent (Core *c, Worker *w);
+static void on_part_silent (Core *c, Part *p, WorkerOp op, gboolean sent);
 static void look (Core *c, Job *j);
 
 static const RecDesc *
@@ -89,15 +91,26 @@
                       .resume = r->saved_ms > 0 };
 
   forget_call (c, p);
-  core_stop (c, &p->timer);
   p->call = send_call (c, p->worker, p, &call);
+  core_arm (c, &p->timer,
+            c->now + c->cfg->worker_timeout_ms + GANG_ANSWER_GRACE_MS);
 }
 
+/* A call is due again, or its answer is overdue. */
 static void
 again (Core *c, Timer *t)
 {
   Part *p = t->owner;
+  WorkerPending *overdue = g_hash_table_lookup (c->sched->pending, &p->call);
+
+  if (overdue)
+    {
+      WorkerOp op = overdue->op;
 
+      forget_call (c, p);
+      on_part_silent (c, p, op, TRUE);
+      return;
+    }
   switch (p->state)
     {
     case PART_RESERVING:
@@ -156,6 +169,14 @@
     stop_part (c, &j->parts[i]);
 }
 
+/* Asks W again in SPAN milliseconds, if not sooner. */
+static void
+wake (Core *c, Worker *w, ClockMs span)
+{
+  if (!w->call && (!w->timer.slot || w->timer.at > c->now + span))
+    core_arm (c, &w->timer, c->now + span);
+}
+
 static guint
 count_parts (const Job *j, PartState state)
 {
@@ -336,9 +357,7 @@
     {
       Worker *w = j->parts[i].worker;
 
-      core_arm (c, &w->timer,
-                MIN (w->timer.slot ? w->timer.at : CLOCK_NEVER,
-                     c->now + GANG_POLL_MIN_MS));
+      wake (c, w, GANG_POLL_MIN_MS);
     }
 }
 
@@ -363,26 +382,9 @@
   rec_set_str (&v->reason, reason);
 }
 
-static guint
-failed_workers (const JobRecord *r)
-{
-  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
-  guint n;
-  guint i;
-
-  for (i = 0; i < r->evidence.n; i++)
-    {
-      JobEvidence *v = rec_list_at (job_evidence_desc (), &r->evidence, i);
-
-      g_hash_table_add (seen, (gpointer)v->worker);
-    }
-  n = g_hash_table_size (seen);
-  g_hash_table_unref (seen);
-  return n;
-}
-
 /* A part is gone while the gang should run.  What may run again goes back
-   to the queue until it has failed on distinct workers; what may not ends. */
+   to the queue until the plan blames the job, or its evidence is full; what
+   may not ends. */
 static void
 broken (Core *c, Job *j, Part *p, gboolean failed, const char *reason)
 {
@@ -394,6 +396,7 @@
   if (failed)
     {
       add_evidence (j, worker, reason);
+      j->failed = TRUE;
       blame = plan_failed (c->sched->plan, &j->fleet, worker, c->now);
     }
   if (blame == PLAN_BLAME_WORKER)
@@ -403,8 +406,8 @@
                                         .job = r->id,
                                         .worker = worker });
     }
-  if (failed && (!repeat || blame == PLAN_BLAME_JOB ||
-                 failed_workers (r) >= JOB_MAX_RUNS))
+  if (failed &&
+      (!repeat || blame == PLAN_BLAME_JOB || r->evidence.n >= JOB_MAX_EVIDENCE))
     gang_undo (c, j, JOB_FAILED, reason);
   else
     gang_undo (c, j, repeat ? JOB_QUEUED : JOB_UNKNOWN, reason);
@@ -602,6 +605,7 @@
     return;
   if (j->phase == PHASE_WAITING)
     {
+      core_stop (c, &j->timer);
       leave_plan (c, j, FALSE);
       j->verdict = JOB_CANCELLED;
       j->phase = PHASE_ENDED;
@@ -807,18 +811,41 @@
     }
 }
 
+/* Polls beyond the renewals come out of a budget, so that many short tasks
+   do not cost the host more than it may spend. */
+static gboolean
+take_poll (Core *c)
+{
+  Sched *s = c->sched;
+  gint64 filled = (c->now - s->polls_at) * GANG_POLLS_PER_S;
+
+  s->polls = MIN (s->polls + filled, (gint64)GANG_POLL_BURST * 1000);
+  s->polls_at = c->now;
+  if (s->polls < 1000)
+    return FALSE;
+  s->polls -= 1000;
+  return TRUE;
+}
+
+/* Returns how soon W is asked again: to renew its leases, earlier while it
+   writes a checkpoint or has tasks so young that a late look would matter. */
 static ClockMs
 next_poll (Core *c, const Worker *w)
 {
-  ClockMs span = c->cfg->worker_lease_ms / 3;
+  ClockMs most = c->cfg->worker_lease_ms / 3;
+  ClockMs span = w->occupied ? GANG_OCCUPIED_MS : most;
   Part *p = NULL;
 
   APR_RING_FOREACH (p, &w->parts, Part, link)
     {
+      if (p->job->phase == PHASE_SAVE)
+        return GANG_POLL_MIN_MS;
       if (p->state == PART_RUNNING)
         span = MIN (span, MAX (GANG_POLL_MIN_MS,
                                (c->now - p->job->run_since) / GANG_POLL_SHARE));
     }
+  if (span < most && !take_poll (c))
+    span = most;
   return core_jitter (c, span);
 }
 
@@ -832,6 +859,24 @@
     g_hash_table_remove (c->sched->pending, &w->call);
   w->asked = c->now;
   w->call = send_call (c, w, NULL, &call);
+  core_arm (c, &w->timer,
+            c->now + c->cfg->worker_timeout_ms + GANG_ANSWER_GRACE_MS);
+}
+
+/* The term has been raised over another scheduler's, which may have been
+   told of changes in between: every worker lists its leases again. */
+void
+gang_distrust_all (Core *c)
+{
+  guint i;
+
+  for (i = 0; i < c->sched->workers->len; i++)
+    {
+      Worker *w = g_ptr_array_index (c->sched->workers, i);
+
+      w->reported = FALSE;
+      wake (c, w, 0);
+    }
 }
 
 /* Renews all leases on a worker; one that has not reported to this term is
@@ -843,14 +888,25 @@
   WorkerCall call = { .op = WORKER_RENEW, .lease_ms = c->cfg->worker_lease_ms };
 
   if (w->call)
-    return;
-  if (!w->reported || c->now - w->renewed > c->cfg->worker_lease_ms)
+    {
+      if (c->now - w->asked < c->cfg->worker_timeout_ms + GANG_ANSWER_GRACE_MS)
+        return;
+      g_hash_table_remove (c->sched->pending, &w->call);
+      w->call = 0;
+      worker_silent (c, w);
+      return;
+    }
+  if (!w->reported || c->now - w->renewed > c->cfg->worker_lease_ms ||
+      (w->occupied && c->now - w->listed_at >= GANG_OCCUPIED_MS) ||
+      c->now - w->listed_at > c->cfg->worker_lease_ms * GANG_REPORT_LEASES)
     {
       gang_report (c, w);
       return;
     }
   w->asked = c->now;
   w->call = send_call (c, w, NULL, &call);
+  core_arm (c, &w->timer,
+            c->now + c->cfg->worker_timeout_ms + GANG_ANSWER_GRACE_MS);
 }
 
 static Part *
@@ -887,6 +943,22 @@
                                           c->cfg->worker_lease_ms / 4)));
 }
 
+/* Tells whether W leases accelerators to what is not planned there. */
+static gboolean
+occupied (Core *c, Worker *w, const WorkerReply *r)
+{
+  guint i;
+
+  for (i = 0; i < r->leases.n; i++)
+    {
+      const WorkerLease *l = rec_list_at (lease_desc (), &r->leases, i);
+
+      if (l->state <= LEASE_RUNNING && !find_part (c, l, w))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 on_worker_answer (Core *c, Worker *w, WorkerOp op, const WorkerReply *r)
 {
@@ -895,7 +967,6 @@
   if (w->silent && op == WORKER_RENEW)
     w->reported = FALSE; /* an answer in between may have been lost */
   w->silent = 0;
-  w->heard = c->now;
   w->renewed = c->now;
   for (i = 0; i < r->leases.n; i++)
     take_lease (c, w, rec_list_at (lease_desc (), &r->leases, i));
@@ -905,7 +976,9 @@
       if (!w->reported && c->sched->reports_due > 0)
         c->sched->reports_due--;
       w->reported = TRUE;
-      plan_set_usable (c->sched->plan, w->cfg->name, TRUE, c->now);
+      w->listed_at = c->now;
+      w->occupied = occupied (c, w, r);
+      plan_set_usable (c->sched->plan, w->cfg->name, !w->occupied, c->now);
       sched_plan_soon (c);
     }
   core_arm (c, &w->timer,
@@ -984,7 +1057,7 @@
       release (c, p);
       break;
     case WORKER_CHECKPOINT:
-      core_arm (c, &p->worker->timer, c->now + GANG_POLL_MIN_MS);
+      wake (c, p->worker, GANG_POLL_MIN_MS);
       break;
     default:
       break;
@@ -996,6 +1069,7 @@
 on_part_answer (Core *c, Part *p, WorkerOp op, const WorkerReply *r)
 {
   p->call = 0;
+  core_stop (c, &p->timer);
   switch ((WorkerStatus)r->status)
     {
     case WORKER_OK:
@@ -1064,6 +1138,18 @@
     on_whole_answer (c, call.worker, call.op, r);
 }
 
+/* Tells whether one of LIST has started. */
+static gboolean
+any_started (GPtrArray *list)
+{
+  guint i;
+
+  for (i = 0; list && i < list->len; i++)
+    if (((Orphan *)g_ptr_array_index (list, i))->lease->state != LEASE_RESERVED)
+      return TRUE;
+  return FALSE;
+}
+
 /* Fits the leases that workers reported to the seats in J's record. */
 static guint
 fit_leases (Core *c, Job *j, GPtrArray *list)
@@ -1199,7 +1285,7 @@
 static void
 complete_or_undo (Core *c, Job *j, guint found)
 {
-  gboolean started = j->rec->state == JOB_RUNNING;
+  gboolean started = j->rec->state == JOB_RUNNING || j->lost;
   Part *gone = presume (c, j);
   guint n_saved = count_parts (j, PART_SAVED);
 
@@ -1234,6 +1320,7 @@
   guint found;
   guint i;
 
+  j->lost |= j->rec->state == JOB_QUEUED && any_started (list);
   if (list && !job_state_ended ((JobState)j->rec->state))
     seats_from_leases (j, list);
   if (job_state_ended ((JobState)j->rec->state) ||
@@ -1251,11 +1338,11 @@
           j->phase = PHASE_ENDED;
           end_written (c, j);
         }
-      else if (j->rec->state == JOB_RUNNING && !j->rec->repeatable &&
-               !j->rec->saved_ms)
+      else if ((j->rec->state == JOB_RUNNING || j->lost) && !may_repeat (j))
         {
           j->phase = PHASE_ENDED;
-          end (c, j, JOB_UNKNOWN, "its workers are gone");
+          end (c, j, JOB_UNKNOWN,
+               j->lost ? "the store lost its record" : "its workers are gone");
         }
       else
         sched_submit (c, j);
