--- a/src/http.c
+++ b/src/http.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <arpa/inet.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 enum
@@ -16,6 +17,7 @@
   REFUSAL_RETRY_MS = 1000,
   MAX_HEADER = 1024,
   STATUS_OK = 200,
+  STATUS_ACCEPTED = 202,
   STATUS_BAD_REQUEST = 400,
   STATUS_NOT_FOUND = 404,
   STATUS_NOT_ALLOWED = 405,
@@ -834,6 +836,15 @@
   *slot = NULL;
 }
 
+/* A request that is still under way is described in JSON, one that has
+   ended is its upstream's bytes. */
+static const char *
+answer_type (const HttpCall *call, const CallerReply *reply)
+{
+  return reply->status == STATUS_ACCEPTED ? json_type
+                                          : call->route->answer_type;
+}
+
 /* Sends the core's REPLY to the connection that waits for it; nothing
    happens when its caller has hung up. */
 void
@@ -844,7 +855,7 @@
   if (!call || call->answer)
     return;
   if (reply->outcome == OUTCOME_ANSWERED)
-    set_answer (call, (guint)reply->status, call->route->answer_type,
+    set_answer (call, (guint)reply->status, answer_type (call, reply),
                 response_from_bytes (reply->body));
   else
     set_error (call, (guint)reply->status, (Outcome)reply->outcome,
@@ -1025,6 +1036,27 @@
   return TRUE;
 }
 
+/* Callers get at most half of the descriptors that the process may have, so
+   that its own calls and peers find some. */
+static guint
+bound_connections (Io *io)
+{
+  gint64 wanted = io_settings (io)->max_connections;
+  struct rlimit files;
+  gint64 most;
+  char text[24];
+
+  if (getrlimit (RLIMIT_NOFILE, &files) != 0)
+    return (guint)wanted;
+  most = (gint64)MIN (files.rlim_cur / 2, (rlim_t)G_MAXINT32);
+  if (wanted <= most)
+    return (guint)wanted;
+  g_snprintf (text, sizeof text, "%" G_GINT64_FORMAT, most);
+  log_event (io_log (io), LOG_WARNING, io_now (io), "connections_bounded",
+             "max_connections", text, "why", "limit of open files", NULL);
+  return (guint)most;
+}
+
 /* Returns the listeners for callers and operators, as IO's settings have
    them.  Returns NULL and sets ERROR (IO_ERROR) when one can't be opened. */
 Http *
@@ -1034,7 +1066,7 @@
   Http *h = g_new0 (Http, 1);
 
   h->io = io;
-  h->max_conns = (guint)s->max_connections;
+  h->max_conns = bound_connections (io);
   h->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
   h->callers = (Listener) { .http = h };
   h->operators = (Listener) { .http = h, .operators = TRUE };
--- a/tests/shell_settings_test.cc
+++ b/tests/shell_settings_test.cc
@@ -10,6 +10,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <string>
 
 namespace
@@ -128,6 +129,20 @@
   EXPECT_NE (check ("[]").find ("expected an object"), std::string::npos);
 }
 
+TEST (ShellSettings, EveryKeyIsDocumented)
+{
+  char *page = nullptr;
+  const char *file = "docs/operating/settings.md";
+  ASSERT_TRUE (g_file_get_contents (file, &page, nullptr, nullptr));
+  const RecDesc *d = settings_desc ();
+  for (guint i = 0; i < d->n_fields; i++)
+    EXPECT_NE (strstr (page,
+                       ("`" + std::string (d->fields[i].name) + "`").c_str ()),
+               nullptr)
+        << d->fields[i].name;
+  g_free (page);
+}
+
 TEST (ShellSettings, MissingFileIsAFinding)
 {
   Findings findings;
