--- /dev/null
+++ b/src/lease.c
@@ -0,0 +1,374 @@
+#include "sched_state.h"
+
+/* Sends CALL, whose number, worker, term and time-out are filled in, to W:
+   for part P, or with NULL for the worker as a whole.  Returns its number. */
+gint64
+lease_call (Core *c, Worker *w, Part *p, WorkerCall *call)
+{
+  Sched *s = c->sched;
+  WorkerPending *pending = g_new (WorkerPending, 1);
+
+  call->call = ++s->last_call;
+  call->worker = w->cfg->name;
+  call->term = s->role.term;
+  call->timeout_ms = c->cfg->worker_timeout_ms;
+  *pending = (WorkerPending) { .call = call->call,
+                               .worker = w,
+                               .part = p,
+                               .op = (WorkerOp)call->op };
+  g_hash_table_insert (s->pending, &pending->call, pending);
+  core_add (c, COUNT_WORKER_CALLS, 1);
+  core_emit (c, FX_WORKER_CALL, NULL, call);
+  return call->call;
+}
+
+/* Asks W again in SPAN milliseconds, if not sooner. */
+void
+lease_wake (Core *c, Worker *w, ClockMs span)
+{
+  if (!w->call && (!w->timer.slot || w->timer.at > c->now + span))
+    core_arm (c, &w->timer, c->now + span);
+}
+
+static Part *
+find_part (Core *c, const WorkerLease *l, const Worker *w)
+{
+  Job *j = g_hash_table_lookup (c->sched->jobs, l->job);
+  Part *p;
+
+  if (!j || l->part >= j->n_parts || l->run != j->rec->run)
+    return NULL;
+  p = &j->parts[l->part];
+  return p->worker == w ? p : NULL;
+}
+
+/* Ends lease L, which nobody planned, on W. */
+void
+lease_stop (Core *c, Worker *w, const WorkerLease *l)
+{
+  WorkerCall call = { .op = WORKER_STOP,
+                      .job = l->job,
+                      .part = l->part,
+                      .run = l->run,
+                      .first = l->first,
+                      .count = l->count };
+
+  lease_call (c, w, NULL, &call);
+}
+
+static void
+orphan_free (gpointer p)
+{
+  Orphan *o = p;
+
+  rec_free (worker_lease_desc (), o->lease);
+  g_free (o);
+}
+
+static void
+add_orphan (Core *c, Worker *w, const WorkerLease *l)
+{
+  GHashTable *orphans = c->sched->orphans;
+  GPtrArray *list = g_hash_table_lookup (orphans, l->job);
+  Orphan *o = g_new (Orphan, 1);
+
+  if (!list)
+    {
+      list = g_ptr_array_new_with_free_func (orphan_free);
+      g_hash_table_insert (orphans, g_strdup (l->job), list);
+    }
+  *o = (Orphan) { .worker = w,
+                  .lease = rec_copy (worker_lease_desc (), l),
+                  .seen = c->now };
+  g_ptr_array_add (list, o);
+}
+
+static void
+take_lease (Core *c, Worker *w, const WorkerLease *l)
+{
+  Part *p = find_part (c, l, w);
+
+  role_note_term (c, l->term);
+  if (p)
+    {
+      if (l->state <= LEASE_RUNNING)
+        p->lease_end = c->now + c->cfg->worker_lease_ms;
+      gang_fold (c, p, l);
+    }
+  else if (g_hash_table_contains (c->sched->jobs, l->job))
+    lease_stop (c, w, l);
+  else
+    add_orphan (c, w, l);
+}
+
+/* Returns a part that should run on W and that W did not list. */
+static Part *
+unlisted (Worker *w)
+{
+  Part *p = NULL;
+
+  APR_RING_FOREACH (p, &w->parts, Part, link)
+    {
+      if (p->state == PART_RUNNING && !p->listed)
+        return p;
+    }
+  return NULL;
+}
+
+/* A part that its worker no longer lists, though it should run, is gone. */
+static void
+check_missing (Core *c, Worker *w, const WorkerReply *r)
+{
+  Part *p = NULL;
+  guint i;
+
+  APR_RING_FOREACH (p, &w->parts, Part, link)
+    {
+      p->listed = FALSE;
+    }
+  for (i = 0; i < r->leases.n; i++)
+    {
+      p = find_part (c, rec_list_at (worker_lease_desc (), &r->leases, i), w);
+      if (p)
+        p->listed = TRUE;
+    }
+  while ((p = unlisted (w)))
+    {
+      p->state = PART_GONE;
+      gang_broken (c, p->job, p, FALSE, "a worker lost a part");
+    }
+}
+
+/* Polls beyond the renewals come out of a budget, so that many short tasks
+   do not cost the host more than it may spend. */
+static gboolean
+take_poll (Core *c)
+{
+  Sched *s = c->sched;
+  gint64 filled = (c->now - s->polls_at) * LEASE_POLLS_PER_S;
+
+  s->polls = MIN (s->polls + filled, (gint64)LEASE_POLL_BURST * 1000);
+  s->polls_at = c->now;
+  if (s->polls < 1000)
+    return FALSE;
+  s->polls -= 1000;
+  return TRUE;
+}
+
+/* Returns how soon W is asked again: to renew its leases, earlier while it
+   writes a checkpoint or has tasks so young that a late look would matter. */
+static ClockMs
+next_poll (Core *c, const Worker *w)
+{
+  ClockMs most = c->cfg->worker_lease_ms / 3;
+  ClockMs span = w->occupied ? LEASE_OCCUPIED_MS : most;
+  Part *p = NULL;
+
+  APR_RING_FOREACH (p, &w->parts, Part, link)
+    {
+      if (p->job->phase == PHASE_SAVE)
+        return LEASE_POLL_MIN_MS;
+      if (p->state == PART_RUNNING)
+        span = MIN (span, MAX (LEASE_POLL_MIN_MS, (c->now - p->job->run_since) /
+                                                      LEASE_POLL_SHARE));
+    }
+  if (span < most && !take_poll (c))
+    span = most;
+  return core_jitter (c, span);
+}
+
+/* Asks W for all its leases, under the present term. */
+void
+lease_report (Core *c, Worker *w)
+{
+  WorkerCall call = { .op = WORKER_REPORT };
+
+  if (w->call)
+    g_hash_table_remove (c->sched->pending, &w->call);
+  w->asked = c->now;
+  w->call = lease_call (c, w, NULL, &call);
+  core_arm (c, &w->timer,
+            c->now + c->cfg->worker_timeout_ms + LEASE_ANSWER_GRACE_MS);
+}
+
+/* The term has been raised over another scheduler's, which may have been
+   told of changes in between: every worker lists its leases again. */
+void
+lease_distrust_all (Core *c)
+{
+  guint i;
+
+  for (i = 0; i < c->sched->workers->len; i++)
+    {
+      Worker *w = g_ptr_array_index (c->sched->workers, i);
+
+      w->reported = FALSE;
+      lease_wake (c, w, 0);
+    }
+}
+
+static Part *
+lapsed (Core *c, Worker *w)
+{
+  Part *p = NULL;
+
+  APR_RING_FOREACH (p, &w->parts, Part, link)
+    {
+      if (p->state == PART_RUNNING && p->lease_end <= c->now)
+        return p;
+    }
+  return NULL;
+}
+
+static void
+worker_silent (Core *c, Worker *w)
+{
+  Part *p;
+
+  w->silent++;
+  while ((p = lapsed (c, w)))
+    {
+      p->state = PART_GONE;
+      gang_broken (c, p->job, p, FALSE, "a worker is silent");
+    }
+  if (w->silent >= LEASE_SILENT)
+    {
+      w->reported = FALSE;
+      plan_set_usable (c->sched->plan, w->cfg->name, FALSE, c->now);
+    }
+  core_arm (c, &w->timer,
+            c->now + core_jitter (c, MIN ((ClockMs)500 << MIN (w->silent, 5),
+                                          c->cfg->worker_lease_ms / 4)));
+}
+
+/* Renews all leases on a worker; one that has not reported to this term is
+   asked for its leases first. */
+void
+lease_tick (Core *c, Timer *t)
+{
+  Worker *w = t->owner;
+  WorkerCall call = { .op = WORKER_RENEW, .lease_ms = c->cfg->worker_lease_ms };
+
+  if (w->call)
+    {
+      if (c->now - w->asked < c->cfg->worker_timeout_ms + LEASE_ANSWER_GRACE_MS)
+        return;
+      g_hash_table_remove (c->sched->pending, &w->call);
+      w->call = 0;
+      worker_silent (c, w);
+      return;
+    }
+  if (!w->reported || c->now - w->renewed > c->cfg->worker_lease_ms ||
+      (w->occupied && c->now - w->listed_at >= LEASE_OCCUPIED_MS) ||
+      c->now - w->listed_at > c->cfg->worker_lease_ms * LEASE_REPORT_LEASES)
+    {
+      lease_report (c, w);
+      return;
+    }
+  w->asked = c->now;
+  w->call = lease_call (c, w, NULL, &call);
+  core_arm (c, &w->timer,
+            c->now + c->cfg->worker_timeout_ms + LEASE_ANSWER_GRACE_MS);
+}
+
+/* Tells whether W leases accelerators to what is not planned there. */
+static gboolean
+occupied (Core *c, Worker *w, const WorkerReply *r)
+{
+  guint i;
+
+  for (i = 0; i < r->leases.n; i++)
+    {
+      const WorkerLease *l = rec_list_at (worker_lease_desc (), &r->leases, i);
+
+      if (l->state <= LEASE_RUNNING && !find_part (c, l, w))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+on_worker_answer (Core *c, Worker *w, WorkerOp op, const WorkerReply *r)
+{
+  guint i;
+
+  if (w->silent && op == WORKER_RENEW)
+    w->reported = FALSE; /* an answer in between may have been lost */
+  w->silent = 0;
+  w->renewed = c->now;
+  for (i = 0; i < r->leases.n; i++)
+    take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i));
+  if (op == WORKER_REPORT)
+    {
+      check_missing (c, w, r);
+      if (!w->reported && c->sched->reports_due > 0)
+        c->sched->reports_due--;
+      w->reported = TRUE;
+      w->listed_at = c->now;
+      w->occupied = occupied (c, w, r);
+      plan_set_usable (c->sched->plan, w->cfg->name, !w->occupied, c->now);
+      sched_plan_soon (c);
+    }
+  core_arm (c, &w->timer,
+            w->reported && op != WORKER_REPORT ? c->now + next_poll (c, w)
+                                               : c->now);
+}
+
+/* Uses W no more until it has listed its leases. */
+void
+lease_distrust (Core *c, Worker *w)
+{
+  w->reported = FALSE;
+  plan_set_usable (c->sched->plan, w->cfg->name, FALSE, c->now);
+  if (!w->call)
+    core_arm (c, &w->timer, c->now);
+}
+
+static void
+on_whole_answer (Core *c, Worker *w, WorkerOp op, const WorkerReply *r)
+{
+  if (op == WORKER_STOP)
+    return;
+  w->call = 0;
+  if (r->status == WORKER_OK)
+    on_worker_answer (c, w, op, r);
+  else if (r->status == WORKER_STALE)
+    {
+      role_on_stale (c, r->term);
+      w->reported = FALSE;
+      if (role_held (c))
+        core_arm (c, &w->timer, c->now + GANG_RETRY_MS);
+    }
+  else
+    worker_silent (c, w);
+}
+
+/* Takes a worker's reply, or a report that it sent by itself. */
+void
+lease_on_reply (Core *c, const Event *e)
+{
+  const WorkerReply *r = e->body;
+  Sched *s = c->sched;
+  WorkerPending *p = g_hash_table_lookup (s->pending, &r->call);
+  WorkerPending call;
+  Worker *w;
+  guint i;
+
+  if (!role_held (c))
+    return;
+  if (!p)
+    {
+      w = g_hash_table_lookup (s->worker_by_name, util_str (r->worker));
+      for (i = 0; r->call == 0 && w && i < r->leases.n; i++)
+        take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i));
+      return;
+    }
+  call = *p;
+  g_hash_table_remove (s->pending, &r->call);
+  if (r->status == WORKER_OK)
+    role_note_term (c, r->term);
+  if (call.part)
+    gang_on_part_answer (c, call.part, call.op, r);
+  else
+    on_whole_answer (c, call.worker, call.op, r);
+}
--- a/src/role.c
+++ b/src/role.c
@@ -103,7 +103,7 @@
   beat (c, &r->beat_timer);
   show_role (c);
   if (had && r->term != before)
-    gang_distrust_all (c);
+    lease_distrust_all (c);
   if (had)
     return;
   g_snprintf (detail, sizeof detail, "term %" G_GINT64_FORMAT "%s", r->term,
--- a/src/sched.c
+++ b/src/sched.c
@@ -45,7 +45,7 @@
 
   w->cfg = cfg;
   APR_RING_INIT (&w->parts, Part, link);
-  w->timer.fire = gang_worker_tick;
+  w->timer.fire = lease_tick;
   w->timer.owner = w;
   g_ptr_array_add (s->workers, w);
   g_hash_table_insert (s->worker_by_name, (gpointer)cfg->name, w);
@@ -443,7 +443,7 @@
   j->listed = TRUE;
   j->lost = s->went_back && r->state <= JOB_PLACED;
   if (s->ready)
-    gang_adopt (c, j);
+    adopt_job (c, j);
 }
 
 /* Takes VALUE from the host that took the job.  AGAIN: a scheduler before
@@ -464,7 +464,7 @@
       j = sched_job_add (c, r, revision);
       j->lost = again;
       if (s->ready)
-        gang_adopt (c, j);
+        adopt_job (c, j);
     }
   return j && job_state_ended ((JobState)j->rec->state) && !j->unwritten &&
          !j->writing;
@@ -542,7 +542,7 @@
   heal (c, r);
   s->records_known = TRUE;
   if (c->now - s->taken_at >= SCHED_ORPHAN_MS)
-    gang_reap_orphans (c, s->list_sent);
+    adopt_reap (c, s->list_sent);
   core_arm (c, &s->list_timer,
             c->now +
                 MAX (SCHED_LIST_MS, bytes * 1000 / SCHED_LIST_BYTES_PER_S));
@@ -591,7 +591,7 @@
   for (i = 0; i < all->len; i++)
     ((Job *)g_ptr_array_index (all, i))->fleet.id = ++s->last_number;
   for (i = 0; i < all->len; i++)
-    gang_adopt (c, g_ptr_array_index (all, i));
+    adopt_job (c, g_ptr_array_index (all, i));
   g_ptr_array_unref (all);
 }
 
@@ -648,7 +648,7 @@
       w->silent = 0;
       w->renewed = c->now;
       plan_set_usable (s->plan, w->cfg->name, FALSE, c->now);
-      gang_report (c, w);
+      lease_report (c, w);
     }
   core_arm (c, &s->ready_timer, c->now + SCHED_READY_MS);
   list_records (c, NULL);
@@ -714,7 +714,7 @@
 void
 sched_on_worker_reply (Core *c, const Event *e)
 {
-  gang_on_worker_reply (c, e);
+  lease_on_reply (c, e);
   if (role_held (c))
     check_ready (c);
 }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -3,19 +3,17 @@
 
 #include <apr_ring.h>
 
+#include "adopt.h"
 #include "gang.h"
 #include "job.h"
+#include "lease.h"
 #include "plan.h"
 #include "role.h"
 #include "sched.h"
 #include "store.h"
 
 /* What the parts of the scheduler share.  For sched.c, submit.c, role.c,
-   gang.c and job.c only. */
-
-typedef struct Worker Worker;
-typedef struct Part Part;
-typedef struct Job Job;
+   gang.c, lease.c, adopt.c and job.c only. */
 
 /* Where a gang stands on this host. */
 #define JOB_PHASES(X)                                                          \
@@ -176,6 +174,8 @@
   GHashTable *asks;    /* set of Ask */
 };
 
+guint gang_count (const Job *j, PartState state);
+
 void sched_plan_soon (Core *c);
 Job *sched_job_add (Core *c, JobRecord *rec, gint64 revision);
 void sched_job_drop (Core *c, Job *j);
