--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -3,19 +3,17 @@
 
 #include <apr_ring.h>
 
+#include "adopt.h"
 #include "gang.h"
 #include "job.h"
+#include "lease.h"
 #include "plan.h"
 #include "role.h"
 #include "sched.h"
 #include "store.h"
 
 /* What the parts of the scheduler share.  For sched.c, submit.c, role.c,
-   gang.c and job.c only. */
-
-typedef struct Worker Worker;
-typedef struct Part Part;
-typedef struct Job Job;
+   gang.c, lease.c, adopt.c and job.c only. */
 
 /* Where a gang stands on this host. */
 #define JOB_PHASES(X)                                                          \
@@ -79,6 +77,8 @@
   gboolean unwritten; /* the record has changed since the last write */
   GBytes *writing;    /* the value in flight, NULL: none */
   gint64 store_call;
+  GList write_link;  /* in QUEUED_IN */
+  GQueue *queued_in; /* NULL: not due */
   ClockMs written_at;
   Timer write_timer;
   Part *parts;
@@ -89,6 +89,8 @@
   ClockMs run_since;
   GPtrArray *askers; /* of JobAsker, told when the end is in the store */
   gboolean planned;  /* the plan has it */
+  gboolean failed;   /* its last run, which counts against it */
+  gboolean lost;     /* it may have run, and the store does not say so */
   FleetJob fleet;    /* what the plan knows of it */
   gboolean listed;   /* seen in the listing under way */
 };
@@ -112,6 +114,7 @@
   ClockMs renewed;   /* the last renewal that was answered */
   ClockMs heard;     /* the last answer, 0: never */
   ClockMs listed_at; /* the last full report */
+  gboolean occupied; /* by leases that are not planned there */
   gboolean reported; /* its leases are known to this term */
   int silent;        /* calls without an answer in a row */
 };
@@ -146,10 +149,14 @@
   gint64 last_call;
   GHashTable *orphans; /* id to GPtrArray of Orphan */
   gint64 last_write;
+  GQueue to_write[2]; /* steps of gangs, then ends */
+  guint n_writing;
   char *writer;
   Timer list_timer;
   gint64 list_call;
   ClockMs list_sent;
+  ClockMs taken_at;       /* the role */
+  gboolean went_back;     /* the store, before the role was taken */
   gboolean records_known; /* a listing has come since the role was taken */
   guint reports_due;
   gboolean ready; /* may plan */
@@ -167,23 +174,29 @@
   GHashTable *asks;    /* set of Ask */
 };
 
+guint gang_count (const Job *j, PartState state);
+
 void sched_plan_soon (Core *c);
 Job *sched_job_add (Core *c, JobRecord *rec, gint64 revision);
 void sched_job_drop (Core *c, Job *j);
 void sched_requeue (Core *c, Job *j);
 void sched_submit (Core *c, Job *j);
 void sched_job_seen (Core *c, GBytes *value, gint64 revision);
+gboolean
+sched_job_hinted (Core *c, GBytes *value, gint64 revision, gboolean again);
 void sched_take (Core *c);
 void sched_leave (Core *c);
 void sched_cancel (Core *c, Job *j);
 void sched_tell_askers (Core *c, Job *j);
 
+void job_count_write (Core *c, const StoreReply *r);
 void job_write (Core *c, Job *j);
 void job_settle (Core *c, Job *j, const StoreItem *item);
 void job_forget_write (Core *c, Job *j);
 
 void submit_new (Sched *s);
 void submit_free (Sched *s);
+void submit_hint_again (Core *c);
 gboolean submit_busy (const Core *c);
 void submit_reply (Core *c, gint64 conn, int status, const JobRecord *r);
 void submit_refuse (Core *c, gint64 conn, int status, const char *reason);
