Operators' answers: what is promised, held, borrowed, owed, and not kept

status and hosts name each workspace's accelerators, on the scheduler of the domain, and what can't be kept at the moment with its cause; explain answers from the request's and the job's own state.

Before: status held the host's and the table's state only, explain knew names only.

--- a/src/oper.c
+++ b/src/oper.c
@@ -1,6 +1,8 @@
 #include "oper.h"
 
 #include "member.h"
+#include "req.h"
+#include "sched_state.h"
 #include "store.h"
 #include "table.h"
 
@@ -133,17 +135,6 @@
   json_object_object_add (o, "leaving_upstreams", array);
 }
 
-static void
-on_hosts (Core *c, const CallerOperator *q)
-{
-  json_object *o = json_object_new_object ();
-
-  add_str (o, "seen_by", c->cfg->host);
-  add_hosts (c, o);
-  add_leaving (c, o);
-  answer (c, q->conn, 200, o);
-}
-
 /* What was learnt from the store is as fresh as its last answer. */
 static void
 add_store (Core *c, json_object *o)
@@ -207,6 +198,191 @@
   answer (c, q->conn, 200, o);
 }
 
+/* Accelerators of one workspace, in the domain that this host schedules. */
+typedef struct Account
+{
+  gint64 held;     /* inside its guarantee */
+  gint64 borrowed; /* beyond it */
+  gint64 wanted;   /* by jobs that wait */
+  gint64 jobs_waiting;
+} Account;
+
+static void
+add_to_account (Account *a, const Job *j)
+{
+  gint64 n = (gint64)j->fleet.parts * j->fleet.accelerators;
+
+  if (!j->planned)
+    return;
+  if (j->fleet.state == FLEET_PLACED && j->fleet.in_guarantee)
+    a->held += n;
+  else if (j->fleet.state == FLEET_PLACED)
+    a->borrowed += n;
+  else
+    {
+      a->wanted += n;
+      a->jobs_waiting++;
+    }
+}
+
+static Account *
+accounts_new (const Core *c)
+{
+  Account *all = g_new0 (Account, table_n_workspaces (c) + 1);
+  GHashTableIter i;
+  gpointer p;
+
+  g_hash_table_iter_init (&i, c->sched->jobs);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    {
+      const Job *j = p;
+      const Workspace *w = table_find (c, j->rec->workspace);
+
+      if (w)
+        add_to_account (&all[w->index], j);
+    }
+  return all;
+}
+
+static gint64
+promised (const Workspace *w)
+{
+  gint64 sum = 0;
+  guint i;
+
+  for (i = 0; i < w->n_shapes; i++)
+    sum += w->guarantee[i].count * w->guarantee[i].size;
+  return sum;
+}
+
+/* What is owed is what the workspace waits for and would still be inside
+   its promise.  Only the domain's scheduler knows the accelerators. */
+static json_object *
+workspace_line (const Core *c, const Workspace *w, const Account *a)
+{
+  json_object *o = json_object_new_object ();
+  gint64 rest = MAX (0, promised (w) - a->held);
+  guint waiting = 0;
+  guint running = 0;
+
+  req_workspace_counts (c, w->name, &waiting, &running);
+  add_str (o, "workspace", w->name);
+  add_int (o, "weight", w->weight);
+  add_int (o, "promised", promised (w));
+  if (c->sched->role.held)
+    {
+      add_int (o, "held", a->held);
+      add_int (o, "borrowed", a->borrowed);
+      add_int (o, "owed", MIN (rest, a->wanted));
+      add_int (o, "waiting_accelerators", a->wanted);
+      add_int (o, "waiting_jobs", a->jobs_waiting);
+    }
+  add_int (o, "waiting_requests", waiting);
+  add_int (o, "running_requests", running);
+  return o;
+}
+
+static void
+add_workspaces (Core *c, json_object *o)
+{
+  json_object *array = json_object_new_array ();
+  Account *accounts = accounts_new (c);
+  guint i;
+
+  for (i = 0; i < table_n_workspaces (c); i++)
+    json_object_array_add (array, workspace_line (c, table_workspace (c, i),
+                                                  &accounts[i]));
+  json_object_object_add (o, "workspaces", array);
+  g_free (accounts);
+}
+
+static void add_trouble (json_object *array, const char *format, ...)
+    G_GNUC_PRINTF (2, 3);
+
+static void
+add_trouble (json_object *array, const char *format, ...)
+{
+  va_list args;
+  char *text;
+
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  json_object_array_add (array, json_object_new_string (text));
+  g_free (text);
+}
+
+static void
+add_shortages (const Core *c, json_object *array)
+{
+  const Plan *plan = c->sched->plan;
+  guint i;
+
+  for (i = 0; plan && i < plan_n_short (plan); i++)
+    {
+      PlanShort s = plan_short_at (plan, i);
+
+      add_trouble (array,
+                   "workspace \"%s\" is short of %u of its %u guaranteed "
+                   "accelerators in domain \"%s\": workers are missing",
+                   s.workspace, s.short_of, s.accelerators, c->cfg->domain);
+    }
+}
+
+/* Lists what can't be kept at the moment, and why. */
+static void
+add_cannot_keep (Core *c, json_object *o)
+{
+  json_object *array = json_object_new_array ();
+  guint n_live;
+  guint n_in_force;
+  guint i;
+
+  if (table_revision (c) == 0)
+    add_trouble (array, "nothing is served: no table has been found yet");
+  if (!store_is_up (c))
+    add_trouble (array,
+                 "no edit, job or request that runs at most once is taken: "
+                 "the store has not answered for %" CLOCK_MS_FORMAT " ms",
+                 c->now - store_answered_at (c));
+  if (!table_in_force (c, &n_live, &n_in_force))
+    add_trouble (array,
+                 "table revision %" G_GINT64_FORMAT
+                 " is in force on %u of %u live hosts",
+                 table_revision (c), n_in_force, n_live);
+  for (i = 0; i < member_n_hosts (c); i++)
+    if (member_host (c, i)->state == MEMBER_SUSPECT)
+      add_trouble (array,
+                   "host \"%s\" has been silent for %" CLOCK_MS_FORMAT " ms",
+                   member_host (c, i)->name,
+                   c->now - member_host (c, i)->heard_at);
+  add_shortages (c, array);
+  json_object_object_add (o, "cannot_keep", array);
+}
+
+static void
+on_hosts (Core *c, const CallerOperator *q)
+{
+  json_object *o = json_object_new_object ();
+
+  add_str (o, "seen_by", c->cfg->host);
+  add_hosts (c, o);
+  add_leaving (c, o);
+  add_cannot_keep (c, o);
+  answer (c, q->conn, 200, o);
+}
+
+/* Adds what a module tells of itself as JSON text, which is released. */
+static void
+add_text (json_object *o, const char *key, char *text)
+{
+  json_object *v = text ? json_tokener_parse (text) : NULL;
+
+  if (v)
+    json_object_object_add (o, key, v);
+  g_free (text);
+}
+
 static void
 on_status (Core *c, const CallerOperator *q)
 {
@@ -220,6 +396,9 @@
   add_store (c, o);
   add_table_state (c, table);
   json_object_object_add (o, "table", table);
+  add_text (o, "scheduler", sched_status (c));
+  add_workspaces (c, o);
+  add_cannot_keep (c, o);
   answer (c, q->conn, 200, o);
 }
 
@@ -332,25 +511,38 @@
   json_object_put (o);
 }
 
-/* Explains a workspace or upstream by its name. */
+/* Explains a request or job by its id, or a host, workspace or upstream by
+   its name; a name may be several of these. */
 static void
 on_explain (Core *c, const CallerOperator *q)
 {
+  json_object *o = json_object_new_object ();
   const MemberHost *h = member_find (c, q->arg);
-  json_object *o;
+  const Workspace *w = table_find (c, q->arg);
+  Account *accounts;
 
-  if (!h && !table_find (c, q->arg) && !member_is_leaving (c, q->arg))
+  add_text (o, "request", req_explain (c, q->arg));
+  add_text (o, "job", sched_explain (c, q->arg));
+  if (h)
+    json_object_object_add (o, "host", host_line (c, h));
+  if (w)
     {
-      refuse (c, q->conn, 404, "no host, workspace or upstream of this name");
+      accounts = accounts_new (c);
+      json_object_object_add (o, "workspace",
+                              workspace_line (c, w, &accounts[w->index]));
+      g_free (accounts);
+    }
+  if (member_is_leaving (c, q->arg))
+    add_str (o, "upstream", "leaving: it gets no new work");
+  if (json_object_object_length (o) > 0)
+    {
+      answer (c, q->conn, 200, o);
       return;
     }
-  o = json_object_new_object ();
-  if (h)
-    json_object_object_add (o, "host", host_line (c, h));
-  if (table_find (c, q->arg))
-    add_str (o, "workspace", q->arg);
-  add_bool (o, "upstream_leaving", member_is_leaving (c, q->arg));
-  answer (c, q->conn, 200, o);
+  json_object_put (o);
+  refuse (c, q->conn, 404,
+          "no request, job, host, workspace or leaving upstream of this name "
+          "is known here");
 }
 
 /* Answers one question. */
