--- a/src/fleet.c
+++ b/src/fleet.c
@@ -82,39 +82,55 @@
   return f->racks->len - 1;
 }
 
-static guint
-shares_left (gint64 whole, gint64 pinned, guint n)
+static guint64
+unheld_mask (const FleetWorker *w)
 {
-  gint64 share = whole / n;
+  return fleet_run_mask (0, w->accelerators) & ~w->held;
+}
 
-  if (share == 0)
-    return n;
-  return pinned >= whole ? 0 : (guint)((whole - pinned) / share);
+/* Returns the share of WHOLE that goes with N accelerators of W. */
+static gint64
+share_of (const FleetWorker *w, gint64 whole, guint n)
+{
+  return w->accelerators ? whole / w->accelerators * n : 0;
 }
 
-/* Returns the accelerators of W that may serve guarantees: no work that
-   can't be taken back holds them, nor the cores and memory that belong to
-   them. */
-static guint64
-open_mask (const FleetWorker *w)
+/* Tells whether the accelerators of W that nothing holds still have the
+   cores and memory that go with them, and those that are held too. */
+gboolean
+fleet_is_whole (const FleetWorker *w)
 {
-  guint64 open = fleet_run_mask (0, w->accelerators) & ~w->held;
-  guint left;
+  guint n = (guint)__builtin_popcountll (unheld_mask (w));
 
-  if (!open)
-    return 0;
-  left = MIN (shares_left (w->cores, w->cores_pinned, w->accelerators),
-              shares_left (w->memory_mb, w->memory_pinned, w->accelerators));
-  while ((guint)__builtin_popcountll (open) > left)
-    open &= ~(1ULL << (63 - __builtin_clzll (open)));
-  return open;
+  return w->cores_pinned + share_of (w, w->cores, n) <= w->cores &&
+         w->memory_pinned + share_of (w, w->memory_mb, n) <= w->memory_mb;
+}
+
+/* Tells whether W keeps its promises: it is whole, or holds no accelerators
+   and serves no guarantee until it is whole again. */
+gboolean
+fleet_is_sound (const FleetWorker *w)
+{
+  return w->held == 0 || fleet_is_whole (w);
+}
+
+/* Tells whether all workers that J stands on are sound. */
+gboolean
+fleet_job_is_sound (const Fleet *f, const FleetJob *j)
+{
+  guint i;
+
+  for (i = 0; i < j->parts; i++)
+    if (!fleet_is_sound (fleet_worker (f, j->part[i].worker)))
+      return FALSE;
+  return TRUE;
 }
 
 /* Adds SIGN times the runs of W that may serve guarantees to BINS. */
 void
 fleet_count_bins (const FleetWorker *w, guint *bins, int sign)
 {
-  guint64 open = w->usable ? open_mask (w) : 0;
+  guint64 open = w->usable && fleet_is_whole (w) ? unheld_mask (w) : 0;
 
   while (open)
     {
@@ -214,21 +230,20 @@
   return fleet_run_mask (part->first, part->job->accelerators);
 }
 
-/* Returns what a part with ACCELERATORS and AMOUNT of WHOLE of W takes from
-   the guarantees there: what it uses, and not less than the share that goes
-   with its accelerators. */
 static gint64
-pinned_share (const FleetWorker *w,
-              guint accelerators,
-              gint64 whole,
-              gint64 amount)
+pinned_by (const FleetWorker *w,
+           const FleetPart *part,
+           gint64 whole,
+           gint64 amount)
 {
-  if (!w->accelerators)
-    return amount;
-  return MAX (amount, whole / w->accelerators * accelerators);
+  gint64 share = share_of (w, whole, part->job->accelerators);
+
+  if (part->hold == FLEET_HOLD_NONE)
+    return 0;
+  return MAX (amount, share) - (part->hold == FLEET_HOLD_EXTRA ? share : 0);
 }
 
-/* Moves one part of J at W, with its claim on guarantees, by SIGN. */
+/* Moves what PART takes from W by SIGN. */
 static void
 take_shares (FleetWorker *w, const FleetPart *part, int sign)
 {
@@ -237,24 +252,61 @@
 
   w->cores_free -= sign * j->cores;
   w->memory_free -= sign * j->memory_mb;
-  if (fleet_can_stop (j))
-    return;
-  w->cores_pinned +=
-      sign * pinned_share (w, j->accelerators, w->cores, j->cores);
-  w->memory_pinned +=
-      sign * pinned_share (w, j->accelerators, w->memory_mb, j->memory_mb);
-  w->held = sign > 0 ? w->held | mask : w->held & ~mask;
+  w->cores_pinned += sign * pinned_by (w, part, w->cores, j->cores);
+  w->memory_pinned += sign * pinned_by (w, part, w->memory_mb, j->memory_mb);
+  if (part->hold == FLEET_HOLD_OWN)
+    w->held = sign > 0 ? w->held | mask : w->held & ~mask;
 }
 
-/* Fills W as it would be with one more part of J at FIRST.  For trials. */
+static FleetHold
+hold_of (const FleetPart *part)
+{
+  const FleetJob *j = part->job;
+
+  if (!j->in_guarantee && (j->accelerators > 0 || fleet_can_stop (j)))
+    return FLEET_HOLD_NONE;
+  return part->slot == FLEET_NO_SLOT ? FLEET_HOLD_OWN : FLEET_HOLD_EXTRA;
+}
+
+/* Changes W, a copy, as one more part of J at FIRST would. */
 void
-fleet_try_part (FleetWorker *w, FleetJob *j, guint first)
+fleet_try_part (FleetWorker *w, FleetJob *j, FleetHold hold, guint first)
 {
-  FleetPart part = { .job = j, .first = (guint8)first };
+  FleetPart part = { .job = j, .first = (guint8)first, .hold = (guint8)hold };
 
   take_shares (w, &part, 1);
 }
 
+static void
+move_region (FleetWorker *w, guint64 mask, int sign)
+{
+  guint n = (guint)__builtin_popcountll (mask);
+
+  w->held = sign > 0 ? w->held | mask : w->held & ~mask;
+  w->cores_pinned += sign * share_of (w, w->cores, n);
+  w->memory_pinned += sign * share_of (w, w->memory_mb, n);
+}
+
+/* Changes W, a copy, as holding the accelerators MASK would. */
+void
+fleet_try_region (FleetWorker *w, guint64 mask)
+{
+  move_region (w, mask, 1);
+}
+
+/* Holds the accelerators MASK of worker I, with the cores and memory that go
+   with them, for a guarantee that is in use; SIGN -1 lets go.  Others may
+   borrow what is free there. */
+void
+fleet_hold_region (Fleet *f, guint i, guint64 mask, int sign)
+{
+  FleetWorker *w = fleet_worker (f, i);
+
+  count_worker (f, w, -1);
+  move_region (w, mask, sign);
+  count_worker (f, w, 1);
+}
+
 static void
 put_part (Fleet *f, FleetPart *part)
 {
@@ -262,6 +314,7 @@
 
   count_worker (f, w, -1);
   w->used |= part_mask (part);
+  part->hold = (guint8)hold_of (part);
   take_shares (w, part, 1);
   count_worker (f, w, 1);
   APR_RING_INSERT_TAIL (&w->parts, part, FleetPart, link);
@@ -305,6 +358,8 @@
       guint64 mask = part_mask (part);
 
       count_worker (f, w, -1);
+      if (sign > 0)
+        part->hold = (guint8)hold_of (part);
       w->claimed = sign > 0 ? w->claimed | mask : w->claimed & ~mask;
       take_shares (w, part, sign);
       count_worker (f, w, 1);
@@ -373,17 +428,17 @@
   f->releases++;
 }
 
-/* Counts the placed job J as inside its guarantee, or as borrowing. */
+/* Counts J, which is placed, as inside its guarantee or as borrowing, by the
+   slots that its parts have by now. */
 void
-fleet_hold (Fleet *f, FleetJob *j, gboolean in_guarantee)
+fleet_retag (Fleet *f, FleetJob *j, gboolean in_guarantee)
 {
-  gboolean placed = j->state == FLEET_PLACED;
   guint i;
 
-  for (i = 0; placed && i < j->parts; i++)
+  for (i = 0; i < j->parts; i++)
     drop_part (f, &j->part[i]);
   j->in_guarantee = in_guarantee;
-  for (i = 0; placed && i < j->parts; i++)
+  for (i = 0; i < j->parts; i++)
     put_part (f, &j->part[i]);
 }
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -29,6 +29,16 @@
 
 typedef struct FleetJob FleetJob;
 
+/* What a part keeps from guarantees.  One that is charged to a run needs
+   nothing but the cores and memory beyond its accelerators' share: the run
+   holds the accelerators. */
+typedef enum FleetHold
+{
+  FLEET_HOLD_NONE,
+  FLEET_HOLD_OWN,
+  FLEET_HOLD_EXTRA
+} FleetHold;
+
 /* One part of a job.  WORKER and FIRST count from 0 and mean nothing while
    the job waits.  SLOT is the run of its workspace's guarantee that the part
    is charged to, FLEET_NO_SLOT when it is borrowed. */
@@ -38,8 +48,9 @@
   FleetJob *job;
   guint32 worker;
   gint32 slot;
-  gint32 old_slot; /* before it was discharged */
   guint8 first;
+  guint8 region; /* where the run that it is charged to begins */
+  guint8 hold;   /* FleetHold, as it was put in place */
 } FleetPart;
 
 /* A job.  The owner fills the first group and keeps the struct alive while
@@ -139,12 +150,17 @@
 void fleet_claim (Fleet *f, FleetJob *j);
 gboolean fleet_claim_is_free (const Fleet *f, const FleetJob *j);
 void fleet_release (Fleet *f, FleetJob *j);
-void fleet_hold (Fleet *f, FleetJob *j, gboolean in_guarantee);
+void fleet_retag (Fleet *f, FleetJob *j, gboolean in_guarantee);
 gboolean fleet_can_stop (const FleetJob *j);
 gint64 fleet_stop_cost (const FleetJob *j, ClockMs now);
 double fleet_fragmentation (const Fleet *f, guint accelerators);
+gboolean fleet_is_whole (const FleetWorker *w);
+gboolean fleet_is_sound (const FleetWorker *w);
+gboolean fleet_job_is_sound (const Fleet *f, const FleetJob *j);
 void fleet_count_bins (const FleetWorker *w, guint *bins, int sign);
-void fleet_try_part (FleetWorker *w, FleetJob *j, guint first);
+void fleet_hold_region (Fleet *f, guint i, guint64 mask, int sign);
+void fleet_try_region (FleetWorker *w, guint64 mask);
+void fleet_try_part (FleetWorker *w, FleetJob *j, FleetHold hold, guint first);
 guint64 fleet_run_mask (guint first, guint count);
 guint fleet_run_length (guint64 mask);
 
--- a/src/place.c
+++ b/src/place.c
@@ -42,9 +42,11 @@
   if (!place_worker_takes (ask, w))
     return r;
   r.open = fleet_run_mask (0, w->accelerators) & ~(w->used | w->claimed);
+  if (ask->job->in_guarantee)
+    r.open &= ~w->held;
   r.cores = w->cores_free;
   r.memory_mb = w->memory_free;
-  if (ask->keep_shares && w->accelerators)
+  if (ask->keep_shares && w->accelerators && !(ask->may_spoil && !w->held))
     {
       gint64 n = w->accelerators - __builtin_popcountll (w->held);
 
@@ -82,7 +84,7 @@
 {
   j->part[i].job = j;
   j->part[i].worker = w->index;
-  j->part[i].first = (guint8)first;
+  j->part[i].first = j->part[i].region = (guint8)first;
 }
 
 /* Fills each worker in the order of ORDER, or of the fleet. */
--- a/src/place.h
+++ b/src/place.h
@@ -8,7 +8,8 @@
    takes the room by fleet_place or fleet_claim. */
 
 /* KEEP_SHARES leaves the cores and memory alone that belong to accelerators
-   which may serve guarantees.  IGNORE_DRAIN: the reservation is its own. */
+   which may serve guarantees; with MAY_SPOIL only on workers that hold some.
+   IGNORE_DRAIN: the reservation is its own. */
 typedef struct PlaceAsk
 {
   Fleet *fleet;
@@ -16,6 +17,7 @@
   ClockMs ends; /* when it is expected to end, CLOCK_NEVER if unknown */
   gboolean ignore_drain;
   gboolean keep_shares;
+  gboolean may_spoil;
   GRand *rng; /* for placers that draw */
 } PlaceAsk;
 
--- a/src/plan.c
+++ b/src/plan.c
@@ -47,6 +47,7 @@
   GPtrArray *rows;      /* of PlanRow, by workspace */
   GPtrArray *claimants; /* of FleetJob */
   GPtrArray *victims;   /* of the last step */
+  GArray *units;        /* of QuotaUnit, of the job that is tried */
   double *scores;       /* by workspace, while a search runs */
   PlanShape failed[PLAN_MAX_FAILED];
   guint n_failed;
@@ -54,7 +55,8 @@
   FleetJob *drain;   /* who the draining reservation is for */
   ClockMs drain_since;
   ClockMs moved;
-  gboolean is_idle;  /* nothing changed since the last round found nothing */
+  gboolean is_idle; /* nothing changed since the last round found nothing */
+  gboolean has_adopted;
   gboolean is_unfit; /* the guarantees have to be fitted again */
 };
 
@@ -87,6 +89,7 @@
   p->rows = g_ptr_array_new_with_free_func (row_free);
   p->claimants = g_ptr_array_new ();
   p->victims = g_ptr_array_new ();
+  p->units = g_array_new (FALSE, FALSE, sizeof (QuotaUnit));
   return p;
 }
 
@@ -95,6 +98,7 @@
 void
 plan_free (Plan *p)
 {
+  g_array_unref (p->units);
   g_ptr_array_unref (p->victims);
   g_ptr_array_unref (p->claimants);
   g_ptr_array_unref (p->rows);
@@ -299,17 +303,31 @@
   changed (p);
 }
 
-/* Moves J, which holds a place, into its guarantee or out of it. */
+/* Moves J, which is placed, into its guarantee or out of it, by the slots
+   that its parts have. */
 static void
 retag (Plan *p, FleetJob *j, gboolean in_guarantee, ClockMs now)
 {
-  if (j->in_guarantee == in_guarantee)
-    return;
   order_free (&p->order, j, now);
-  fleet_hold (&p->fleet, j, in_guarantee);
+  fleet_retag (&p->fleet, j, in_guarantee);
   order_take (&p->order, j, now);
 }
 
+/* Charges J, which is placed and borrows, to runs around it if its workers
+   stay sound. */
+static gboolean
+charge_placed (Plan *p, FleetJob *j, ClockMs now)
+{
+  if (!quota_charge_placed (&p->quota, &p->fleet, j))
+    return FALSE;
+  retag (p, j, TRUE, now);
+  if (fleet_job_is_sound (&p->fleet, j))
+    return TRUE;
+  quota_discharge (&p->quota, &p->fleet, j);
+  retag (p, j, FALSE, now);
+  return FALSE;
+}
+
 static gboolean
 must_hold (const FleetJob *j)
 {
@@ -346,26 +364,60 @@
   return jobs;
 }
 
+/* Lets go of the claims of WORKSPACE; its jobs are tried anew. */
+static void
+drop_claims_of (Plan *p, guint workspace, ClockMs now)
+{
+  guint k = 0;
+
+  while (k < p->claimants->len)
+    {
+      FleetJob *j = g_ptr_array_index (p->claimants, k);
+
+      if (j->workspace == workspace && j->in_guarantee)
+        plan_requeue (p, j, now);
+      else
+        k++;
+    }
+}
+
+/* Charges J, which is placed and not charged; what can't be taken back
+   holds its place by itself if no run is around it. */
+static void
+charge_again (Plan *p, FleetJob *j, ClockMs now)
+{
+  if (j->in_guarantee)
+    retag (p, j, FALSE, now);
+  if (!charge_placed (p, j, now) && must_hold (j))
+    retag (p, j, TRUE, now);
+}
+
 static void
 charge_anew (Plan *p, guint workspace, const GArray *sizes, ClockMs now)
 {
-  GPtrArray *jobs = placed_jobs (p, workspace);
+  GPtrArray *former;
+  GPtrArray *jobs;
   guint i;
 
-  for (i = 0; i < jobs->len; i++)
-    quota_discharge (&p->quota, g_ptr_array_index (jobs, i));
-  quota_set_runs (&p->quota, workspace, sizes);
+  if (quota_has_runs (&p->quota, workspace, sizes))
+    return;
+  former = g_ptr_array_new ();
+  drop_claims_of (p, workspace, now);
+  jobs = placed_jobs (p, workspace);
   for (i = 0; i < jobs->len; i++)
     {
       FleetJob *j = g_ptr_array_index (jobs, i);
-      gboolean in;
 
       if (!j->in_guarantee)
         continue;
-      in = quota_charge (&p->quota, j) || must_hold (j) ||
-           j->state == FLEET_CLAIMED;
-      retag (p, j, in, now);
+      quota_discharge (&p->quota, &p->fleet, j);
+      retag (p, j, must_hold (j), now);
+      g_ptr_array_add (former, j);
     }
+  quota_set_runs (&p->quota, workspace, sizes);
+  for (i = 0; i < former->len; i++)
+    charge_again (p, g_ptr_array_index (former, i), now);
+  g_ptr_array_unref (former);
   g_ptr_array_unref (jobs);
 }
 
@@ -408,6 +460,13 @@
                  "%" G_GINT64_FORMAT " accelerators are more than the limit "
                  "of %" G_GINT64_FORMAT " of workspace \"%s\"",
                  wanted, w->max_accelerators, row->name);
+  else if (must_hold (j) && !quota_could_hold (&p->quota, j->workspace,
+                                               j->parts, j->accelerators))
+    g_set_error (error, PLAN_ERROR, PLAN_ERROR_LIMIT,
+                 "work that can be neither repeated nor resumed runs only "
+                 "inside a guarantee, and that of workspace \"%s\" in domain "
+                 "\"%s\" can't hold %u parts of %u accelerators",
+                 row->name, p->domain, j->parts, j->accelerators);
   else if (w->max_running == 0)
     g_set_error (error, PLAN_ERROR, PLAN_ERROR_LIMIT,
                  "workspace \"%s\" may run no job", row->name);
@@ -450,15 +509,37 @@
                         : v->work_class > j->work_class);
 }
 
-/* Takes places that the guarantee of J's workspace gives to work of its own
-   that is less urgent and can be taken back, until J can be charged.  That
-   work goes on as borrowed where the rest doesn't cover it.  Returns FALSE,
-   with nothing changed, if that isn't enough. */
+/* Undoes the discharge of V, whose SLOTS were kept. */
+static void
+restore (Plan *p, FleetJob *v, const gint32 *slots)
+{
+  guint i;
+
+  for (i = 0; i < v->parts; i++)
+    v->part[i].slot = slots[i];
+  quota_anchor (&p->quota, &p->fleet, v);
+}
+
+static gint32 *
+keep_slots (const FleetJob *v)
+{
+  gint32 *slots = g_new (gint32, v->parts);
+  guint i;
+
+  for (i = 0; i < v->parts; i++)
+    slots[i] = v->part[i].slot;
+  return slots;
+}
+
+/* Takes runs of the guarantee from work of J's own workspace that is less
+   urgent and can be taken back, until J can be charged; that work goes on as
+   borrowed.  Returns FALSE, with nothing changed, if that isn't enough. */
 static gboolean
 charge_by_swap (Plan *p, FleetJob *j, ClockMs now)
 {
   GPtrArray *jobs = placed_jobs (p, j->workspace);
   GPtrArray *yielded = g_ptr_array_new ();
+  GPtrArray *slots = g_ptr_array_new_with_free_func (g_free);
   gboolean charged = FALSE;
   guint i;
 
@@ -468,19 +549,18 @@
 
       if (!may_yield (v, j))
         continue;
-      quota_discharge (&p->quota, v);
       g_ptr_array_add (yielded, v);
-      charged = quota_charge (&p->quota, j);
+      g_ptr_array_add (slots, keep_slots (v));
+      quota_discharge (&p->quota, &p->fleet, v);
+      charged = quota_charge (&p->quota, j, p->units);
     }
   for (i = yielded->len; i > 0; i--)
-    {
-      FleetJob *v = g_ptr_array_index (yielded, i - 1);
-
-      if (!charged)
-        quota_recharge (&p->quota, v);
-      else if (!quota_charge (&p->quota, v))
-        retag (p, v, FALSE, now);
-    }
+    if (charged)
+      retag (p, g_ptr_array_index (yielded, i - 1), FALSE, now);
+    else
+      restore (p, g_ptr_array_index (yielded, i - 1),
+               g_ptr_array_index (slots, i - 1));
+  g_ptr_array_unref (slots);
   g_ptr_array_unref (yielded);
   g_ptr_array_unref (jobs);
   return charged;
@@ -495,37 +575,36 @@
          (j->work_class == CLASS_INTERACTIVE || must_hold (j));
 }
 
-/* Charges J to the guarantee of its workspace if that has room. */
+/* Assigns J to runs of its workspace's guarantee, in p->units, if those are
+   free. */
 static gboolean
 charge (Plan *p, FleetJob *j, ClockMs now)
 {
   if (j->accelerators == 0)
     return FALSE;
-  if (quota_charge (&p->quota, j))
+  if (quota_charge (&p->quota, j, p->units))
     return TRUE;
   return may_swap (p, j) && charge_by_swap (p, j, now);
 }
 
 /* Takes J as running at NOW where its parts' WORKER and FIRST say: J->part
    was allocated with g_new0 by the caller and belongs to P from here on.
+   Charges to guarantees are made at the next plan_next, when all are there.
    Returns FALSE if the room is not there; J is then not in P, and its parts
    are the caller's again. */
 gboolean
 plan_adopt (Plan *p, FleetJob *j, ClockMs now)
 {
   prepare (j);
-  j->in_guarantee = charge (p, j, now) || must_hold (j);
   if (!fleet_place (&p->fleet, j))
-    {
-      quota_discharge (&p->quota, j);
-      j->in_guarantee = FALSE;
-      return FALSE;
-    }
+    return FALSE;
   if (!j->started)
     j->started = now;
   order_take (&p->order, j, now);
+  if (must_hold (j))
+    retag (p, j, TRUE, now);
   j->wait = PLAN_WAIT_NONE;
-  p->is_unfit = TRUE;
+  p->has_adopted = p->is_unfit = TRUE;
   changed (p);
   return TRUE;
 }
@@ -611,13 +690,14 @@
 }
 
 static gboolean
-find_room (Plan *p, FleetJob *j, ClockMs ends, gboolean keep_shares)
+find_room (Plan *p, FleetJob *j, ClockMs ends, gboolean may_spoil)
 {
   PlaceAsk ask = { .fleet = &p->fleet,
                    .job = j,
                    .ends = ends,
                    .ignore_drain = j->in_guarantee || p->drain == j,
-                   .keep_shares = keep_shares,
+                   .keep_shares = !fleet_can_stop (j) && !j->in_guarantee,
+                   .may_spoil = may_spoil,
                    .rng = p->rng };
 
   if (p->ops->find (&ask))
@@ -628,6 +708,14 @@
   return p->ops->find (&ask);
 }
 
+/* Tells whether what J took where it stands leaves all guarantees whole. */
+static gboolean
+keeps_promises (const Plan *p, const FleetJob *j)
+{
+  return fleet_job_is_sound (&p->fleet, j) &&
+         quota_holds (&p->quota, &p->fleet);
+}
+
 /* Puts J, which waits, where its parts say; FALSE if that is not free or
    breaks the invariant. */
 static gboolean
@@ -635,11 +723,13 @@
 {
   if (!fleet_place (&p->fleet, j))
     return FALSE;
-  if (!fleet_can_stop (j) && !quota_holds (&p->quota, &p->fleet))
+  quota_anchor (&p->quota, &p->fleet, j);
+  if (!fleet_can_stop (j) && !keeps_promises (p, j))
     {
       guint64 releases = p->fleet.releases;
 
       fleet_release (&p->fleet, j);
+      quota_discharge (&p->quota, &p->fleet, j);
       p->fleet.releases = releases;
       return FALSE;
     }
@@ -665,10 +755,17 @@
                      .job = j,
                      .kind = kind,
                      .now = now,
-                     .need = j->in_guarantee ? p->quota.need : NULL,
                      .scores = p->scores,
                      .n_scores = p->rows->len };
+  guint need[FLEET_MAX_ACCELERATORS + 1];
 
+  if (kind == RECLAIM_GUARANTEE)
+    {
+      quota_need_without (&p->quota, j, need);
+      ask.need = need;
+      ask.units = (const QuotaUnit *)(gpointer)p->units->data;
+      ask.n_units = p->units->len;
+    }
   score_all (p, now);
   return reclaim_find (&ask, p->victims, cost);
 }
@@ -682,6 +779,7 @@
 
   if (p->drain == j)
     end_drain (p);
+  quota_anchor (&p->quota, &p->fleet, j);
   fleet_claim (&p->fleet, j);
   order_remove (&p->order, j);
   order_take (&p->order, j, now);
@@ -701,7 +799,46 @@
                        .n_victims = p->victims->len };
 }
 
-/* Tries to start J inside its guarantee, by RECLAIMS left. */
+/* Tells whether each part of J is assigned to a run of just its size, so
+   that any placer will do. */
+static gboolean
+fits_runs (const Plan *p, const FleetJob *j)
+{
+  guint i;
+
+  for (i = 0; i < p->units->len; i++)
+    {
+      const QuotaUnit *u = &g_array_index (p->units, QuotaUnit, i);
+
+      if (u->anchored || u->hold != j->accelerators)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+start_in_guarantee (Plan *p, FleetJob *j, ClockMs now, PlanStep *step)
+{
+  double cost;
+
+  if (fits_runs (p, j) && find_room (p, j, CLOCK_NEVER, FALSE))
+    {
+      if (settle (p, j, now))
+        {
+          give_start (p, j, now, step);
+          return TRUE;
+        }
+      if (!quota_charge (&p->quota, j, p->units))
+        return FALSE;
+    }
+  if (!search (p, j, RECLAIM_GUARANTEE, now, &cost))
+    return FALSE;
+  give_claim (p, j, PLAN_RECLAIM, now, step);
+  return TRUE;
+}
+
+/* Tries to start J inside its guarantee; RECLAIMS counts the failures that
+   are still allowed. */
 static gboolean
 try_guarantee (Plan *p,
                FleetJob *j,
@@ -709,25 +846,22 @@
                guint *reclaims,
                PlanStep *step)
 {
-  double cost;
+  guint i;
 
   if (*reclaims == 0 || !charge (p, j, now))
     return FALSE;
   j->in_guarantee = TRUE;
-  if (find_room (p, j, CLOCK_NEVER, FALSE) && settle (p, j, now))
+  if (start_in_guarantee (p, j, now, step))
     {
-      give_start (p, j, now, step);
+      promote (p, j->workspace, now);
       return TRUE;
     }
   --*reclaims;
-  if (search (p, j, RECLAIM_GUARANTEE, now, &cost))
-    {
-      give_claim (p, j, PLAN_RECLAIM, now, step);
-      return TRUE;
-    }
-  quota_discharge (&p->quota, j);
+  for (i = 0; i < j->parts; i++)
+    j->part[i].slot = FLEET_NO_SLOT;
   j->in_guarantee = FALSE;
   j->wait = PLAN_WAIT_ROOM;
+  promote (p, j->workspace, now);
   return FALSE;
 }
 
@@ -746,8 +880,8 @@
   j->wait = p->drain == j ? PLAN_WAIT_DRAIN : PLAN_WAIT_ROOM;
   if (p->drain != j && has_failed (p, &shape))
     return FALSE;
-  if ((find_room (p, j, ends, !fleet_can_stop (j)) && settle (p, j, now)) ||
-      (!fleet_can_stop (j) && find_room (p, j, ends, FALSE) &&
+  if ((find_room (p, j, ends, FALSE) && settle (p, j, now)) ||
+      (!fleet_can_stop (j) && find_room (p, j, ends, TRUE) &&
        settle (p, j, now)))
     {
       give_start (p, j, now, step);
@@ -925,7 +1059,7 @@
 
       *t = *(FleetJob *)g_ptr_array_index (p->victims, done);
       t->part = g_new0 (FleetPart, t->parts);
-      t->state = FLEET_WAITING;
+      prepare (t);
       ok = find_room (p, t, CLOCK_NEVER, FALSE) && fleet_place (&p->fleet, t);
       done++;
     }
@@ -967,9 +1101,35 @@
   return TRUE;
 }
 
+/* Charges what was adopted. */
+static void
+charge_adopted (Plan *p, ClockMs now)
+{
+  guint i;
+  guint k;
+
+  for (i = 0; i < p->rows->len; i++)
+    {
+      GPtrArray *jobs = placed_jobs (p, i);
+
+      for (k = 0; k < jobs->len; k++)
+        {
+          FleetJob *j = g_ptr_array_index (jobs, k);
+
+          if (j->state == FLEET_PLACED && j->part[0].slot == FLEET_NO_SLOT &&
+              !j->stopping)
+            charge_again (p, j, now);
+        }
+      g_ptr_array_unref (jobs);
+    }
+  p->has_adopted = FALSE;
+}
+
 static void
-fit_guarantees (Plan *p)
+fit_guarantees (Plan *p, ClockMs now)
 {
+  if (p->has_adopted)
+    charge_adopted (p, now);
   if (p->is_unfit)
     quota_refit (&p->quota, &p->fleet);
   p->is_unfit = FALSE;
@@ -982,7 +1142,7 @@
 {
   if (p->is_idle)
     return FALSE;
-  fit_guarantees (p);
+  fit_guarantees (p, now);
   if (start_claimant (p, now, step))
     return TRUE;
   if (p->order.n_waiting > 0 &&
@@ -1019,12 +1179,9 @@
       FleetJob *j = g_ptr_array_index (jobs, i);
 
       if (j->in_guarantee || j->stopping || j->state != FLEET_PLACED ||
-          !quota_charge (&p->quota, j))
-        continue;
-      retag (p, j, TRUE, now);
-      if (quota_holds (&p->quota, &p->fleet))
+          !charge_placed (p, j, now) || quota_holds (&p->quota, &p->fleet))
         continue;
-      quota_discharge (&p->quota, j);
+      quota_discharge (&p->quota, &p->fleet, j);
       retag (p, j, FALSE, now);
     }
   g_ptr_array_unref (jobs);
@@ -1047,7 +1204,7 @@
   if (j->state == FLEET_CLAIMED)
     g_ptr_array_remove (p->claimants, j);
   fleet_release (&p->fleet, j);
-  quota_discharge (&p->quota, j);
+  quota_discharge (&p->quota, &p->fleet, j);
   j->in_guarantee = FALSE;
   j->stopping = 0;
   if (was_held)
--- a/src/quota.c
+++ b/src/quota.c
@@ -366,11 +366,18 @@
     g_array_append_val (runs, rest);
 }
 
+static gint
+compare_sizes (gconstpointer a, gconstpointer b)
+{
+  return *(const guint8 *)b - *(const guint8 *)a;
+}
+
 /* Splits the guarantees of the N rows by domain: the largest gangs first,
    each whole to the domain with the most room left.  It depends on the
    table and the inventory alone, so every host finds the same.  Sets RUNS[I]
-   to the sizes (guint8) that row I is guaranteed in DOMAIN, each to be
-   unreferenced.  Returns how many accelerators no domain could hold. */
+   to the sizes (guint8, largest first) that row I is guaranteed in DOMAIN,
+   each to be unreferenced.  Returns how many accelerators no domain could hold.
+ */
 guint
 quota_split (const QuotaInventory *inv,
              const Workspace *const *rows,
@@ -401,6 +408,8 @@
         append_runs (runs[g->row], g->size,
                      greatest_worker (inventory_bins (inv, d)));
     }
+  for (i = 0; i < n; i++)
+    g_array_sort (runs[i], compare_sizes);
   g_array_unref (gangs);
   g_free (s.need);
   g_free (s.room);
@@ -412,12 +421,46 @@
 {
   if (run->is_short)
     q->n_short += (guint)sign;
-  else if (run->unused)
-    q->need[run->unused] += (guint)sign;
+  else if (!run->used)
+    q->need[run->size] += (guint)sign;
+}
+
+/* Tells whether WORKSPACE has just the runs of SIZES. */
+gboolean
+quota_has_runs (const Quota *q, guint workspace, const GArray *sizes)
+{
+  const QuotaWorkspace *w = quota_workspace (q, workspace);
+  guint n = sizes ? sizes->len : 0;
+  guint i;
+
+  if ((w ? w->runs->len : 0) != n)
+    return FALSE;
+  for (i = 0; i < n; i++)
+    if (run_at (w, i)->size != g_array_index (sizes, guint8, i))
+      return FALSE;
+  return TRUE;
+}
+
+/* Tells whether the guarantee of WORKSPACE, all of it free, holds PARTS of
+   ACCELERATORS each. */
+gboolean
+quota_could_hold (const Quota *q,
+                  guint workspace,
+                  guint parts,
+                  guint accelerators)
+{
+  const QuotaWorkspace *w = quota_workspace (q, workspace);
+  guint n = 0;
+  guint i;
+
+  for (i = 0; w && i < w->runs->len; i++)
+    n += run_at (w, i)->size / accelerators;
+  return n >= parts;
 }
 
-/* Gives WORKSPACE the runs of SIZES (guint8, largest first), all unused and
-   upheld: charges are made anew, and quota_refit follows. */
+/* Gives WORKSPACE the runs of SIZES (guint8, largest first), all upheld and
+   none anchored: its jobs were discharged before and are charged anew, and
+   quota_refit follows. */
 void
 quota_set_runs (Quota *q, guint workspace, const GArray *sizes)
 {
@@ -431,7 +474,7 @@
   for (i = 0; sizes && i < sizes->len; i++)
     {
       guint8 size = g_array_index (sizes, guint8, i);
-      QuotaRun run = { .size = size, .unused = size };
+      QuotaRun run = { .size = size };
 
       g_array_append_val (w->runs, run);
       count_run (q, &run, 1);
@@ -439,89 +482,287 @@
     }
 }
 
-/* Returns the run of W that is least above N unused accelerators, or -1. */
-static int
-best_run (const QuotaWorkspace *w, guint n)
+static guint64
+region_of (const QuotaRun *run)
+{
+  return fleet_run_mask (run->first, run->size);
+}
+
+/* Returns how many parts of SIZE accelerators OPEN has room for. */
+static guint
+parts_in (guint64 open, guint size)
+{
+  guint n = 0;
+
+  while (open)
+    {
+      guint len = fleet_run_length (open);
+
+      n += len / size;
+      open &= ~fleet_run_mask ((guint)__builtin_ctzll (open), len);
+    }
+  return n;
+}
+
+/* Assigns parts from AT on to what is left of anchored runs of W. */
+static guint
+fill_anchored (const QuotaWorkspace *w, FleetJob *j, GArray *units)
 {
-  int best = -1;
+  guint at = 0;
   guint i;
 
-  for (i = 0; i < w->runs->len; i++)
+  for (i = 0; i < w->runs->len && at < j->parts; i++)
     {
       const QuotaRun *run = run_at (w, i);
-
-      if (run->is_short || run->unused < n)
-        continue;
-      if (best < 0 || run->unused < run_at (w, (guint)best)->unused)
-        best = (int)i;
+      QuotaUnit unit = { .n_parts = 1,
+                         .hold = j->accelerators,
+                         .anchored = TRUE,
+                         .worker = run->worker,
+                         .open = region_of (run) & ~run->used };
+      guint n = run->used ? parts_in (unit.open, j->accelerators) : 0;
+
+      for (n = MIN (n, j->parts - at); n > 0; n--)
+        {
+          j->part[at++].slot = (gint32)i;
+          g_array_append_val (units, unit);
+        }
     }
-  return best;
+  return at;
 }
 
-static void
-change_unused (Quota *q, QuotaRun *run, int by)
+static gboolean
+is_assigned (const FleetJob *j, guint at, guint run)
 {
-  count_run (q, run, -1);
-  run->unused = (guint8)(run->unused + by);
-  count_run (q, run, 1);
+  return at > 0 && j->part[at - 1].slot == (gint32)run;
+}
+
+/* Returns the smallest run of W that is upheld, not anchored, not assigned
+   to parts of J before AT, and holds a part; -1 if there is none. */
+static int
+smallest_run (const QuotaWorkspace *w, const FleetJob *j, guint at)
+{
+  guint i;
+
+  /* Runs are in order of size, and assigned from the small end. */
+  for (i = w->runs->len; i > 0; i--)
+    {
+      const QuotaRun *run = run_at (w, i - 1);
+
+      if (run->is_short || run->used || run->size < j->accelerators)
+        continue;
+      if (at > 0 && j->part[at - 1].slot != FLEET_NO_SLOT &&
+          !run_at (w, (guint)j->part[at - 1].slot)->used &&
+          i - 1 >= (guint)j->part[at - 1].slot)
+        continue;
+      return (int)(i - 1);
+    }
+  return -1;
 }
 
-/* Charges all parts of J to unused runs of its workspace that are upheld.
-   Returns FALSE, with nothing charged, if they don't hold J. */
+/* Assigns all parts of J to runs of its workspace that are upheld: sets
+   their SLOT and appends QuotaUnits to UNITS.  Nothing is anchored yet.
+   Returns FALSE, with no slot set, if the runs don't hold J. */
 gboolean
-quota_charge (Quota *q, FleetJob *j)
+quota_charge (const Quota *q, FleetJob *j, GArray *units)
 {
-  QuotaWorkspace *w = workspace_at (q, j->workspace);
+  const QuotaWorkspace *w = quota_workspace (q, j->workspace);
+  guint at;
   guint i;
 
-  if (j->accelerators == 0)
+  g_array_set_size (units, 0);
+  if (j->accelerators == 0 || !w)
     return FALSE;
-  for (i = 0; i < j->parts; i++)
+  at = fill_anchored (w, j, units);
+  while (at < j->parts)
     {
-      int k = best_run (w, j->accelerators);
+      int k = smallest_run (w, j, at);
+      QuotaUnit unit = { 0 };
 
       if (k < 0)
         break;
-      change_unused (q, run_at (w, (guint)k), -(int)j->accelerators);
-      j->part[i].slot = k;
+      unit.hold = run_at (w, (guint)k)->size;
+      unit.n_parts = MIN (unit.hold / j->accelerators, j->parts - at);
+      g_array_append_val (units, unit);
+      for (i = 0; i < unit.n_parts; i++)
+        j->part[at++].slot = k;
     }
-  if (i == j->parts)
-    return TRUE;
-  quota_discharge (q, j);
-  return FALSE;
+  for (i = 0; at < j->parts && i < j->parts; i++)
+    j->part[i].slot = FLEET_NO_SLOT;
+  return at == j->parts;
 }
 
-/* Takes the charges of J back. */
+/* Sets NEED to the runs that must still pack once J, which is assigned, has
+   anchored its own. */
 void
-quota_discharge (Quota *q, FleetJob *j)
+quota_need_without (const Quota *q, const FleetJob *j, guint *need)
 {
-  QuotaWorkspace *w = workspace_at (q, j->workspace);
+  const QuotaWorkspace *w = quota_workspace (q, j->workspace);
   guint i;
 
+  memcpy (need, q->need, sizeof q->need);
   for (i = 0; i < j->parts; i++)
+    if (j->part[i].slot != FLEET_NO_SLOT &&
+        !is_assigned (j, i, (guint)j->part[i].slot))
+      {
+        const QuotaRun *run = run_at (w, (guint)j->part[i].slot);
+
+        if (!run->used)
+          need[run->size]--;
+      }
+}
+
+static guint64
+part_mask (const FleetPart *part)
+{
+  return fleet_run_mask (part->first, part->job->accelerators);
+}
+
+static void
+charge_part (Quota *q, Fleet *f, QuotaRun *run, FleetPart *part)
+{
+  if (!run->used)
     {
-      if (j->part[i].slot != FLEET_NO_SLOT)
-        change_unused (q, run_at (w, (guint)j->part[i].slot),
-                       (int)j->accelerators);
-      j->part[i].old_slot = j->part[i].slot;
-      j->part[i].slot = FLEET_NO_SLOT;
+      count_run (q, run, -1);
+      run->is_short = 0;
+      run->worker = part->worker;
+      run->first = part->region;
+      fleet_hold_region (f, run->worker, region_of (run), 1);
     }
+  part->region = run->first;
+  run->used |= part_mask (part);
+}
+
+static void
+discharge_part (Quota *q, Fleet *f, QuotaRun *run, FleetPart *part)
+{
+  run->used &= ~part_mask (part);
+  if (run->used)
+    return;
+  fleet_hold_region (f, run->worker, region_of (run), -1);
+  count_run (q, run, 1);
+}
+
+/* Anchors what J is assigned to where its parts' WORKER, FIRST and REGION
+   say; it then takes its place in F. */
+void
+quota_anchor (Quota *q, Fleet *f, FleetJob *j)
+{
+  QuotaWorkspace *w = workspace_at (q, j->workspace);
+  guint i;
+
+  for (i = 0; i < j->parts; i++)
+    if (j->part[i].slot != FLEET_NO_SLOT)
+      charge_part (q, f, run_at (w, (guint)j->part[i].slot), &j->part[i]);
 }
 
-/* Undoes the discharge of J; nothing was charged to its workspace since. */
+/* Undoes quota_anchor; J has left its place in F, or is retagged next. */
 void
-quota_recharge (Quota *q, FleetJob *j)
+quota_discharge (Quota *q, Fleet *f, FleetJob *j)
 {
   QuotaWorkspace *w = workspace_at (q, j->workspace);
   guint i;
 
   for (i = 0; i < j->parts; i++)
     {
-      j->part[i].slot = j->part[i].old_slot;
-      if (j->part[i].slot != FLEET_NO_SLOT)
-        change_unused (q, run_at (w, (guint)j->part[i].slot),
-                       -(int)j->accelerators);
+      FleetPart *part = &j->part[i];
+
+      if (part->slot != FLEET_NO_SLOT)
+        discharge_part (q, f, run_at (w, (guint)part->slot), part);
+      part->slot = FLEET_NO_SLOT;
+    }
+}
+
+/* Returns an anchored run of W whose region has PART, which isn't charged,
+   or -1. */
+static int
+run_around (const QuotaWorkspace *w, const FleetPart *part)
+{
+  guint64 mask = part_mask (part);
+  guint i;
+
+  for (i = 0; i < w->runs->len; i++)
+    {
+      const QuotaRun *run = run_at (w, i);
+
+      if (run->used && run->worker == part->worker && !(run->used & mask) &&
+          (region_of (run) & mask) == mask)
+        return (int)i;
     }
+  return -1;
+}
+
+/* Sets the region of PART to a place of SIZE accelerators around it of which
+   nothing is held, by multiples of SIZE if possible. */
+static gboolean
+find_region (const Fleet *f, FleetPart *part, guint size)
+{
+  const FleetWorker *w = fleet_worker (f, part->worker);
+  guint last = part->first;
+  guint n = part->job->accelerators;
+  guint k;
+
+  if (size > w->accelerators)
+    return FALSE;
+  for (k = 0; k <= last; k++)
+    {
+      guint first = k == 0 ? last / size * size : last - k + 1;
+
+      if (first + size <= w->accelerators && first + size >= last + n &&
+          !(w->held & fleet_run_mask (first, size)))
+        {
+          part->region = (guint8)first;
+          return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+static gboolean
+charge_in_place (Quota *q, Fleet *f, QuotaWorkspace *w, FleetPart *part)
+{
+  int k = run_around (w, part);
+  guint i;
+
+  for (i = w->runs->len; i > 0 && k < 0; i--)
+    {
+      const QuotaRun *run = run_at (w, i - 1);
+
+      if (!run->used && !run->is_short &&
+          run->size >= part->job->accelerators &&
+          find_region (f, part, run->size))
+        k = (int)(i - 1);
+    }
+  if (k < 0)
+    return FALSE;
+  part->slot = k;
+  charge_part (q, f, run_at (w, (guint)k), part);
+  return TRUE;
+}
+
+/* Charges J, whose parts' WORKER and FIRST are fixed and held by nobody, to
+   runs around them.  Returns FALSE, with nothing charged, if there are
+   none.  Whether the invariant still holds is for the caller to ask. */
+gboolean
+quota_charge_placed (Quota *q, Fleet *f, FleetJob *j)
+{
+  QuotaWorkspace *w = workspace_at (q, j->workspace);
+  guint i;
+
+  if (j->accelerators == 0)
+    return FALSE;
+  for (i = 0; i < j->parts; i++)
+    if (!charge_in_place (q, f, w, &j->part[i]))
+      {
+        quota_discharge (q, f, j);
+        return FALSE;
+      }
+  return TRUE;
+}
+
+static guint
+unused_of (const QuotaRun *run)
+{
+  return run->size - (guint)__builtin_popcountll (run->used);
 }
 
 /* Returns how many accelerators of its guarantee WORKSPACE doesn't use. */
@@ -534,7 +775,7 @@
 
   for (i = 0; w && i < w->runs->len; i++)
     if (!run_at (w, i)->is_short)
-      sum += run_at (w, i)->unused;
+      sum += unused_of (run_at (w, i));
   return sum;
 }
 
@@ -548,7 +789,7 @@
 
   for (i = 0; w && i < w->runs->len; i++)
     if (run_at (w, i)->is_short)
-      sum += run_at (w, i)->unused;
+      sum += unused_of (run_at (w, i));
   return sum;
 }
 
@@ -603,7 +844,7 @@
       if (quota_holds (q, f))
         continue;
       set_short (q, run, TRUE);
-      upheld[at] -= run->unused;
+      upheld[at] -= run->size;
     }
   g_free (next);
   g_free (upheld);
@@ -625,7 +866,7 @@
       QuotaWorkspace *w = g_ptr_array_index (q->workspaces, i);
 
       for (k = 0; k < w->runs->len; k++)
-        set_short (q, run_at (w, k), run_at (w, k)->unused > 0);
+        set_short (q, run_at (w, k), !run_at (w, k)->used);
     }
   refit_fairly (q, f);
 }
--- a/src/reclaim.c
+++ b/src/reclaim.c
@@ -1,7 +1,5 @@
 #include "reclaim.h"
 
-#include "quota.h"
-
 #include <string.h>
 
 enum
@@ -24,20 +22,35 @@
 typedef struct Ban
 {
   FleetWorker *worker;
+  guint class;
   guint first;
 } Ban;
 
+/* Units that are alike are of one class: places of one do for the other. */
+typedef struct Unit
+{
+  QuotaUnit of;
+  guint class;
+  guint part; /* its first */
+  FleetWorker *worker;
+  guint first;
+} Unit;
+
 typedef struct Search
 {
   const ReclaimAsk *ask;
   guint chosen;        /* mark of the victims so far */
   gboolean only_these; /* no further victims */
-  guint64 *taken;      /* by worker: accelerators of parts placed so far */
-  guint64 *banned;     /* by worker: places that would break the invariant */
-  guint *n_taken;      /* by worker: parts placed so far */
-  Spot *spots;         /* by worker */
-  guint guards_parts;  /* 1: the parts left must pack beside the guarantees */
-  GArray *bans;        /* of Ban: what to lift on the way back */
+  Unit *units;
+  guint n_units;
+  guint n_classes;
+  const Unit *unit;   /* that the spots are for */
+  guint64 *taken;     /* by worker: accelerators of units placed so far */
+  guint64 *banned;    /* by class and worker: places that lead nowhere */
+  guint *n_taken;     /* by worker: parts placed so far */
+  Spot *spots;        /* by worker */
+  guint guards_parts; /* 1: the units left must pack beside the guarantees */
+  GArray *bans;       /* of Ban: what to lift on the way back */
   guint n_undone;
   GPtrArray *victims;
   GPtrArray *trial; /* the further victims of one place */
@@ -104,14 +117,14 @@
   g_ptr_array_add (s->trial, v);
 }
 
-/* Tells whether one more part finds its cores and memory on W once the
+/* Tells whether one more unit finds its cores and memory on W once the
    victims so far and those marked SEEN are gone. */
 static gboolean
 has_shares (const Search *s, const FleetWorker *w, guint seen)
 {
   const FleetJob *j = s->ask->job;
   const FleetPart *p = NULL;
-  gint64 n = s->n_taken[w->index] + 1;
+  gint64 n = s->n_taken[w->index] + s->unit->of.n_parts;
   gint64 cores = w->cores_free - n * j->cores;
   gint64 mb = w->memory_free - n * j->memory_mb;
 
@@ -181,22 +194,44 @@
   return TRUE;
 }
 
+/* Returns where on W the unit at hand may lie. */
 static guint64
-barred_mask (const Search *s, const FleetWorker *w)
+room_for_unit (const Search *s, const FleetWorker *w)
 {
-  return w->held | w->claimed | s->taken[w->index];
+  const QuotaUnit *u = &s->unit->of;
+  guint64 barred = w->claimed | s->taken[w->index];
+
+  if (!w->usable || (u->anchored && u->worker != w->index))
+    return 0;
+  if (u->anchored)
+    return u->open & ~barred;
+  return fleet_run_mask (0, w->accelerators) & ~(barred | w->held);
 }
 
-/* Finds the cheapest place for one more part on W; of equal ones that in
+static guint64 *
+bans_of (const Search *s, guint class, const FleetWorker *w)
+{
+  return &s->banned[class * s->ask->fleet->workers->len + w->index];
+}
+
+static guint64
+unit_mask (const Search *s, guint first)
+{
+  return fleet_run_mask (first,
+                         s->unit->of.n_parts * s->ask->job->accelerators);
+}
+
+/* Finds the cheapest place for the unit at hand on W; of equal ones that in
    the smallest run. */
 static void
 find_spot (Search *s, const FleetWorker *w)
 {
-  guint n = s->ask->job->accelerators;
-  guint64 open = fleet_run_mask (0, w->accelerators) & ~barred_mask (s, w);
+  guint n = s->unit->of.hold;
+  guint64 banned = *bans_of (s, s->unit->class, w);
+  guint64 open = room_for_unit (s, w);
   Spot best = { .cost = -1 };
 
-  while (w->usable && open)
+  while (open)
     {
       guint start = (guint)__builtin_ctzll (open);
       guint len = fleet_run_length (open);
@@ -207,8 +242,7 @@
         {
           double cost;
 
-          if ((s->banned[w->index] >> first & 1) ||
-              !try_spot (s, w, fleet_run_mask (first, n)))
+          if ((banned >> first & 1) || !try_spot (s, w, unit_mask (s, first)))
             continue;
           cost = trial_cost (s);
           if (best.cost >= 0 &&
@@ -220,6 +254,27 @@
   s->spots[w->index] = best;
 }
 
+static void
+find_spots (Search *s)
+{
+  const Fleet *f = s->ask->fleet;
+  guint i;
+
+  for (i = 0; i < f->workers->len; i++)
+    find_spot (s, fleet_worker (f, i));
+}
+
+/* Makes U the unit at hand. */
+static void
+turn_to (Search *s, const Unit *u)
+{
+  gboolean same = s->unit && s->unit->class == u->class && !u->of.anchored;
+
+  s->unit = u;
+  if (!same)
+    find_spots (s);
+}
+
 /* Returns the worker with the cheapest place; of equal ones that in the rack
    of the part before, then that with the smallest run. */
 static FleetWorker *
@@ -271,45 +326,65 @@
     }
 }
 
-/* Moves the bins to what they are with one more part at FIRST of W, the
-   AT-th of the job. */
+/* Changes the copy W as unit U in its place would. */
 static void
-move_bins (Search *s, const FleetWorker *w, guint first, guint at)
+try_unit (const Search *s, FleetWorker *w, const Unit *u, guint first)
+{
+  guint n = s->ask->job->accelerators;
+  guint i;
+
+  if (!u->of.anchored)
+    fleet_try_region (w, fleet_run_mask (first, u->of.hold));
+  for (i = 0; i < u->of.n_parts; i++)
+    fleet_try_part (w, s->ask->job, FLEET_HOLD_EXTRA, first + i * n);
+}
+
+/* Moves the bins to what they are with the unit at hand at FIRST of W.
+   Returns FALSE if W would break its promises. */
+static gboolean
+move_bins (Search *s, const FleetWorker *w, guint first)
 {
-  FleetJob *j = s->ask->job;
   FleetWorker trial = *w;
   guint64 taken = s->taken[w->index];
-  guint i;
+  const Unit *u;
 
   if (!s->ask->need)
     {
       count_room (s, w, taken, -1);
-      count_room (s, w, taken | fleet_run_mask (first, j->accelerators), 1);
-      return;
+      count_room (s, w, taken | unit_mask (s, first), 1);
+      return TRUE;
     }
-  for (i = 0; i < at; i++)
-    if (j->part[i].worker == w->index)
-      fleet_try_part (&trial, j, j->part[i].first);
+  for (u = s->units; u < s->unit; u++)
+    if (u->worker == w)
+      try_unit (s, &trial, u, u->first);
   fleet_count_bins (&trial, s->bins, -1);
-  fleet_try_part (&trial, j, first);
+  try_unit (s, &trial, s->unit, first);
   fleet_count_bins (&trial, s->bins, 1);
+  return fleet_is_sound (&trial);
 }
 
-/* Tells whether the parts left and, inside a guarantee, all guaranteed
-   shapes still pack with one more part at FIRST of W, the AT-th of the job;
-   the bins follow if they do. */
+static void
+guard (Search *s, const Unit *u, int sign)
+{
+  if (!u->of.anchored && s->guards_parts)
+    s->need[u->of.hold] += (guint)sign;
+}
+
+/* Tells whether the units left and, inside a guarantee, all guaranteed runs
+   still pack with the unit at hand at FIRST of W; the bins follow if they
+   do. */
 static gboolean
-keeps_room (Search *s, const FleetWorker *w, guint first, guint at)
+keeps_room (Search *s, const FleetWorker *w, guint first)
 {
-  guint n = s->ask->job->accelerators;
   guint old[FLEET_MAX_ACCELERATORS + 1];
+  gboolean is_sound;
 
   memcpy (old, s->bins, sizeof old);
-  move_bins (s, w, first, at);
-  s->need[n] -= s->guards_parts;
-  if (quota_pack (s->need, s->bins))
+  is_sound = move_bins (s, w, first);
+  guard (s, s->unit, -1);
+  if (is_sound && quota_pack (s->need, s->bins))
     return TRUE;
-  s->need[n] += s->guards_parts;
+  guard (s, s->unit, 1);
   memcpy (s->bins, old, sizeof old);
   return FALSE;
 }
@@ -323,16 +398,38 @@
     find_spot (s, fleet_worker (s->ask->fleet, v->part[i].worker));
 }
 
+static guint64
+taken_mask (const Search *s, const Unit *u, guint first)
+{
+  return u->of.anchored ? unit_mask (s, first)
+                        : fleet_run_mask (first, u->of.hold);
+}
+
 static void
-take_spot (Search *s, FleetWorker *w, guint at)
+set_parts (const Search *s, const Unit *u)
 {
   FleetJob *j = s->ask->job;
+  guint i;
+
+  for (i = 0; i < u->of.n_parts; i++)
+    {
+      FleetPart *part = &j->part[u->part + i];
+
+      part->job = j;
+      part->worker = u->worker->index;
+      part->first = (guint8)(u->first + i * j->accelerators);
+      part->region = (guint8)u->first;
+    }
+}
+
+static void
+take_spot (Search *s, Unit *u, FleetWorker *w)
+{
   guint first = s->spots[w->index].first;
-  guint64 mask = fleet_run_mask (first, j->accelerators);
   guint old = s->victims->len;
   guint i;
 
-  try_spot (s, w, mask);
+  try_spot (s, w, unit_mask (s, first));
   for (i = 0; i < s->trial->len; i++)
     {
       FleetJob *v = g_ptr_array_index (s->trial, i);
@@ -340,62 +437,39 @@
       v->mark = s->chosen;
       g_ptr_array_add (s->victims, v);
     }
-  s->taken[w->index] |= mask;
-  s->n_taken[w->index]++;
-  j->part[at].job = j;
-  j->part[at].worker = w->index;
-  j->part[at].first = (guint8)first;
+  u->worker = w;
+  u->first = first;
+  set_parts (s, u);
+  s->taken[w->index] |= taken_mask (s, u, first);
+  s->n_taken[w->index] += u->of.n_parts;
   find_spot (s, w);
   for (i = old; i < s->victims->len; i++)
     refresh_victim (s, g_ptr_array_index (s->victims, i));
 }
 
+/* Undoes take_spot of U; N_VICTIMS had been chosen before. */
 static void
-reset (Search *s)
-{
-  const ReclaimAsk *ask = s->ask;
-  guint n = ask->fleet->workers->len;
-  guint i;
-
-  memset (s->taken, 0, n * sizeof *s->taken);
-  memset (s->banned, 0, n * sizeof *s->banned);
-  memset (s->n_taken, 0, n * sizeof *s->n_taken);
-  memset (s->need, 0, sizeof s->need);
-  memset (s->bins, 0, sizeof s->bins);
-  if (ask->need)
-    {
-      memcpy (s->need, ask->need, sizeof s->need);
-      memcpy (s->bins, ask->fleet->bins, sizeof s->bins);
-    }
-  for (i = 0; !ask->need && i < n; i++)
-    count_room (s, fleet_worker (ask->fleet, i), 0, 1);
-  s->need[ask->job->accelerators] += s->guards_parts * ask->job->parts;
-  s->n_undone = 0;
-  g_array_set_size (s->bans, 0);
-}
-
-/* Undoes take_spot of MASK on W; N_VICTIMS had been chosen before. */
-static void
-leave_spot (Search *s, FleetWorker *w, guint64 mask, guint n_victims)
+leave_spot (Search *s, Unit *u, guint n_victims)
 {
   guint i;
 
-  s->taken[w->index] &= ~mask;
-  s->n_taken[w->index]--;
+  turn_to (s, u);
+  s->taken[u->worker->index] &= ~taken_mask (s, u, u->first);
+  s->n_taken[u->worker->index] -= u->of.n_parts;
   for (i = n_victims; i < s->victims->len; i++)
     ((FleetJob *)g_ptr_array_index (s->victims, i))->mark = 0;
   for (i = n_victims; i < s->victims->len; i++)
     refresh_victim (s, g_ptr_array_index (s->victims, i));
   g_ptr_array_set_size (s->victims, (gint)n_victims);
-  find_spot (s, w);
+  find_spot (s, u->worker);
 }
 
 static void
 ban_spot (Search *s, FleetWorker *w, guint first)
 {
-  Ban ban = { .worker = w, .first = first };
+  Ban ban = { .worker = w, .class = s->unit->class, .first = first };
 
-  s->banned[w->index] |= 1ULL << first;
+  *bans_of (s, ban.class, w) |= 1ULL << first;
   g_array_append_val (s->bans, ban);
   find_spot (s, w);
 }
@@ -408,24 +482,25 @@
       const Ban *b = &g_array_index (s->bans, Ban, s->bans->len - 1);
       FleetWorker *w = b->worker;
 
-      s->banned[w->index] &= ~(1ULL << b->first);
+      *bans_of (s, b->class, w) &= ~(1ULL << b->first);
       g_array_set_size (s->bans, s->bans->len - 1);
       find_spot (s, w);
     }
 }
 
-/* Finds places for the parts from AT on, each the cheapest at its turn; one
-   that leads nowhere is given up, within a bound.  LAST has the part
+/* Finds places for the units from AT on, each the cheapest at its turn; one
+   that leads nowhere is given up, within a bound.  LAST has the unit
    before. */
 static gboolean
 pick_from (Search *s, guint at, const FleetWorker *last)
 {
-  guint n = s->ask->job->accelerators;
+  Unit *u = &s->units[at];
   guint n_bans = s->bans->len;
   FleetWorker *w;
 
-  if (at == s->ask->job->parts)
+  if (at == s->n_units)
     return TRUE;
+  turn_to (s, u);
   while ((w = best_spot (s, last)))
     {
       guint first = s->spots[w->index].first;
@@ -433,16 +508,16 @@
       guint bins[FLEET_MAX_ACCELERATORS + 1];
 
       memcpy (bins, s->bins, sizeof bins);
-      if (keeps_room (s, w, first, at))
+      if (keeps_room (s, w, first))
         {
-          take_spot (s, w, at);
+          take_spot (s, u, w);
           if (pick_from (s, at + 1, w))
             return TRUE;
           if (++s->n_undone > RECLAIM_MAX_UNDONE)
             return FALSE;
-          leave_spot (s, w, fleet_run_mask (first, n), n_victims);
+          leave_spot (s, u, n_victims);
           memcpy (s->bins, bins, sizeof bins);
-          s->need[n] += s->guards_parts;
+          guard (s, u, 1);
         }
       ban_spot (s, w, first);
     }
@@ -450,23 +525,44 @@
   return FALSE;
 }
 
-/* Finds places for all parts.  That the parts left must always pack leads
+static void
+reset (Search *s)
+{
+  const ReclaimAsk *ask = s->ask;
+  guint n = ask->fleet->workers->len;
+  guint i;
+
+  for (i = 0; i < s->victims->len; i++)
+    ((FleetJob *)g_ptr_array_index (s->victims, i))->mark = 0;
+  g_ptr_array_set_size (s->victims, 0);
+  g_array_set_size (s->bans, 0);
+  s->n_undone = 0;
+  s->unit = NULL;
+  memset (s->taken, 0, n * sizeof *s->taken);
+  memset (s->banned, 0, (gsize)n * s->n_classes * sizeof *s->banned);
+  memset (s->n_taken, 0, n * sizeof *s->n_taken);
+  memset (s->need, 0, sizeof s->need);
+  memset (s->bins, 0, sizeof s->bins);
+  if (ask->need)
+    {
+      memcpy (s->need, ask->need, sizeof s->need);
+      memcpy (s->bins, ask->fleet->bins, sizeof s->bins);
+    }
+  for (i = 0; !ask->need && i < n; i++)
+    count_room (s, fleet_worker (ask->fleet, i), 0, 1);
+  for (i = 0; i < s->n_units; i++)
+    guard (s, &s->units[i], 1);
+}
+
+/* Finds places for all units.  That the units left must always pack leads
    there straight, but misses places whose cores and memory belong to others
    and which the job doesn't need: these are for a second try. */
 static gboolean
 pick_places (Search *s)
 {
-  const Fleet *f = s->ask->fleet;
-  guint i;
-
   for (s->guards_parts = 2; s->guards_parts-- > 0;)
     {
-      for (i = 0; i < s->victims->len; i++)
-        ((FleetJob *)g_ptr_array_index (s->victims, i))->mark = 0;
-      g_ptr_array_set_size (s->victims, 0);
       reset (s);
-      for (i = 0; i < f->workers->len; i++)
-        find_spot (s, fleet_worker (f, i));
       if (pick_from (s, 0, NULL))
         return TRUE;
     }
@@ -526,6 +622,7 @@
     {
       to[i].worker = from[i].worker;
       to[i].first = from[i].first;
+      to[i].region = from[i].region;
     }
 }
 
@@ -553,6 +650,34 @@
   g_free (best);
 }
 
+/* Makes the units of the search: those of the guarantee, or each part by
+   itself. */
+static void
+make_units (Search *s)
+{
+  const ReclaimAsk *ask = s->ask;
+  guint part = 0;
+  guint i;
+
+  s->n_units = ask->units ? ask->n_units : ask->job->parts;
+  s->units = g_new0 (Unit, s->n_units + 1);
+  for (i = 0; i < s->n_units; i++)
+    {
+      Unit *u = &s->units[i];
+
+      u->of = (QuotaUnit) { .n_parts = 1, .hold = ask->job->accelerators };
+      if (ask->units)
+        u->of = ask->units[i];
+      u->part = part;
+      part += u->of.n_parts;
+      if (i == 0 || u->of.hold != u[-1].of.hold ||
+          u->of.n_parts != u[-1].of.n_parts ||
+          u->of.anchored != u[-1].of.anchored)
+        s->n_classes++;
+      u->class = s->n_classes - 1;
+    }
+}
+
 static void
 search_init (Search *s, const ReclaimAsk *ask)
 {
@@ -560,17 +685,19 @@
 
   *s = (Search) { .ask = ask,
                   .taken = g_new (guint64, n),
-                  .banned = g_new (guint64, n),
                   .n_taken = g_new (guint, n),
                   .spots = g_new (Spot, n),
                   .bans = g_array_new (FALSE, FALSE, sizeof (Ban)),
                   .victims = g_ptr_array_new (),
                   .trial = g_ptr_array_new () };
+  make_units (s);
+  s->banned = g_new (guint64, (gsize)n * s->n_classes);
 }
 
 static void
 search_clear (Search *s)
 {
+  g_free (s->units);
   g_free (s->taken);
   g_free (s->banned);
   g_free (s->n_taken);
--- a/src/reclaim.h
+++ b/src/reclaim.h
@@ -1,7 +1,7 @@
 #ifndef RECLAIM_H
 #define RECLAIM_H
 
-#include "fleet.h"
+#include "quota.h"
 
 /* The cheapest set of work to stop so that the shape of a job comes free. */
 
@@ -13,15 +13,18 @@
   RECLAIM_MOVE       /* only what can save itself */
 } ReclaimKind;
 
-/* NEED: the unused guaranteed runs that must still pack once the job is in
-   its place, by size; NULL checks nothing.  SCORES: each workspace's use of
-   its share; of equal sets the one of those most over it is taken. */
+/* UNITS: which parts go side by side into which runs of the guarantee, by
+   quota_charge; NULL for a job that borrows.  NEED: the runs that must still
+   pack besides.  SCORES: each workspace's use of its share; of equal sets
+   the one of those most over it is taken. */
 typedef struct ReclaimAsk
 {
   Fleet *fleet;
   FleetJob *job;
   ReclaimKind kind;
   ClockMs now;
+  const QuotaUnit *units;
+  guint n_units;
   const guint *need;
   const double *scores;
   guint n_scores;
--- a/tests/naive/exhaustive.c
+++ b/tests/naive/exhaustive.c
@@ -90,9 +90,11 @@
   if (w->usable && (t->open[i] & mask) == mask &&
       w->cores_free >= t->job->cores && w->memory_free >= t->job->memory_mb)
     {
-      fleet_try_part (w, t->job, first);
+      fleet_try_part (w, t->job, t->need ? FLEET_HOLD_OWN : FLEET_HOLD_NONE,
+                      first);
       t->open[i] &= ~mask;
-      found = put_parts (t, left - 1, i, first + t->job->accelerators);
+      found = (!t->need || fleet_is_sound (w)) &&
+              put_parts (t, left - 1, i, first + t->job->accelerators);
       t->open[i] |= mask;
       *w = old;
     }
--- a/tests/reclaim_test.cc
+++ b/tests/reclaim_test.cc
@@ -37,6 +37,9 @@
     ask_job = make_job ();
     ask_job->in_guarantee = TRUE;
     draw_need ();
+    unit.n_parts = 1;
+    unit.hold = ask_job->accelerators;
+    units.assign (ask_job->parts, unit);
   }
   ~SmallFleet ()
   {
@@ -66,7 +69,10 @@
     j->repeatable = TRUE;
     j->part = g_new0 (FleetPart, j->parts);
     for (guint i = 0; i < j->parts; i++)
-      j->part[i].job = j;
+      {
+        j->part[i].job = j;
+        j->part[i].slot = FLEET_NO_SLOT;
+      }
     return j;
   }
   void
@@ -111,7 +117,12 @@
     a.job = ask_job;
     a.kind = kind;
     a.now = now;
-    a.need = kind == RECLAIM_GUARANTEE ? need : nullptr;
+    if (kind == RECLAIM_GUARANTEE)
+      {
+        a.need = need;
+        a.units = units.data ();
+        a.n_units = units.size ();
+      }
     ask_job->in_guarantee = kind == RECLAIM_GUARANTEE;
     return a;
   }
@@ -119,6 +130,8 @@
   GRand *rng;
   std::vector<std::unique_ptr<FleetJob> > jobs;
   FleetJob *ask_job;
+  QuotaUnit unit = {};
+  std::vector<QuotaUnit> units;
   guint need[FLEET_MAX_ACCELERATORS + 1];
   bool holds;
 };
