--- a/bench/req.c
+++ b/bench/req.c
@@ -119,8 +119,6 @@
   Load *load;
   Config *cfg;
   Core **cores;
-  GHashTable *host_index;     /* name to number + 1 */
-  GHashTable *upstream_index; /* the same */
   guint *running;
   GSequence *queue;
   guint64 order;
@@ -156,10 +154,11 @@
   g_sequence_insert_sorted (s->queue, x, by_order, NULL);
 }
 
+/* Returns the number in a name such as "u12", plus 1. */
 static guint
-number_of (GHashTable *index, const char *name)
+number_of (const char *name)
 {
-  return GPOINTER_TO_UINT (g_hash_table_lookup (index, name));
+  return (guint)g_ascii_strtoull (name + 1, NULL, 10) + 1;
 }
 
 /* The body of a request is the number of its call. */
@@ -174,7 +173,7 @@
 static void
 run_at_upstream (Sim *s, guint host, const UpstreamSend *call)
 {
-  guint u = number_of (s->upstream_index, call->upstream);
+  guint u = number_of (call->upstream);
   ClockMs service = call_of (s, call->body)->service;
   UpstreamReply r = { .upstream = call->upstream,
                       .request = call->request,
@@ -218,7 +217,7 @@
     take_reply (s, e->body);
   else if (event_is_message (e->kind))
     {
-      to = number_of (s->host_index, e->peer);
+      to = number_of (e->peer);
       s->messages += e->kind != MSG_HEARTBEAT;
       post (s, s->now + DELAY_MS, to - 1,
             event_new (e->kind, 0,
@@ -262,8 +261,6 @@
       g_snprintf (name, sizeof name, "h%u", i);
       rec_set_str (&h->name, name);
       rec_set_str (&h->domain, "d1");
-      g_hash_table_insert (s->host_index, g_strdup (name),
-                           GUINT_TO_POINTER (i + 1));
     }
   for (i = 0; i < s->site->n_upstreams; i++)
     {
@@ -275,8 +272,6 @@
       rec_set_str (&u->domain, "d1");
       u->slots = s->site->slots;
       u->connections = 60;
-      g_hash_table_insert (s->upstream_index, g_strdup (name),
-                           GUINT_TO_POINTER (i + 1));
     }
 }
 
@@ -308,9 +303,6 @@
   s->cfg->request_queue = site->queue;
   s->cfg->store_calls_per_s = 1;
   s->cores = g_new0 (Core *, site->n_hosts);
-  s->host_index = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  s->upstream_index =
-      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->running = g_new0 (guint, site->n_upstreams);
   s->queue = g_sequence_new (g_free);
   add_names (s);
@@ -331,8 +323,6 @@
   for (host = 0; host < s->site->n_hosts; host++)
     core_free (s->cores[host]);
   g_sequence_free (s->queue);
-  g_hash_table_unref (s->host_index);
-  g_hash_table_unref (s->upstream_index);
   g_free (s->running);
   g_free (s->cores);
   config_free (s->cfg);
@@ -663,8 +653,8 @@
               &(FifoCall) { .work_class = CLASS_NORMAL,
                             .caller = FLOOD_CALLER },
               100, 0, FLOOD_SPAN_MS);
-  naive_without = run_both (&small_site, &without, FLOOD_SPAN_MS * 2);
-  naive = run_both (&small_site, &with, FLOOD_SPAN_MS * 2);
+  naive_without = run_both (&small_site, &without, 2 * (ClockMs)FLOOD_SPAN_MS);
+  naive = run_both (&small_site, &with, 2 * (ClockMs)FLOOD_SPAN_MS);
   bench_row ("req.large_caller.small_p99", percentile (&with, 0.99, -1, 0, 18),
              percentile (&without, 0.99, -1, 0, 18), BENCH_AT_MOST, 1.5);
   bench_row ("req.large_caller.small_p99_of_fifo",
@@ -780,7 +770,7 @@
   l.spread = SPREAD_EVEN; /* so that the tail is the upstreams' alone */
   for (i = 0; i < 20; i++)
     add_stream (&l, &(FifoCall) { .work_class = CLASS_NORMAL, .caller = i },
-                0.5 * SMALL_SLOTS / 20, 0, 4 * FLOOD_SPAN_MS);
+                0.5 * SMALL_SLOTS / 20, 0, 4 * (ClockMs)FLOOD_SPAN_MS);
   naive = run_both (&site, &l, CLOCK_NEVER - 1);
   bench_row ("req.slow_upstream.p99_of_random",
              percentile (&l, 0.99, -1, 0, 100),
@@ -811,7 +801,7 @@
   g_array_sort (naive.calls, by_arrival);
   fifo_run (&site, (FifoCall *)naive.calls->data, naive.calls->len, naive.rng);
   s = sim_new (&site, &l);
-  sim_run (s, FLOOD_SPAN_MS * 3);
+  sim_run (s, 3 * (ClockMs)FLOOD_SPAN_MS);
   bench_row ("req.shares.p99_of_one_queue", percentile (&l, 0.99, -1, 0, 100),
              percentile (&naive, 0.99, -1, 0, 100), BENCH_AT_MOST, 1.5);
   bench_value ("req.shares.messages_per_request",
--- a/src/req.c
+++ b/src/req.c
@@ -37,12 +37,6 @@
   RETRY_AFTER_MS = 1000
 };
 
-/* What work of one kind of one workspace costs, learnt. */
-typedef struct CostEntry
-{
-  gint64 ms;
-} CostEntry;
-
 /* Requests a second of one workspace. */
 typedef struct Tenant
 {
@@ -68,6 +62,7 @@
 };
 
 static void on_tick (Core *c, Timer *t);
+static void on_silence (Core *c, Timer *t);
 static void on_probe (Core *c, Timer *t);
 static void on_expiry (Core *c, Timer *t);
 static void on_step (Core *c, Timer *t);
@@ -120,7 +115,10 @@
   q->slots = slots_new (c);
   q->claims = claim_new (c);
   APR_RING_INIT (&q->placing, Request, link);
+  APR_RING_INIT (&q->fresh, Request, fresh);
+  q->silence = (Timer) { .fire = on_silence };
   q->retry_tokens = RETRY_TOKENS_FIRST;
+  q->other_cost.ms = COST_FIRST_MS;
   q->tick = (Timer) { .fire = on_tick };
   q->drain_bound = (Timer) { .fire = on_drain_bound };
   q->probes = g_new0 (Timer, c->cfg->upstreams.n);
@@ -189,6 +187,8 @@
 
 /* --- costs --- */
 
+/* Returns what is learnt of the kind; the entry stays where it is.  Kinds
+   beyond COST_MAX_KINDS share one. */
 static CostEntry *
 cost_get (Req *q, const char *workspace, const char *kind)
 {
@@ -197,8 +197,10 @@
 
   g_snprintf (key, sizeof key, "%s %s", workspace, kind);
   x = g_hash_table_lookup (q->costs, key);
-  if (x || g_hash_table_size (q->costs) >= COST_MAX_KINDS)
+  if (x)
     return x;
+  if (g_hash_table_size (q->costs) >= COST_MAX_KINDS)
+    return &q->other_cost;
   x = g_new (CostEntry, 1);
   x->ms = COST_FIRST_MS;
   g_hash_table_insert (q->costs, g_strdup (key), x);
@@ -206,12 +208,11 @@
 }
 
 static void
-cost_learn (Req *q, const Request *r, gint64 ms)
+cost_learn (const Request *r, gint64 ms)
 {
-  CostEntry *x = cost_get (q, r->workspace, r->work_kind);
+  CostEntry *x = r->cost;
 
-  if (x)
-    x->ms = CLAMP (x->ms + (ms - x->ms) / 8, 1, COST_MAX_MS);
+  x->ms = CLAMP (x->ms + (ms - x->ms) / 8, 1, COST_MAX_MS);
 }
 
 /* --- replies --- */
@@ -315,6 +316,57 @@
     }
 }
 
+/* --- silence --- */
+
+static void
+leave_fresh (Request *r)
+{
+  if (!r->is_fresh)
+    return;
+  APR_RING_REMOVE (r, fresh);
+  r->is_fresh = FALSE;
+}
+
+static void
+stop_step (Core *c, Request *r)
+{
+  leave_fresh (r);
+  core_stop (c, &r->step);
+}
+
+/* All wait equally long for the first sign of their upstream, so one ring
+   in the order of sending and one timer serve them. */
+static void
+watch_silence (Core *c, Request *r)
+{
+  Req *q = c->req;
+
+  if (!q->silence.slot)
+    core_arm (c, &q->silence, c->now + c->cfg->silence_ms);
+  APR_RING_INSERT_TAIL (&q->fresh, r, Request, fresh);
+  r->is_fresh = TRUE;
+}
+
+static void
+on_silence (Core *c, Timer *t)
+{
+  Req *q = c->req;
+  ClockMs span = c->cfg->silence_ms;
+
+  while (!APR_RING_EMPTY (&q->fresh, Request, fresh))
+    {
+      Request *r = APR_RING_FIRST (&q->fresh);
+
+      if (r->sent + span > c->now)
+        {
+          core_arm (c, t, r->sent + span);
+          return;
+        }
+      leave_fresh (r);
+      req_ask_upstream (c, r);
+    }
+}
+
 /* --- slots --- */
 
 static void
@@ -382,7 +434,7 @@
   remember (c, r, outcome, reason);
   req_release (c, r);
   core_stop (c, &r->expiry);
-  core_stop (c, &r->step);
+  stop_step (c, r);
   if (r->claim_call)
     store_forget (c, r->claim_call);
   g_hash_table_remove (c->req->by_id, r->id);
@@ -463,7 +515,7 @@
   r->ask_failures = 0;
   r->lost = FALSE;
   r->patience = c->cfg->silence_ms;
-  core_arm (c, &r->step, c->now + r->patience);
+  watch_silence (c, r);
   note (c, r, NOTE_REQUEST_SENT, NULL);
   core_emit (c, FX_UPSTREAM_SEND, NULL,
              &(UpstreamSend) { .upstream = upstream_name (c, r),
@@ -617,11 +669,10 @@
 enqueue (Core *c, Request *r)
 {
   FairPlace p = place_of (c, r, table_find (c, r->workspace));
-  CostEntry *x = cost_get (c->req, r->workspace, r->work_kind);
 
   r->state = REQUEST_QUEUED;
   r->slot_ms = 0;
-  r->fair.cost = x ? x->ms : COST_FIRST_MS;
+  r->fair.cost = r->cost->ms;
   r->fair.bytes = r->body ? (gint64)g_bytes_get_size (r->body) : 0;
   fair_push (c->req->fair, &r->fair, &p, c->now);
 }
@@ -685,7 +736,6 @@
   guint slots = (guint)route_slots (c->req->route);
   FairPlace p;
   const char *why;
-  CostEntry *cost;
   gint64 wait;
 
   if (!take_rate (c, w))
@@ -709,9 +759,8 @@
       req_finish (c, r, OUTCOME_NOT_RUN, 503, why, NULL);
       return FALSE;
     }
-  cost = cost_get (c->req, r->workspace, r->work_kind);
   wait = fair_wait_estimate (c->req->fair, &p, slots);
-  if (wait == 0 || wait + (cost ? cost->ms : 0) <= r->deadline - c->now)
+  if (wait == 0 || wait + r->cost->ms <= r->deadline - c->now)
     return TRUE;
   core_add (c, COUNT_REFUSED_DEADLINE, 1);
   req_finish (c, r, OUTCOME_NOT_RUN, 503,
@@ -784,6 +833,7 @@
   r->work_kind = g_strdup (q->work_kind);
   r->key = g_strdup (q->key);
   r->body = q->body ? g_bytes_ref (q->body) : NULL;
+  r->cost = cost_get (c->req, q->workspace, q->work_kind);
   r->work_class = (WorkClass)q->work_class;
   r->repeatable = q->repeatable != 0;
   if (!r->repeatable)
@@ -865,7 +915,7 @@
 replace (Core *c, Request *r)
 {
   add_tried (r, r->upstream);
-  core_stop (c, &r->step);
+  stop_step (c, r);
   free_slot (c, r);
   core_add (c, COUNT_REPLACED, 1);
   enter_placing (c, r);
@@ -890,7 +940,7 @@
   r->retries++;
   core_add (c, COUNT_RETRIES, 1);
   add_tried (r, r->upstream);
-  core_stop (c, &r->step);
+  stop_step (c, r);
   free_slot (c, r);
   enter_placing (c, r);
   req_pump (c);
@@ -915,7 +965,7 @@
   UpstreamAsk ask = ask_of (c, r);
 
   core_add (c, COUNT_SILENCES, 1);
-  core_stop (c, &r->step);
+  stop_step (c, r);
   core_emit (c, FX_UPSTREAM_ASK, NULL, &ask);
 }
 
@@ -1045,7 +1095,7 @@
   if (running && is_current (c, r, u))
     {
       learn (c, r, UPSTREAM_ANSWERED);
-      cost_learn (c->req, r, c->now - r->sent);
+      cost_learn (r, c->now - r->sent);
       if (u->asked)
         drop_connection (c, r);
     }
--- a/src/req_state.h
+++ b/src/req_state.h
@@ -26,11 +26,19 @@
 typedef struct Slots Slots;
 typedef struct Claims Claims;
 
+/* What work of one kind of one workspace costs, learnt. */
+typedef struct CostEntry
+{
+  gint64 ms; /* of slot time */
+} CostEntry;
+
 /* One request from its arrival to its end.  FAIR comes first. */
 typedef struct Request
 {
   FairItem fair;
-  APR_RING_ENTRY (Request) link; /* in PLACING */
+  APR_RING_ENTRY (Request) link;  /* in PLACING */
+  APR_RING_ENTRY (Request) fresh; /* sent, and not yet asked after */
+  gboolean is_fresh;
   RequestState state;
   char *id;
   char *workspace;
@@ -38,6 +46,7 @@
   char *work_kind;
   char *key;
   GBytes *body;
+  CostEntry *cost;
   GArray *conns; /* of gint64: the callers that wait for the reply */
   WorkClass work_class;
   gboolean demoted;
@@ -75,6 +84,7 @@
   GHashTable *by_id;   /* to Request */
   GHashTable *by_conn; /* to Request */
   GHashTable *costs;   /* "WORKSPACE KIND" to its CostEntry */
+  CostEntry other_cost;
   GHashTable *tenants; /* workspace to its rate */
   GHashTable *ended;   /* id to the explanation of its end */
   GQueue ended_order;
@@ -83,6 +93,8 @@
   Slots *slots;
   Claims *claims;
   struct RequestRing placing;
+  struct RequestRing fresh;
+  Timer silence;
   guint n_placing;
   guint n_store_wait;
   guint n_spilled;
