--- a/src/req.c
+++ b/src/req.c
@@ -73,17 +73,24 @@
 {
   Request *r = p;
 
-  g_free (r->id);
-  g_free (r->workspace);
-  g_free (r->caller);
-  g_free (r->work_kind);
-  g_free (r->key);
   g_clear_pointer (&r->body, g_bytes_unref);
-  g_array_unref (r->conns);
   rec_free (claim_value_desc (), r->claim);
   g_free (r);
 }
 
+static void
+waiter_free (gpointer p)
+{
+  Waiter *w = p;
+  Request *r = w->request;
+
+  APR_RING_REMOVE (w, link);
+  r->n_waiters--;
+  w->request = NULL;
+  if (w != &r->first)
+    g_free (w);
+}
+
 static void
 ended_free (gpointer p)
 {
@@ -105,7 +112,7 @@
   q->by_id =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, request_free);
   q->by_conn =
-      g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+      g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, waiter_free);
   q->costs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   q->tenants = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   q->ended = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, ended_free);
@@ -146,8 +153,8 @@
 void
 req_free (Req *q)
 {
-  g_hash_table_unref (q->by_id);
   g_hash_table_unref (q->by_conn);
+  g_hash_table_unref (q->by_id);
   g_hash_table_unref (q->costs);
   g_hash_table_unref (q->tenants);
   g_queue_clear (&q->ended_order);
@@ -260,17 +267,14 @@
            const char *reason,
            GBytes *body)
 {
-  guint i;
-
-  for (i = 0; i < r->conns->len; i++)
+  while (r->n_waiters > 0)
     {
-      gint64 conn = g_array_index (r->conns, gint64, i);
+      Waiter *w = APR_RING_FIRST (&r->waiters);
 
       count_outcome (c, outcome);
-      reply (c, conn, r, outcome, status, reason, body);
-      g_hash_table_remove (c->req->by_conn, &conn);
+      reply (c, w->conn, r, outcome, status, reason, body);
+      g_hash_table_remove (c->req->by_conn, &w->conn);
     }
-  g_array_set_size (r->conns, 0);
 }
 
 static const char *
@@ -771,24 +775,24 @@
 static void
 attach (Core *c, Request *r, gint64 conn)
 {
-  gint64 *key = g_new (gint64, 1);
+  Waiter *w = r->first.request ? g_new0 (Waiter, 1) : &r->first;
 
-  *key = conn;
-  g_array_append_val (r->conns, conn);
-  g_hash_table_insert (c->req->by_conn, key, r);
+  w->conn = conn;
+  w->request = r;
+  APR_RING_INSERT_TAIL (&r->waiters, w, Waiter, link);
+  r->n_waiters++;
+  g_hash_table_insert (c->req->by_conn, &w->conn, w);
 }
 
-static char *
-make_id (Core *c, const CallerRequest *q)
+static void
+make_id (Core *c, const CallerRequest *q, char id[CALLER_MAX_ID + 1])
 {
-  char id[40];
-
   if (q->repeatable)
-    return g_strdup_printf ("%s-%" G_GINT64_FORMAT "-%" G_GINT64_FORMAT,
-                            c->cfg->host, c->cfg->incarnation,
-                            ++c->req->serial);
-  claim_make_id (q->workspace, q->key, id);
-  return g_strdup (id);
+    g_snprintf (id, CALLER_MAX_ID + 1,
+                "%s-%" G_GINT64_FORMAT "-%" G_GINT64_FORMAT, c->cfg->host,
+                c->cfg->incarnation, c->req->serial + 1);
+  else
+    claim_make_id (q->workspace, q->key, id);
 }
 
 static void
@@ -801,15 +805,33 @@
               (guint64)XXH3_64bits (data, n));
 }
 
-/* Returns a new request with ID, which it takes. */
-static Request *
-request_new (Core *c, char *id, const char *workspace, ClockMs span)
+/* Copies S to *END, moves *END behind the copy, and returns the copy. */
+static const char *
+pack (char **end, const char *s)
 {
-  Request *r = g_new0 (Request, 1);
+  char *copy = *end;
+  gsize n = strlen (s) + 1;
 
-  r->id = id;
-  r->workspace = g_strdup (workspace);
-  r->conns = g_array_new (FALSE, FALSE, sizeof (gint64));
+  memcpy (copy, s, n);
+  *end += n;
+  return copy;
+}
+
+/* Returns a new request with ID and the names in Q. */
+static Request *
+request_new (Core *c, const char *id, const CallerRequest *q, ClockMs span)
+{
+  gsize n = strlen (id) + strlen (q->workspace) + strlen (q->caller) +
+            strlen (q->work_kind) + strlen (q->key) + 5;
+  Request *r = g_malloc0 (sizeof *r + n);
+  char *end = r->text;
+
+  r->id = pack (&end, id);
+  r->workspace = pack (&end, q->workspace);
+  r->caller = pack (&end, q->caller);
+  r->work_kind = pack (&end, q->work_kind);
+  r->key = pack (&end, q->key);
+  APR_RING_INIT (&r->waiters, Waiter, link);
   r->arrived = c->now;
   r->deadline = c->now + span;
   r->upstream = ROUTE_NONE;
@@ -818,20 +840,17 @@
   r->serial = ++c->req->serial;
   r->expiry = (Timer) { .fire = on_expiry, .owner = r };
   r->step = (Timer) { .fire = on_step, .owner = r };
-  g_hash_table_insert (c->req->by_id, r->id, r);
+  g_hash_table_insert (c->req->by_id, (gpointer)r->id, r);
   core_arm (c, &r->expiry, r->deadline);
   return r;
 }
 
 static Request *
-request_from (Core *c, char *id, const CallerRequest *q)
+request_from (Core *c, const char *id, const CallerRequest *q)
 {
   ClockMs span = q->deadline_ms ? q->deadline_ms : c->cfg->request_deadline_ms;
-  Request *r = request_new (c, id, q->workspace, span);
+  Request *r = request_new (c, id, q, span);
 
-  r->caller = g_strdup (q->caller);
-  r->work_kind = g_strdup (q->work_kind);
-  r->key = g_strdup (q->key);
   r->body = q->body ? g_bytes_ref (q->body) : NULL;
   r->cost = cost_get (c->req, q->workspace, q->work_kind);
   r->work_class = (WorkClass)q->work_class;
@@ -867,12 +886,13 @@
 static void
 begin (Core *c, const CallerRequest *q, const Workspace *w)
 {
-  char *id = make_id (c, q);
-  Request *r = g_hash_table_lookup (c->req->by_id, id);
+  char id[CALLER_MAX_ID + 1];
+  Request *r;
 
+  make_id (c, q, id);
+  r = g_hash_table_lookup (c->req->by_id, id);
   if (r)
     {
-      g_free (id);
       join (c, r, q);
       return;
     }
@@ -929,7 +949,7 @@
 {
   Req *q = c->req;
 
-  if (!r->repeatable || r->retries >= MAX_RETRIES || r->conns->len == 0)
+  if (!r->repeatable || r->retries >= MAX_RETRIES || r->n_waiters == 0)
     return FALSE;
   if (q->retry_tokens < PERMILLE)
     {
@@ -1283,7 +1303,7 @@
 on_expiry (Core *c, Timer *t)
 {
   Request *r = t->owner;
-  gboolean waited_for = r->conns->len > 0;
+  gboolean waited_for = r->n_waiters > 0;
 
   if (r->state == REQUEST_RUNNING && !r->repeatable && waited_for)
     detach (c, r, "the deadline passed while it ran");
@@ -1322,19 +1342,13 @@
 req_on_caller_gone (Core *c, const Event *e)
 {
   const CallerGone *g = e->body;
-  Request *r = g_hash_table_lookup (c->req->by_conn, &g->conn);
-  guint i;
+  Waiter *w = g_hash_table_lookup (c->req->by_conn, &g->conn);
+  Request *r = w ? w->request : NULL;
 
   if (!r)
     return;
-  g_hash_table_remove (c->req->by_conn, &g->conn);
-  for (i = 0; i < r->conns->len; i++)
-    if (g_array_index (r->conns, gint64, i) == g->conn)
-      {
-        g_array_remove_index_fast (r->conns, i);
-        break;
-      }
-  if (r->conns->len == 0 && (r->repeatable || !r->claim_sent))
+  g_hash_table_remove (c->req->by_conn, &w->conn);
+  if (r->n_waiters == 0 && (r->repeatable || !r->claim_sent))
     cancel (c, r);
 }
 
@@ -1382,6 +1396,7 @@
   const CallerAsk *q = e->body;
   const Workspace *w = table_authorize (c, q->token, q->workspace);
   Request *r = w ? find_for (c, q) : NULL;
+  CallerRequest names;
   char id[40];
 
   if (!w)
@@ -1394,11 +1409,11 @@
   else
     {
       claim_make_id (q->workspace, q->id, id);
-      r = request_new (c, g_strdup (is_claim_id (q->id) ? q->id : id),
-                       q->workspace, LOOK_UP_MS);
-      r->caller = g_strdup ("");
-      r->work_kind = g_strdup ("");
-      r->key = g_strdup ("");
+      names = (CallerRequest) { .workspace = q->workspace,
+                                .caller = "",
+                                .work_kind = "",
+                                .key = "" };
+      r = request_new (c, is_claim_id (q->id) ? q->id : id, &names, LOOK_UP_MS);
       attach (c, r, q->conn);
       claim_look_up (c, r);
     }
@@ -1430,7 +1445,7 @@
   Request *r = value;
 
   (void)key;
-  if (r->conns->len == 0)
+  if (r->n_waiters == 0)
     g_ptr_array_add (data, r);
 }
 
--- a/src/req_state.h
+++ b/src/req_state.h
@@ -32,22 +32,36 @@
   gint64 ms; /* of slot time */
 } CostEntry;
 
+typedef struct Request Request;
+
+/* A caller that waits for the reply to a request. */
+typedef struct Waiter
+{
+  APR_RING_ENTRY (Waiter) link;
+  gint64 conn;
+  Request *request; /* NULL: the request's first one, unused */
+} Waiter;
+
+APR_RING_HEAD (WaiterRing, Waiter);
+
 /* One request from its arrival to its end.  FAIR comes first. */
-typedef struct Request
+struct Request
 {
   FairItem fair;
   APR_RING_ENTRY (Request) link;  /* in PLACING */
   APR_RING_ENTRY (Request) fresh; /* sent, and not yet asked after */
   gboolean is_fresh;
   RequestState state;
-  char *id;
-  char *workspace;
-  char *caller;
-  char *work_kind;
-  char *key;
+  const char *id;
+  const char *workspace;
+  const char *caller;
+  const char *work_kind;
+  const char *key;
   GBytes *body;
   CostEntry *cost;
-  GArray *conns; /* of gint64: the callers that wait for the reply */
+  struct WaiterRing waiters;
+  guint n_waiters;
+  Waiter first; /* of them, which nearly all have alone */
   WorkClass work_class;
   gboolean demoted;
   gboolean repeatable;
@@ -75,14 +89,15 @@
   gboolean claim_sent; /* a claim of ours may be in the store */
   guint claim_tries;
   char digest[17];
-} Request;
+  char text[]; /* the strings above */
+};
 
 APR_RING_HEAD (RequestRing, Request);
 
 struct Req
 {
   GHashTable *by_id;   /* to Request */
-  GHashTable *by_conn; /* to Request */
+  GHashTable *by_conn; /* to Waiter */
   GHashTable *costs;   /* "WORKSPACE KIND" to its CostEntry */
   CostEntry other_cost;
   GHashTable *tenants; /* workspace to its rate */
