--- a/src/req.c
+++ b/src/req.c
@@ -37,12 +37,6 @@
   RETRY_AFTER_MS = 1000
 };
 
-/* What work of one kind of one workspace costs, learnt. */
-typedef struct CostEntry
-{
-  gint64 ms;
-} CostEntry;
-
 /* Requests a second of one workspace. */
 typedef struct Tenant
 {
@@ -68,6 +62,7 @@
 };
 
 static void on_tick (Core *c, Timer *t);
+static void on_silence (Core *c, Timer *t);
 static void on_probe (Core *c, Timer *t);
 static void on_expiry (Core *c, Timer *t);
 static void on_step (Core *c, Timer *t);
@@ -78,17 +73,24 @@
 {
   Request *r = p;
 
-  g_free (r->id);
-  g_free (r->workspace);
-  g_free (r->caller);
-  g_free (r->work_kind);
-  g_free (r->key);
   g_clear_pointer (&r->body, g_bytes_unref);
-  g_array_unref (r->conns);
   rec_free (claim_value_desc (), r->claim);
   g_free (r);
 }
 
+static void
+waiter_free (gpointer p)
+{
+  Waiter *w = p;
+  Request *r = w->request;
+
+  APR_RING_REMOVE (w, link);
+  r->n_waiters--;
+  w->request = NULL;
+  if (w != &r->first)
+    g_free (w);
+}
+
 static void
 ended_free (gpointer p)
 {
@@ -110,7 +112,7 @@
   q->by_id =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, request_free);
   q->by_conn =
-      g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+      g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, waiter_free);
   q->costs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   q->tenants = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   q->ended = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, ended_free);
@@ -120,7 +122,10 @@
   q->slots = slots_new (c);
   q->claims = claim_new (c);
   APR_RING_INIT (&q->placing, Request, link);
+  APR_RING_INIT (&q->fresh, Request, fresh);
+  q->silence = (Timer) { .fire = on_silence };
   q->retry_tokens = RETRY_TOKENS_FIRST;
+  q->other_cost.ms = COST_FIRST_MS;
   q->tick = (Timer) { .fire = on_tick };
   q->drain_bound = (Timer) { .fire = on_drain_bound };
   q->probes = g_new0 (Timer, c->cfg->upstreams.n);
@@ -148,8 +153,8 @@
 void
 req_free (Req *q)
 {
-  g_hash_table_unref (q->by_id);
   g_hash_table_unref (q->by_conn);
+  g_hash_table_unref (q->by_id);
   g_hash_table_unref (q->costs);
   g_hash_table_unref (q->tenants);
   g_queue_clear (&q->ended_order);
@@ -189,6 +194,8 @@
 
 /* --- costs --- */
 
+/* Returns what is learnt of the kind; the entry stays where it is.  Kinds
+   beyond COST_MAX_KINDS share one. */
 static CostEntry *
 cost_get (Req *q, const char *workspace, const char *kind)
 {
@@ -197,8 +204,10 @@
 
   g_snprintf (key, sizeof key, "%s %s", workspace, kind);
   x = g_hash_table_lookup (q->costs, key);
-  if (x || g_hash_table_size (q->costs) >= COST_MAX_KINDS)
+  if (x)
     return x;
+  if (g_hash_table_size (q->costs) >= COST_MAX_KINDS)
+    return &q->other_cost;
   x = g_new (CostEntry, 1);
   x->ms = COST_FIRST_MS;
   g_hash_table_insert (q->costs, g_strdup (key), x);
@@ -206,12 +215,11 @@
 }
 
 static void
-cost_learn (Req *q, const Request *r, gint64 ms)
+cost_learn (const Request *r, gint64 ms)
 {
-  CostEntry *x = cost_get (q, r->workspace, r->work_kind);
+  CostEntry *x = r->cost;
 
-  if (x)
-    x->ms = CLAMP (x->ms + (ms - x->ms) / 8, 1, COST_MAX_MS);
+  x->ms = CLAMP (x->ms + (ms - x->ms) / 8, 1, COST_MAX_MS);
 }
 
 /* --- replies --- */
@@ -259,17 +267,14 @@
            const char *reason,
            GBytes *body)
 {
-  guint i;
-
-  for (i = 0; i < r->conns->len; i++)
+  while (r->n_waiters > 0)
     {
-      gint64 conn = g_array_index (r->conns, gint64, i);
+      Waiter *w = APR_RING_FIRST (&r->waiters);
 
       count_outcome (c, outcome);
-      reply (c, conn, r, outcome, status, reason, body);
-      g_hash_table_remove (c->req->by_conn, &conn);
+      reply (c, w->conn, r, outcome, status, reason, body);
+      g_hash_table_remove (c->req->by_conn, &w->conn);
     }
-  g_array_set_size (r->conns, 0);
 }
 
 static const char *
@@ -315,6 +320,57 @@
     }
 }
 
+/* --- silence --- */
+
+static void
+leave_fresh (Request *r)
+{
+  if (!r->is_fresh)
+    return;
+  APR_RING_REMOVE (r, fresh);
+  r->is_fresh = FALSE;
+}
+
+static void
+stop_step (Core *c, Request *r)
+{
+  leave_fresh (r);
+  core_stop (c, &r->step);
+}
+
+/* All wait equally long for the first sign of their upstream, so one ring
+   in the order of sending and one timer serve them. */
+static void
+watch_silence (Core *c, Request *r)
+{
+  Req *q = c->req;
+
+  if (!q->silence.slot)
+    core_arm (c, &q->silence, c->now + c->cfg->silence_ms);
+  APR_RING_INSERT_TAIL (&q->fresh, r, Request, fresh);
+  r->is_fresh = TRUE;
+}
+
+static void
+on_silence (Core *c, Timer *t)
+{
+  Req *q = c->req;
+  ClockMs span = c->cfg->silence_ms;
+
+  while (!APR_RING_EMPTY (&q->fresh, Request, fresh))
+    {
+      Request *r = APR_RING_FIRST (&q->fresh);
+
+      if (r->sent + span > c->now)
+        {
+          core_arm (c, t, r->sent + span);
+          return;
+        }
+      leave_fresh (r);
+      req_ask_upstream (c, r);
+    }
+}
+
 /* --- slots --- */
 
 static void
@@ -382,7 +438,7 @@
   remember (c, r, outcome, reason);
   req_release (c, r);
   core_stop (c, &r->expiry);
-  core_stop (c, &r->step);
+  stop_step (c, r);
   if (r->claim_call)
     store_forget (c, r->claim_call);
   g_hash_table_remove (c->req->by_id, r->id);
@@ -463,7 +519,7 @@
   r->ask_failures = 0;
   r->lost = FALSE;
   r->patience = c->cfg->silence_ms;
-  core_arm (c, &r->step, c->now + r->patience);
+  watch_silence (c, r);
   note (c, r, NOTE_REQUEST_SENT, NULL);
   core_emit (c, FX_UPSTREAM_SEND, NULL,
              &(UpstreamSend) { .upstream = upstream_name (c, r),
@@ -617,11 +673,10 @@
 enqueue (Core *c, Request *r)
 {
   FairPlace p = place_of (c, r, table_find (c, r->workspace));
-  CostEntry *x = cost_get (c->req, r->workspace, r->work_kind);
 
   r->state = REQUEST_QUEUED;
   r->slot_ms = 0;
-  r->fair.cost = x ? x->ms : COST_FIRST_MS;
+  r->fair.cost = r->cost->ms;
   r->fair.bytes = r->body ? (gint64)g_bytes_get_size (r->body) : 0;
   fair_push (c->req->fair, &r->fair, &p, c->now);
 }
@@ -685,7 +740,6 @@
   guint slots = (guint)route_slots (c->req->route);
   FairPlace p;
   const char *why;
-  CostEntry *cost;
   gint64 wait;
 
   if (!take_rate (c, w))
@@ -709,9 +763,8 @@
       req_finish (c, r, OUTCOME_NOT_RUN, 503, why, NULL);
       return FALSE;
     }
-  cost = cost_get (c->req, r->workspace, r->work_kind);
   wait = fair_wait_estimate (c->req->fair, &p, slots);
-  if (wait == 0 || wait + (cost ? cost->ms : 0) <= r->deadline - c->now)
+  if (wait == 0 || wait + r->cost->ms <= r->deadline - c->now)
     return TRUE;
   core_add (c, COUNT_REFUSED_DEADLINE, 1);
   req_finish (c, r, OUTCOME_NOT_RUN, 503,
@@ -722,24 +775,24 @@
 static void
 attach (Core *c, Request *r, gint64 conn)
 {
-  gint64 *key = g_new (gint64, 1);
+  Waiter *w = r->first.request ? g_new0 (Waiter, 1) : &r->first;
 
-  *key = conn;
-  g_array_append_val (r->conns, conn);
-  g_hash_table_insert (c->req->by_conn, key, r);
+  w->conn = conn;
+  w->request = r;
+  APR_RING_INSERT_TAIL (&r->waiters, w, Waiter, link);
+  r->n_waiters++;
+  g_hash_table_insert (c->req->by_conn, &w->conn, w);
 }
 
-static char *
-make_id (Core *c, const CallerRequest *q)
+static void
+make_id (Core *c, const CallerRequest *q, char id[CALLER_MAX_ID + 1])
 {
-  char id[40];
-
   if (q->repeatable)
-    return g_strdup_printf ("%s-%" G_GINT64_FORMAT "-%" G_GINT64_FORMAT,
-                            c->cfg->host, c->cfg->incarnation,
-                            ++c->req->serial);
-  claim_make_id (q->workspace, q->key, id);
-  return g_strdup (id);
+    g_snprintf (id, CALLER_MAX_ID + 1,
+                "%s-%" G_GINT64_FORMAT "-%" G_GINT64_FORMAT, c->cfg->host,
+                c->cfg->incarnation, c->req->serial + 1);
+  else
+    claim_make_id (q->workspace, q->key, id);
 }
 
 static void
@@ -752,15 +805,33 @@
               (guint64)XXH3_64bits (data, n));
 }
 
-/* Returns a new request with ID, which it takes. */
-static Request *
-request_new (Core *c, char *id, const char *workspace, ClockMs span)
+/* Copies S to *END, moves *END behind the copy, and returns the copy. */
+static const char *
+pack (char **end, const char *s)
 {
-  Request *r = g_new0 (Request, 1);
+  char *copy = *end;
+  gsize n = strlen (s) + 1;
 
-  r->id = id;
-  r->workspace = g_strdup (workspace);
-  r->conns = g_array_new (FALSE, FALSE, sizeof (gint64));
+  memcpy (copy, s, n);
+  *end += n;
+  return copy;
+}
+
+/* Returns a new request with ID and the names in Q. */
+static Request *
+request_new (Core *c, const char *id, const CallerRequest *q, ClockMs span)
+{
+  gsize n = strlen (id) + strlen (q->workspace) + strlen (q->caller) +
+            strlen (q->work_kind) + strlen (q->key) + 5;
+  Request *r = g_malloc0 (sizeof *r + n);
+  char *end = r->text;
+
+  r->id = pack (&end, id);
+  r->workspace = pack (&end, q->workspace);
+  r->caller = pack (&end, q->caller);
+  r->work_kind = pack (&end, q->work_kind);
+  r->key = pack (&end, q->key);
+  APR_RING_INIT (&r->waiters, Waiter, link);
   r->arrived = c->now;
   r->deadline = c->now + span;
   r->upstream = ROUTE_NONE;
@@ -769,21 +840,19 @@
   r->serial = ++c->req->serial;
   r->expiry = (Timer) { .fire = on_expiry, .owner = r };
   r->step = (Timer) { .fire = on_step, .owner = r };
-  g_hash_table_insert (c->req->by_id, r->id, r);
+  g_hash_table_insert (c->req->by_id, (gpointer)r->id, r);
   core_arm (c, &r->expiry, r->deadline);
   return r;
 }
 
 static Request *
-request_from (Core *c, char *id, const CallerRequest *q)
+request_from (Core *c, const char *id, const CallerRequest *q)
 {
   ClockMs span = q->deadline_ms ? q->deadline_ms : c->cfg->request_deadline_ms;
-  Request *r = request_new (c, id, q->workspace, span);
+  Request *r = request_new (c, id, q, span);
 
-  r->caller = g_strdup (q->caller);
-  r->work_kind = g_strdup (q->work_kind);
-  r->key = g_strdup (q->key);
   r->body = q->body ? g_bytes_ref (q->body) : NULL;
+  r->cost = cost_get (c->req, q->workspace, q->work_kind);
   r->work_class = (WorkClass)q->work_class;
   r->repeatable = q->repeatable != 0;
   if (!r->repeatable)
@@ -817,12 +886,13 @@
 static void
 begin (Core *c, const CallerRequest *q, const Workspace *w)
 {
-  char *id = make_id (c, q);
-  Request *r = g_hash_table_lookup (c->req->by_id, id);
+  char id[CALLER_MAX_ID + 1];
+  Request *r;
 
+  make_id (c, q, id);
+  r = g_hash_table_lookup (c->req->by_id, id);
   if (r)
     {
-      g_free (id);
       join (c, r, q);
       return;
     }
@@ -865,7 +935,7 @@
 replace (Core *c, Request *r)
 {
   add_tried (r, r->upstream);
-  core_stop (c, &r->step);
+  stop_step (c, r);
   free_slot (c, r);
   core_add (c, COUNT_REPLACED, 1);
   enter_placing (c, r);
@@ -879,7 +949,7 @@
 {
   Req *q = c->req;
 
-  if (!r->repeatable || r->retries >= MAX_RETRIES || r->conns->len == 0)
+  if (!r->repeatable || r->retries >= MAX_RETRIES || r->n_waiters == 0)
     return FALSE;
   if (q->retry_tokens < PERMILLE)
     {
@@ -890,7 +960,7 @@
   r->retries++;
   core_add (c, COUNT_RETRIES, 1);
   add_tried (r, r->upstream);
-  core_stop (c, &r->step);
+  stop_step (c, r);
   free_slot (c, r);
   enter_placing (c, r);
   req_pump (c);
@@ -915,7 +985,7 @@
   UpstreamAsk ask = ask_of (c, r);
 
   core_add (c, COUNT_SILENCES, 1);
-  core_stop (c, &r->step);
+  stop_step (c, r);
   core_emit (c, FX_UPSTREAM_ASK, NULL, &ask);
 }
 
@@ -1045,7 +1115,7 @@
   if (running && is_current (c, r, u))
     {
       learn (c, r, UPSTREAM_ANSWERED);
-      cost_learn (c->req, r, c->now - r->sent);
+      cost_learn (r, c->now - r->sent);
       if (u->asked)
         drop_connection (c, r);
     }
@@ -1233,7 +1303,7 @@
 on_expiry (Core *c, Timer *t)
 {
   Request *r = t->owner;
-  gboolean waited_for = r->conns->len > 0;
+  gboolean waited_for = r->n_waiters > 0;
 
   if (r->state == REQUEST_RUNNING && !r->repeatable && waited_for)
     detach (c, r, "the deadline passed while it ran");
@@ -1272,19 +1342,13 @@
 req_on_caller_gone (Core *c, const Event *e)
 {
   const CallerGone *g = e->body;
-  Request *r = g_hash_table_lookup (c->req->by_conn, &g->conn);
-  guint i;
+  Waiter *w = g_hash_table_lookup (c->req->by_conn, &g->conn);
+  Request *r = w ? w->request : NULL;
 
   if (!r)
     return;
-  g_hash_table_remove (c->req->by_conn, &g->conn);
-  for (i = 0; i < r->conns->len; i++)
-    if (g_array_index (r->conns, gint64, i) == g->conn)
-      {
-        g_array_remove_index_fast (r->conns, i);
-        break;
-      }
-  if (r->conns->len == 0 && (r->repeatable || !r->claim_sent))
+  g_hash_table_remove (c->req->by_conn, &w->conn);
+  if (r->n_waiters == 0 && (r->repeatable || !r->claim_sent))
     cancel (c, r);
 }
 
@@ -1332,6 +1396,7 @@
   const CallerAsk *q = e->body;
   const Workspace *w = table_authorize (c, q->token, q->workspace);
   Request *r = w ? find_for (c, q) : NULL;
+  CallerRequest names;
   char id[40];
 
   if (!w)
@@ -1344,11 +1409,11 @@
   else
     {
       claim_make_id (q->workspace, q->id, id);
-      r = request_new (c, g_strdup (is_claim_id (q->id) ? q->id : id),
-                       q->workspace, LOOK_UP_MS);
-      r->caller = g_strdup ("");
-      r->work_kind = g_strdup ("");
-      r->key = g_strdup ("");
+      names = (CallerRequest) { .workspace = q->workspace,
+                                .caller = "",
+                                .work_kind = "",
+                                .key = "" };
+      r = request_new (c, is_claim_id (q->id) ? q->id : id, &names, LOOK_UP_MS);
       attach (c, r, q->conn);
       claim_look_up (c, r);
     }
@@ -1380,7 +1445,7 @@
   Request *r = value;
 
   (void)key;
-  if (r->conns->len == 0)
+  if (r->n_waiters == 0)
     g_ptr_array_add (data, r);
 }
 
