--- a/src/gang.c
+++ b/src/gang.c
@@ -634,12 +634,53 @@
   core_arm (c, &j->timer, c->now + c->cfg->reclaim_checkpoint_ms);
 }
 
+/* J uses more memory than its worker can give it beside others. */
+static void
+stop_oversized (Core *c, Job *j, const Part *p)
+{
+  const char *reason = "it uses more memory than it asked for";
+
+  add_evidence (j, p->worker->cfg->name, reason);
+  j->failed = TRUE;
+  if (gang_may_repeat (j) && j->rec->evidence.n < JOB_MAX_EVIDENCE)
+    gang_undo (c, j, JOB_QUEUED, reason);
+  else
+    gang_undo (c, j, JOB_FAILED, reason);
+}
+
+/* Looks at the memory that P is reported to use.  Returns FALSE if its gang
+   is stopped for that. */
+static gboolean
+check_memory (Core *c, Part *p, gint64 used_mb)
+{
+  Job *j = p->job;
+  PlanOver over;
+
+  p->used_mb = used_mb;
+  if (j->phase != PHASE_RUN || p->state != PART_RUNNING || used_mb == 0)
+    return TRUE;
+  over = plan_used_memory (c->sched->plan, &j->fleet, used_mb);
+  if (over == PLAN_OVER_STOP)
+    {
+      stop_oversized (c, j, p);
+      return FALSE;
+    }
+  if (over == PLAN_OVER_THROTTLE && !p->throttled && !p->call)
+    {
+      p->throttled = TRUE;
+      part_call (c, p, WORKER_THROTTLE);
+    }
+  return TRUE;
+}
+
 /* Takes what a worker says of the lease of P. */
 void
 gang_fold (Core *c, Part *p, const WorkerLease *l)
 {
   Job *j = p->job;
 
+  if (!check_memory (c, p, l->used_memory_mb))
+    return;
   p->progress_ms = MAX (p->progress_ms, l->progress_ms);
   if (p->state == PART_FREE || p->state == PART_STOPPING)
     return;
--- a/src/role.c
+++ b/src/role.c
@@ -7,6 +7,7 @@
 
 #include "member.h"
 
+REC_DEFINE (SchedName, sched_name, SCHED_NAME_FIELDS)
 REC_DEFINE (SchedBeat, sched_beat, SCHED_BEAT_FIELDS)
 
 enum
@@ -56,7 +57,8 @@
                   .term = r->term,
                   .confirmed = r->confirmed,
                   .revision = r->store_revision,
-                  .leaving = leaving };
+                  .leaving = leaving,
+                  .full = r->full };
   guint i;
 
   for (i = 0; i < member_n_hosts (c); i++)
@@ -481,6 +483,7 @@
 role_clear (Role *r)
 {
   g_free (r->holder);
+  rec_list_clear (sched_name_desc (), &r->full);
 }
 
 /* A step in time that skips a deadline by more than the lease is a pause:
@@ -499,6 +502,39 @@
     }
 }
 
+static void
+copy_full (Role *r, const RecList *full)
+{
+  guint i;
+
+  rec_list_clear (sched_name_desc (), &r->full);
+  for (i = 0; i < full->n; i++)
+    {
+      const SchedName *n = rec_list_at (sched_name_desc (), full, i);
+
+      rec_copy_into (sched_name_desc (),
+                     rec_list_add (sched_name_desc (), &r->full), n);
+    }
+}
+
+/* Tells whether WORKSPACE has as many jobs waiting here as it may have, by
+   the scheduler's last word. */
+gboolean
+role_is_full (const Core *c, const char *workspace)
+{
+  const RecList *full = &c->sched->role.full;
+  guint i;
+
+  for (i = 0; i < full->n; i++)
+    {
+      const SchedName *n = rec_list_at (sched_name_desc (), full, i);
+
+      if (strcmp (n->name, workspace) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Takes the sign of a scheduler.  Of two, one with the store's lease goes
    before one without, then the higher term. */
 void
@@ -529,6 +565,7 @@
     return;
   set_holder (r, e->peer);
   r->heard = c->now;
+  copy_full (r, &b->full);
   if (b->term > r->hinted)
     submit_hint_again (c);
   r->hinted = b->term;
--- a/src/role.h
+++ b/src/role.h
@@ -39,6 +39,7 @@
   gint64 seen_lease;     /* that another's key names */
   gint64 seen_revision;  /* of that key */
   ClockMs seen_since;
+  RecList full; /* workspaces, of SchedName */
   char *holder; /* the host that is heard as scheduler, or NULL */
   gint64 call;
   Timer timer;
@@ -53,6 +54,7 @@
 void role_on_stale (Core *c, gint64 term);
 void role_note_term (Core *c, gint64 term);
 void role_drain (Core *c);
+gboolean role_is_full (const Core *c, const char *workspace);
 gboolean role_held (const Core *c);
 const char *role_holder (const Core *c);
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -1,6 +1,5 @@
 #include "sched_state.h"
 
-#include <json-c/json.h>
 #include <string.h>
 
 enum
@@ -267,6 +266,8 @@
   Sched *s = c->sched;
 
   core_arm (c, t, c->now + SCHED_TICK_MS);
+  rec_list_clear (sched_name_desc (), &s->role.full);
+  sched_account (c, &s->role.full);
   plan_tick (s->plan, c->now);
   sched_plan_soon (c);
   if (c->draining && !stepping (c))
@@ -614,6 +615,7 @@
 make_plan (Core *c)
 {
   Sched *s = c->sched;
+  guint own = 0;
   guint i;
 
   s->plan = plan_new (c->cfg->domain, (guint32)core_random (c, G_MAXINT32));
@@ -622,6 +624,9 @@
     {
       const ConfigWorker *w = config_worker (c->cfg, i);
 
+      if (strcmp (w->domain, c->cfg->domain) == 0)
+        ((Worker *)g_hash_table_lookup (s->worker_by_name, w->name))->index =
+            own++;
       plan_add_worker (s->plan, w->domain, w->name, w->rack,
                        (guint)w->accelerators, w->cores, w->memory_mb);
     }
@@ -725,83 +730,3 @@
 {
   role_on_beat (c, e);
 }
-
-static json_object *
-member (json_object *o, const char *name, json_object *value)
-{
-  json_object_object_add (o, name, value);
-  return o;
-}
-
-static char *
-json_text (json_object *o)
-{
-  char *text =
-      g_strdup (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
-
-  json_object_put (o);
-  return text;
-}
-
-static const char *
-phase_name (JobPhase p)
-{
-#define PHASE_NAME(kind, name) name,
-  static const char *const names[] = { JOB_PHASES (PHASE_NAME) };
-
-  return names[p];
-}
-
-/* Returns, as JSON, where job ID stands here and why it waits, from the
-   last decision; NULL when this host is not its scheduler.  The caller
-   frees it. */
-char *
-sched_explain (Core *c, const char *id)
-{
-  Job *j = g_hash_table_lookup (c->sched->jobs, id);
-  json_object *o;
-
-  if (!j)
-    return NULL;
-  o = json_object_new_object ();
-  member (o, "id", json_object_new_string (id));
-  member (o, "workspace", json_object_new_string (j->rec->workspace));
-  member (o, "state",
-          json_object_new_string (job_state_name ((JobState)j->rec->state)));
-  member (o, "phase", json_object_new_string (phase_name (j->phase)));
-  member (o, "recorded",
-          json_object_new_boolean (!j->unwritten && !j->writing));
-  if (j->phase == PHASE_WAITING && j->planned)
-    member (o, "waits_for",
-            json_object_new_string (plan_wait_text (plan_wait (c->sched->plan,
-                                                               &j->fleet))));
-  if (j->phase == PHASE_WAITING && !j->planned)
-    member (o, "waits_for",
-            json_object_new_string ("its last run failed: it is tried again "
-                                    "after a while"));
-  if (j->rec->reason && *j->rec->reason)
-    member (o, "reason", json_object_new_string (j->rec->reason));
-  return json_text (o);
-}
-
-/* Returns, as JSON, the role of this host and, on the scheduler, the state
-   of its domain; the caller frees it. */
-char *
-sched_status (Core *c)
-{
-  Sched *s = c->sched;
-  json_object *o = json_object_new_object ();
-
-  member (o, "domain", json_object_new_string (c->cfg->domain));
-  member (o, "scheduler", json_object_new_string (util_str (s->role.holder)));
-  member (o, "held", json_object_new_boolean (s->role.held));
-  member (o, "confirmed", json_object_new_boolean (s->role.confirmed));
-  member (o, "term", json_object_new_int64 (s->role.term));
-  if (s->plan)
-    {
-      member (o, "ready", json_object_new_boolean (s->ready));
-      member (o, "waiting", json_object_new_int64 (plan_n_waiting (s->plan)));
-      member (o, "running", json_object_new_int64 (s->n_running));
-    }
-  return json_text (o);
-}
--- a/src/sched_event.h
+++ b/src/sched_event.h
@@ -4,15 +4,20 @@
 #include "caller_event.h"
 #include "worker_event.h"
 
+#define SCHED_NAME_FIELDS(INT, STR, BYTES, LIST) STR (name, 1, 128)
+REC_DECLARE (SchedName, sched_name, SCHED_NAME_FIELDS)
+
 /* The scheduler of a domain shows itself to the domain's hosts.  CONFIRMED
    is 1 while the store's lease is held, LEAVING 1 when the role is free;
-   REVISION is the store's, by which a store that went back is noticed. */
+   REVISION is the store's, by which a store that went back is noticed,
+   FULL the workspaces with as many jobs waiting as they may have. */
 #define SCHED_BEAT_FIELDS(INT, STR, BYTES, LIST)                               \
   STR (domain, 1, 64)                                                          \
   INT (term, 0, G_MAXINT64)                                                    \
   INT (revision, 0, G_MAXINT64)                                                \
   INT (confirmed, 0, 1)                                                        \
-  INT (leaving, 0, 1)
+  INT (leaving, 0, 1)                                                          \
+  LIST (full, 0, 4096, sched_name)
 REC_DECLARE (SchedBeat, sched_beat, SCHED_BEAT_FIELDS)
 
 /* To the scheduler: job ID of DOMAIN has the record VALUE at REVISION in the
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -61,6 +61,8 @@
   gint64 call;       /* in flight, 0: none */
   ClockMs lease_end; /* the worker holds nothing for it after this */
   gint64 progress_ms;
+  gint64 used_mb; /* memory, as last reported; 0: not yet */
+  gboolean throttled;
   gboolean listed; /* by the report under way */
   int tries;
   Timer timer; /* to try again */
@@ -177,6 +179,7 @@
 guint gang_count (const Job *j, PartState state);
 
 void sched_plan_soon (Core *c);
+void sched_account (Core *c, RecList *full);
 Job *sched_job_add (Core *c, JobRecord *rec, gint64 revision);
 void sched_job_drop (Core *c, Job *j);
 void sched_requeue (Core *c, Job *j);
--- a/src/submit.c
+++ b/src/submit.c
@@ -527,6 +527,11 @@
   if (w->max_accelerators >= 0 &&
       q->parts * q->accelerators > w->max_accelerators)
     return "the job is larger than the workspace's max_accelerators";
+  if (role_is_full (c, q->workspace))
+    {
+      *status = 429;
+      return "the workspace has max_queued jobs waiting";
+    }
   if (!q->repeatable && !q->checkpointable && !guaranteed (w, q))
     return "a job that can be neither repeated nor saved runs only inside its "
            "workspace's guarantee, which is too small for it";
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -105,6 +105,7 @@
   bool fails_all = false; /* every task fails soon after its start */
   ClockMs delay = 1;
   ClockMs checkpoint_ms = 500;
+  std::map<std::string, int> memory_percent; /* used of declared, by job */
 
   void
   reboot ()
--- a/tests/fixture_worker.cc
+++ b/tests/fixture_worker.cc
@@ -127,7 +127,11 @@
       x->first = l.first;
       x->count = l.count;
       x->cores = l.cores;
-      x->memory_mb = x->used_memory_mb = l.memory_mb;
+      x->memory_mb = l.memory_mb;
+      auto used = w.memory_percent.find (l.job);
+      x->used_memory_mb =
+          l.memory_mb * (used == w.memory_percent.end () ? 100 : used->second) /
+          100;
       x->progress_ms = l.started ? now - l.started : 0;
       x->remaining_ms = std::max<ClockMs> (0, l.until - now);
       l.dirty = false;
--- a/tests/sched_load_test.cc
+++ b/tests/sched_load_test.cc
@@ -1,5 +1,10 @@
 #include "sched_fixture.h"
 
+extern "C"
+{
+#include "sched.h"
+}
+
 /* Cancellations, bursts, bad workers and bad jobs, and reclaim. */
 namespace
 {
@@ -138,6 +143,55 @@
   EXPECT_NE (w.record (id).find ("a part failed"), std::string::npos);
 }
 
+TEST_P (SchedLoad, WorkThatUsesFarMoreMemoryEndsWithoutItsNeighbours)
+{
+  CallerJob big = w.job_of (1, 4, 3600000);
+  big.memory_mb = 100000;
+  CallerJob small = w.job_of (1, 4, 100000);
+  std::string a = w.submit_wait (big);
+  std::string b = w.submit_wait (small);
+  for (auto &x : w.workers)
+    x.second.memory_percent[a] = 400;
+  EXPECT_TRUE (w.run_until (
+      [&] { return w.record (a).find ("more memory") != std::string::npos; },
+      120000))
+      << w.story ();
+  EXPECT_TRUE (w.wait_state (b, "done", 200000)) << w.story ();
+}
+
+TEST_P (SchedLoad, AFullQueueIsRefusedOnEveryHost)
+{
+  w.load_table ("workspace,weight,max_queued\nalpha,1,3\n", 2);
+  for (int i = 0; i < 7; i++)
+    w.submit_wait (w.job_of (1, 8, 600000));
+  w.run (2500);
+  for (const char *host : { "h0", "h1", "h2" })
+    {
+      gint64 conn = w.submit (w.job_of (1, 8, 1000), host);
+      w.run (500);
+      ASSERT_NE (w.reply (conn), nullptr);
+      EXPECT_EQ (w.reply (conn)->status, 429);
+    }
+}
+
+TEST_P (SchedLoad, TheStatusTellsWhatIsHeldOwedAndNotKept)
+{
+  CallerJob q = w.job_of (1, 8, 600000);
+  for (int i = 0; i < 5; i++)
+    w.submit_wait (q);
+  w.workers["w3"].down = true;
+  w.workers["w3"].reboot ();
+  w.load_table ("workspace,weight,guarantee\nalpha,1,2x8\nbeta,1,2x8\n", 2);
+  w.run (30000);
+  char *text = sched_status (w.core (w.scheduler ()));
+  std::string s = text;
+  g_free (text);
+  EXPECT_NE (s.find ("\"held\":16,\"borrowed\":8"), std::string::npos) << s;
+  EXPECT_NE (s.find ("\"waiting_jobs\":2"), std::string::npos) << s;
+  EXPECT_NE (s.find ("\"short_of\":8"), std::string::npos) << s;
+  EXPECT_NE (s.find ("it does not answer"), std::string::npos) << s;
+}
+
 /* A full domain of borrowed work; alpha then wants its own. */
 struct SchedReclaim : SchedLoad
 {
--- a/tests/sched_path_test.cc
+++ b/tests/sched_path_test.cc
@@ -104,6 +104,59 @@
   EXPECT_EQ (w.job_starts[running].size (), 1u);
 }
 
+TEST (SchedDomains, AJobGoesWhereItFitsAndACutDomainGoesOnAlone)
+{
+  JobWorld two (3, 3, 2);
+  two.add_host ("x0", "d2");
+  two.add_host ("x1", "d2");
+  for (int i = 0; i < 4; i++)
+    two.add_worker (("x" + std::to_string (i) + "w").c_str (), "d2", "r9", 8);
+  two.start ();
+  two.load_table (table);
+  two.run (2000);
+  gint64 big = two.submit (two.job_of (4, 8, 3000), "h1");
+  two.run (20000);
+  ASSERT_NE (two.reply (big), nullptr);
+  ASSERT_EQ (two.reply (big)->status, 202) << two.reply (big)->reason;
+  EXPECT_NE (two.store.keys["jobs/d2/" + two.reply (big)->id].value.find (
+                 "\"state\":3"),
+             std::string::npos);
+  gint64 seen = two.ask ("h2", EV_JOB_ASK, "alpha", two.reply (big)->id);
+  two.run (500);
+  EXPECT_EQ (two.reply (seen)->status, 200);
+  std::string a = two.submit_wait (two.job_of (2, 8, 20000));
+  std::string b = two.submit_wait (two.job_of (1, 8, 2000));
+  two.run (500);
+  two.cut_domain ("d1");
+  two.run (40000);
+  EXPECT_EQ (two.job_starts[a].size (), 1u);
+  EXPECT_EQ (two.job_starts.count (b), 1u) << two.story ();
+  two.cut_domain ("d1", false);
+  EXPECT_TRUE (two.quiet (60000)) << two.story ();
+}
+
+TEST (SchedKeep, AResultIsKeptForItsTimeAndThenItsKeyIsFree)
+{
+  JobWorld w (1, 3, 4);
+  w.config ()->result_keep_ms = 100000;
+  w.start ();
+  w.load_table (table);
+  CallerJob q = w.job_of (1, 8, 500);
+  q.key = "k";
+  std::string id = w.submit_wait (q);
+  EXPECT_TRUE (w.wait_state (id, "done", 10000));
+  w.run (95000);
+  gint64 kept = w.ask ("h1", EV_JOB_ASK, "alpha", id);
+  w.run (1000);
+  EXPECT_EQ (w.reply (kept)->status, 200);
+  w.invariants.clear (); /* it is no longer kept, and that is right */
+  w.run (10000);
+  gint64 gone = w.ask ("h1", EV_JOB_ASK, "alpha", id);
+  w.run (1000);
+  EXPECT_EQ (w.reply (gone)->status, 404);
+  EXPECT_EQ (w.store.keys.count ("job-keys/" + id), 0u);
+}
+
 TEST_F (SchedPath, WhatCanNeverRunIsRefusedWithTheReason)
 {
   CallerJob big = w.job_of (5, 8, 1000);
