--- a/src/adopt.c
+++ b/src/adopt.c
@@ -175,56 +175,88 @@
     gang_start_all (c, j);
 }
 
-/* Takes over J, whose record says that it was placed or runs, with what the
-   workers report: completes the gang or undoes it. */
+/* Tells whether all workers of J's seats have reported and none of them has
+   a lease of it. */
+static gboolean
+nothing_left (Core *c, const Job *j, const GPtrArray *list)
+{
+  guint i;
+
+  for (i = 0; i < j->rec->seats.n; i++)
+    {
+      const Worker *w = g_hash_table_lookup (c->sched->worker_by_name,
+                                             job_seat (j->rec, i)->worker);
+
+      if (!w || !w->reported)
+        return FALSE;
+    }
+  return !list;
+}
+
+static void
+forget_leases (Core *c, const Job *j, gboolean stop)
+{
+  GPtrArray *list = g_hash_table_lookup (c->sched->orphans, j->rec->id);
+  guint i;
+
+  for (i = 0; stop && list && i < list->len; i++)
+    {
+      const Orphan *o = g_ptr_array_index (list, i);
+
+      lease_stop (c, o->worker, o->lease);
+    }
+  g_hash_table_remove (c->sched->orphans, j->rec->id);
+}
+
+/* Takes over J, which has no gang. */
+static void
+adopt_alone (Core *c, Job *j)
+{
+  forget_leases (c, j, TRUE);
+  if (job_state_ended ((JobState)j->rec->state))
+    {
+      j->phase = PHASE_ENDED;
+      gang_end_written (c, j);
+    }
+  else if ((j->rec->state == JOB_RUNNING || j->lost) && !gang_may_repeat (j))
+    {
+      j->phase = PHASE_ENDED;
+      gang_end (c, j, JOB_UNKNOWN,
+                j->lost ? "the store lost its record" : "its workers are gone");
+    }
+  else
+    sched_submit (c, j);
+}
+
+/* Takes over J with what the workers report: completes its gang, or undoes
+   it. */
 void
 adopt_job (Core *c, Job *j)
 {
   GPtrArray *list = g_hash_table_lookup (c->sched->orphans, j->rec->id);
   guint found;
-  guint i;
 
   j->lost |= j->rec->state == JOB_QUEUED && any_started (list);
   if (list && !job_state_ended ((JobState)j->rec->state))
     seats_from_leases (j, list);
   if (job_state_ended ((JobState)j->rec->state) ||
-      j->rec->state == JOB_QUEUED || !seats_exist (c, j))
+      j->rec->state == JOB_QUEUED || !seats_exist (c, j) ||
+      nothing_left (c, j, list))
     {
-      for (i = 0; list && i < list->len; i++)
-        {
-          Orphan *o = g_ptr_array_index (list, i);
-
-          lease_stop (c, o->worker, o->lease);
-        }
-      g_hash_table_remove (c->sched->orphans, j->rec->id);
-      if (job_state_ended ((JobState)j->rec->state))
-        {
-          j->phase = PHASE_ENDED;
-          gang_end_written (c, j);
-        }
-      else if ((j->rec->state == JOB_RUNNING || j->lost) &&
-               !gang_may_repeat (j))
-        {
-          j->phase = PHASE_ENDED;
-          gang_end (c, j, JOB_UNKNOWN,
-                    j->lost ? "the store lost its record"
-                            : "its workers are gone");
-        }
-      else
-        sched_submit (c, j);
+      adopt_alone (c, j);
       return;
     }
   gang_make_parts (c, j);
   if (!adopt_room (c, j))
     {
+      forget_leases (c, j, FALSE);
       j->phase = PHASE_START;
       gang_undo (c, j, gang_may_repeat (j) ? JOB_QUEUED : JOB_UNKNOWN,
                  "its room is held by another job");
-      g_hash_table_remove (c->sched->orphans, j->rec->id);
       return;
     }
   found = fit_leases (c, j, list);
-  g_hash_table_remove (c->sched->orphans, j->rec->id);
+  forget_leases (c, j, FALSE);
   j->run_since = j->rec->started_at ? MIN (j->rec->started_at, c->now) : c->now;
   complete_or_undo (c, j, found);
 }
--- a/src/gang.c
+++ b/src/gang.c
@@ -308,6 +308,7 @@
 static void
 running (Core *c, Job *j)
 {
+  gboolean save_due = j->save_due;
   guint i;
 
   j->phase = PHASE_RUN;
@@ -325,6 +326,9 @@
 
       lease_wake (c, w, LEASE_POLL_MIN_MS);
     }
+  j->save_due = FALSE;
+  if (save_due)
+    gang_save (c, j);
 }
 
 /* Tells whether J may be started again after it may have run. */
@@ -463,7 +467,8 @@
                  "not all parts started in time");
       break;
     case PHASE_SAVE:
-      gang_undo (c, j, JOB_QUEUED, "no checkpoint in time");
+      gang_undo (c, j, gang_may_repeat (j) ? JOB_QUEUED : JOB_FAILED,
+                 "stopped for a guarantee, its checkpoint was not in time");
       break;
     case PHASE_ENDED:
       sched_job_drop (c, j);
@@ -611,19 +616,26 @@
 
 /* Asks the parts of J to save themselves and free their room; what is not
    saved after reclaim_checkpoint_ms is stopped.  Work that keeps no
-   checkpoint is stopped at once. */
+   checkpoint, or has not started, is stopped at once; what may not be
+   stopped between its parts' starts is asked after them. */
 void
 gang_save (Core *c, Job *j)
 {
   guint i;
 
-  if (j->phase != PHASE_RUN)
-    return;
-  if (!j->rec->checkpointable)
+  if (j->phase == PHASE_START && !gang_may_repeat (j))
+    {
+      j->save_due = TRUE;
+      return;
+    }
+  if (j->phase < PHASE_RUN ||
+      (j->phase == PHASE_RUN && !j->rec->checkpointable))
     {
       gang_undo (c, j, JOB_QUEUED, "stopped for a guarantee");
       return;
     }
+  if (j->phase != PHASE_RUN)
+    return;
   j->phase = PHASE_SAVE;
   for (i = 0; i < j->n_parts; i++)
     {
--- a/src/lease.c
+++ b/src/lease.c
@@ -155,12 +155,36 @@
   return TRUE;
 }
 
+/* Returns how soon a task that is expected to end at END is worth a look:
+   at that time, and after it ever more rarely. */
+static ClockMs
+until_end (Core *c, ClockMs end)
+{
+  if (end > c->now)
+    return end - c->now + LEASE_POLL_MIN_MS / 2;
+  return MAX (LEASE_POLL_MIN_MS, (c->now - end) / LEASE_LATE_SHARE);
+}
+
+static ClockMs
+poll_for (Core *c, const Part *p)
+{
+  const Job *j = p->job;
+  ClockMs age = c->now - j->run_since;
+  ClockMs declared = j->run_since + MAX (0, j->rec->run_ms - j->rec->saved_ms);
+  ClockMs span = MAX (LEASE_POLL_MIN_MS, age / LEASE_POLL_SHARE);
+
+  span = MIN (span, until_end (c, declared));
+  return MIN (span, until_end (c, j->run_since +
+                                      plan_run_ms (c->sched->plan, &j->fleet)));
+}
+
 /* Returns how soon W is asked again: to renew its leases, earlier while it
-   writes a checkpoint or has tasks so young that a late look would matter. */
+   writes a checkpoint, has tasks so young that a late look would matter, or
+   some that should end. */
 static ClockMs
 next_poll (Core *c, const Worker *w)
 {
-  ClockMs most = c->cfg->worker_lease_ms / 3;
+  ClockMs most = core_jitter (c, c->cfg->worker_lease_ms / 3);
   ClockMs span = w->occupied ? LEASE_OCCUPIED_MS : most;
   Part *p = NULL;
 
@@ -169,12 +193,9 @@
       if (p->job->phase == PHASE_SAVE)
         return LEASE_POLL_MIN_MS;
       if (p->state == PART_RUNNING)
-        span = MIN (span, MAX (LEASE_POLL_MIN_MS, (c->now - p->job->run_since) /
-                                                      LEASE_POLL_SHARE));
+        span = MIN (span, poll_for (c, p));
     }
-  if (span < most && !take_poll (c))
-    span = most;
-  return core_jitter (c, span);
+  return span < most && !take_poll (c) ? most : span;
 }
 
 /* Asks W for all its leases, under the present term. */
--- a/src/lease.h
+++ b/src/lease.h
@@ -14,7 +14,8 @@
   LEASE_SILENT = 2,             /* answers missed before a worker is not used */
   LEASE_ANSWER_GRACE_MS = 1000, /* past a call's time-out */
   LEASE_POLL_MIN_MS = 250,      /* between polls for a young task's end */
-  LEASE_POLL_SHARE = 8,         /* a poll each eighth of a task's age */
+  LEASE_POLL_SHARE = 16,        /* a poll each sixteenth of a task's age */
+  LEASE_LATE_SHARE = 4,         /* a poll each quarter of a task's lateness */
   LEASE_POLLS_PER_S = 4,        /* beyond the renewals */
   LEASE_POLL_BURST = 200,
   LEASE_OCCUPIED_MS = 1000, /* between reports of a worker with strange ones */
--- a/src/sched.c
+++ b/src/sched.c
@@ -574,8 +574,26 @@
   return strcmp (x->rec->id, y->rec->id);
 }
 
+static void
+adopt_each (Core *c, const GPtrArray *all, gboolean leased)
+{
+  guint i;
+
+  for (i = 0; i < all->len; i++)
+    {
+      Job *j = g_ptr_array_index (all, i);
+
+      if (!j->adopted &&
+          (!leased || g_hash_table_contains (c->sched->orphans, j->rec->id)))
+        {
+          j->adopted = TRUE;
+          adopt_job (c, j);
+        }
+    }
+}
+
 /* Takes over, in the order of their acceptance, all jobs that were found;
-   what holds accelerators first. */
+   what workers hold leases of first, for that room is really taken. */
 static void
 adopt_all (Core *c)
 {
@@ -591,8 +609,8 @@
   g_ptr_array_sort (all, by_acceptance);
   for (i = 0; i < all->len; i++)
     ((Job *)g_ptr_array_index (all, i))->fleet.id = ++s->last_number;
-  for (i = 0; i < all->len; i++)
-    adopt_job (c, g_ptr_array_index (all, i));
+  adopt_each (c, all, TRUE);
+  adopt_each (c, all, FALSE);
   g_ptr_array_unref (all);
 }
 
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -91,6 +91,8 @@
   ClockMs run_since;
   GPtrArray *askers; /* of JobAsker, told when the end is in the store */
   gboolean planned;  /* the plan has it */
+  gboolean adopted;  /* by the pass over all jobs */
+  gboolean save_due; /* once all parts have started */
   gboolean failed;   /* its last run, which counts against it */
   gboolean lost;     /* it may have run, and the store does not say so */
   FleetJob fleet;    /* what the plan knows of it */
