A connection of which the upstream knows nothing is dropped by the core

Cause: the client closed the old connection as soon as an ask found that the upstream had never seen the request. A body that is still being sent after silence_ms looks the same, so a heavy upload would have been cut off.

Before: upstream_drop had no effect in the daemon.

--- a/bench/req.c
+++ b/bench/req.c
@@ -705,11 +705,14 @@
 
   for (w = 0; w < N_WORKSPACES; w++)
     for (i = 0; i < 10; i++)
-      add_stream (&l,
-                  &(FifoCall) { .work_class = CLASS_NORMAL,
-                                .workspace = w,
-                                .caller = i },
-                  w == 0 && i == 0 ? 800 : 16, 0, FLOOD_SPAN_MS);
+      {
+        FifoCall like = { .work_class = CLASS_NORMAL,
+                          .workspace = w,
+                          .caller = i };
+        gboolean large = w == 0 && i == 0;
+
+        add_stream (&l, &like, large ? 800 : 16, 0, FLOOD_SPAN_MS);
+      }
   naive = run_both (&small_site, &l, FLOOD_SPAN_MS);
   bench_value ("req.jain.weighted", jain (&l, FLOOD_SPAN_MS), "",
                BENCH_AT_LEAST, 0.98);
--- a/src/client.c
+++ b/src/client.c
@@ -607,8 +607,7 @@
 
 static void end_transfer (Call *call);
 
-/* The upstream has told over a new connection what became of the request,
-   so its old connection, which is silent, is given up. */
+/* Gives up the connection of a request that is settled. */
 static void
 drop_send (Client *c, const UpstreamAsk *a)
 {
@@ -621,6 +620,14 @@
   call_free (call);
 }
 
+/* Closes the connection of the attempt that EFFECT, an FX_UPSTREAM_DROP,
+   names; nothing is posted of it any more. */
+void
+client_drop (Client *c, const Event *effect)
+{
+  drop_send (c, effect->body);
+}
+
 static void
 finish_ask (Call *call)
 {
@@ -640,7 +647,7 @@
     reply.result = UPSTREAM_NEVER_SEEN;
   else
     reply.result = UPSTREAM_FAILED;
-  if (reply.result != UPSTREAM_LOST && reply.result != UPSTREAM_RUNNING)
+  if (reply.result == UPSTREAM_ANSWERED || reply.result == UPSTREAM_FAILED)
     drop_send (call->client, a);
   post_upstream_reply (call, &reply);
 }
--- a/src/io.c
+++ b/src/io.c
@@ -282,6 +282,12 @@
   client_call (io->client, e);
 }
 
+static void
+on_drop (Io *io, const Event *e)
+{
+  client_drop (io->client, e);
+}
+
 typedef void (*EffectHandler) (Io *io, const Event *e);
 
 /* Messages, which have no entry, go to their peer. */
@@ -290,7 +296,7 @@
   [FX_REPLY] = on_reply,         [FX_STORE_CALL] = on_call,
   [FX_WORKER_CALL] = on_call,    [FX_UPSTREAM_SEND] = on_call,
   [FX_UPSTREAM_ASK] = on_call,   [FX_UPSTREAM_CANCEL] = on_call,
-  [FX_UPSTREAM_PROBE] = on_call,
+  [FX_UPSTREAM_PROBE] = on_call, [FX_UPSTREAM_DROP] = on_drop,
 };
 
 static void
