--- a/src/lease.c
+++ b/src/lease.c
@@ -308,6 +308,22 @@
   return FALSE;
 }
 
+/* Tells whether W runs fewer parts than it should: a worker that was
+   restarted has forgotten them, and would not report their end. */
+static gboolean
+has_forgotten (const Worker *w, const WorkerReply *r)
+{
+  gint64 running = 0;
+  Part *p = NULL;
+
+  APR_RING_FOREACH (p, &w->parts, Part, link)
+    {
+      if (p->state == PART_RUNNING)
+        running++;
+    }
+  return r->running < running;
+}
+
 static void
 on_worker_answer (Core *c, Worker *w, WorkerOp op, const WorkerReply *r)
 {
@@ -319,6 +335,11 @@
   w->renewed = c->now;
   for (i = 0; i < r->leases.n; i++)
     take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i));
+  if (op == WORKER_RENEW && has_forgotten (w, r))
+    {
+      lease_report (c, w);
+      return;
+    }
   if (op == WORKER_REPORT)
     {
       check_missing (c, w, r);
--- a/src/req.c
+++ b/src/req.c
@@ -29,6 +29,7 @@
   STORE_WAIT_MAX_MS = 5000,
   ASK_TIMEOUT_MS = 2000,
   ASK_AGAIN_MS = 1000,
+  ASK_LOST_MS = 20, /* after a lost answer, which only asking can bring */
   ASK_MAX_MS = 60000,
   ASK_FAILURES_MAX = 3,
   LOOK_UP_MS = 5000,
@@ -1154,6 +1155,7 @@
     default:
       r->so_far = OUTCOME_UNKNOWN;
       r->lost = TRUE;
+      r->patience = ASK_LOST_MS / 2;
       req_ask_upstream (c, r);
       break;
     }
@@ -1195,7 +1197,9 @@
       break;
     case UPSTREAM_RUNNING:
       r->ask_failures = 0;
-      r->patience = req_grow (MAX (r->patience, ASK_AGAIN_MS), ASK_MAX_MS);
+      r->patience = req_grow (r->patience, ASK_MAX_MS);
+      if (!r->lost) /* its answer may still come by itself */
+        r->patience = MAX (r->patience, 2 * ASK_AGAIN_MS);
       ask_later (c, r, r->patience);
       break;
     case UPSTREAM_LOST:
--- a/src/worker_event.h
+++ b/src/worker_event.h
@@ -92,8 +92,9 @@
 REC_DECLARE (WorkerLease, worker_lease, WORKER_LEASE_FIELDS)
 
 /* The reply to one call, or, with CALL 0, a report the worker sent by
-   itself.  TERM is the highest it has seen.  LEASES holds every lease for
-   REPORT, and for RENEW those whose state changed since the last reply. */
+   itself.  TERM is the highest it has seen, RUNNING the number of its
+   running leases.  LEASES holds every lease for REPORT, and for RENEW those
+   whose state changed since the last reply. */
 #define WORKER_REPLY_FIELDS(INT, STR, BYTES, LIST)                             \
   INT (call, 0, G_MAXINT64)                                                    \
   STR (worker, 1, WORKER_MAX_NAME)                                             \
@@ -101,6 +102,7 @@
   INT (status, 0, N_WORKER_STATUSES - 1)                                       \
   INT (term, 0, G_MAXINT64)                                                    \
   STR (reason, 0, 256)                                                         \
+  INT (running, 0, WORKER_MAX_LEASES)                                          \
   LIST (leases, 0, WORKER_MAX_LEASES, worker_lease)
 REC_DECLARE (WorkerReply, worker_reply, WORKER_REPLY_FIELDS)
 
--- a/standin/workers.c
+++ b/standin/workers.c
@@ -284,6 +284,19 @@
     }
 }
 
+static gint64
+count_running (const Worker *w)
+{
+  gint64 n = 0;
+  guint i;
+
+  for (i = 0; i < w->tasks->len; i++)
+    if (((const Task *)g_ptr_array_index (w->tasks, i))->report.state ==
+        LEASE_RUNNING)
+      n++;
+  return n;
+}
+
 static void
 answer (Fleet *f, Worker *w, Exchange *x, const WorkerCall *c)
 {
@@ -303,6 +316,7 @@
   if (r->status == WORKER_OK)
     tell (w, c, r, now);
   r->term = w->term;
+  r->running = count_running (w);
   if (w->fault.lose_answers)
     exchange_close (x);
   else
--- a/tests/fixture_worker.cc
+++ b/tests/fixture_worker.cc
@@ -164,6 +164,8 @@
       if (r->status == WORKER_OK && !w.lossy)
         report (w, call, now, r);
       r->term = w.term;
+      for (auto &l : w.leases)
+        r->running += l.state == LEASE_RUNNING;
       if (w.lossy)
         {
           r->status = WORKER_LOST;
--- a/tests/sched_path_test.cc
+++ b/tests/sched_path_test.cc
@@ -31,6 +31,23 @@
   EXPECT_EQ (w.live_leases (), 0);
 }
 
+TEST_F (SchedPath, ATaskThatItsWorkerForgotIsFoundAtTheNextPoll)
+{
+  std::string id = w.submit_wait (w.job_of (2, 8, 20000));
+  w.run (2000);
+  ASSERT_EQ (w.live_leases (), 2);
+  for (auto &x : w.workers)
+    if (!x.second.leases.empty ())
+      {
+        x.second.reboot ();
+        break;
+      }
+  EXPECT_TRUE (w.run_until ([&] { return w.job_starts[id].size () == 2; },
+                            4000))
+      << w.record (id);
+  EXPECT_TRUE (w.wait_state (id, "done", 30000)) << w.record (id);
+}
+
 TEST_F (SchedPath, AskingShowsTheJobToItsWorkspaceAlone)
 {
   std::string id = w.submit_wait (w.job_of (1, 4, 60000));
--- a/tests/shell_client_test.cc
+++ b/tests/shell_client_test.cc
@@ -341,8 +341,9 @@
   c.job = "";
   c.timeout_ms = 1000;
   call (FX_WORKER_CALL, &c);
-  std::string answer = "{\"call\":5,\"worker\":\"w1\",\"op\":3,\"status\":2,"
-                       "\"term\":9,\"reason\":\"\",\"leases\":[]}";
+  std::string answer =
+      "{\"call\":5,\"worker\":\"w1\",\"op\":3,\"status\":2,"
+      "\"term\":9,\"reason\":\"\",\"running\":0,\"leases\":[]}";
   await_upstream ("\"worker\":\"w1\"")
       ->send ("HTTP/1.1 200 OK\r\nContent-Length: " +
               std::to_string (answer.size ()) + "\r\n\r\n" + answer);
