--- a/src/order.c
+++ b/src/order.c
@@ -278,7 +278,8 @@
     return FALSE;
   c->job = c->next[pick];
   c->next[pick] = APR_RING_NEXT (c->job, link);
-  c->demoted = c->job->work_class != CLASS_INTERACTIVE || c->score > r->fair;
+  c->demoted = c->job->work_class != CLASS_INTERACTIVE ||
+               (!r->guaranteed && c->score > r->fair);
   return TRUE;
 }
 
@@ -301,12 +302,15 @@
 /* Starts a round over the jobs of O that wait.  Jobs must not be added or
    removed until it is cleared. */
 void
-order_round_init (OrderRound *r, Order *o, ClockMs now)
+order_round_init (OrderRound *r, Order *o, gboolean guaranteed, ClockMs now)
 {
   guint i;
   int c;
 
-  *r = (OrderRound) { .order = o, .now = now, .fair = fair_score (o, now) };
+  *r = (OrderRound) { .order = o,
+                      .now = now,
+                      .guaranteed = guaranteed,
+                      .fair = fair_score (o, now) };
   r->heap = g_array_new (FALSE, FALSE, sizeof (OrderCursor));
   for (i = 0; i < o->workspaces->len; i++)
     {
--- a/src/order.h
+++ b/src/order.h
@@ -64,8 +64,9 @@
 {
   Order *order;
   ClockMs now;
-  double fair;  /* the score of a fair share */
-  GArray *heap; /* of OrderCursor */
+  double fair;         /* the score of a fair share */
+  gboolean guaranteed; /* inside guarantees urgency always counts */
+  GArray *heap;        /* of OrderCursor */
 } OrderRound;
 
 void order_init (Order *o);
@@ -85,7 +86,8 @@
 gboolean order_within_limits (Order *o, const FleetJob *j);
 FleetJob *order_oldest (Order *o, gboolean (*fits) (const FleetJob *j));
 
-void order_round_init (OrderRound *r, Order *o, ClockMs now);
+void
+order_round_init (OrderRound *r, Order *o, gboolean guaranteed, ClockMs now);
 FleetJob *order_round_next (OrderRound *r);
 void order_round_clear (OrderRound *r);
 
--- a/src/plan.c
+++ b/src/plan.c
@@ -900,7 +900,7 @@
   gboolean found = FALSE;
   guint reclaims = PLAN_MAX_RECLAIMS;
 
-  order_round_init (&round, &p->order, now);
+  order_round_init (&round, &p->order, guaranteed, now);
   while (!found && (j = order_round_next (&round)))
     if (!order_within_limits (&p->order, j))
       j->wait = PLAN_WAIT_LIMIT;
