--- a/bench/bench.h
+++ b/bench/bench.h
@@ -21,7 +21,8 @@
 #define BENCH_PARTS(X)                                                         \
   X (core)                                                                     \
   X (req)                                                                      \
-  X (place)
+  X (place)                                                                    \
+  X (sched)
 
 #define BENCH_DECLARE(name) void bench_##name (void);
 BENCH_PARTS (BENCH_DECLARE)
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -61,6 +61,8 @@
   gint64 call;       /* in flight, 0: none */
   ClockMs lease_end; /* the worker holds nothing for it after this */
   gint64 progress_ms;
+  gint64 used_mb; /* memory, as last reported; 0: not yet */
+  gboolean throttled;
   gboolean listed; /* by the report under way */
   int tries;
   Timer timer; /* to try again */
@@ -89,6 +91,8 @@
   ClockMs run_since;
   GPtrArray *askers; /* of JobAsker, told when the end is in the store */
   gboolean planned;  /* the plan has it */
+  gboolean adopted;  /* by the pass over all jobs */
+  gboolean save_due; /* once all parts have started */
   gboolean failed;   /* its last run, which counts against it */
   gboolean lost;     /* it may have run, and the store does not say so */
   FleetJob fleet;    /* what the plan knows of it */
@@ -177,6 +181,7 @@
 guint gang_count (const Job *j, PartState state);
 
 void sched_plan_soon (Core *c);
+void sched_account (Core *c, RecList *full);
 Job *sched_job_add (Core *c, JobRecord *rec, gint64 revision);
 void sched_job_drop (Core *c, Job *j);
 void sched_requeue (Core *c, Job *j);
