--- a/tests/shell_http_test.cc
+++ b/tests/shell_http_test.cc
@@ -150,7 +150,7 @@
   Io *io = start ();
   Peer head = caller ("POST /v1/requests HTTP/1.1\r\nHost: h\r\n");
   Peer body = caller ("POST /v1/requests HTTP/1.1\r\nHost: h\r\n"
-                      "Content-Length: 99999\r\n\r\n");
+                      "Content-Length: 999999\r\n\r\n");
   Peer silent = caller ("");
   until ([&] { return io_shell_counter (io, SHELL_HTTP_CONNECTIONS) == 3; });
   Peer c = caller (post ("quick"));
@@ -162,6 +162,8 @@
     body.send ("y");
     return io_shell_counter (io, SHELL_HTTP_CONNECTIONS) == 0;
   });
+  body.take ();
+  EXPECT_EQ (body.in, "");
   EXPECT_EQ (io_shell_counter (io, SHELL_HTTP_CLOSED), 3);
   EXPECT_EQ (io_shell_counter (io, SHELL_BODY_BYTES), 0);
 }
--- a/tests/shell_wire_test.cc
+++ b/tests/shell_wire_test.cc
@@ -197,6 +197,26 @@
   EXPECT_EQ (io_shell_counter (dialler, SHELL_WIRE_REFUSED), 1);
 }
 
+std::string
+frame (const std::string &content)
+{
+  guint32 n = htonl (static_cast<guint32> (content.size ()));
+  return std::string (reinterpret_cast<char *> (&n), sizeof n) + content;
+}
+
+// What the accepter gives as its own proof is none when it comes back.
+TEST_F (ShellWire, TheAcceptersProofIsNotTheDiallers)
+{
+  constexpr size_t challenge = 4 + 1 + 1 + 2 * 34;
+  Peer p = to_accepter ();
+  p.send (frame (std::string ("\x94\x01\xa2h1\xa2h2\xc4\x20") +
+                 std::string (32, 'n')));
+  until ([&] { return p.take () && p.in.size () == challenge; });
+  p.send (frame (std::string ("\x91\xc4\x20") + p.in.substr (challenge - 32)));
+  until ([&] { return !p.take (); });
+  EXPECT_EQ (refused (), 1);
+}
+
 TEST_F (ShellWire, AnotherKeyIsRefused)
 {
   rec_set_str (&hosts->peer_key, "another key, long");
