--- a/src/client.c
+++ b/src/client.c
@@ -411,7 +411,7 @@
 static void
 set_json_body (Call *call, const RecDesc *d)
 {
-  char *text = rec_to_json (d, call->effect->body);
+  char *text = rec_to_short_json (d, call->effect->body);
 
   call->body = g_bytes_new_take (text, strlen (text));
   call->url = g_strconcat (call->target->base, "/v1/call", NULL);
@@ -607,8 +607,7 @@
 
 static void end_transfer (Call *call);
 
-/* The upstream has told over a new connection what became of the request,
-   so its old connection, which is silent, is given up. */
+/* Gives up the connection of a request that is settled. */
 static void
 drop_send (Client *c, const UpstreamAsk *a)
 {
@@ -621,6 +620,14 @@
   call_free (call);
 }
 
+/* Closes the connection of the attempt that EFFECT, an FX_UPSTREAM_DROP,
+   names; nothing is posted of it any more. */
+void
+client_drop (Client *c, const Event *effect)
+{
+  drop_send (c, effect->body);
+}
+
 static void
 finish_ask (Call *call)
 {
@@ -640,7 +647,7 @@
     reply.result = UPSTREAM_NEVER_SEEN;
   else
     reply.result = UPSTREAM_FAILED;
-  if (reply.result != UPSTREAM_LOST && reply.result != UPSTREAM_RUNNING)
+  if (reply.result == UPSTREAM_ANSWERED || reply.result == UPSTREAM_FAILED)
     drop_send (call->client, a);
   post_upstream_reply (call, &reply);
 }
@@ -694,6 +701,27 @@
   io_count (call->client->io, SHELL_CALLS_OPEN, -1);
 }
 
+/* Counts what CALL cost beside the callers' own work: heads and bodies of
+   calls to the store and the workers. */
+static void
+count_control (Call *call)
+{
+  curl_off_t sent = 0;
+  curl_off_t received = 0;
+  long request_head = 0;
+  long answer_head = 0;
+
+  if (call->effect->kind != FX_STORE_CALL &&
+      call->effect->kind != FX_WORKER_CALL)
+    return;
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_head);
+  curl_easy_getinfo (call->easy, CURLINFO_HEADER_SIZE, &answer_head);
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_DOWNLOAD_T, &received);
+  io_count (call->client->io, SHELL_CONTROL_BYTES_OUT, request_head + sent);
+  io_count (call->client->io, SHELL_CONTROL_BYTES_IN, answer_head + received);
+}
+
 static void
 on_transfer_end (Client *c, CURL *easy, CURLcode code)
 {
@@ -706,6 +734,7 @@
   call->whole = is_whole (call, code, status);
   call->status = status >= 100 && status <= 599 ? (int)status : 0;
   target = call->target;
+  count_control (call);
   end_transfer (call);
   finish (call);
   begin_waiting (c, target);
--- a/src/gang.c
+++ b/src/gang.c
@@ -308,6 +308,7 @@
 static void
 running (Core *c, Job *j)
 {
+  gboolean save_due = j->save_due;
   guint i;
 
   j->phase = PHASE_RUN;
@@ -325,6 +326,9 @@
 
       lease_wake (c, w, LEASE_POLL_MIN_MS);
     }
+  j->save_due = FALSE;
+  if (save_due)
+    gang_save (c, j);
 }
 
 /* Tells whether J may be started again after it may have run. */
@@ -463,7 +467,8 @@
                  "not all parts started in time");
       break;
     case PHASE_SAVE:
-      gang_undo (c, j, JOB_QUEUED, "no checkpoint in time");
+      gang_undo (c, j, gang_may_repeat (j) ? JOB_QUEUED : JOB_FAILED,
+                 "stopped for a guarantee, its checkpoint was not in time");
       break;
     case PHASE_ENDED:
       sched_job_drop (c, j);
@@ -611,19 +616,26 @@
 
 /* Asks the parts of J to save themselves and free their room; what is not
    saved after reclaim_checkpoint_ms is stopped.  Work that keeps no
-   checkpoint is stopped at once. */
+   checkpoint, or has not started, is stopped at once; what may not be
+   stopped between its parts' starts is asked after them. */
 void
 gang_save (Core *c, Job *j)
 {
   guint i;
 
-  if (j->phase != PHASE_RUN)
-    return;
-  if (!j->rec->checkpointable)
+  if (j->phase == PHASE_START && !gang_may_repeat (j))
+    {
+      j->save_due = TRUE;
+      return;
+    }
+  if (j->phase < PHASE_RUN ||
+      (j->phase == PHASE_RUN && !j->rec->checkpointable))
     {
       gang_undo (c, j, JOB_QUEUED, "stopped for a guarantee");
       return;
     }
+  if (j->phase != PHASE_RUN)
+    return;
   j->phase = PHASE_SAVE;
   for (i = 0; i < j->n_parts; i++)
     {
@@ -634,12 +646,53 @@
   core_arm (c, &j->timer, c->now + c->cfg->reclaim_checkpoint_ms);
 }
 
+/* J uses more memory than its worker can give it beside others. */
+static void
+stop_oversized (Core *c, Job *j, const Part *p)
+{
+  const char *reason = "it uses more memory than it asked for";
+
+  add_evidence (j, p->worker->cfg->name, reason);
+  j->failed = TRUE;
+  if (gang_may_repeat (j) && j->rec->evidence.n < JOB_MAX_EVIDENCE)
+    gang_undo (c, j, JOB_QUEUED, reason);
+  else
+    gang_undo (c, j, JOB_FAILED, reason);
+}
+
+/* Looks at the memory that P is reported to use.  Returns FALSE if its gang
+   is stopped for that. */
+static gboolean
+check_memory (Core *c, Part *p, gint64 used_mb)
+{
+  Job *j = p->job;
+  PlanOver over;
+
+  p->used_mb = used_mb;
+  if (j->phase != PHASE_RUN || p->state != PART_RUNNING || used_mb == 0)
+    return TRUE;
+  over = plan_used_memory (c->sched->plan, &j->fleet, used_mb);
+  if (over == PLAN_OVER_STOP)
+    {
+      stop_oversized (c, j, p);
+      return FALSE;
+    }
+  if (over == PLAN_OVER_THROTTLE && !p->throttled && !p->call)
+    {
+      p->throttled = TRUE;
+      part_call (c, p, WORKER_THROTTLE);
+    }
+  return TRUE;
+}
+
 /* Takes what a worker says of the lease of P. */
 void
 gang_fold (Core *c, Part *p, const WorkerLease *l)
 {
   Job *j = p->job;
 
+  if (!check_memory (c, p, l->used_memory_mb))
+    return;
   p->progress_ms = MAX (p->progress_ms, l->progress_ms);
   if (p->state == PART_FREE || p->state == PART_STOPPING)
     return;
