--- a/tests/table_force_test.cc
+++ b/tests/table_force_test.cc
@@ -509,10 +509,6 @@
     }
   heal ();
   w.run (40000);
-  for (auto &n : w.notes)
-    if (n.kind >= NOTE_TABLE_IN_FORCE && n.kind <= NOTE_TABLE_CONFLICT)
-      printf ("%ld %s %s %s\n", (long)n.at, n.host.c_str (), note_name (n.kind),
-              n.detail.c_str ());
   int accepted = 0;
   for (auto &n : w.nodes)
     EXPECT_EQ (w.csv (n.first), w.csv ("d0h0")) << n.first;
