--- a/bench/bench.h
+++ b/bench/bench.h
@@ -21,6 +21,7 @@
 #define BENCH_PARTS(X)                                                         \
   X (core)                                                                     \
   X (req)                                                                      \
+  X (sched)                                                                    \
   X (shared)
 
 #define BENCH_DECLARE(name) void bench_##name (void);
