--- a/bench/place.c
+++ b/bench/place.c
@@ -235,11 +235,13 @@
 static double
 percentile (GArray *list, guint permille)
 {
+  guint at;
+
   if (list->len == 0)
     return 0;
   g_array_sort (list, compare_int64);
-  return (double)g_array_index (list, gint64,
-                                (guint64)(list->len - 1) * permille / 1000);
+  at = (guint)((guint64)(list->len - 1) * permille / 1000);
+  return (double)g_array_index (list, gint64, at);
 }
 
 static void
@@ -437,7 +439,7 @@
       j->job = *made;
       g_free (made);
       draw_shape (w, j);
-      j->job.cores = 4 * j->job.accelerators;
+      j->job.cores = 4 * (gint64)j->job.accelerators;
       j->job.memory_mb = 8000 * (gint64)j->job.accelerators;
       j->job.work_class = (WorkClass)draw (w, 0, N_CLASSES - 1);
       if (draw (w, 0, 1))
