--- a/bench/bench.h
+++ b/bench/bench.h
@@ -22,7 +22,8 @@
   X (core)                                                                     \
   X (req)                                                                      \
   X (place)                                                                    \
-  X (sched)
+  X (sched)                                                                    \
+  X (shared)
 
 #define BENCH_DECLARE(name) void bench_##name (void);
 BENCH_PARTS (BENCH_DECLARE)
