--- a/src/gang.c
+++ b/src/gang.c
@@ -757,7 +757,9 @@
       if (p->state == PART_STARTING)
         {
           p->state = PART_GONE;
-          gang_undo (c, p->job, JOB_QUEUED, "a reservation lapsed");
+          gang_undo (c, p->job,
+                     gang_may_repeat (p->job) ? JOB_QUEUED : JOB_UNKNOWN,
+                     "a reservation lapsed");
         }
       break;
     case WORKER_STOP:
--- a/src/job.c
+++ b/src/job.c
@@ -322,6 +322,13 @@
 {
   JobRecord *found = item ? job_decode (item->value) : NULL;
 
+  if (found && found->term > c->sched->role.term)
+    {
+      /* What is known here of the job is older than the record. */
+      role_yield (c, found->term, "a record has a higher term");
+      job_record_free (found);
+      return;
+    }
   end_writing (c, j);
   j->revision = item ? item->revision : 0;
   if (found && job_state_ended ((JobState)found->state))
--- a/src/role.c
+++ b/src/role.c
@@ -624,6 +624,15 @@
   g_free (key);
 }
 
+/* Gives the role up at once, for WHY: TERM was seen above the own one.
+   What is known of jobs is found anew by whoever has the role next. */
+void
+role_yield (Core *c, gint64 term, const char *why)
+{
+  role_note_term (c, term);
+  step_down (c, why);
+}
+
 /* Tells whether this host is its domain's scheduler. */
 gboolean
 role_held (const Core *c)
--- a/src/role.h
+++ b/src/role.h
@@ -53,6 +53,7 @@
 void role_on_beat (Core *c, const Event *e);
 void role_on_stale (Core *c, gint64 term);
 void role_note_term (Core *c, gint64 term);
+void role_yield (Core *c, gint64 term, const char *why);
 void role_drain (Core *c);
 gboolean role_is_full (const Core *c, const char *workspace);
 gboolean role_held (const Core *c);
--- a/src/sched.c
+++ b/src/sched.c
@@ -449,15 +449,21 @@
 
 /* Takes VALUE from the host that took the job.  AGAIN: a scheduler before
    this one knew of it, so that what must not be repeated may have run, and
-   is not started when the store has lost it.  Returns whether its end is in
-   the store. */
-gboolean
+   is not started when the store has lost it; before the store is read that
+   cannot be told.  Returns 1 if its end is in the store, 0 if not, -1 if it
+   is not taken yet. */
+int
 sched_job_hinted (Core *c, GBytes *value, gint64 revision, gboolean again)
 {
   Sched *s = c->sched;
   JobRecord *r = job_decode (value);
   Job *j = r ? g_hash_table_lookup (s->jobs, r->id) : NULL;
 
+  if (!j && r && again && !r->repeatable && !s->records_known)
+    {
+      job_record_free (r);
+      return -1;
+    }
   if (j)
     job_record_free (r);
   else if (r)
@@ -533,13 +539,15 @@
   unlist (c);
   /* Of work that a scheduler before this one had, an older state is read. */
   s->went_back = !s->records_known && r->revision < s->role.store_revision;
-  for (i = 0; i < r->items.n; i++)
+  for (i = 0; i < r->items.n && role_held (c); i++)
     {
       const StoreItem *item = rec_list_at (store_item_desc (), &r->items, i);
 
       bytes += item->value ? (gint64)g_bytes_get_size (item->value) : 0;
       sched_job_seen (c, item->value, item->revision);
     }
+  if (!role_held (c))
+    return;
   heal (c, r);
   s->records_known = TRUE;
   if (c->now - s->taken_at >= SCHED_ORPHAN_MS)
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -187,8 +187,7 @@
 void sched_requeue (Core *c, Job *j);
 void sched_submit (Core *c, Job *j);
 void sched_job_seen (Core *c, GBytes *value, gint64 revision);
-gboolean
-sched_job_hinted (Core *c, GBytes *value, gint64 revision, gboolean again);
+int sched_job_hinted (Core *c, GBytes *value, gint64 revision, gboolean again);
 void sched_take (Core *c);
 void sched_leave (Core *c);
 void sched_cancel (Core *c, Job *j);
--- a/src/submit.c
+++ b/src/submit.c
@@ -223,8 +223,7 @@
     }
   if (is_scheduler_of (c, h->domain))
     {
-      sched_job_hinted (c, h->value, h->revision, h->again);
-      h->known = TRUE;
+      h->known = sched_job_hinted (c, h->value, h->revision, h->again) >= 0;
     }
   else if (h->tries++ >= HINT_TRIES)
     h->known = TRUE;
@@ -233,7 +232,7 @@
       core_arm (c, t, h->keep_until);
       return;
     }
-  if (host)
+  if (host && strcmp (host, c->cfg->host) != 0)
     core_emit (c, MSG_JOB_HINT, host, &m);
   core_arm (c, t, c->now + core_jitter (c, HINT_RETRY_MS));
 }
@@ -272,7 +271,7 @@
 
       if (strcmp (h->domain, c->cfg->domain) != 0)
         continue;
-      h->again |= h->known;
+      h->again |= h->known || h->tries > 0;
       h->known = FALSE;
       h->tries = 0;
       core_arm (c, &h->timer, c->now + core_random (c, HINT_RETRY_MS));
@@ -868,6 +867,7 @@
 take_hint (Core *c, const SchedHint *h)
 {
   Job *j;
+  int ended;
 
   if (h->cancel)
     {
@@ -879,11 +879,10 @@
         }
       return;
     }
-  core_emit (c, MSG_JOB_KNOWN, h->origin,
-             &(SchedKnown) { .id = h->id,
-                             .ended =
-                                 sched_job_hinted (c, h->value, h->revision,
-                                                   h->again != 0) });
+  ended = sched_job_hinted (c, h->value, h->revision, h->again != 0);
+  if (ended >= 0)
+    core_emit (c, MSG_JOB_KNOWN, h->origin,
+               &(SchedKnown) { .id = h->id, .ended = ended });
 }
 
 /* Takes news of a job, or passes it on to the scheduler. */
--- a/tests/sched_fault_test.cc
+++ b/tests/sched_fault_test.cc
@@ -193,4 +193,10 @@
 
 INSTANTIATE_TEST_SUITE_P (Seeds, SchedPair, testing::Range (0, 150));
 
+/* What must not be repeated was started unrecorded by a successor, and a
+   second time by one that could not read the store. */
+INSTANTIATE_TEST_SUITE_P (Regressions,
+                          SchedPair,
+                          testing::Values (415, 695, 888, 1143));
+
 } // namespace
