--- a/bench/bench.h
+++ b/bench/bench.h
@@ -21,7 +21,9 @@
 #define BENCH_PARTS(X)                                                         \
   X (core)                                                                     \
   X (req)                                                                      \
-  X (sched)
+  X (place)                                                                    \
+  X (sched)                                                                    \
+  X (shared)
 
 #define BENCH_DECLARE(name) void bench_##name (void);
 BENCH_PARTS (BENCH_DECLARE)
