--- a/src/adopt.c
+++ b/src/adopt.c
@@ -156,12 +156,11 @@
   j->phase = PHASE_START;
   if (n_saved == j->n_parts)
     gang_saved (c, j);
-  else if (!started && !j->rec->repeatable &&
-           gang_count (j, PART_RESERVED) < j->n_parts)
+  else if (!started && ((!j->rec->repeatable &&
+                         gang_count (j, PART_RESERVED) < j->n_parts) ||
+                        (gone && found == 0)))
     /* Nothing has started, and nothing does before that is recorded. */
     gang_undo (c, j, JOB_QUEUED, "placed by a scheduler that is gone");
-  else if (gone && !started && found == 0)
-    gang_undo (c, j, JOB_QUEUED, "placed by a scheduler that is gone");
   else if (gone)
     gang_broken (c, j, gone, FALSE, "a part is gone");
   else if (n_saved)
