--- a/src/req.c
+++ b/src/req.c
@@ -1199,7 +1199,7 @@
       r->ask_failures = 0;
       r->patience = req_grow (r->patience, ASK_MAX_MS);
       if (!r->lost) /* its answer may still come by itself */
-        r->patience = MAX (r->patience, 2 * ASK_AGAIN_MS);
+        r->patience = MAX (r->patience, 2 * (ClockMs)ASK_AGAIN_MS);
       ask_later (c, r, r->patience);
       break;
     case UPSTREAM_LOST:
