--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -227,11 +227,14 @@
     }
   EXPECT_EQ (w.run ().size (), 4u);
   guint at = jobs[0]->part[0].worker;
-  for (auto *j : jobs)
+  for (auto *&j : jobs)
     if (j != jobs[0] && j->part[0].worker == at)
-      w.end (j);
+      {
+        w.end (j);
+        j = nullptr;
+      }
   for (auto *j : jobs)
-    if (w.jobs.count (j->id) && j->part[0].worker != at)
+    if (j && j->part[0].worker != at)
       {
         w.end (j);
         break;
--- a/tests/sched_takeover_test.cc
+++ b/tests/sched_takeover_test.cc
@@ -144,10 +144,9 @@
   w.store.lose_permille = 100;
   for (int i = 0; i < 6; i++)
     {
-      CallerJob q = i % 3 ? w.job_of (1 + i % 4, 4, 1000 + i * 500)
-                          : once (("k" + std::to_string (i)).c_str (), 1, 2000);
-      std::string key = q.key ? q.key : "";
-      q.key = key.c_str ();
+      std::string key = i % 3 ? "" : "k" + std::to_string (i);
+      CallerJob q = key.empty () ? w.job_of (1 + i % 4, 4, 1000 + i * 500)
+                                 : once (key.c_str (), 1, 2000);
       gint64 conn = w.submit (q, "h" + std::to_string (i % 4));
       w.run_until ([&] { return w.reply (conn) != nullptr; }, 20000);
       w.accepted (conn);
