The scripts need the whole of Python's library

Cause: tools/run-tests imports json, which the minimal package may lack. Not tried on a fresh machine. After: the full package is installed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = pkg-config libapr1-dev libaprutil1-dev libmsgpack-dev \
 	libmicrohttpd-dev libglib2.0-dev libjson-c-dev libcsv-dev \
 	libcurl4-openssl-dev libxxhash-dev libgtest-dev g++ \
-	clang-format clang-tidy cppcheck python3-minimal curl
+	clang-format clang-tidy cppcheck python3 curl
 
 CC ?= cc
 CXX ?= c++
