The bench's fake worker counts its running parts

Cause: the new count was 0 there, so each renewal was followed by a full list, without end (stack taken in bench/sched.c). Ruled out: the takeover.

--- a/bench/sched.c
+++ b/bench/sched.c
@@ -406,6 +406,18 @@
   return (guint)g_ascii_strtoull (name + 1, NULL, 10);
 }
 
+static gint64
+count_running (const SimWorker *w)
+{
+  gint64 n = 0;
+  guint i;
+
+  for (i = 0; i < (guint)w->n; i++)
+    if (w->leases[i].state == LEASE_RUNNING)
+      n++;
+  return n;
+}
+
 static void
 call_worker (Sim *s, guint host, const WorkerCall *call)
 {
@@ -423,6 +435,7 @@
   if (r->status == WORKER_OK)
     list_leases (w, call, r);
   r->term = w->term;
+  r->running = count_running (w);
   s->messages[host]++;
   s->bytes[host] += json_bytes (worker_call_desc (), call) + REQUEST_HEADER +
                     json_bytes (worker_reply_desc (), r) + REPLY_HEADER;
