One function fetches and prints what an operator asks for

Cause: the same fetch, print and clear stood in status, table show and the commands of cli_show.c. Before: three copies. Behaviour is as it was.

--- a/src/cli.c
+++ b/src/cli.c
@@ -246,3 +246,17 @@
   json_object_put (o);
   return answer->status >= 200 && answer->status < 300 ? CLI_OK : CLI_REFUSED;
 }
+
+/* Fetches PATH from the first of the operators' interfaces that answers, and
+   prints it.  Returns the exit code. */
+int
+cli_show (Cli *cli, const char *path, GError **error)
+{
+  CliAnswer answer = { 0 };
+  int code = CLI_REFUSED;
+
+  if (cli_fetch_any (cli, "GET", path, NULL, &answer, error))
+    code = cli_print (cli, &answer);
+  cli_answer_clear (&answer);
+  return code;
+}
--- a/src/cli.h
+++ b/src/cli.h
@@ -78,6 +78,7 @@
                         CliAnswer *answer,
                         GError **error);
 void cli_answer_clear (CliAnswer *answer);
+int cli_show (Cli *cli, const char *path, GError **error);
 int cli_print (const Cli *cli, const CliAnswer *answer);
 void cli_print_object (json_object *o, int indent);
 
--- a/src/cli_job.c
+++ b/src/cli_job.c
@@ -191,9 +191,6 @@
 int
 cli_status (Cli *cli, int argc, char **argv, GError **error)
 {
-  CliAnswer answer = { 0 };
-  int code = CLI_REFUSED;
-
   if (!cli_options ("Shows a job, or the state of the system.", NULL, &argc,
                     &argv, error))
     return CLI_USAGE;
@@ -201,10 +198,7 @@
     return job_call (cli, "GET", argv[1], error);
   if (!cli_arguments (argc, argv, 0, error))
     return CLI_USAGE;
-  if (cli_fetch_any (cli, "GET", "/v1/status", NULL, &answer, error))
-    code = cli_print (cli, &answer);
-  cli_answer_clear (&answer);
-  return code;
+  return cli_show (cli, "/v1/status", error);
 }
 
 /* Cancels a job. */
--- a/src/cli_show.c
+++ b/src/cli_show.c
@@ -8,18 +8,6 @@
 
 static const char clear_screen[] = "\033[H\033[2J";
 
-static int
-show (Cli *cli, const char *path, GError **error)
-{
-  CliAnswer answer = { 0 };
-  int code = CLI_REFUSED;
-
-  if (cli_fetch_any (cli, "GET", path, NULL, &answer, error))
-    code = cli_print (cli, &answer);
-  cli_answer_clear (&answer);
-  return code;
-}
-
 /* Shows the hosts as one of them sees them. */
 int
 cli_hosts (Cli *cli, int argc, char **argv, GError **error)
@@ -28,7 +16,7 @@
                     &argv, error) ||
       !cli_arguments (argc, argv, 0, error))
     return CLI_USAGE;
-  return show (cli, "/v1/hosts", error);
+  return cli_show (cli, "/v1/hosts", error);
 }
 
 /* Tells whether ANSWER says that its host does not know the id. */
@@ -96,9 +84,9 @@
         g_usleep ((gulong)MAX (every_ms, 1) * 1000);
       if (isatty (STDOUT_FILENO))
         fputs (clear_screen, stdout);
-      code = show (cli, "/v1/hosts", error);
+      code = cli_show (cli, "/v1/hosts", error);
       if (code == CLI_OK)
-        code = show (cli, "/v1/status", error);
+        code = cli_show (cli, "/v1/status", error);
       fflush (stdout);
     }
   return code;
--- a/src/cli_table.c
+++ b/src/cli_table.c
@@ -175,17 +175,11 @@
 int
 cli_table_show (Cli *cli, int argc, char **argv, GError **error)
 {
-  CliAnswer answer = { 0 };
-  int code = CLI_REFUSED;
-
   if (!cli_options ("Shows the table in force and who has it.", NULL, &argc,
                     &argv, error) ||
       !cli_arguments (argc, argv, 0, error))
     return CLI_USAGE;
-  if (cli_fetch_any (cli, "GET", "/v1/table", NULL, &answer, error))
-    code = cli_print (cli, &answer);
-  cli_answer_clear (&answer);
-  return code;
+  return cli_show (cli, "/v1/table", error);
 }
 
 static void
