--- a/Makefile
+++ b/Makefile
@@ -11,18 +11,18 @@
 BUILD ?= build
 WARN = -Wall -Wextra -Werror
 LIBS = apr-1 msgpack libmicrohttpd glib-2.0 json-c libcurl
-CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SAN) -iquote src -MMD -MP \
+CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SAN) -iquote src -iquote queue -iquote platform -MMD -MP \
 	$(shell pkg-config --cflags $(LIBS) 2>/dev/null)
 CXXFLAGS = -std=gnu++17 -g $(OPT) -Wall -Wextra -Werror -Wno-missing-field-initializers \
-	$(SAN) -iquote src -iquote tests -MMD -MP \
+	$(SAN) -iquote src -iquote queue -iquote platform -iquote tests -MMD -MP \
 	$(shell pkg-config --cflags $(LIBS) gtest 2>/dev/null)
 LDLIBS = $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lcsv
 
 # The shell: whatever touches sockets, clocks, files or threads.
-SHELL_MODULES = io wire http log metrics timeline settings client cli cli_table cli_job cli_show cli_timeline lanes
+SHELL_MODULES = loop fetch lines io wire http log metrics timeline settings client cli cli_table cli_job cli_show cli_timeline lanes
 
-CORE_SRC = $(filter-out $(SHELL_MODULES:%=src/%.c),$(wildcard src/*.c))
-SHELL_SRC = $(wildcard $(SHELL_MODULES:%=src/%.c))
+CORE_SRC = $(filter-out $(SHELL_MODULES:%=src/%.c),$(wildcard src/*.c)) $(wildcard queue/*.c)
+SHELL_SRC = $(wildcard $(SHELL_MODULES:%=src/%.c)) $(wildcard platform/*.c)
 STANDIN_SRC = $(wildcard standin/*.c)
 CORE_OBJ = $(CORE_SRC:%.c=$(BUILD)/%.o)
 SHELL_OBJ = $(SHELL_SRC:%.c=$(BUILD)/%.o)
@@ -38,6 +38,10 @@
 
 all: $(CORE) $(LIB) $(PROGRAMS)
 
+# What the platform builds: the process of an entry host, under target/.
+deploy:
+	$(MAKE) -s BUILD=target target/wagtailpass-node
+
 packages:
 	@pkg-config --exists $(LIBS) gtest 2>/dev/null && \
 	  command -v clang-tidy >/dev/null && command -v cppcheck >/dev/null \
@@ -108,8 +112,8 @@
 	$(MAKE) -s BUILD=build-asan OPT=-O1 SAN="$(SANITIZE)" build-asan/unit-tests
 	tools/run-tests build-asan/unit-tests
 
-C_FILES = $(wildcard src/*.c daemons/*.c examples/*.c standin/*.c bench/*.c tests/naive/*.c)
-ALL_FILES = $(C_FILES) $(wildcard src/*.h standin/*.h bench/*.h tests/*.h tests/naive/*.h tests/*.cc)
+C_FILES = $(wildcard src/*.c queue/*.c platform/*.c daemons/*.c examples/*.c standin/*.c bench/*.c tests/naive/*.c)
+ALL_FILES = $(C_FILES) $(wildcard src/*.h queue/*.h platform/*.h standin/*.h bench/*.h tests/*.h tests/naive/*.h tests/*.cc)
 
 format:
 	clang-format -i $(ALL_FILES)
@@ -138,5 +142,5 @@
 clean:
 	rm -rf build
 
-.PHONY: demo bench bench-report stats print-packages print-sanitize all packages unit check format lint format-check tidy cppcheck symbols clean
+.PHONY: deploy demo bench bench-report stats print-packages print-sanitize all packages unit check format lint format-check tidy cppcheck symbols clean
 -include $(wildcard $(BUILD)/*/*.d $(BUILD)/*/*/*.d)
--- /dev/null
+++ b/daemons/wagtailpass-node.c
@@ -0,0 +1,113 @@
+#include "host.h"
+
+#include <apr_signal.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* One entry host's process on the platform. */
+
+enum
+{
+  EXIT_FINDING = 1,
+  EXIT_USAGE = 2
+};
+
+static const char settings_variable[] = "WAGTAILPASS_BOOT";
+
+typedef struct Options
+{
+  char *settings;
+  gboolean check;
+} Options;
+
+static gboolean
+parse_options (int argc, char **argv, Options *o)
+{
+  const GOptionEntry entries[] = {
+    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &o->settings,
+      "The platform's settings; else the file named in WAGTAILPASS_BOOT",
+      "FILE" },
+    { "check-settings", 0, 0, G_OPTION_ARG_NONE, &o->check,
+      "Check the settings, print all findings and exit", NULL },
+    { 0 }
+  };
+  GOptionContext *context =
+      g_option_context_new ("- entry host of wagtailpass on the platform");
+  GError *error = NULL;
+  gboolean ok;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  ok = g_option_context_parse (context, &argc, &argv, &error);
+  g_option_context_free (context);
+  if (ok && !o->settings)
+    o->settings = g_strdup (g_getenv (settings_variable));
+  if (ok && o->settings && argc == 1)
+    return TRUE;
+  fprintf (stderr, "wagtailpass-node: %s\n",
+           error ? error->message : "needs --settings FILE and no arguments");
+  g_clear_error (&error);
+  return FALSE;
+}
+
+static Boot *
+read_settings (const char *file)
+{
+  Findings findings;
+  Boot *boot;
+  char *text;
+
+  findings_init (&findings);
+  boot = boot_load (file, &findings);
+  text = findings_text (&findings);
+  fputs (text, stderr);
+  g_free (text);
+  findings_clear (&findings);
+  return boot;
+}
+
+static int
+serve (Boot *boot, const char *file)
+{
+  GError *error = NULL;
+  Host *host = host_new (boot, file, &error);
+
+  if (!host)
+    {
+      fprintf (stderr, "wagtailpass-node: %s\n", error->message);
+      g_error_free (error);
+      return EXIT_FINDING;
+    }
+  apr_signal (SIGPIPE, SIG_IGN);
+  apr_signal (SIGTERM, host_signal);
+  apr_signal (SIGINT, host_signal);
+  apr_signal (SIGHUP, host_signal);
+  host_run (host);
+  host_free (host);
+  return EXIT_SUCCESS;
+}
+
+static int
+run (const Options *o)
+{
+  Boot *boot = read_settings (o->settings);
+
+  if (!boot)
+    return EXIT_FINDING;
+  if (!o->check)
+    return serve (boot, o->settings);
+  boot_free (boot);
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  Options o = { 0 };
+  int status = EXIT_USAGE;
+
+  if (parse_options (argc, argv, &o))
+    status = run (&o);
+  g_free (o.settings);
+  return status;
+}
--- a/daemons/wagtailpassd.c
+++ b/daemons/wagtailpassd.c
@@ -96,7 +96,7 @@
 {
   if (pipe (stop_pipe) != 0)
     return FALSE;
-  io_watch (io, stop_pipe[0], APR_POLLIN, on_stop, io);
+  loop_watch (io_loop (io), stop_pipe[0], APR_POLLIN, on_stop, io);
   apr_signal (SIGPIPE, SIG_IGN);
   apr_signal (SIGTERM, on_signal);
   apr_signal (SIGINT, on_signal);
--- /dev/null
+++ b/queue/assign.c
@@ -0,0 +1,368 @@
+#include "dispatch_state.h"
+
+#include "fit.h"
+#include "rank.h"
+
+enum
+{
+  CLAIM_MS = 1600,     /* room that does not become free by then is given up */
+  RACK_WAIT_MS = 2500, /* for room near the data before running far from it */
+  URGENT_EVICT_AFTER_MS = 250
+};
+
+/* What a pass of the planner works on. */
+typedef struct Pass
+{
+  Dispatch *d;
+  FitWorker *workers;
+  guint n;
+} Pass;
+
+static gboolean
+is_usable (const Dispatch *d, const PoolWorker *w)
+{
+  return w->listed && w->known && !w->entry->draining && !w->unanswered &&
+         w->avoid_until <= d->now;
+}
+
+static void
+look_at_workers (Pass *p)
+{
+  const GPtrArray *order = p->d->pool.order;
+  guint i;
+
+  p->workers = g_new0 (FitWorker, order->len + 1);
+  for (i = 0; i < order->len; i++)
+    {
+      PoolWorker *w = g_ptr_array_index (order, i);
+
+      if (is_usable (p->d, w))
+        p->workers[p->n++] =
+            (FitWorker) { .worker = w, .room = pool_free_room (w) };
+    }
+}
+
+/* Takes the workers' room as it is after an eviction has claimed some. */
+static void
+look_again (Pass *p)
+{
+  guint i;
+
+  for (i = 0; i < p->n; i++)
+    p->workers[i].room = pool_free_room (p->workers[i].worker);
+}
+
+static void
+evict_and_look (Pass *p, WorkStep *step)
+{
+  if (evict_for (p->d, step))
+    look_again (p);
+}
+
+static const char *
+service_of (const Dispatch *d, const WorkJob *job)
+{
+  const ConfRoute *route = conf_route_named (d->conf, job->entry->job->route);
+
+  return route ? route->service : job->entry->job->service;
+}
+
+static FitRequest
+request_for (const Dispatch *d, const WorkStep *step, guint count)
+{
+  const SpecStep *spec = step->spec;
+
+  return (FitRequest) { .service = service_of (d, step->job),
+                        .need = step->need,
+                        .count = count,
+                        .max_per_worker = (guint)spec->max_per_worker,
+                        .label = spec->label,
+                        .rack = spec->rack,
+                        .same_rack = spec->same_rack && spec->gang };
+}
+
+static void
+forget_placed (Pass *p)
+{
+  guint i;
+
+  for (i = 0; i < p->n; i++)
+    p->workers[i].placed = 0;
+}
+
+/* Counts the tasks of STEP that are on workers already. */
+static void
+count_placed (Pass *p, const WorkStep *step)
+{
+  guint i, k;
+
+  forget_placed (p);
+  for (i = 0; i < step->spec->count; i++)
+    {
+      const WorkPart *part = step->tasks[i].part;
+
+      for (k = 0; part && k < p->n; k++)
+        if (p->workers[k].worker == part->worker)
+          p->workers[k].placed++;
+    }
+}
+
+static gint64
+next_run (const Dispatch *d, const WorkStep *step)
+{
+  gint64 run = 0;
+  guint i;
+
+  for (i = 0; i < step->spec->count; i++)
+    run = MAX (run, step->tasks[i].last_run);
+  return MAX (run + 1, d->term.first_run);
+}
+
+static void
+note_started (Dispatch *d, WorkStep *step, guint n, gint64 run)
+{
+  WorkJob *job = step->job;
+
+  effects_log (d->fx,
+               "event=start job=%s step=%u.%u tasks=%u run=%" G_GINT64_FORMAT
+               " priority=%" G_GINT64_FORMAT " age_ms=%" CLOCK_MS_FORMAT
+               " fence=%" G_GINT64_FORMAT,
+               job->entry->id, step->occurrence, step->number, n, run,
+               job->entry->job->priority, d->now - job->accepted,
+               d->term.fence);
+  if (job->state == JOB_QUEUED)
+    {
+      job->state = JOB_RUNNING;
+      save_mark (d, job);
+    }
+}
+
+static void
+start_gang (Dispatch *d, WorkStep *step, PoolWorker **chosen)
+{
+  gint64 run = next_run (d, step);
+  guint i;
+
+  for (i = 0; i < step->spec->count; i++)
+    runs_start (d,
+                work_part_new (&step->tasks[i], chosen[i], run, PART_STARTING));
+  note_started (d, step, (guint)step->spec->count, run);
+}
+
+/* A gang waits for one rack as long as any could hold it; where none can,
+   it runs over several, however slowly. */
+static void
+place_gang (Pass *p, WorkStep *step)
+{
+  guint count = (guint)step->spec->count;
+  FitRequest rq = request_for (p->d, step, count);
+  PoolWorker **chosen = g_new0 (PoolWorker *, count);
+  ClockMs age = p->d->now - step->job->accepted;
+
+  forget_placed (p);
+  if (fit_place (&rq, p->workers, p->n, chosen))
+    start_gang (p->d, step, chosen);
+  else
+    {
+      rq.anywhere =
+          (*rq.rack && age > RACK_WAIT_MS + step->spec->estimate_ms) ||
+          !fit_could_ever (&rq, p->workers, p->n);
+      if (rq.anywhere && fit_place (&rq, p->workers, p->n, chosen))
+        start_gang (p->d, step, chosen);
+      else if (step->job->entry->job->priority == 0 &&
+               age > URGENT_EVICT_AFTER_MS)
+        evict_and_look (p, step);
+    }
+  g_free (chosen);
+}
+
+static gboolean
+place_task (Pass *p, WorkTask *task)
+{
+  WorkStep *step = task->step;
+  FitRequest rq = request_for (p->d, step, 1);
+  PoolWorker *chosen;
+  ClockMs age = p->d->now - step->job->accepted;
+  gint64 run;
+
+  rq.not_on = task->failed_on;
+  rq.anywhere = *rq.rack && age > RACK_WAIT_MS + step->spec->estimate_ms;
+  if (!fit_place (&rq, p->workers, p->n, &chosen))
+    return FALSE;
+  run = MAX (task->last_run + 1, p->d->term.first_run);
+  runs_start (p->d, work_part_new (task, chosen, run, PART_STARTING));
+  return TRUE;
+}
+
+static void
+place_tasks (Pass *p, WorkStep *step)
+{
+  guint n = 0;
+  guint i;
+  gboolean room = TRUE;
+
+  count_placed (p, step);
+  for (i = 0; i < step->spec->count && room; i++)
+    {
+      WorkTask *task = &step->tasks[i];
+
+      if (task->done || task->part)
+        continue;
+      room = place_task (p, task);
+      n += room;
+    }
+  if (n)
+    note_started (p->d, step, n, step->tasks[0].last_run);
+  if (!room && step->job->entry->job->priority == 0 &&
+      p->d->now - step->job->accepted > URGENT_EVICT_AFTER_MS)
+    evict_and_look (p, step);
+}
+
+typedef struct Ranked
+{
+  WorkStep *step;
+  RankKey key;
+} Ranked;
+
+static int
+compare_ranked (gconstpointer a, gconstpointer b)
+{
+  return rank_compare (&((const Ranked *)a)->key, &((const Ranked *)b)->key);
+}
+
+static gboolean
+waits (const WorkStep *step)
+{
+  if (!work_step_is_ready (step) || step->breaking)
+    return FALSE;
+  if (step->spec->gang)
+    return step->n_parts == 0;
+  return step->n_done + step->n_parts < step->spec->count;
+}
+
+static GArray *
+waiting_steps (const Dispatch *d)
+{
+  GArray *ranked = g_array_new (FALSE, FALSE, sizeof (Ranked));
+  WorkJob *job;
+  WorkStep *step;
+
+  APR_RING_FOREACH (job, &d->jobs, WorkJob, link)
+    {
+      if (spec_state_is_final (job->state))
+        continue;
+      APR_RING_FOREACH (step, &job->steps, WorkStep, link)
+        if (waits (step))
+          {
+            Ranked r = { step, rank_key (step, d->now) };
+
+            g_array_append_val (ranked, r);
+          }
+    }
+  g_array_sort (ranked, compare_ranked);
+  return ranked;
+}
+
+static gboolean
+has_room_now (const WorkPart *part)
+{
+  PoolRoom room = part->worker->entry->room;
+
+  pool_give (&room, &part->worker->used);
+  return pool_room_holds (&room, &part->task->step->need);
+}
+
+/* Tells whether every claim of STEP can be turned into a start.  Claims of
+   one step on one worker are looked at together. */
+static gboolean
+claims_are_free (const WorkStep *step)
+{
+  guint i, k;
+
+  for (i = 0; i < step->spec->count; i++)
+    {
+      const WorkPart *part = step->tasks[i].part;
+      PoolRoom room;
+
+      if (!part || part->state != PART_CLAIM)
+        continue;
+      room = part->worker->entry->room;
+      pool_give (&room, &part->worker->used);
+      for (k = 0; k < i; k++)
+        if (step->tasks[k].part && step->tasks[k].part->state == PART_CLAIM &&
+            step->tasks[k].part->worker == part->worker)
+          pool_give (&room, &step->need);
+      if (!pool_room_holds (&room, &step->need))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+claim_is_void (const Dispatch *d, const WorkPart *part)
+{
+  return d->now - part->started > CLAIM_MS || !is_usable (d, part->worker);
+}
+
+static void
+settle_step_claims (Dispatch *d, WorkStep *step)
+{
+  gboolean together = step->spec->gang && claims_are_free (step);
+  guint n = 0;
+  guint i;
+
+  for (i = 0; i < step->spec->count; i++)
+    {
+      WorkPart *part = step->tasks[i].part;
+
+      if (!part || part->state != PART_CLAIM)
+        continue;
+      if (step->spec->gang ? together : has_room_now (part))
+        {
+          runs_start (d, part);
+          n++;
+        }
+      else if (claim_is_void (d, part))
+        runs_end (d, part, RUN_STOPPED, NULL);
+    }
+  if (n)
+    note_started (d, step, n, step->tasks[0].last_run);
+}
+
+static void
+settle_claims (Dispatch *d)
+{
+  WorkJob *job;
+  WorkStep *step;
+
+  APR_RING_FOREACH (job, &d->jobs, WorkJob, link)
+    if (job->n_parts > 0)
+      APR_RING_FOREACH (step, &job->steps, WorkStep, link)
+        if (step->n_parts > 0)
+          settle_step_claims (d, step);
+}
+
+/* Starts whatever can be started, in the order of rank_key. */
+void
+assign_all (Dispatch *d)
+{
+  Pass p = { .d = d };
+  GArray *ranked;
+  guint i;
+
+  settle_claims (d);
+  ranked = waiting_steps (d);
+  if (ranked->len)
+    look_at_workers (&p);
+  for (i = 0; i < ranked->len; i++)
+    {
+      WorkStep *step = g_array_index (ranked, Ranked, i).step;
+
+      if (step->spec->gang)
+        place_gang (&p, step);
+      else
+        place_tasks (&p, step);
+    }
+  g_free (p.workers);
+  g_array_unref (ranked);
+}
--- /dev/null
+++ b/queue/book.c
@@ -0,0 +1,235 @@
+#include "book.h"
+
+#include <string.h>
+
+const char book_prefix[] = "wagtailpass/";
+const char book_role_key[] = "wagtailpass/role";
+const char book_epoch_key[] = "wagtailpass/epoch";
+
+static const char job_prefix[] = "wagtailpass/job/";
+static const char progress_prefix[] = "wagtailpass/progress/";
+static const char cancel_prefix[] = "wagtailpass/cancel/";
+
+struct Book
+{
+  GHashTable *entries; /* id to BookEntry */
+  BookChanged changed;
+  void *owner;
+  guint unreadable; /* records that could not be decoded */
+};
+
+/* Returns the key of job ID's record; the caller frees it. */
+char *
+book_job_key (const char *id)
+{
+  return g_strconcat (job_prefix, id, NULL);
+}
+
+/* Returns the key of job ID's progress; the caller frees it. */
+char *
+book_progress_key (const char *id)
+{
+  return g_strconcat (progress_prefix, id, NULL);
+}
+
+/* Returns the key of job ID's cancel; the caller frees it. */
+char *
+book_cancel_key (const char *id)
+{
+  return g_strconcat (cancel_prefix, id, NULL);
+}
+
+static void
+entry_free (gpointer p)
+{
+  BookEntry *e = p;
+
+  if (e->job)
+    rec_free (spec_job_desc (), e->job);
+  if (e->progress)
+    rec_free (progress_desc (), e->progress);
+  g_free (e->id);
+  g_free (e);
+}
+
+/* Returns an empty book that tells OWNER of changes. */
+Book *
+book_new (BookChanged changed, void *owner)
+{
+  Book *b = g_new0 (Book, 1);
+
+  b->entries =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
+  b->changed = changed;
+  b->owner = owner;
+  return b;
+}
+
+/* Releases B. */
+void
+book_free (Book *b)
+{
+  g_hash_table_unref (b->entries);
+  g_free (b);
+}
+
+static BookEntry *
+find_or_add (Book *b, const char *id)
+{
+  BookEntry *e = g_hash_table_lookup (b->entries, id);
+
+  if (e)
+    return e;
+  e = g_new0 (BookEntry, 1);
+  e->id = g_strdup (id);
+  g_hash_table_insert (b->entries, e->id, e);
+  return e;
+}
+
+/* Returns the record of kind D in VALUE, or NULL when it can't be read. */
+static void *
+read_record (Book *b, const RecDesc *d, GBytes *value)
+{
+  void *rec = rec_new (d);
+  Findings findings;
+  gsize n;
+  gconstpointer data = g_bytes_get_data (value, &n);
+
+  findings_init (&findings);
+  if (!rec_unpack (d, rec, data, n, &findings))
+    {
+      b->unreadable++;
+      rec_free (d, rec);
+      rec = NULL;
+    }
+  findings_clear (&findings);
+  return rec;
+}
+
+static void
+apply_job (Book *b, const char *id, const KvItem *item)
+{
+  BookEntry *e = find_or_add (b, id);
+  SpecJob *job =
+      item->deleted ? NULL : read_record (b, spec_job_desc (), item->value);
+
+  if (!item->deleted && !job)
+    return;
+  if (e->job)
+    rec_free (spec_job_desc (), e->job);
+  e->job = job;
+  e->job_revision = item->deleted ? 0 : item->revision;
+  b->changed (b->owner, e);
+  if (item->deleted)
+    g_hash_table_remove (b->entries, id);
+}
+
+/* Replaces the progress of ENTRY by VALUE, written at REVISION. */
+void
+book_put_progress (Book *b, BookEntry *entry, GBytes *value, gint64 revision)
+{
+  Progress *progress;
+
+  if (revision <= entry->progress_revision)
+    return;
+  progress = read_record (b, progress_desc (), value);
+  if (!progress)
+    return;
+  if (entry->progress)
+    rec_free (progress_desc (), entry->progress);
+  entry->progress = progress;
+  entry->progress_revision = revision;
+  b->changed (b->owner, entry);
+}
+
+static void
+apply_progress (Book *b, const char *id, const KvItem *item)
+{
+  if (!item->deleted)
+    book_put_progress (b, find_or_add (b, id), item->value, item->revision);
+}
+
+static void
+apply_cancel (Book *b, const char *id, const KvItem *item)
+{
+  BookEntry *e;
+
+  if (item->deleted)
+    return;
+  e = find_or_add (b, id);
+  e->cancelled = TRUE;
+  b->changed (b->owner, e);
+}
+
+/* Takes over what ITEM, from under book_prefix, says of a job. */
+void
+book_apply (Book *b, const KvItem *item)
+{
+  static const struct
+  {
+    const char *prefix;
+    void (*apply) (Book *b, const char *id, const KvItem *item);
+  } kinds[] = {
+    { job_prefix, apply_job },
+    { progress_prefix, apply_progress },
+    { cancel_prefix, apply_cancel },
+  };
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (kinds); i++)
+    if (g_str_has_prefix (item->key, kinds[i].prefix))
+      kinds[i].apply (b, item->key + strlen (kinds[i].prefix), item);
+}
+
+/* Returns the entry of job ID, or NULL. */
+BookEntry *
+book_find (const Book *b, const char *id)
+{
+  return g_hash_table_lookup (b->entries, id);
+}
+
+/* Returns all entries by id; the table stays the book's. */
+GHashTable *
+book_entries (const Book *b)
+{
+  return b->entries;
+}
+
+/* Returns the state of ENTRY's job, as a caller is told it. */
+JobState
+book_state (const BookEntry *entry)
+{
+  JobState state =
+      entry->progress ? (JobState)entry->progress->state : JOB_QUEUED;
+
+  if (entry->cancelled && !spec_state_is_final (state))
+    return JOB_CANCELLED;
+  return state;
+}
+
+/* Returns how many jobs of ROUTE have been accepted and not begun. */
+guint
+book_waiting (const Book *b, const char *route)
+{
+  GHashTableIter i;
+  gpointer p;
+  guint n = 0;
+
+  g_hash_table_iter_init (&i, b->entries);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    {
+      const BookEntry *e = p;
+
+      if (e->job && strcmp (e->job->route, route) == 0 &&
+          book_state (e) == JOB_QUEUED)
+        n++;
+    }
+  return n;
+}
+
+/* Returns how many records could not be decoded. */
+guint
+book_unreadable (const Book *b)
+{
+  return b->unreadable;
+}
--- /dev/null
+++ b/queue/dispatch.c
@@ -0,0 +1,346 @@
+#include "dispatch_state.h"
+
+#include "term.h"
+
+enum
+{
+  PLAN_PACE_MS = 15,  /* changes that come close together are planned once */
+  PLAN_IDLE_MS = 250, /* for what only time changes: ages, quarantines */
+  DUE_LOOK_MS = 50,   /* how exactly due times are kept */
+  SHORT_LOOK_MS = 25  /* while anything waits for an order's repetition */
+};
+
+/* Returns the scheduler for TERM.  BOOK, of which a whole listing must have
+   been taken over, and FX stay the caller's. */
+Dispatch *
+dispatch_new (Effects *fx,
+              Book *book,
+              const DispatchTerm *term,
+              ClockMs now,
+              ClockMs wall)
+{
+  Dispatch *d = g_new0 (Dispatch, 1);
+  GHashTableIter i;
+  gpointer entry;
+
+  d->fx = fx;
+  d->book = book;
+  d->term = *term;
+  d->now = now;
+  d->wall = wall;
+  d->started = now;
+  d->replan = TRUE;
+  pool_init (&d->pool);
+  APR_RING_INIT (&d->jobs, WorkJob, link);
+  d->save.jobs = g_ptr_array_new ();
+  d->save.values =
+      g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  g_queue_init (&d->save.dirty);
+  g_hash_table_iter_init (&i, book_entries (book));
+  while (g_hash_table_iter_next (&i, NULL, &entry))
+    dispatch_on_entry (d, entry);
+  return d;
+}
+
+static void
+forget (Dispatch *d, WorkJob *job)
+{
+  save_forget (d, job);
+  job->entry->work = NULL;
+  APR_RING_REMOVE (job, link);
+  work_job_free (job);
+}
+
+/* Releases D; what runs goes on until another host takes it over. */
+void
+dispatch_free (Dispatch *d)
+{
+  if (!d)
+    return;
+  while (!APR_RING_EMPTY (&d->jobs, WorkJob, link))
+    forget (d, APR_RING_FIRST (&d->jobs));
+  g_ptr_array_unref (d->save.jobs);
+  g_ptr_array_unref (d->save.values);
+  g_queue_clear (&d->save.dirty);
+  g_clear_pointer (&d->orders, g_hash_table_unref);
+  pool_clear (&d->pool);
+  conf_unref (d->conf);
+  g_free (d);
+}
+
+/* Tells D the time: NOW on the scheduler's clock, WALL in Unix time. */
+void
+dispatch_set_time (Dispatch *d, ClockMs now, ClockMs wall)
+{
+  d->now = MAX (d->now, now);
+  d->wall = wall;
+}
+
+/* Takes CONF for the configuration in force. */
+void
+dispatch_on_conf (Dispatch *d, Conf *conf)
+{
+  conf_unref (d->conf);
+  d->conf = conf_ref (conf);
+  d->replan = TRUE;
+}
+
+/* Whatever a former holder of the role ordered W to run has ended by
+   then. */
+static ClockMs
+former_lapse (const Dispatch *d)
+{
+  return d->started + term_overhang + dispatch_lease + dispatch_lease / 20;
+}
+
+/* Takes ENTRY, which becomes D's, for what its worker now says. */
+void
+dispatch_on_worker (Dispatch *d, PoolEntry *entry)
+{
+  gboolean is_new = !pool_find (&d->pool, entry->id);
+  PoolWorker *w = pool_put (&d->pool, entry);
+
+  if (is_new)
+    {
+      w->lapse = former_lapse (d);
+      w->next_hold = d->now;
+    }
+  else if (w->born && entry->born && entry->born > w->born)
+    w->hold_now = TRUE;
+  d->replan = TRUE;
+}
+
+/* Takes worker ID for gone from the store.  It may be cut off and run on,
+   so its runs count until their lease has lapsed. */
+void
+dispatch_on_worker_gone (Dispatch *d, const char *id)
+{
+  PoolWorker *w = pool_find (&d->pool, id);
+
+  if (!w)
+    return;
+  w->listed = FALSE;
+  w->hold_now = TRUE;
+  d->replan = TRUE;
+}
+
+/* Returns the scheduler's state of ENTRY's job, made if need be. */
+WorkJob *
+dispatch_work_of (Dispatch *d, BookEntry *entry)
+{
+  WorkJob *job = entry->work;
+
+  if (job)
+    return job;
+  job = work_job_new (entry, d->now, d->wall);
+  entry->work = job;
+  APR_RING_INSERT_TAIL (&d->jobs, job, WorkJob, link);
+  return job;
+}
+
+/* Puts JOB into STATE for the reason that the caller has logged; a final
+   state stops what runs of it. */
+void
+dispatch_set_state (Dispatch *d, WorkJob *job, JobState state)
+{
+  effects_log (d->fx,
+               "event=job_%s job=%s priority=%" G_GINT64_FORMAT
+               " age_ms=%" CLOCK_MS_FORMAT " objective_ms=%" CLOCK_MS_FORMAT,
+               spec_state_name (state), job->entry->id,
+               job->entry->job->priority, d->now - job->accepted,
+               job->objective);
+  job->state = state;
+  save_mark (d, job);
+  if (spec_state_is_final (state) && state != JOB_COMPLETED)
+    runs_stop_job (d, job, spec_state_name (state));
+  d->replan = TRUE;
+  dispatch_forget_job (d, job);
+}
+
+/* Lets JOB be forgotten once nothing of it is left to do. */
+void
+dispatch_forget_job (Dispatch *d, WorkJob *job)
+{
+  if (spec_state_is_final (job->state) && job->n_parts == 0)
+    d->reap = TRUE;
+}
+
+static void
+reap (Dispatch *d)
+{
+  WorkJob *job, *next;
+
+  if (!d->reap)
+    return;
+  d->reap = FALSE;
+  APR_RING_FOREACH_SAFE (job, next, &d->jobs, WorkJob, link)
+    if (spec_state_is_final (job->state) && job->n_parts == 0 && !job->saving &&
+        job->save_order == 0 && d->all_known)
+      forget (d, job);
+}
+
+/* Takes over a change of ENTRY: a new job, or a cancel. */
+void
+dispatch_on_entry (Dispatch *d, BookEntry *entry)
+{
+  WorkJob *job = entry->work;
+
+  if (!entry->job)
+    {
+      if (job && job->n_parts == 0 && !job->saving)
+        forget (d, job);
+      return;
+    }
+  if (!job &&
+      spec_state_is_final (entry->progress ? (JobState)entry->progress->state
+                                           : JOB_QUEUED) &&
+      d->all_known)
+    return;
+  if (!job)
+    {
+      job = dispatch_work_of (d, entry);
+      d->replan = TRUE;
+    }
+  if (entry->cancelled && !spec_state_is_final (job->state))
+    dispatch_set_state (d, job, JOB_CANCELLED);
+}
+
+/* Takes REPLY to an order. */
+void
+dispatch_on_run_reply (Dispatch *d, const RunReply *reply)
+{
+  gpointer key, value;
+  Ordered *o;
+  PoolWorker *w;
+
+  if (!d->orders ||
+      !g_hash_table_lookup_extended (d->orders, &reply->id, &key, &value))
+    return;
+  o = value;
+  w = pool_find (&d->pool, o->worker);
+  if (o->op != RUN_HOLD)
+    runs_on_reply (d, o, reply);
+  else if (w)
+    holds_on_reply (d, w, reply);
+  g_hash_table_remove (d->orders, &reply->id);
+}
+
+/* Takes REPLY if it answers a call of D's to the store; returns whether it
+   did. */
+gboolean
+dispatch_on_kv_reply (Dispatch *d, const KvReply *reply)
+{
+  return save_on_reply (d, reply);
+}
+
+/* Tells whether D must give the role up. */
+gboolean
+dispatch_is_deposed (const Dispatch *d)
+{
+  return d->deposed;
+}
+
+static void
+look_for_all_known (Dispatch *d)
+{
+  guint i;
+
+  if (d->all_known)
+    return;
+  for (i = 0; i < d->pool.order->len; i++)
+    if (!holds_is_settled (g_ptr_array_index (d->pool.order, i)))
+      return;
+  if (d->pool.order->len == 0)
+    return;
+  d->all_known = TRUE;
+  d->replan = TRUE;
+  d->reap = TRUE;
+  effects_log (d->fx,
+               "event=workers_known workers=%u span_ms=%" CLOCK_MS_FORMAT,
+               d->pool.order->len, d->now - d->started);
+  runs_break_partial_gangs (d);
+}
+
+static void
+tick_workers (Dispatch *d)
+{
+  guint i;
+
+  for (i = 0; i < d->pool.order->len; i++)
+    {
+      PoolWorker *w = g_ptr_array_index (d->pool.order, i);
+      WorkPart *part;
+
+      holds_tick (d, w);
+      APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
+        runs_retry (d, part);
+      if (!w->listed && w->n_parts == 0 && !w->hold_id &&
+          (w->known || w->void_) && w->seen <= w->acked)
+        {
+          pool_remove (&d->pool, w);
+          i--;
+        }
+    }
+}
+
+static void
+add_due_occurrences (Dispatch *d)
+{
+  WorkJob *job;
+
+  APR_RING_FOREACH (job, &d->jobs, WorkJob, link)
+    if (!spec_state_is_final (job->state) && work_job_add_due (job, d->wall))
+      d->replan = TRUE;
+}
+
+/* Does what is due. */
+void
+dispatch_tick (Dispatch *d)
+{
+  if (d->deposed)
+    return;
+  tick_workers (d);
+  look_for_all_known (d);
+  add_due_occurrences (d);
+  if (d->all_known && d->conf &&
+      ((d->replan && d->now >= d->next_plan) ||
+       d->now >= d->next_plan + PLAN_IDLE_MS))
+    {
+      d->replan = FALSE;
+      d->next_plan = d->now + PLAN_PACE_MS;
+      assign_all (d);
+    }
+  save_tick (d);
+  reap (d);
+}
+
+/* Returns when dispatch_tick has something to do. */
+ClockMs
+dispatch_next_deadline (const Dispatch *d)
+{
+  ClockMs next = d->now + DUE_LOOK_MS;
+  guint i;
+
+  if (d->replan)
+    next = MIN (next, MAX (d->next_plan, d->now + 1));
+  next = MIN (next, MAX (save_next (d), d->now + 1));
+  for (i = 0; i < d->pool.order->len; i++)
+    next = MIN (next, MAX (holds_next (d, g_ptr_array_index (d->pool.order, i)),
+                           d->now + 1));
+  return next;
+}
+
+/* Appends counters of D to TEXT, a line each. */
+void
+dispatch_describe (const Dispatch *d, GString *text)
+{
+  g_string_append_printf (text, "wagtailpass_scheduler_workers %u\n",
+                          d->pool.order->len);
+  g_string_append_printf (text,
+                          "wagtailpass_scheduler_starts_total %" G_GINT64_FORMAT
+                          "\n",
+                          d->n_starts);
+  g_string_append_printf (
+      text, "wagtailpass_scheduler_evictions_total %" G_GINT64_FORMAT "\n",
+      d->n_evicted);
+}
--- /dev/null
+++ b/queue/dispatch.h
@@ -0,0 +1,39 @@
+#ifndef DISPATCH_H
+#define DISPATCH_H
+
+#include "book.h"
+#include "conf.h"
+#include "effects.h"
+#include "pool.h"
+
+/* The scheduler, on the host that holds the role: it learns what runs,
+   starts and stops tasks, and records their ends. */
+typedef struct Dispatch Dispatch;
+
+/* Under which term the scheduler acts. */
+typedef struct DispatchTerm
+{
+  gint64 fence;
+  gint64 first_run;
+  gint64 role_revision;
+} DispatchTerm;
+
+Dispatch *dispatch_new (Effects *fx,
+                        Book *book,
+                        const DispatchTerm *term,
+                        ClockMs now,
+                        ClockMs wall);
+void dispatch_free (Dispatch *d);
+void dispatch_set_time (Dispatch *d, ClockMs now, ClockMs wall);
+void dispatch_on_conf (Dispatch *d, Conf *conf);
+void dispatch_on_worker (Dispatch *d, PoolEntry *entry);
+void dispatch_on_worker_gone (Dispatch *d, const char *id);
+void dispatch_on_entry (Dispatch *d, BookEntry *entry);
+void dispatch_on_run_reply (Dispatch *d, const RunReply *reply);
+gboolean dispatch_on_kv_reply (Dispatch *d, const KvReply *reply);
+void dispatch_tick (Dispatch *d);
+ClockMs dispatch_next_deadline (const Dispatch *d);
+gboolean dispatch_is_deposed (const Dispatch *d);
+void dispatch_describe (const Dispatch *d, GString *text);
+
+#endif
--- /dev/null
+++ b/queue/dispatch_state.h
@@ -0,0 +1,92 @@
+#ifndef DISPATCH_STATE_H
+#define DISPATCH_STATE_H
+
+#include "dispatch.h"
+#include "work.h"
+
+/* What the scheduler's modules share.  For them only. */
+
+/* An order whose answer is awaited. */
+typedef struct Ordered
+{
+  RunOp op;
+  char *worker;
+  WorkPart *part; /* NULL once the part is gone, and for holds */
+  char *task;
+  gint64 run;
+} Ordered;
+
+typedef struct Save
+{
+  gint64 call_id;    /* 0 while none is under way */
+  GPtrArray *jobs;   /* of WorkJob, in the call under way */
+  GPtrArray *values; /* of GBytes, alike */
+  ClockMs next;
+  guint64 last_order;
+  GQueue dirty; /* of WorkJob, oldest first */
+} Save;
+
+struct Dispatch
+{
+  Effects *fx;
+  Book *book;
+  DispatchTerm term;
+  Conf *conf;
+  ClockMs now;
+  ClockMs wall;
+  ClockMs started;
+  Pool pool;
+  struct WorkJobRing jobs;
+  GHashTable *orders; /* id to Ordered */
+  Save save;
+  gboolean all_known; /* every worker's runs are known, or void */
+  gboolean replan;
+  gboolean reap; /* a job may be forgotten */
+  gboolean deposed;
+  ClockMs next_plan;
+  gint64 n_starts;
+  gint64 n_evicted;
+};
+
+extern const ClockMs dispatch_lease;
+
+/* dispatch.c */
+WorkJob *dispatch_work_of (Dispatch *d, BookEntry *entry);
+void dispatch_set_state (Dispatch *d, WorkJob *job, JobState state);
+void dispatch_forget_job (Dispatch *d, WorkJob *job);
+
+/* runs.c */
+void runs_start (Dispatch *d, WorkPart *part);
+void runs_stop (Dispatch *d, WorkPart *part, const char *why);
+void runs_stop_job (Dispatch *d, WorkJob *job, const char *why);
+void runs_end (Dispatch *d, WorkPart *part, RunEnd how, const char *checkpoint);
+void runs_void_worker (Dispatch *d, PoolWorker *w, const char *why);
+void runs_on_reply (Dispatch *d, Ordered *o, const RunReply *reply);
+void runs_stop_stray (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
+void runs_retry (Dispatch *d, WorkPart *part);
+void runs_apply_end (Dispatch *d, WorkTask *task, gint64 run, RunEnd how);
+gint64 runs_send (Dispatch *d, RunCall *call, WorkPart *part);
+gint64 runs_deadline (Dispatch *d, PoolWorker *w);
+void runs_break_partial_gangs (Dispatch *d);
+
+/* holds.c */
+void holds_tick (Dispatch *d, PoolWorker *w);
+void holds_on_reply (Dispatch *d, PoolWorker *w, const RunReply *reply);
+ClockMs holds_next (const Dispatch *d, const PoolWorker *w);
+gboolean holds_is_settled (const PoolWorker *w);
+
+/* save.c */
+void save_mark (Dispatch *d, WorkJob *job);
+void save_forget (Dispatch *d, WorkJob *job);
+void save_tick (Dispatch *d);
+gboolean save_on_reply (Dispatch *d, const KvReply *reply);
+gboolean save_is_durable (const Dispatch *d, guint64 order);
+ClockMs save_next (const Dispatch *d);
+
+/* assign.c */
+void assign_all (Dispatch *d);
+
+/* evict.c */
+gboolean evict_for (Dispatch *d, WorkStep *step);
+
+#endif
--- /dev/null
+++ b/queue/effects.c
@@ -0,0 +1,85 @@
+#include "effects.h"
+
+/* Prepares FX, without effects. */
+void
+effects_init (Effects *fx)
+{
+  g_queue_init (&fx->queue);
+  fx->last_id = 0;
+}
+
+/* Releases what FX holds. */
+void
+effects_clear (Effects *fx)
+{
+  Effect *e;
+
+  while ((e = effects_pop (fx)))
+    effect_free (e);
+}
+
+/* Returns a number that no earlier call has. */
+gint64
+effects_next_id (Effects *fx)
+{
+  return ++fx->last_id;
+}
+
+static Effect *
+add (Effects *fx, EffectKind kind)
+{
+  Effect *e = g_new0 (Effect, 1);
+
+  e->kind = kind;
+  g_queue_push_tail (&fx->queue, e);
+  return e;
+}
+
+/* Asks for CALL, which becomes FX's, to be made. */
+void
+effects_kv (Effects *fx, KvCall *call)
+{
+  add (fx, EFFECT_KV)->kv = call;
+}
+
+/* Asks for CALL, which becomes FX's, to be sent to its worker. */
+void
+effects_run (Effects *fx, RunCall *call)
+{
+  add (fx, EFFECT_RUN)->run = call;
+}
+
+/* Asks for ANSWER to be sent to its caller. */
+void
+effects_answer (Effects *fx, const Answer *answer)
+{
+  add (fx, EFFECT_ANSWER)->answer = *answer;
+}
+
+/* Asks for a line to be logged: "event=NAME" and pairs of key and value. */
+void
+effects_log (Effects *fx, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  add (fx, EFFECT_LOG)->line = g_strdup_vprintf (format, args);
+  va_end (args);
+}
+
+/* Takes the oldest effect, to be freed by the caller, or NULL. */
+Effect *
+effects_pop (Effects *fx)
+{
+  return g_queue_pop_head (&fx->queue);
+}
+
+/* Releases E. */
+void
+effect_free (Effect *e)
+{
+  kv_call_free (e->kv);
+  run_call_free (e->run);
+  g_free (e->line);
+  g_free (e);
+}
--- /dev/null
+++ b/queue/effects.h
@@ -0,0 +1,61 @@
+#ifndef EFFECTS_H
+#define EFFECTS_H
+
+#include "kv.h"
+#include "run_call.h"
+
+/* What the queue's modules want done, as data, in order. */
+
+typedef enum AnswerBody
+{
+  ANSWER_EMPTY,
+  ANSWER_STATE,   /* a job's state */
+  ANSWER_WAITING, /* how many jobs wait */
+  ANSWER_ERROR    /* why the request was refused */
+} AnswerBody;
+
+/* The answer to one caller's request. */
+typedef struct Answer
+{
+  gint64 request;
+  int status; /* of HTTP */
+  AnswerBody body;
+  const char *text;    /* a state's name or a reason; a literal */
+  gint64 number;       /* of waiting jobs */
+  ClockMs retry_after; /* 0 for none */
+} Answer;
+
+typedef enum EffectKind
+{
+  EFFECT_KV,
+  EFFECT_RUN,
+  EFFECT_ANSWER,
+  EFFECT_LOG
+} EffectKind;
+
+typedef struct Effect
+{
+  EffectKind kind;
+  KvCall *kv;
+  RunCall *run;
+  Answer answer;
+  char *line; /* "event=... key=value ..." */
+} Effect;
+
+typedef struct Effects
+{
+  GQueue queue; /* of Effect */
+  gint64 last_id;
+} Effects;
+
+void effects_init (Effects *fx);
+void effects_clear (Effects *fx);
+gint64 effects_next_id (Effects *fx);
+void effects_kv (Effects *fx, KvCall *call);
+void effects_run (Effects *fx, RunCall *call);
+void effects_answer (Effects *fx, const Answer *answer);
+void effects_log (Effects *fx, const char *format, ...) G_GNUC_PRINTF (2, 3);
+Effect *effects_pop (Effects *fx);
+void effect_free (Effect *e);
+
+#endif
--- /dev/null
+++ b/queue/evict.c
@@ -0,0 +1,355 @@
+#include "dispatch_state.h"
+
+#include "fit.h"
+
+/* What it costs to stop a part even if no work is lost, as work of this
+   long: starting again and restoring a checkpoint. */
+static const double restart_ms = 600.0;
+static const double checkpoint_ms = 1200.0; /* work since the last one */
+static const double milli = 1000.0;
+static const double cores_per_accelerator = 8.0;
+
+/* One way to make room for a step: what is stopped, and where its tasks
+   go. */
+typedef struct Plan
+{
+  Dispatch *d;
+  WorkStep *step;
+  FitRequest rq;
+  GHashTable *victims; /* of WorkStep for gangs, WorkPart for others */
+  GHashTable *taken;   /* PoolWorker to the number of tasks placed */
+  PoolWorker **chosen;
+  guint n_chosen;
+  double cost;
+} Plan;
+
+static gpointer
+victim_key (WorkPart *part)
+{
+  return part->task->step->spec->gang ? (gpointer)part->task->step
+                                      : (gpointer)part;
+}
+
+static gboolean
+may_evict (const Plan *p, const WorkPart *part)
+{
+  const WorkJob *job = part->task->step->job;
+
+  return job->entry->job->priority > p->step->job->entry->job->priority &&
+         (part->state == PART_RUNNING || part->state == PART_STARTING);
+}
+
+static double
+lost_ms (const Dispatch *d, const WorkPart *part)
+{
+  double run = (double)(d->now - part->started);
+
+  if (part->task->step->spec->checkpointing)
+    run = MIN (run, checkpoint_ms);
+  return run + restart_ms;
+}
+
+static double
+part_cores (const WorkPart *part)
+{
+  const PoolRoom *need = &part->task->step->need;
+
+  return (double)need->cpu_milli / milli +
+         cores_per_accelerator * (double)need->accelerators;
+}
+
+/* Returns what stopping PART costs; a gang is stopped whole. */
+static double
+victim_cost (const Dispatch *d, const WorkPart *part)
+{
+  double members =
+      part->task->step->spec->gang ? (double)part->task->step->n_parts : 1.0;
+
+  return lost_ms (d, part) * part_cores (part) * members;
+}
+
+/* Returns W's room as it will be once the plan's victims are gone. */
+static PoolRoom
+room_after (const Plan *p, const PoolWorker *w)
+{
+  PoolRoom room = pool_free_room (w);
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (p->taken, w));
+  WorkPart *part;
+
+  APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
+    if (part->state == PART_STOPPING ||
+        g_hash_table_contains (p->victims, victim_key (part)))
+      pool_take (&room, &part->task->step->need);
+  while (n--)
+    pool_give (&room, &p->step->need);
+  return room;
+}
+
+static WorkPart *
+cheapest_part (const Plan *p, const PoolWorker *w, GHashTable *more)
+{
+  WorkPart *best = NULL;
+  WorkPart *part;
+
+  APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
+    if (may_evict (p, part) &&
+        !g_hash_table_contains (p->victims, victim_key (part)) &&
+        !g_hash_table_contains (more, victim_key (part)) &&
+        (!best || victim_cost (p->d, part) < victim_cost (p->d, best)))
+      best = part;
+  return best;
+}
+
+/* Finds the cheapest parts of W whose end lets one more task fit, into
+   MORE.  Returns their cost, or a negative number. */
+static double
+cost_on (const Plan *p, const PoolWorker *w, GHashTable *more)
+{
+  PoolRoom room = room_after (p, w);
+  double cost = 0.0;
+
+  while (!pool_room_holds (&room, &p->step->need))
+    {
+      WorkPart *part = cheapest_part (p, w, more);
+
+      if (!part)
+        return -1.0;
+      cost += victim_cost (p->d, part);
+      pool_take (&room, &part->task->step->need);
+      g_hash_table_add (more, victim_key (part));
+    }
+  return cost;
+}
+
+static gboolean
+may_hold_more (const Plan *p, const PoolWorker *w)
+{
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (p->taken, (gpointer)w));
+
+  return p->rq.max_per_worker == 0 || n < p->rq.max_per_worker;
+}
+
+static gboolean
+is_candidate (const Plan *p, const PoolWorker *w, const char *rack)
+{
+  if (!w->listed || !w->known || w->entry->draining || w->unanswered ||
+      w->avoid_until > p->d->now || !fit_allows (&p->rq, w))
+    return FALSE;
+  return !rack || g_strcmp0 (w->entry->rack, rack) == 0;
+}
+
+static void
+merge (GHashTable *into, GHashTable *from)
+{
+  GHashTableIter i;
+  gpointer key;
+
+  g_hash_table_iter_init (&i, from);
+  while (g_hash_table_iter_next (&i, &key, NULL))
+    g_hash_table_add (into, key);
+}
+
+static gboolean
+add_task (Plan *p, const char *rack)
+{
+  const GPtrArray *order = p->d->pool.order;
+  GHashTable *best_more = NULL;
+  PoolWorker *best = NULL;
+  double best_cost = 0.0;
+  guint i;
+
+  for (i = 0; i < order->len; i++)
+    {
+      PoolWorker *w = g_ptr_array_index (order, i);
+      GHashTable *more;
+      double cost;
+
+      if (!is_candidate (p, w, rack) || !may_hold_more (p, w))
+        continue;
+      more = g_hash_table_new (NULL, NULL);
+      cost = cost_on (p, w, more);
+      if (cost >= 0.0 && (!best || cost < best_cost))
+        {
+          g_clear_pointer (&best_more, g_hash_table_unref);
+          best_more = g_hash_table_ref (more);
+          best = w;
+          best_cost = cost;
+        }
+      g_hash_table_unref (more);
+      if (best && best_cost <= 0.0)
+        break;
+    }
+  if (!best)
+    return FALSE;
+  merge (p->victims, best_more);
+  g_hash_table_unref (best_more);
+  g_hash_table_insert (p->taken, best,
+                       GUINT_TO_POINTER (GPOINTER_TO_UINT (g_hash_table_lookup (
+                                             p->taken, best)) +
+                                         1));
+  p->chosen[p->n_chosen++] = best;
+  p->cost += best_cost;
+  return TRUE;
+}
+
+static guint
+tasks_missing (const WorkStep *step)
+{
+  return (guint)step->spec->count - step->n_done - step->n_parts;
+}
+
+static Plan *
+plan_new (Dispatch *d, WorkStep *step, const char *rack)
+{
+  guint count = tasks_missing (step);
+  Plan *p = g_new0 (Plan, 1);
+  const ConfRoute *route =
+      conf_route_named (d->conf, step->job->entry->job->route);
+  guint i;
+
+  p->d = d;
+  p->step = step;
+  p->rq = (FitRequest) { .service = route ? route->service
+                                          : step->job->entry->job->service,
+                         .need = step->need,
+                         .count = count,
+                         .max_per_worker = (guint)step->spec->max_per_worker,
+                         .label = step->spec->label,
+                         .rack = "" };
+  p->victims = g_hash_table_new (NULL, NULL);
+  p->taken = g_hash_table_new (NULL, NULL);
+  p->chosen = g_new0 (PoolWorker *, count);
+  for (i = 0; i < count; i++)
+    if (!add_task (p, rack))
+      break;
+  return p;
+}
+
+static void
+plan_free (Plan *p)
+{
+  g_hash_table_unref (p->victims);
+  g_hash_table_unref (p->taken);
+  g_free (p->chosen);
+  g_free (p);
+}
+
+static gboolean
+is_complete (const Plan *p)
+{
+  return p->n_chosen == p->rq.count ||
+         (!p->step->spec->gang && p->n_chosen > 0);
+}
+
+/* Returns the cheapest plan over the racks, or NULL. */
+static Plan *
+best_over_racks (Dispatch *d, WorkStep *step)
+{
+  const GPtrArray *order = d->pool.order;
+  const char *last = NULL;
+  Plan *best = NULL;
+  guint i;
+
+  for (i = 0; i < order->len; i++)
+    {
+      const char *rack =
+          ((PoolWorker *)g_ptr_array_index (order, i))->entry->rack;
+      Plan *p;
+
+      if (i > 0 && g_strcmp0 (rack, last) == 0)
+        continue;
+      last = rack;
+      p = plan_new (d, step, rack);
+      if (is_complete (p) && (!best || p->cost < best->cost))
+        {
+          Plan *worse = best;
+
+          best = p;
+          p = worse;
+        }
+      if (p)
+        plan_free (p);
+    }
+  return best;
+}
+
+static void
+stop_victims (Plan *p)
+{
+  GPtrArray *parts = g_ptr_array_new ();
+  const GPtrArray *order = p->d->pool.order;
+  guint i;
+
+  for (i = 0; i < order->len; i++)
+    {
+      PoolWorker *w = g_ptr_array_index (order, i);
+      WorkPart *part;
+
+      APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
+        if (part->state != PART_CLAIM &&
+            g_hash_table_contains (p->victims, victim_key (part)))
+          g_ptr_array_add (parts, part);
+    }
+  for (i = 0; i < parts->len; i++)
+    {
+      WorkPart *part = g_ptr_array_index (parts, i);
+
+      if (part->task->step->spec->gang)
+        part->task->step->breaking = TRUE;
+      runs_stop (p->d, part, "evicted");
+      p->d->n_evicted++;
+    }
+  g_ptr_array_unref (parts);
+}
+
+static void
+claim (Plan *p)
+{
+  WorkStep *step = p->step;
+  gint64 run = p->d->term.first_run;
+  guint k = 0;
+  guint i;
+
+  for (i = 0; i < step->spec->count; i++)
+    run = MAX (run, step->tasks[i].last_run + 1);
+  for (i = 0; i < step->spec->count && k < p->n_chosen; i++)
+    {
+      WorkTask *task = &step->tasks[i];
+
+      if (task->done || task->part)
+        continue;
+      work_part_new (task, p->chosen[k++], run, PART_CLAIM)->started =
+          p->d->now;
+    }
+}
+
+/* Stops less urgent work so that STEP can start, and claims the room for
+   it.  Answers the load of a fleet that is full when an urgent job comes:
+   the cheapest set of victims, by the work that they lose.  Returns whether
+   a way was found. */
+gboolean
+evict_for (Dispatch *d, WorkStep *step)
+{
+  Plan *p = NULL;
+
+  if (step->spec->gang && step->spec->same_rack)
+    p = best_over_racks (d, step);
+  if (!p)
+    p = plan_new (d, step, NULL);
+  if (!is_complete (p))
+    {
+      plan_free (p);
+      return FALSE;
+    }
+  effects_log (d->fx,
+               "event=evict job=%s step=%u.%u tasks=%u victims=%u cost=%.0f "
+               "age_ms=%" CLOCK_MS_FORMAT,
+               step->job->entry->id, step->occurrence, step->number,
+               p->n_chosen, g_hash_table_size (p->victims), p->cost,
+               d->now - step->job->accepted);
+  stop_victims (p);
+  claim (p);
+  plan_free (p);
+  d->replan = TRUE;
+  return TRUE;
+}
--- /dev/null
+++ b/queue/feed.c
@@ -0,0 +1,234 @@
+#include "feed.h"
+
+enum
+{
+  WATCH_WAIT_MS = 900,     /* bounds the age of what is known */
+  WATCH_TIMEOUT_MS = 1500, /* a connection that hears nothing is given up */
+  LIST_TIMEOUT_MS = 800,
+  RETRY_LEAST_MS = 60,
+  RETRY_MOST_MS = 480
+};
+
+/* Prepares F: a mirror of PREFIX whose changes ON_ITEM is told of, with at
+   least PACE milliseconds between two watches. */
+void
+feed_init (Feed *f,
+           const char *prefix,
+           FeedItem on_item,
+           void *owner,
+           ClockMs pace)
+{
+  *f = (Feed) { .prefix = g_strdup (prefix),
+                .on_item = on_item,
+                .owner = owner,
+                .pace = pace,
+                .listing = TRUE,
+                .fresh = -CLOCK_NEVER };
+  f->revisions =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/* Releases what F holds. */
+void
+feed_clear (Feed *f)
+{
+  g_clear_pointer (&f->prefix, g_free);
+  g_clear_pointer (&f->page_after, g_free);
+  g_clear_pointer (&f->revisions, g_hash_table_unref);
+  g_clear_pointer (&f->listed, g_hash_table_unref);
+}
+
+/* Begins a new listing; the answer to a call under way is ignored. */
+void
+feed_restart (Feed *f)
+{
+  f->listing = TRUE;
+  f->complete = FALSE;
+  f->call_id = 0;
+  f->next = 0;
+  g_clear_pointer (&f->page_after, g_free);
+  g_clear_pointer (&f->listed, g_hash_table_unref);
+}
+
+static gint64
+known_revision (const Feed *f, const char *key)
+{
+  const gint64 *known = g_hash_table_lookup (f->revisions, key);
+
+  return known ? *known : 0;
+}
+
+/* Takes ITEM over unless something as new is known. */
+void
+feed_apply (Feed *f, const KvItem *item)
+{
+  if (known_revision (f, item->key) >= item->revision)
+    return;
+  if (item->deleted)
+    g_hash_table_remove (f->revisions, item->key);
+  else
+    g_hash_table_insert (f->revisions, g_strdup (item->key),
+                         g_memdup2 (&item->revision, sizeof item->revision));
+  f->on_item (f->owner, item);
+}
+
+static KvCall *
+list_call (Feed *f)
+{
+  KvCall *call = kv_call_new (KV_RANGE, f->prefix);
+
+  call->after_key = g_strdup (f->page_after);
+  call->timeout = LIST_TIMEOUT_MS;
+  if (!f->page_after)
+    {
+      g_clear_pointer (&f->listed, g_hash_table_unref);
+      f->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+    }
+  return call;
+}
+
+static KvCall *
+watch_call (Feed *f)
+{
+  KvCall *call = kv_call_new (KV_WATCH, f->prefix);
+
+  call->after = f->revision;
+  call->wait = WATCH_WAIT_MS;
+  call->timeout = WATCH_TIMEOUT_MS;
+  return call;
+}
+
+/* Returns the next call when its time has come, under number ID, else
+   NULL. */
+KvCall *
+feed_poll (Feed *f, ClockMs now, gint64 id)
+{
+  KvCall *call;
+
+  if (f->call_id || f->next > now)
+    return NULL;
+  call = f->listing ? list_call (f) : watch_call (f);
+  call->id = id;
+  f->call_id = id;
+  f->next = now + f->pace;
+  return call;
+}
+
+static void
+apply_all (Feed *f, const KvReply *reply)
+{
+  guint i;
+
+  for (i = 0; reply->items && i < reply->items->len; i++)
+    feed_apply (f, g_ptr_array_index (reply->items, i));
+}
+
+/* Reports the keys that the finished listing lacks as deleted.  Those that
+   changed after it began are left to the watch. */
+static void
+drop_unlisted (Feed *f)
+{
+  GPtrArray *gone = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter i;
+  gpointer key, revision;
+  guint k;
+
+  g_hash_table_iter_init (&i, f->revisions);
+  while (g_hash_table_iter_next (&i, &key, &revision))
+    if (!g_hash_table_contains (f->listed, key) &&
+        *(gint64 *)revision <= f->list_revision)
+      g_ptr_array_add (gone, g_strdup (key));
+  for (k = 0; k < gone->len; k++)
+    {
+      KvItem item = { .key = g_ptr_array_index (gone, k),
+                      .revision = f->list_revision,
+                      .deleted = TRUE };
+
+      g_hash_table_remove (f->revisions, item.key);
+      f->on_item (f->owner, &item);
+    }
+  g_ptr_array_unref (gone);
+}
+
+static void
+on_page (Feed *f, const KvReply *reply)
+{
+  guint i;
+
+  if (!f->page_after)
+    f->list_revision = reply->revision;
+  for (i = 0; reply->items && i < reply->items->len; i++)
+    {
+      const KvItem *item = g_ptr_array_index (reply->items, i);
+
+      g_hash_table_add (f->listed, g_strdup (item->key));
+      g_free (f->page_after);
+      f->page_after = g_strdup (item->key);
+    }
+  apply_all (f, reply);
+  f->next = 0;
+  if (reply->more && f->page_after)
+    return;
+  drop_unlisted (f);
+  g_clear_pointer (&f->listed, g_hash_table_unref);
+  g_clear_pointer (&f->page_after, g_free);
+  f->revision = f->list_revision;
+  f->listing = FALSE;
+  f->complete = TRUE;
+  f->fresh = reply->sent;
+}
+
+static void
+on_failure (Feed *f, ClockMs now)
+{
+  ClockMs wait = RETRY_LEAST_MS << MIN (f->failures, 3U);
+
+  f->failures++;
+  f->next = now + MIN (wait, (ClockMs)RETRY_MOST_MS);
+}
+
+static void
+on_changes (Feed *f, const KvReply *reply)
+{
+  apply_all (f, reply);
+  f->revision = MAX (f->revision, reply->revision);
+  f->fresh = MAX (f->fresh, reply->sent);
+}
+
+/* Takes REPLY if it answers F's call; returns whether it did. */
+gboolean
+feed_on_reply (Feed *f, const KvReply *reply, ClockMs now)
+{
+  if (!f->call_id || reply->id != f->call_id)
+    return FALSE;
+  f->call_id = 0;
+  if (reply->status == KV_COMPACTED)
+    feed_restart (f);
+  else if (reply->status != KV_OK)
+    on_failure (f, now);
+  else
+    {
+      f->failures = 0;
+      if (f->listing)
+        on_page (f, reply);
+      else
+        on_changes (f, reply);
+    }
+  return TRUE;
+}
+
+/* Returns when feed_poll has a call again. */
+ClockMs
+feed_next_deadline (const Feed *f)
+{
+  return f->call_id ? CLOCK_NEVER : f->next;
+}
+
+/* Returns how old what F knows is at most. */
+ClockMs
+feed_age (const Feed *f, ClockMs now)
+{
+  if (!f->complete && f->fresh < 0)
+    return CLOCK_NEVER;
+  return now - f->fresh;
+}
--- /dev/null
+++ b/queue/feed.h
@@ -0,0 +1,44 @@
+#ifndef FEED_H
+#define FEED_H
+
+#include "kv.h"
+
+/* Keeps a copy of the keys under one prefix of the store current: a listing
+   first, then watches, and a listing again whenever the history was lost. */
+
+/* Tells that ITEM, which may be a deleted one, is new. */
+typedef void (*FeedItem) (void *owner, const KvItem *item);
+
+typedef struct Feed
+{
+  char *prefix;
+  FeedItem on_item;
+  void *owner;
+  ClockMs pace; /* the least time between two watches */
+  gboolean listing;
+  gboolean complete;     /* a whole listing has been taken over */
+  gint64 call_id;        /* 0 while no call is under way */
+  char *page_after;      /* of the next page of a listing */
+  gint64 list_revision;  /* of the first page */
+  GHashTable *revisions; /* key to revision, of what exists */
+  GHashTable *listed;    /* the keys of the listing under way */
+  gint64 revision;       /* changes after this one are still unknown */
+  ClockMs fresh;         /* everything before this moment is known */
+  ClockMs next;          /* when the next call may begin */
+  guint failures;
+} Feed;
+
+void feed_init (Feed *f,
+                const char *prefix,
+                FeedItem on_item,
+                void *owner,
+                ClockMs pace);
+void feed_clear (Feed *f);
+void feed_restart (Feed *f);
+KvCall *feed_poll (Feed *f, ClockMs now, gint64 id);
+gboolean feed_on_reply (Feed *f, const KvReply *reply, ClockMs now);
+ClockMs feed_next_deadline (const Feed *f);
+ClockMs feed_age (const Feed *f, ClockMs now);
+void feed_apply (Feed *f, const KvItem *item);
+
+#endif
--- /dev/null
+++ b/queue/holds.c
@@ -0,0 +1,304 @@
+#include "dispatch_state.h"
+
+#include <string.h>
+
+enum
+{
+  WAIT_MS = 1000,  /* for an end; also how often a busy lease is renewed */
+  ANSWER_MS = 500, /* beyond the wait */
+  SHORT_TIMEOUT_MS = 600,
+  RETRY_MS = 200,
+  RETRY_MOST_MS = 1000,
+  AGAIN_MS = 60,   /* between looks at a worker that stops something */
+  DURABLE_MS = 300 /* ends that can't be stored hold up the next look */
+};
+
+/* Tells whether what runs on W can be relied on. */
+gboolean
+holds_is_settled (const PoolWorker *w)
+{
+  return w->known || w->void_;
+}
+
+static gboolean
+has_unsaved (const Dispatch *d, const PoolWorker *w)
+{
+  return w->seen > w->acked && !save_is_durable (d, w->seen_save);
+}
+
+static gboolean
+wants_hold (const PoolWorker *w)
+{
+  return !w->known || w->n_parts > 0 || w->hold_now || w->seen > w->acked;
+}
+
+/* Returns when holds_tick has something to do for W. */
+ClockMs
+holds_next (const Dispatch *d, const PoolWorker *w)
+{
+  if (w->hold_id)
+    return CLOCK_NEVER;
+  if (!wants_hold (w))
+    return CLOCK_NEVER;
+  if (has_unsaved (d, w) && w->hold_sent + DURABLE_MS > d->now)
+    return w->hold_sent + DURABLE_MS;
+  return w->next_hold;
+}
+
+static gboolean
+is_stopping (const PoolWorker *w)
+{
+  WorkPart *part;
+
+  APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
+    if (part->state == PART_STOPPING)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+send_hold (Dispatch *d, PoolWorker *w)
+{
+  RunCall *call = run_call_new (RUN_HOLD, w->entry->id, w->entry->address);
+  gboolean unsaved = has_unsaved (d, w);
+  gboolean wait = w->known && w->n_parts > 0 && !w->hold_now && !unsaved &&
+                  !w->unanswered && !is_stopping (w);
+
+  if (w->known)
+    call->deadline = runs_deadline (d, w);
+  call->ack = unsaved ? w->acked : w->seen;
+  w->acking = call->ack;
+  call->wait = wait ? WAIT_MS : 0;
+  call->timeout = wait ? WAIT_MS + ANSWER_MS : SHORT_TIMEOUT_MS;
+  w->hold_now = FALSE;
+  w->hold_sent = d->now;
+  w->hold_id = runs_send (d, call, NULL);
+}
+
+/* Looks at W when it is time to, and takes its runs for ended when they
+   surely are. */
+void
+holds_tick (Dispatch *d, PoolWorker *w)
+{
+  if (w->unanswered && d->now > w->lapse && !w->void_)
+    runs_void_worker (d, w, "lapsed");
+  if (holds_next (d, w) <= d->now)
+    send_hold (d, w);
+}
+
+static void
+adopt_row (Dispatch *d, PoolWorker *w, const RunRow *row)
+{
+  WorkTask *task = work_find_task (d->book, row->task);
+  WorkPart *part;
+
+  if (!task || task->part)
+    {
+      effects_log (d->fx,
+                   "event=stray task=%s run=%" G_GINT64_FORMAT " worker=%s",
+                   row->task, row->run, w->entry->id);
+      runs_stop_stray (d, w, row->task, row->run);
+      w->hold_now = TRUE;
+      return;
+    }
+  part = work_part_new (task, w, row->run, PART_RUNNING);
+  part->sent = TRUE;
+  part->confirmed = d->now;
+  part->started = d->now;
+  part->moved = d->now;
+  part->percent = row->percent;
+  effects_log (d->fx,
+               "event=adopted task=%s run=%" G_GINT64_FORMAT " worker=%s",
+               row->task, row->run, w->entry->id);
+  if (task->done || spec_state_is_final (task->step->job->state) ||
+      d->all_known)
+    runs_stop (d, part, "not_wanted");
+}
+
+static WorkPart *
+find_part (const Dispatch *d, const PoolWorker *w, const char *name, gint64 run)
+{
+  WorkTask *task = work_find_task (d->book, name);
+  WorkPart *part = task ? task->part : NULL;
+
+  return part && part->worker == w && part->run == run ? part : NULL;
+}
+
+static void
+take_row (Dispatch *d, PoolWorker *w, const RunRow *row)
+{
+  WorkPart *part = find_part (d, w, row->task, row->run);
+
+  if (!part)
+    {
+      adopt_row (d, w, row);
+      return;
+    }
+  if (part->state == PART_STARTING)
+    {
+      part->state = PART_RUNNING;
+      part->retry = CLOCK_NEVER;
+      part->confirmed = d->now;
+    }
+  if (row->percent > part->percent)
+    part->moved = d->now;
+  part->percent = row->percent;
+  work_task_set_checkpoint (part->task, row->checkpoint);
+}
+
+static void
+take_end (Dispatch *d, PoolWorker *w, const RunEnded *e)
+{
+  WorkPart *part = find_part (d, w, e->task, e->run);
+  WorkTask *task = work_find_task (d->book, e->task);
+
+  if (e->number <= w->seen)
+    return;
+  w->seen = e->number;
+  effects_log (d->fx,
+               "event=end task=%s run=%" G_GINT64_FORMAT
+               " worker=%s how=%s known=%d",
+               e->task, e->run, w->entry->id, run_end_name (e->how),
+               part != NULL);
+  if (part)
+    runs_end (d, part, e->how, e->checkpoint);
+  else if (task && !task->part && !d->all_known)
+    {
+      /* It was told to a former holder of the role, who may not have
+         stored it. */
+      work_task_set_checkpoint (task, e->checkpoint);
+      runs_apply_end (d, task, e->run, e->how);
+    }
+  w->seen_save = d->save.last_order;
+}
+
+static gboolean
+is_listed (const RunReply *reply, const WorkPart *part)
+{
+  char *name = work_task_name (part->task);
+  gboolean found = FALSE;
+  guint i;
+
+  for (i = 0; i < reply->running->len && !found; i++)
+    {
+      const RunRow *row = &g_array_index (reply->running, RunRow, i);
+
+      found = row->run == part->run && strcmp (row->task, name) == 0;
+    }
+  g_free (name);
+  return found;
+}
+
+/* A part that the worker answered for before the hold left, and that the
+   worker does not list, is gone. */
+static void
+drop_unlisted (Dispatch *d, PoolWorker *w, const RunReply *reply)
+{
+  GPtrArray *gone = g_ptr_array_new ();
+  WorkPart *part;
+  guint i;
+
+  APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
+    {
+      gboolean answered = part->state == PART_RUNNING ||
+                          (part->state == PART_STOPPING && part->stop_acked);
+
+      if (answered && part->confirmed <= reply->sent &&
+          !is_listed (reply, part))
+        g_ptr_array_add (gone, part);
+    }
+  for (i = 0; i < gone->len; i++)
+    {
+      part = g_ptr_array_index (gone, i);
+      if (part->state == PART_RUNNING)
+        effects_log (d->fx, "event=run_vanished job=%s task=%u worker=%s",
+                     part->task->step->job->entry->id, part->task->index,
+                     w->entry->id);
+      runs_end (d, part, RUN_STOPPED, NULL);
+    }
+  g_ptr_array_unref (gone);
+}
+
+/* A worker that was born anew runs nothing of before. */
+static void
+check_life (Dispatch *d, PoolWorker *w, const RunReply *reply)
+{
+  if (!reply->born || reply->born == w->born)
+    return;
+  if (w->born)
+    {
+      runs_void_worker (d, w, "new_life");
+      w->lapse = 0;
+    }
+  w->born = reply->born;
+  w->seen = 0;
+  w->acked = 0;
+  w->clock_at = 0;
+  w->failures = 0;
+}
+
+static void
+take_list (Dispatch *d, PoolWorker *w, const RunReply *reply)
+{
+  guint i;
+
+  check_life (d, w, reply);
+  w->clock = reply->clock;
+  w->clock_at = d->now;
+  w->unanswered = 0;
+  w->acked = MAX (w->acked, w->acking);
+  for (i = 0; i < reply->ended->len; i++)
+    take_end (d, w, &g_array_index (reply->ended, RunEnded, i));
+  for (i = 0; i < reply->running->len; i++)
+    take_row (d, w, &g_array_index (reply->running, RunRow, i));
+  drop_unlisted (d, w, reply);
+  if (!w->known)
+    {
+      w->known = TRUE;
+      w->hold_now = w->n_parts > 0;
+      d->replan = TRUE;
+    }
+  w->void_ = FALSE;
+  w->next_hold = d->now + (is_stopping (w) || w->hold_now ? AGAIN_MS : 0);
+}
+
+static void
+on_failure (Dispatch *d, PoolWorker *w, const RunReply *reply)
+{
+  w->unanswered++;
+  w->next_hold =
+      d->now + MIN ((ClockMs)RETRY_MS * w->unanswered, (ClockMs)RETRY_MOST_MS);
+  if (w->unanswered == 1)
+    effects_log (d->fx, "event=worker_silent worker=%s status=%s", w->entry->id,
+                 run_status_name (reply->status));
+}
+
+/* Takes REPLY to the hold under way at W. */
+void
+holds_on_reply (Dispatch *d, PoolWorker *w, const RunReply *reply)
+{
+  if (reply->id != w->hold_id)
+    return;
+  w->hold_id = 0;
+  if (reply->status == RUN_OK)
+    {
+      if (w->unanswered)
+        {
+          effects_log (d->fx, "event=worker_back worker=%s", w->entry->id);
+          d->replan = TRUE;
+        }
+      take_list (d, w, reply);
+    }
+  else if (reply->status == RUN_FENCED)
+    {
+      effects_log (d->fx, "event=deposed reason=fenced worker=%s",
+                   w->entry->id);
+      d->deposed = TRUE;
+    }
+  else
+    {
+      if (reply->status == RUN_OTHER_LIFE)
+        runs_void_worker (d, w, "other_life");
+      on_failure (d, w, reply);
+    }
+}
--- /dev/null
+++ b/queue/kv.c
@@ -0,0 +1,149 @@
+#include "kv.h"
+
+#include <string.h>
+
+static void
+cond_clear (gpointer p)
+{
+  g_free (((KvCond *)p)->key);
+}
+
+static void
+write_clear (gpointer p)
+{
+  KvWrite *w = p;
+
+  g_free (w->key);
+  if (w->value)
+    g_bytes_unref (w->value);
+}
+
+/* Returns a call of kind OP on KEY, which may be NULL. */
+KvCall *
+kv_call_new (KvOp op, const char *key)
+{
+  KvCall *call = g_new0 (KvCall, 1);
+
+  call->op = op;
+  call->key = g_strdup (key);
+  call->conds = g_array_new (FALSE, TRUE, sizeof (KvCond));
+  call->writes = g_array_new (FALSE, TRUE, sizeof (KvWrite));
+  g_array_set_clear_func (call->conds, cond_clear);
+  g_array_set_clear_func (call->writes, write_clear);
+  return call;
+}
+
+/* Releases CALL. */
+void
+kv_call_free (KvCall *call)
+{
+  if (!call)
+    return;
+  g_free (call->key);
+  g_free (call->after_key);
+  g_array_unref (call->conds);
+  g_array_unref (call->writes);
+  g_free (call);
+}
+
+/* Lets the transaction CALL depend on KEY being at REVISION, 0 for
+   absent. */
+void
+kv_call_cond (KvCall *call, const char *key, gint64 revision)
+{
+  KvCond cond = { .key = g_strdup (key), .revision = revision };
+
+  g_array_append_val (call->conds, cond);
+}
+
+/* Lets the transaction CALL write VALUE, of which it takes a reference,
+   under KEY; NULL deletes the key. */
+void
+kv_call_write (KvCall *call, const char *key, GBytes *value, gint64 lease)
+{
+  KvWrite w = { .key = g_strdup (key),
+                .value = value ? g_bytes_ref (value) : NULL,
+                .lease = lease };
+
+  g_array_append_val (call->writes, w);
+}
+
+/* Returns how many entries the transaction CALL has, all kinds together. */
+guint
+kv_call_entries (const KvCall *call)
+{
+  return call->conds->len + call->writes->len;
+}
+
+/* Returns an item that holds a reference to VALUE; NULL marks a deleted
+   one. */
+KvItem *
+kv_item_new (const char *key, GBytes *value, gint64 revision)
+{
+  KvItem *item = g_new0 (KvItem, 1);
+
+  item->key = g_strdup (key);
+  item->value = value ? g_bytes_ref (value) : NULL;
+  item->revision = revision;
+  item->deleted = value == NULL;
+  return item;
+}
+
+/* Returns a copy of ITEM that shares its value. */
+KvItem *
+kv_item_copy (const KvItem *item)
+{
+  KvItem *copy = kv_item_new (item->key, item->value, item->revision);
+
+  copy->lease = item->lease;
+  copy->deleted = item->deleted;
+  return copy;
+}
+
+/* Releases ITEM, a KvItem. */
+void
+kv_item_free (gpointer item)
+{
+  KvItem *i = item;
+
+  g_free (i->key);
+  if (i->value)
+    g_bytes_unref (i->value);
+  g_free (i);
+}
+
+/* Returns the item under KEY in REPLY, or NULL. */
+const KvItem *
+kv_reply_find (const KvReply *reply, const char *key)
+{
+  guint i;
+
+  for (i = 0; reply->items && i < reply->items->len; i++)
+    {
+      const KvItem *item = g_ptr_array_index (reply->items, i);
+
+      if (strcmp (item->key, key) == 0)
+        return item;
+    }
+  return NULL;
+}
+
+/* Releases what REPLY holds. */
+void
+kv_reply_clear (KvReply *reply)
+{
+  g_clear_pointer (&reply->items, g_ptr_array_unref);
+}
+
+/* Returns the name of STATUS, for logs. */
+const char *
+kv_status_name (KvStatus status)
+{
+  static const char *const names[] = {
+    [KV_OK] = "ok",           [KV_CONFLICT] = "conflict",
+    [KV_MISSING] = "missing", [KV_COMPACTED] = "compacted",
+    [KV_REFUSED] = "refused", [KV_LOST] = "lost",
+  };
+
+  return names[status];
+}
--- /dev/null
+++ b/queue/node.c
@@ -0,0 +1,436 @@
+#include "node.h"
+
+#include "dispatch.h"
+#include "term.h"
+
+#include <string.h>
+
+enum
+{
+  /* How often changes are asked for at most: the scheduler must hear of new
+     jobs at once, others only need them for their callers' questions. */
+  BOOK_PACE_HOLDER_MS = 40,
+  BOOK_PACE_MS = 250,
+  CONF_PACE_MS = 20,
+  WORKERS_PACE_MS = 100,
+  CLAIM_JITTER_MS = 120
+};
+
+struct Node
+{
+  const NodeCodec *codec;
+  Effects fx;
+  GRand *rng;
+  ClockMs now;
+  ClockMs wall;
+  Feed conf_feed;
+  Feed book_feed;
+  Feed worker_feed;
+  GHashTable *entries; /* worker id to its entry's value, GBytes */
+  Book *book;
+  Conf *conf;
+  Term term;
+  Intake *intake;
+  Dispatch *dispatch; /* NULL on hosts without the role */
+  gboolean role_seen; /* in the listing under way */
+  gboolean relisting; /* the records as they are under the own term */
+  gboolean draining;
+  ClockMs most_conf_age;
+};
+
+static void
+on_conf_item (void *owner, const KvItem *item)
+{
+  Node *n = owner;
+  Findings findings;
+  Conf *conf;
+
+  if (item->deleted || strcmp (item->key, n->codec->conf_key) != 0)
+    return;
+  findings_init (&findings);
+  conf = n->codec->read_conf (item->value, &findings);
+  if (!conf || (n->conf && conf->version < n->conf->version))
+    {
+      char *text = findings_text (&findings);
+
+      g_strdelimit (text, "\n\"", ' ');
+      effects_log (&n->fx,
+                   "event=conf_ignored revision=%" G_GINT64_FORMAT
+                   " reason=\"%s\"",
+                   item->revision, conf ? "older version" : text);
+      g_free (text);
+      conf_unref (conf);
+    }
+  else
+    {
+      effects_log (&n->fx,
+                   "event=conf version=%" G_GINT64_FORMAT
+                   " revision=%" G_GINT64_FORMAT " routes=%u workspaces=%u",
+                   conf->version, item->revision, conf->routes->len,
+                   conf->workspaces->len);
+      conf_unref (n->conf);
+      n->conf = conf;
+      intake_on_conf (n->intake, conf);
+      if (n->dispatch)
+        dispatch_on_conf (n->dispatch, conf);
+    }
+  findings_clear (&findings);
+}
+
+static void
+on_book_item (void *owner, const KvItem *item)
+{
+  Node *n = owner;
+
+  if (strcmp (item->key, book_role_key) == 0)
+    {
+      n->role_seen = !item->deleted;
+      term_on_role (&n->term, item, n->now,
+                    g_rand_int_range (n->rng, 0, CLAIM_JITTER_MS));
+      return;
+    }
+  book_apply (n->book, item);
+}
+
+static void
+on_book_changed (void *owner, BookEntry *entry)
+{
+  Node *n = owner;
+
+  if (n->dispatch)
+    dispatch_on_entry (n->dispatch, entry);
+}
+
+static void
+on_worker_item (void *owner, const KvItem *item)
+{
+  Node *n = owner;
+  const char *id = item->key + strlen (n->codec->workers_prefix);
+  Findings findings;
+  PoolEntry *entry;
+
+  if (item->deleted)
+    {
+      g_hash_table_remove (n->entries, id);
+      if (n->dispatch)
+        dispatch_on_worker_gone (n->dispatch, id);
+      return;
+    }
+  findings_init (&findings);
+  entry = n->codec->read_worker (id, item->value, &findings);
+  if (!entry)
+    {
+      char *text = findings_text (&findings);
+
+      g_strdelimit (text, "\n\"", ' ');
+      effects_log (&n->fx, "event=worker_unreadable worker=%s reason=\"%s\"",
+                   id, text);
+      g_free (text);
+    }
+  else
+    {
+      g_hash_table_insert (n->entries, g_strdup (id),
+                           g_bytes_ref (item->value));
+      if (n->dispatch)
+        dispatch_on_worker (n->dispatch, entry);
+      else
+        pool_entry_free (entry);
+    }
+  findings_clear (&findings);
+}
+
+/* Returns a node that reads others' entries by CODEC.  NOW is the host's
+   clock, WALL Unix time, both in milliseconds. */
+Node *
+node_new (const NodeSettings *s,
+          const NodeCodec *codec,
+          ClockMs now,
+          ClockMs wall)
+{
+  Node *n = g_new0 (Node, 1);
+
+  n->codec = codec;
+  n->now = now;
+  n->wall = wall;
+  n->most_conf_age = s->most_conf_age;
+  n->rng = g_rand_new_with_seed (s->seed);
+  effects_init (&n->fx);
+  feed_init (&n->conf_feed, codec->conf_prefix, on_conf_item, n, CONF_PACE_MS);
+  feed_init (&n->book_feed, book_prefix, on_book_item, n, BOOK_PACE_MS);
+  feed_init (&n->worker_feed, codec->workers_prefix, on_worker_item, n,
+             WORKERS_PACE_MS);
+  n->entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                      (GDestroyNotify)g_bytes_unref);
+  n->book = book_new (on_book_changed, n);
+  term_init (&n->term, s->holder_name);
+  n->intake = intake_new (&n->fx, n->book, &n->book_feed, codec->read_job,
+                          s->most_conf_age);
+  intake_set_time (n->intake, now, wall);
+  return n;
+}
+
+/* Releases N. */
+void
+node_free (Node *n)
+{
+  dispatch_free (n->dispatch);
+  intake_free (n->intake);
+  book_free (n->book);
+  term_clear (&n->term);
+  feed_clear (&n->conf_feed);
+  feed_clear (&n->book_feed);
+  feed_clear (&n->worker_feed);
+  g_hash_table_unref (n->entries);
+  conf_unref (n->conf);
+  g_rand_free (n->rng);
+  effects_clear (&n->fx);
+  g_free (n);
+}
+
+/* Tells N the time: NOW on the host's clock, WALL in Unix time. */
+void
+node_set_time (Node *n, ClockMs now, ClockMs wall)
+{
+  n->now = MAX (n->now, now);
+  n->wall = wall;
+  intake_set_time (n->intake, n->now, wall);
+  if (n->dispatch)
+    dispatch_set_time (n->dispatch, n->now, wall);
+}
+
+/* Takes a caller's REQUEST; it is answered by an effect. */
+void
+node_on_request (Node *n, const Request *request)
+{
+  intake_on_request (n->intake, request, feed_age (&n->conf_feed, n->now));
+}
+
+/* Forgets REQUEST, whose caller has hung up. */
+void
+node_on_gone (Node *n, gint64 request)
+{
+  intake_on_gone (n->intake, request);
+}
+
+static void
+on_book_listed (Node *n)
+{
+  if (!n->role_seen)
+    term_on_role (&n->term,
+                  &(KvItem) { .key = (char *)book_role_key, .deleted = TRUE },
+                  n->now, g_rand_int_range (n->rng, 0, CLAIM_JITTER_MS));
+}
+
+static void
+start_dispatch (Node *n)
+{
+  DispatchTerm term = { .fence = term_fence (&n->term),
+                        .first_run = term_first_run (&n->term),
+                        .role_revision = n->term.revision };
+  GHashTableIter i;
+  gpointer id, value;
+
+  n->dispatch = dispatch_new (&n->fx, n->book, &term, n->now, n->wall);
+  if (n->conf)
+    dispatch_on_conf (n->dispatch, n->conf);
+  g_hash_table_iter_init (&i, n->entries);
+  while (g_hash_table_iter_next (&i, &id, &value))
+    {
+      Findings findings;
+      PoolEntry *entry;
+
+      findings_init (&findings);
+      entry = n->codec->read_worker (id, value, &findings);
+      if (entry)
+        dispatch_on_worker (n->dispatch, entry);
+      findings_clear (&findings);
+    }
+  effects_log (&n->fx,
+               "event=role_taken fence=%" G_GINT64_FORMAT " workers=%u jobs=%u",
+               term.fence, g_hash_table_size (n->entries),
+               g_hash_table_size (book_entries (n->book)));
+}
+
+static void
+stop_dispatch (Node *n, const char *why)
+{
+  effects_log (&n->fx, "event=role_left reason=%s", why);
+  dispatch_free (n->dispatch);
+  n->dispatch = NULL;
+  n->relisting = FALSE;
+  n->book_feed.pace = BOOK_PACE_MS;
+}
+
+/* The records and workers are listed anew under a new term, since a former
+   holder may have written until just before it. */
+static void
+follow_term (Node *n)
+{
+  gboolean holder = term_is_holder (&n->term);
+
+  if (n->dispatch && dispatch_is_deposed (n->dispatch))
+    {
+      term_give_up (&n->term, n->now);
+      stop_dispatch (n, "deposed");
+    }
+  else if (n->dispatch && !holder)
+    stop_dispatch (n, "term_ended");
+  else if (!holder)
+    n->relisting = FALSE;
+  else if (!n->dispatch && !n->relisting)
+    {
+      n->relisting = TRUE;
+      n->book_feed.pace = BOOK_PACE_HOLDER_MS;
+      feed_restart (&n->book_feed);
+      feed_restart (&n->worker_feed);
+    }
+  else if (!n->dispatch && n->book_feed.complete && n->worker_feed.complete)
+    start_dispatch (n);
+}
+
+/* Takes the store's REPLY. */
+void
+node_on_kv_reply (Node *n, const KvReply *reply)
+{
+  gboolean listed = n->book_feed.complete;
+
+  if (feed_on_reply (&n->conf_feed, reply, n->now) ||
+      feed_on_reply (&n->worker_feed, reply, n->now) ||
+      term_on_reply (&n->term, reply, n->now) ||
+      intake_on_kv_reply (n->intake, reply) ||
+      (n->dispatch && dispatch_on_kv_reply (n->dispatch, reply)))
+    return;
+  if (feed_on_reply (&n->book_feed, reply, n->now) && !listed &&
+      n->book_feed.complete)
+    on_book_listed (n);
+}
+
+/* Takes a worker's REPLY. */
+void
+node_on_run_reply (Node *n, const RunReply *reply)
+{
+  if (n->dispatch)
+    dispatch_on_run_reply (n->dispatch, reply);
+}
+
+static void
+poll_feed (Node *n, Feed *f)
+{
+  KvCall *call = feed_poll (f, n->now, n->fx.last_id + 1);
+
+  if (!call)
+    return;
+  effects_next_id (&n->fx);
+  effects_kv (&n->fx, call);
+}
+
+static void
+poll_term (Node *n)
+{
+  KvCall *call = term_poll (&n->term, n->now, n->fx.last_id + 1);
+
+  if (!call)
+    return;
+  effects_next_id (&n->fx);
+  effects_kv (&n->fx, call);
+}
+
+/* Does what is due. */
+void
+node_tick (Node *n)
+{
+  poll_term (n);
+  follow_term (n);
+  poll_feed (n, &n->conf_feed);
+  poll_feed (n, &n->book_feed);
+  if (term_is_holder (&n->term))
+    poll_feed (n, &n->worker_feed);
+  intake_tick (n->intake);
+  if (n->dispatch)
+    dispatch_tick (n->dispatch);
+}
+
+/* Gives the role up and reports N as not ready; requests are served until
+   the process ends. */
+void
+node_drain (Node *n)
+{
+  n->draining = TRUE;
+  term_want (&n->term, FALSE);
+}
+
+/* Takes the oldest effect, to be freed by the caller, or NULL. */
+Effect *
+node_pop_effect (Node *n)
+{
+  return effects_pop (&n->fx);
+}
+
+/* Returns when node_tick wants to be called, if only by the time. */
+ClockMs
+node_next_deadline (const Node *n)
+{
+  ClockMs next = term_next_deadline (&n->term);
+
+  next = MIN (next, feed_next_deadline (&n->conf_feed));
+  next = MIN (next, feed_next_deadline (&n->book_feed));
+  next = MIN (next, intake_next_deadline (n->intake));
+  if (term_is_holder (&n->term))
+    next = MIN (next, feed_next_deadline (&n->worker_feed));
+  if (n->dispatch)
+    next = MIN (next, dispatch_next_deadline (n->dispatch));
+  return next;
+}
+
+/* Tells whether N can serve callers. */
+gboolean
+node_is_ready (const Node *n)
+{
+  return !n->draining && n->conf && n->book_feed.fresh >= 0 &&
+         feed_age (&n->conf_feed, n->now) <= n->most_conf_age;
+}
+
+/* Tells whether N schedules. */
+gboolean
+node_is_scheduler (const Node *n)
+{
+  return n->dispatch != NULL;
+}
+
+/* Returns the configuration in force, or NULL. */
+const Conf *
+node_conf (const Node *n)
+{
+  return n->conf;
+}
+
+/* Returns the number of requests that wait for their answer. */
+guint
+node_n_pending (const Node *n)
+{
+  return intake_n_pending (n->intake);
+}
+
+/* Returns N's counters in the usual text form; the caller frees them. */
+char *
+node_metrics (const Node *n)
+{
+  GString *text = g_string_new (NULL);
+
+  g_string_append_printf (text,
+                          "wagtailpass_conf_version %" G_GINT64_FORMAT "\n",
+                          n->conf ? n->conf->version : 0);
+  g_string_append_printf (text,
+                          "wagtailpass_conf_age_ms %" CLOCK_MS_FORMAT "\n",
+                          feed_age (&n->conf_feed, n->now));
+  g_string_append_printf (text, "wagtailpass_jobs_known %u\n",
+                          g_hash_table_size (book_entries (n->book)));
+  g_string_append_printf (text, "wagtailpass_records_unreadable %u\n",
+                          book_unreadable (n->book));
+  g_string_append_printf (text, "wagtailpass_is_scheduler %d\n",
+                          n->dispatch != NULL);
+  intake_describe (n->intake, text);
+  if (n->dispatch)
+    dispatch_describe (n->dispatch, text);
+  return g_string_free (text, FALSE);
+}
--- /dev/null
+++ b/queue/pool.c
@@ -0,0 +1,179 @@
+#include "pool.h"
+
+#include "work.h"
+
+#include <string.h>
+
+/* Returns an entry of worker ID with nothing else known. */
+PoolEntry *
+pool_entry_new (const char *id)
+{
+  PoolEntry *e = g_new0 (PoolEntry, 1);
+
+  e->id = g_strdup (id);
+  e->labels = g_ptr_array_new_with_free_func (g_free);
+  return e;
+}
+
+/* Releases ENTRY, a PoolEntry. */
+void
+pool_entry_free (gpointer entry)
+{
+  PoolEntry *e = entry;
+
+  if (!e)
+    return;
+  g_free (e->id);
+  g_free (e->service);
+  g_free (e->address);
+  g_free (e->domain);
+  g_free (e->rack);
+  g_ptr_array_unref (e->labels);
+  g_free (e);
+}
+
+static void
+worker_free (gpointer p)
+{
+  PoolWorker *w = p;
+
+  pool_entry_free (w->entry);
+  g_free (w);
+}
+
+/* Prepares P, without workers. */
+void
+pool_init (Pool *p)
+{
+  p->workers =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, worker_free);
+  p->order = g_ptr_array_new ();
+}
+
+/* Releases what P holds. */
+void
+pool_clear (Pool *p)
+{
+  g_ptr_array_unref (p->order);
+  g_hash_table_unref (p->workers);
+}
+
+/* Returns worker ID, or NULL. */
+PoolWorker *
+pool_find (const Pool *p, const char *id)
+{
+  return g_hash_table_lookup (p->workers, id);
+}
+
+static int
+compare_workers (gconstpointer a, gconstpointer b)
+{
+  const PoolEntry *x = (*(PoolWorker *const *)a)->entry;
+  const PoolEntry *y = (*(PoolWorker *const *)b)->entry;
+  int racks = g_strcmp0 (x->rack, y->rack);
+
+  return racks ? racks : strcmp (x->id, y->id);
+}
+
+/* Takes ENTRY, which becomes the pool's, for what its worker now says of
+   itself.  Returns the worker. */
+PoolWorker *
+pool_put (Pool *p, PoolEntry *entry)
+{
+  PoolWorker *w = pool_find (p, entry->id);
+
+  if (w)
+    {
+      g_hash_table_steal (p->workers, w->entry->id);
+      pool_entry_free (w->entry);
+    }
+  else
+    {
+      w = g_new0 (PoolWorker, 1);
+      APR_RING_INIT (&w->parts, WorkPart, on_worker);
+      g_ptr_array_add (p->order, w);
+    }
+  w->entry = entry;
+  w->listed = TRUE;
+  g_hash_table_insert (p->workers, entry->id, w);
+  g_ptr_array_sort (p->order, compare_workers);
+  return w;
+}
+
+/* Forgets W, which must have no parts. */
+void
+pool_remove (Pool *p, PoolWorker *w)
+{
+  g_ptr_array_remove (p->order, w);
+  g_hash_table_remove (p->workers, w->entry->id);
+}
+
+/* Tells whether W carries LABEL; an empty one is carried by all. */
+gboolean
+pool_has_label (const PoolWorker *w, const char *label)
+{
+  guint i;
+
+  if (!*label)
+    return TRUE;
+  for (i = 0; i < w->entry->labels->len; i++)
+    if (strcmp (g_ptr_array_index (w->entry->labels, i), label) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Adds NEED to ROOM. */
+void
+pool_take (PoolRoom *room, const PoolRoom *need)
+{
+  room->cpu_milli += need->cpu_milli;
+  room->mem_mb += need->mem_mb;
+  room->accelerators += need->accelerators;
+}
+
+/* Takes NEED off ROOM. */
+void
+pool_give (PoolRoom *room, const PoolRoom *need)
+{
+  room->cpu_milli -= need->cpu_milli;
+  room->mem_mb -= need->mem_mb;
+  room->accelerators -= need->accelerators;
+}
+
+/* Returns what W has beyond what is used and claimed; amounts may be below
+   0. */
+PoolRoom
+pool_free_room (const PoolWorker *w)
+{
+  PoolRoom room = w->entry->room;
+
+  pool_give (&room, &w->used);
+  pool_give (&room, &w->claimed);
+  return room;
+}
+
+static gint64
+times (gint64 has, gint64 need)
+{
+  if (has < 0)
+    return 0;
+  return need > 0 ? has / need : G_MAXINT32;
+}
+
+/* Returns how many times NEED fits into ROOM. */
+guint
+pool_room_fits (const PoolRoom *room, const PoolRoom *need)
+{
+  gint64 n = times (room->cpu_milli, need->cpu_milli);
+
+  n = MIN (n, times (room->mem_mb, need->mem_mb));
+  n = MIN (n, times (room->accelerators, need->accelerators));
+  return (guint)n;
+}
+
+/* Tells whether NEED fits into ROOM. */
+gboolean
+pool_room_holds (const PoolRoom *room, const PoolRoom *need)
+{
+  return pool_room_fits (room, need) > 0;
+}
--- /dev/null
+++ b/queue/pool.h
@@ -0,0 +1,84 @@
+#ifndef POOL_H
+#define POOL_H
+
+#include "clock.h"
+
+#include <apr_ring.h>
+
+/* The workers and how much room each has. */
+
+typedef struct PoolRoom
+{
+  gint64 cpu_milli;
+  gint64 mem_mb;
+  gint64 accelerators;
+} PoolRoom;
+
+/* What a worker's own entry in the store says. */
+typedef struct PoolEntry
+{
+  char *id;
+  char *service;
+  char *address;
+  char *domain;
+  char *rack;
+  GPtrArray *labels; /* of char * */
+  PoolRoom room;
+  gint64 born; /* start of its present life, Unix milliseconds */
+  gboolean draining;
+} PoolEntry;
+
+typedef struct WorkPart WorkPart;
+APR_RING_HEAD (WorkPartRing, WorkPart);
+
+typedef struct PoolWorker
+{
+  PoolEntry *entry;
+  gboolean listed;  /* its entry is in the store */
+  gboolean known;   /* has listed its runs to this holder of the role */
+  gboolean void_;   /* not known, but whatever it ran has surely lapsed */
+  gint64 born;      /* of the life that was listed last */
+  PoolRoom used;    /* by what runs, may run, or is being stopped */
+  PoolRoom claimed; /* by what waits for room here */
+  struct WorkPartRing parts;
+  guint n_parts;
+  gint64 clock;      /* the worker's clock ... */
+  ClockMs clock_at;  /* ... at this moment or later */
+  ClockMs lapse;     /* whatever runs here has ended by then, unless renewed */
+  gint64 acked;      /* the worker may have forgotten the ends up to this */
+  gint64 acking;     /* what the hold under way acknowledges */
+  gint64 seen;       /* ends up to this number have been taken over ... */
+  guint64 seen_save; /* ... and last once this save has */
+  gint64 hold_id;    /* of the hold under way; 0 for none */
+  ClockMs hold_sent;
+  ClockMs next_hold;
+  gboolean hold_now; /* the next hold must not wait for an end */
+  guint unanswered;  /* holds in a row */
+  guint failures;    /* in a row, of different jobs */
+  guint failed_job;  /* hash of the last one's id */
+  guint successes;
+  ClockMs avoid_until; /* takes nothing new before */
+  ClockMs avoid_span;
+} PoolWorker;
+
+typedef struct Pool
+{
+  GHashTable *workers; /* id to PoolWorker */
+  GPtrArray *order;    /* of PoolWorker, by rack and id */
+} Pool;
+
+void pool_init (Pool *p);
+void pool_clear (Pool *p);
+PoolWorker *pool_find (const Pool *p, const char *id);
+PoolWorker *pool_put (Pool *p, PoolEntry *entry);
+void pool_remove (Pool *p, PoolWorker *w);
+PoolEntry *pool_entry_new (const char *id);
+void pool_entry_free (gpointer entry);
+gboolean pool_has_label (const PoolWorker *w, const char *label);
+void pool_take (PoolRoom *room, const PoolRoom *need);
+void pool_give (PoolRoom *room, const PoolRoom *need);
+PoolRoom pool_free_room (const PoolWorker *w);
+guint pool_room_fits (const PoolRoom *room, const PoolRoom *need);
+gboolean pool_room_holds (const PoolRoom *room, const PoolRoom *need);
+
+#endif
--- /dev/null
+++ b/queue/rank.c
@@ -0,0 +1,55 @@
+#include "rank.h"
+
+/* A job that ends after this many times its objective is of no more use to
+   its caller than one that ends much later. */
+static const ClockMs late_factor = 3;
+
+enum
+{
+  BAND_URGENT,
+  BAND_IN_TIME,
+  BAND_LATE,
+  BAND_BEYOND
+};
+
+static guint
+band_of (const WorkStep *step, ClockMs now)
+{
+  const WorkJob *job = step->job;
+  ClockMs left = step->spec->estimate_ms;
+  ClockMs end = now + left - job->accepted;
+
+  if (end > late_factor * job->objective)
+    return BAND_BEYOND;
+  if (job->entry->job->priority == 0)
+    return BAND_URGENT;
+  return end > job->objective ? BAND_LATE : BAND_IN_TIME;
+}
+
+/* Returns STEP's key at NOW.  Answers the load of more work than fits:
+   urgent jobs first, then those that can still end in time, and among
+   equals the one that keeps the fewest cores from others for each unit of
+   priority. */
+RankKey
+rank_key (const WorkStep *step, ClockMs now)
+{
+  double work = spec_step_core_ms (step->spec);
+  double weight = 1.0 + (double)step->job->entry->job->priority;
+
+  return (RankKey) { .band = band_of (step, now),
+                     .cost = work * weight,
+                     .accepted = step->job->accepted };
+}
+
+/* Compares two keys, like strcmp. */
+int
+rank_compare (const RankKey *a, const RankKey *b)
+{
+  if (a->band != b->band)
+    return a->band < b->band ? -1 : 1;
+  if (a->cost != b->cost)
+    return a->cost < b->cost ? -1 : 1;
+  if (a->accepted != b->accepted)
+    return a->accepted < b->accepted ? -1 : 1;
+  return 0;
+}
--- /dev/null
+++ b/queue/run_call.c
@@ -0,0 +1,90 @@
+#include "run_call.h"
+
+/* Returns an order of kind OP for WORKER at ADDRESS. */
+RunCall *
+run_call_new (RunOp op, const char *worker, const char *address)
+{
+  RunCall *call = g_new0 (RunCall, 1);
+
+  call->op = op;
+  call->worker = g_strdup (worker);
+  call->address = g_strdup (address);
+  return call;
+}
+
+/* Releases CALL. */
+void
+run_call_free (RunCall *call)
+{
+  if (!call)
+    return;
+  g_free (call->worker);
+  g_free (call->address);
+  g_free (call->task);
+  g_free (call->text);
+  g_free (call->checkpoint);
+  g_free (call);
+}
+
+static void
+row_clear (gpointer p)
+{
+  RunRow *row = p;
+
+  g_free (row->task);
+  g_free (row->checkpoint);
+}
+
+static void
+ended_clear (gpointer p)
+{
+  RunEnded *e = p;
+
+  g_free (e->task);
+  g_free (e->checkpoint);
+}
+
+/* Makes REPLY an empty one. */
+void
+run_reply_init (RunReply *reply)
+{
+  *reply = (RunReply) { .running = g_array_new (FALSE, TRUE, sizeof (RunRow)),
+                        .ended = g_array_new (FALSE, TRUE, sizeof (RunEnded)) };
+  g_array_set_clear_func (reply->running, row_clear);
+  g_array_set_clear_func (reply->ended, ended_clear);
+}
+
+/* Releases what REPLY holds. */
+void
+run_reply_clear (RunReply *reply)
+{
+  g_clear_pointer (&reply->running, g_array_unref);
+  g_clear_pointer (&reply->ended, g_array_unref);
+}
+
+/* Returns the name of HOW, for logs. */
+const char *
+run_end_name (RunEnd how)
+{
+  static const char *const names[] = {
+    [RUN_DONE] = "done",     [RUN_FAILED] = "failed", [RUN_STOPPED] = "stopped",
+    [RUN_LAPSED] = "lapsed", [RUN_BROKEN] = "broken", [RUN_ALONE] = "alone",
+  };
+
+  return names[how];
+}
+
+/* Returns the name of STATUS, for logs. */
+const char *
+run_status_name (RunStatus status)
+{
+  static const char *const names[] = {
+    [RUN_OK] = "ok",           [RUN_FENCED] = "fenced",
+    [RUN_OLD] = "old",         [RUN_LATE] = "late",
+    [RUN_NO_ROOM] = "no_room", [RUN_UNHEALTHY] = "unhealthy",
+    [RUN_INVALID] = "invalid", [RUN_OTHER_LIFE] = "other_life",
+    [RUN_UNSENT] = "unsent",   [RUN_LOST] = "lost",
+  };
+
+  return names[status];
+}
--- /dev/null
+++ b/queue/runs.c
@@ -0,0 +1,468 @@
+#include "dispatch_state.h"
+
+#include <string.h>
+
+enum
+{
+  ORDER_TIMEOUT_MS = 450, /* a round trip between regions and a slow host */
+  RETRY_MS = 60,
+  START_TRIES = 4, /* within the time that a gang waits for its members */
+  AVOID_MS = 700,
+  UNHEALTHY_AVOID_MS = 1500,
+  SUSPECT_FAILURES = 2, /* in a row, of different jobs */
+  QUARANTINE_MS = 4000,
+  QUARANTINE_MOST_MS = 16000
+};
+
+/* How long a worker's runs go on without a renewal.  Outlasts a change of
+   the scheduler; a task of a worker that was cut off waits as long. */
+const ClockMs dispatch_lease = 6000;
+
+/* A worker's clock may be this much slow, in permille, and an answer may
+   have been under way for a while. */
+static const ClockMs clock_slow_permille = 30;
+static const ClockMs clock_margin = 150;
+
+/* Returns the deadline for a lease of W that begins now, on W's clock, and
+   notes when it will have lapsed at the latest. */
+gint64
+runs_deadline (Dispatch *d, PoolWorker *w)
+{
+  ClockMs span = d->now - w->clock_at + dispatch_lease;
+  ClockMs lapse = w->clock_at + span + span * clock_slow_permille / 1000;
+
+  w->lapse = MAX (w->lapse, lapse + clock_margin);
+  return w->clock + span;
+}
+
+static void
+ordered_free (gpointer p)
+{
+  Ordered *o = p;
+
+  g_free (o->worker);
+  g_free (o->task);
+  g_free (o);
+}
+
+/* Sends CALL, which concerns PART if that isn't NULL.  Returns its
+   number. */
+gint64
+runs_send (Dispatch *d, RunCall *call, WorkPart *part)
+{
+  Ordered *o = g_new0 (Ordered, 1);
+
+  call->id = effects_next_id (d->fx);
+  call->fence = d->term.fence;
+  *o = (Ordered) { .op = call->op,
+                   .worker = g_strdup (call->worker),
+                   .part = part,
+                   .task = g_strdup (call->task),
+                   .run = call->run };
+  if (!d->orders)
+    d->orders = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                       ordered_free);
+  g_hash_table_insert (d->orders, g_memdup2 (&call->id, sizeof call->id), o);
+  effects_run (d->fx, call);
+  return call->id;
+}
+
+static RunCall *
+part_call (RunOp op, const WorkPart *part)
+{
+  const PoolEntry *e = part->worker->entry;
+  RunCall *call = run_call_new (op, e->id, e->address);
+
+  call->task = work_task_name (part->task);
+  call->run = part->run;
+  call->timeout = ORDER_TIMEOUT_MS;
+  return call;
+}
+
+static const char *
+checkpoint_of (const WorkTask *task)
+{
+  const WorkStep *step = task->step;
+
+  return step->spec->gang ? step->tasks[0].checkpoint : task->checkpoint;
+}
+
+static void
+send_start (Dispatch *d, WorkPart *part)
+{
+  RunCall *call = part_call (RUN_START, part);
+
+  call->text = g_strdup (part->task->step->job->entry->job->text);
+  call->checkpoint = g_strdup (checkpoint_of (part->task));
+  call->deadline = runs_deadline (d, part->worker);
+  part->sent = TRUE;
+  part->tries++;
+  part->ordered = d->now;
+  part->retry = CLOCK_NEVER;
+  part->call_id = runs_send (d, call, part);
+}
+
+/* Orders PART, which has room, to be started. */
+void
+runs_start (Dispatch *d, WorkPart *part)
+{
+  work_part_set_state (part, PART_STARTING);
+  part->tries = 0;
+  part->started = d->now;
+  part->moved = d->now;
+  d->n_starts++;
+  send_start (d, part);
+}
+
+static void
+send_stop (Dispatch *d, WorkPart *part)
+{
+  part->ordered = d->now;
+  part->retry = CLOCK_NEVER;
+  part->call_id = runs_send (d, part_call (RUN_STOP, part), part);
+}
+
+/* Has PART stopped; its room stays taken until its worker lists its end or
+   no longer lists it. */
+void
+runs_stop (Dispatch *d, WorkPart *part, const char *why)
+{
+  WorkTask *task = part->task;
+
+  if (part->state == PART_STOPPING)
+    return;
+  if (part->state == PART_CLAIM || !part->sent)
+    {
+      runs_end (d, part, RUN_STOPPED, NULL);
+      return;
+    }
+  effects_log (d->fx,
+               "event=stop job=%s step=%u.%u task=%u run=%" G_GINT64_FORMAT
+               " worker=%s reason=%s",
+               task->step->job->entry->id, task->step->occurrence,
+               task->step->number, task->index, part->run,
+               part->worker->entry->id, why);
+  part->state = PART_STOPPING;
+  part->stop_acked = FALSE;
+  send_stop (d, part);
+}
+
+/* Stops every part of STEP but KEEP. */
+static void
+stop_step (Dispatch *d, WorkStep *step, const char *why)
+{
+  guint i;
+
+  for (i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].part)
+      runs_stop (d, step->tasks[i].part, why);
+}
+
+/* Stops everything of JOB. */
+void
+runs_stop_job (Dispatch *d, WorkJob *job, const char *why)
+{
+  WorkStep *step;
+
+  APR_RING_FOREACH (step, &job->steps, WorkStep, link)
+    stop_step (d, step, why);
+}
+
+/* Has W take nothing new for SPAN milliseconds. */
+static void
+avoid (Dispatch *d, PoolWorker *w, ClockMs span)
+{
+  w->avoid_until = MAX (w->avoid_until, d->now + span);
+}
+
+/* A worker on which different jobs fail in a row, while others succeed
+   elsewhere, is given a rest that doubles. */
+static void
+note_failure (Dispatch *d, PoolWorker *w, const WorkJob *job)
+{
+  guint hash = g_str_hash (job->entry->id);
+
+  if (w->failures && w->failed_job == hash)
+    return;
+  w->failed_job = hash;
+  w->failures++;
+  if (w->failures < SUSPECT_FAILURES)
+    return;
+  w->avoid_span = CLAMP (w->avoid_span * 2, QUARANTINE_MS, QUARANTINE_MOST_MS);
+  avoid (d, w, w->avoid_span);
+  effects_log (
+      d->fx, "event=quarantine worker=%s failures=%u span_ms=%" CLOCK_MS_FORMAT,
+      w->entry->id, w->failures, w->avoid_span);
+}
+
+static void
+note_success (PoolWorker *w)
+{
+  w->failures = 0;
+  w->successes++;
+  w->avoid_span = 0;
+}
+
+static void
+count_attempt (Dispatch *d, WorkTask *task, gint64 run)
+{
+  WorkJob *job = task->step->job;
+  WorkTask *keeper = task->step->spec->gang ? &task->step->tasks[0] : task;
+  gint64 most = job->entry->job->attempts;
+
+  if (run <= keeper->failed_run)
+    return;
+  keeper->failed_run = run;
+  keeper->attempts++;
+  save_mark (d, job);
+  effects_log (
+      d->fx,
+      "event=task_failed job=%s step=%u.%u task=%u run=%" G_GINT64_FORMAT
+      " attempts=%u most=%" G_GINT64_FORMAT,
+      job->entry->id, task->step->occurrence, task->step->number, task->index,
+      run, keeper->attempts, most);
+  if (most > 0 && keeper->attempts >= most && !task->step->spec->perpetual &&
+      !spec_state_is_final (job->state))
+    dispatch_set_state (d, job, JOB_FAILED);
+}
+
+/* Takes over that RUN of TASK has ended in the way HOW. */
+void
+runs_apply_end (Dispatch *d, WorkTask *task, gint64 run, RunEnd how)
+{
+  WorkJob *job = task->step->job;
+
+  d->replan = TRUE;
+  if (task->done || spec_state_is_final (job->state))
+    return;
+  if (how == RUN_FAILED)
+    count_attempt (d, task, run);
+  if (how != RUN_DONE)
+    return;
+  work_task_set_done (task);
+  save_mark (d, job);
+  if (work_job_is_over (job))
+    dispatch_set_state (d, job, JOB_COMPLETED);
+}
+
+/* A gang goes on until all of its parts are gone, then it may start
+   again. */
+static void
+settle_gang (Dispatch *d, WorkStep *step)
+{
+  if (step->n_parts == 0)
+    {
+      step->breaking = FALSE;
+      return;
+    }
+  if (work_step_is_done (step) || step->breaking)
+    return;
+  step->breaking = TRUE;
+  stop_step (d, step, "gang_broken");
+}
+
+/* Forgets PART, whose run has ended, or never began, in the way HOW. */
+void
+runs_end (Dispatch *d, WorkPart *part, RunEnd how, const char *checkpoint)
+{
+  WorkTask *task = part->task;
+  WorkStep *step = task->step;
+  PoolWorker *w = part->worker;
+  gint64 run = part->run;
+  Ordered *o = part->call_id && d->orders
+                   ? g_hash_table_lookup (d->orders, &part->call_id)
+                   : NULL;
+
+  if (o)
+    o->part = NULL;
+  work_task_set_checkpoint (task, checkpoint);
+  if (how == RUN_FAILED)
+    {
+      task->failed_on = w;
+      note_failure (d, w, step->job);
+    }
+  else if (how == RUN_DONE)
+    note_success (w);
+  work_part_free (part);
+  runs_apply_end (d, task, run, how);
+  if (step->spec->gang)
+    settle_gang (d, step);
+  d->replan = TRUE;
+  dispatch_forget_job (d, step->job);
+}
+
+/* Takes everything on W for ended, because its life is over or its lease
+   has surely lapsed. */
+void
+runs_void_worker (Dispatch *d, PoolWorker *w, const char *why)
+{
+  if (w->n_parts)
+    effects_log (d->fx, "event=worker_void worker=%s parts=%u reason=%s",
+                 w->entry->id, w->n_parts, why);
+  while (!APR_RING_EMPTY (&w->parts, WorkPart, on_worker))
+    runs_end (d, APR_RING_FIRST (&w->parts), RUN_LAPSED, NULL);
+  w->void_ = TRUE;
+}
+
+/* Stops RUN of a task on W that this scheduler knows nothing of. */
+void
+runs_stop_stray (Dispatch *d, PoolWorker *w, const char *task, gint64 run)
+{
+  RunCall *call = run_call_new (RUN_STOP, w->entry->id, w->entry->address);
+
+  call->task = g_strdup (task);
+  call->run = run;
+  call->timeout = ORDER_TIMEOUT_MS;
+  runs_send (d, call, NULL);
+  avoid (d, w, AVOID_MS);
+}
+
+/* The order surely had no effect, unless an earlier one for the same run
+   was lost. */
+static void
+start_refused (Dispatch *d, WorkPart *part, RunStatus status)
+{
+  PoolWorker *w = part->worker;
+
+  effects_log (d->fx,
+               "event=start_refused job=%s task=%u run=%" G_GINT64_FORMAT
+               " worker=%s reason=%s tries=%u",
+               part->task->step->job->entry->id, part->task->index, part->run,
+               w->entry->id, run_status_name (status), part->tries);
+  if (status == RUN_UNHEALTHY)
+    avoid (d, w, UNHEALTHY_AVOID_MS);
+  else if (status != RUN_OLD)
+    avoid (d, w, AVOID_MS);
+  if (part->state == PART_STOPPING)
+    return;
+  if (part->tries > 1)
+    runs_stop (d, part, "start_unsure");
+  else
+    runs_end (d, part, RUN_STOPPED, NULL);
+}
+
+static void
+start_lost (Dispatch *d, WorkPart *part)
+{
+  if (part->state != PART_STARTING)
+    return;
+  if (part->tries >= START_TRIES)
+    {
+      avoid (d, part->worker, AVOID_MS);
+      runs_stop (d, part, "start_unanswered");
+      return;
+    }
+  part->retry = d->now + RETRY_MS;
+}
+
+static void
+on_start (Dispatch *d, WorkPart *part, const RunReply *reply)
+{
+  switch (reply->status)
+    {
+    case RUN_OK:
+      part->confirmed = d->now;
+      if (part->state == PART_STARTING)
+        part->state = PART_RUNNING;
+      return;
+    case RUN_LOST:
+      start_lost (d, part);
+      return;
+    case RUN_UNSENT:
+      avoid (d, part->worker, AVOID_MS);
+      part->worker->hold_now = TRUE;
+      start_refused (d, part, reply->status);
+      return;
+    default:
+      start_refused (d, part, reply->status);
+    }
+}
+
+static void
+on_stop (Dispatch *d, WorkPart *part, const RunReply *reply)
+{
+  if (reply->status == RUN_LOST || reply->status == RUN_UNSENT ||
+      reply->status == RUN_UNHEALTHY)
+    {
+      part->retry = d->now + RETRY_MS * MIN (++part->tries, 5U);
+      return;
+    }
+  part->stop_acked = TRUE;
+  part->confirmed = d->now;
+  part->worker->hold_now = TRUE;
+}
+
+/* Sends PART's order again when its time has come. */
+void
+runs_retry (Dispatch *d, WorkPart *part)
+{
+  if (part->retry > d->now)
+    return;
+  if (part->state == PART_STARTING)
+    send_start (d, part);
+  else if (part->state == PART_STOPPING)
+    send_stop (d, part);
+  else
+    part->retry = CLOCK_NEVER;
+}
+
+/* Takes REPLY to the start or stop O. */
+void
+runs_on_reply (Dispatch *d, Ordered *o, const RunReply *reply)
+{
+  PoolWorker *w = pool_find (&d->pool, o->worker);
+  WorkPart *part = o->part;
+
+  if (reply->status == RUN_FENCED)
+    {
+      effects_log (
+          d->fx,
+          "event=deposed reason=fenced worker=%s fence=%" G_GINT64_FORMAT,
+          o->worker, d->term.fence);
+      d->deposed = TRUE;
+      return;
+    }
+  if (reply->status == RUN_OTHER_LIFE && w)
+    {
+      runs_void_worker (d, w, "other_life");
+      w->known = FALSE;
+      return;
+    }
+  if (!part)
+    return;
+  if (part->call_id == reply->id)
+    part->call_id = 0;
+  if (o->op == RUN_START)
+    on_start (d, part, reply);
+  else
+    on_stop (d, part, reply);
+}
+
+static gboolean
+is_whole (const WorkStep *step)
+{
+  gint64 run = step->tasks[0].part ? step->tasks[0].part->run : 0;
+  guint i;
+
+  for (i = 0; i < step->spec->count; i++)
+    if (!step->tasks[i].part || step->tasks[i].part->run != run)
+      return FALSE;
+  return TRUE;
+}
+
+/* Stops the gangs that a former holder of the role left incomplete. */
+void
+runs_break_partial_gangs (Dispatch *d)
+{
+  WorkJob *job;
+  WorkStep *step;
+
+  APR_RING_FOREACH (job, &d->jobs, WorkJob, link)
+    APR_RING_FOREACH (step, &job->steps, WorkStep, link)
+      if (step->spec->gang && step->n_parts > 0 && !step->breaking &&
+          !work_step_is_done (step) && !is_whole (step))
+        {
+          step->breaking = TRUE;
+          stop_step (d, step, "gang_incomplete");
+        }
+}
--- /dev/null
+++ b/queue/spec.c
@@ -0,0 +1,117 @@
+#include "spec.h"
+
+/* An accelerator is worth as much as this many cores. */
+static const double cores_per_accelerator = 8.0;
+static const double milli = 1000.0;
+
+REC_DEFINE (SpecAfter, spec_after, SPEC_AFTER_FIELDS)
+REC_DEFINE (SpecStep, spec_step, SPEC_STEP_FIELDS)
+REC_DEFINE (SpecJob, spec_job, SPEC_JOB_FIELDS)
+REC_DEFINE (ProgressTask, progress_task, PROGRESS_TASK_FIELDS)
+REC_DEFINE (Progress, progress, PROGRESS_FIELDS)
+
+/* Tells whether a job in STATE stays in it for good. */
+gboolean
+spec_state_is_final (JobState state)
+{
+  return state == JOB_COMPLETED || state == JOB_FAILED ||
+         state == JOB_CANCELLED;
+}
+
+/* Returns the name of STATE. */
+const char *
+spec_state_name (JobState state)
+{
+#define JOB_STATE_NAME(kind, name) [kind] = name,
+  static const char *const names[] = { JOB_STATES (JOB_STATE_NAME) };
+
+  return names[state];
+}
+
+/* Returns step number STEP of JOB. */
+const SpecStep *
+spec_job_step (const SpecJob *job, guint step)
+{
+  return rec_list_at (spec_step_desc (), &job->steps, step);
+}
+
+/* Returns the number of the I-th step that STEP comes after. */
+guint
+spec_step_after (const SpecStep *step, guint i)
+{
+  const SpecAfter *after = rec_list_at (spec_after_desc (), &step->after, i);
+
+  return (guint)after->step;
+}
+
+/* Returns how often JOB's steps run. */
+guint
+spec_job_occurrences (const SpecJob *job)
+{
+  return job->run_count > 0 ? (guint)job->run_count : 1;
+}
+
+static void
+check_after (const SpecJob *job, guint number, Findings *findings)
+{
+  const SpecStep *step = spec_job_step (job, number);
+  char *place = g_strdup_printf ("steps[%u].after", number);
+  guint i;
+
+  for (i = 0; i < step->after.n; i++)
+    if (spec_step_after (step, i) >= number)
+      findings_add (findings, place, "step %u is not an earlier step",
+                    spec_step_after (step, i));
+  g_free (place);
+}
+
+/* Adds what is wrong with JOB, beyond the ranges of single fields, to
+   FINDINGS. */
+void
+spec_job_check (const SpecJob *job, Findings *findings)
+{
+  gint64 tasks = 0;
+  guint i;
+
+  if (!rec_check (spec_job_desc (), job, "job", findings))
+    return;
+  for (i = 0; i < job->steps.n; i++)
+    {
+      tasks += spec_job_step (job, i)->count;
+      check_after (job, i, findings);
+    }
+  if (tasks > SPEC_MAX_TASKS)
+    findings_add (findings, "steps", "more than %d tasks", SPEC_MAX_TASKS);
+}
+
+/* Returns the estimated length of JOB's longest chain of steps, in
+   milliseconds. */
+ClockMs
+spec_job_chain (const SpecJob *job)
+{
+  ClockMs *ends = g_new0 (ClockMs, job->steps.n);
+  ClockMs longest = 0;
+  guint i, k;
+
+  for (i = 0; i < job->steps.n; i++)
+    {
+      const SpecStep *step = spec_job_step (job, i);
+
+      for (k = 0; k < step->after.n; k++)
+        ends[i] = MAX (ends[i], ends[spec_step_after (step, k)]);
+      ends[i] += step->estimate_ms;
+      longest = MAX (longest, ends[i]);
+    }
+  g_free (ends);
+  return longest;
+}
+
+/* Returns the estimated work of all tasks of STEP, in core-milliseconds. */
+double
+spec_step_core_ms (const SpecStep *step)
+{
+  double cores = (double)step->cpu_milli / milli +
+                 cores_per_accelerator * (double)step->accelerators;
+
+  return cores * (double)step->estimate_ms * (double)step->count;
+}
--- /dev/null
+++ b/queue/term.c
@@ -0,0 +1,306 @@
+#include "term.h"
+
+#include "book.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  TTL_MS = 1500,  /* how long the role stays with a host that died */
+  RENEW_MS = 400, /* three renewals may fail before the lease ends */
+  CALL_TIMEOUT_MS = 700,
+  RETRY_MS = 150,
+  RUNS_PER_EPOCH = 1000 /* starts of one task by one holder */
+};
+
+/* A holder that can't renew its lease goes on for this long after the lease
+   ended.  A successor counts on it before it takes an unreachable worker's
+   tasks for lost. */
+const ClockMs term_overhang = 4000;
+
+/* Prepares T for the process HOLDER_NAME, a name that no other process
+   ever has. */
+void
+term_init (Term *t, const char *holder_name)
+{
+  *t = (Term) { .holder_name = g_strdup (holder_name),
+                .wanted = TRUE,
+                .next = CLOCK_NEVER };
+}
+
+/* Releases what T holds. */
+void
+term_clear (Term *t)
+{
+  g_clear_pointer (&t->holder_name, g_free);
+}
+
+/* Takes ITEM, the role's key as it now is in the store.  JITTER spreads the
+   hosts' claims. */
+void
+term_on_role (Term *t, const KvItem *item, ClockMs now, ClockMs jitter)
+{
+  t->role_known = TRUE;
+  t->role_held = !item->deleted && item->revision > 0;
+  t->role_revision = item->revision;
+  if (t->state == TERM_FOLLOWER && !t->role_held)
+    t->next = now + jitter;
+  if (t->state == TERM_HOLDER && item->revision > t->revision)
+    term_give_up (t, now);
+}
+
+/* Ends this host's hold on the role, if it has one; its lease is given
+   back so that another host need not wait for it to lapse. */
+void
+term_give_up (Term *t, ClockMs now)
+{
+  if (t->lease)
+    t->end_lease = t->lease;
+  t->lease = 0;
+  t->state = TERM_FOLLOWER;
+  t->call_id = 0;
+  t->next = now + RETRY_MS;
+}
+
+/* Says whether this host may hold the role; one that stops may not. */
+void
+term_want (Term *t, gboolean wanted)
+{
+  t->wanted = wanted;
+}
+
+static KvCall *
+make_call (Term *t, KvOp op, const char *key, gint64 id)
+{
+  KvCall *call = kv_call_new (op, key);
+
+  call->id = id;
+  call->timeout = CALL_TIMEOUT_MS;
+  t->call_id = id;
+  t->next = CLOCK_NEVER;
+  return call;
+}
+
+static KvCall *
+lease_call (Term *t, gint64 id)
+{
+  KvCall *call = make_call (t, KV_LEASE, NULL, id);
+
+  call->ttl = TTL_MS;
+  t->state = TERM_LEASING;
+  return call;
+}
+
+static KvCall *
+end_call (Term *t, gint64 id)
+{
+  KvCall *call = make_call (t, KV_END, NULL, id);
+
+  call->lease = t->end_lease;
+  t->call_id = 0;
+  t->end_lease = 0;
+  return call;
+}
+
+static KvCall *
+keep_call (Term *t, gint64 id)
+{
+  KvCall *call = make_call (t, KV_KEEP, NULL, id);
+
+  call->lease = t->lease;
+  return call;
+}
+
+static KvCall *
+claim_call (Term *t, gint64 id)
+{
+  KvCall *call = make_call (t, KV_TXN, NULL, id);
+  char *epoch = g_strdup_printf ("%" G_GINT64_FORMAT, t->epoch);
+  GBytes *epoch_value = g_bytes_new (epoch, strlen (epoch));
+  GBytes *name = g_bytes_new (t->holder_name, strlen (t->holder_name));
+
+  kv_call_cond (call, book_role_key, 0);
+  kv_call_cond (call, book_epoch_key, t->epoch_revision);
+  kv_call_write (call, book_role_key, name, t->lease);
+  kv_call_write (call, book_epoch_key, epoch_value, 0);
+  g_bytes_unref (epoch_value);
+  g_bytes_unref (name);
+  g_free (epoch);
+  return call;
+}
+
+static gboolean
+has_lapsed (const Term *t, ClockMs now)
+{
+  return now > t->confirmed + t->ttl + term_overhang;
+}
+
+/* Returns the next call to the store when its time has come, under number
+   ID, else NULL. */
+KvCall *
+term_poll (Term *t, ClockMs now, gint64 id)
+{
+  if (t->state == TERM_HOLDER && (has_lapsed (t, now) || !t->wanted))
+    term_give_up (t, now);
+  if (t->end_lease)
+    {
+      KvCall *call = end_call (t, id);
+
+      t->next = now + RETRY_MS;
+      return call;
+    }
+  if (t->call_id || t->next > now)
+    return NULL;
+  switch (t->state)
+    {
+    case TERM_FOLLOWER:
+      t->next = CLOCK_NEVER;
+      if (!t->wanted || !t->role_known || t->role_held)
+        return NULL;
+      return lease_call (t, id);
+    case TERM_READING:
+      return make_call (t, KV_GET, book_epoch_key, id);
+    case TERM_CLAIMING:
+      return claim_call (t, id);
+    case TERM_HOLDER:
+      return keep_call (t, id);
+    case TERM_LEASING:
+      break;
+    }
+  return NULL;
+}
+
+static void
+on_lease (Term *t, const KvReply *reply, ClockMs now)
+{
+  if (reply->status != KV_OK)
+    {
+      term_give_up (t, now);
+      return;
+    }
+  t->lease = reply->lease;
+  t->ttl = reply->ttl;
+  t->confirmed = reply->sent;
+  t->state = TERM_READING;
+  t->next = now;
+}
+
+static void
+on_epoch (Term *t, const KvReply *reply, ClockMs now)
+{
+  const KvItem *item = NULL;
+
+  if (reply->status != KV_OK && reply->status != KV_MISSING)
+    {
+      term_give_up (t, now);
+      return;
+    }
+  if (reply->status == KV_OK)
+    item = kv_reply_find (reply, book_epoch_key);
+  t->epoch = 1;
+  t->epoch_revision = 0;
+  if (item && item->value)
+    {
+      gsize n;
+      const char *data = g_bytes_get_data (item->value, &n);
+      char *text = g_strndup (data, n);
+
+      t->epoch = g_ascii_strtoll (text, NULL, 10) + 1;
+      t->epoch_revision = item->revision;
+      g_free (text);
+    }
+  t->state = TERM_CLAIMING;
+  t->next = now;
+}
+
+/* A claim whose answer was lost may still take effect; ending its lease
+   makes it void. */
+static void
+on_claim (Term *t, const KvReply *reply, ClockMs now)
+{
+  if (reply->status != KV_OK)
+    {
+      term_give_up (t, now);
+      if (reply->status == KV_CONFLICT)
+        t->next = now + RETRY_MS;
+      return;
+    }
+  t->revision = reply->revision;
+  t->state = TERM_HOLDER;
+  t->next = now + RENEW_MS;
+}
+
+static void
+on_keep (Term *t, const KvReply *reply, ClockMs now)
+{
+  if (reply->status == KV_MISSING)
+    {
+      t->lease = 0;
+      term_give_up (t, now);
+      return;
+    }
+  if (reply->status == KV_OK)
+    t->confirmed = reply->sent;
+  t->next = now + (reply->status == KV_OK ? RENEW_MS : RETRY_MS);
+}
+
+/* Takes REPLY if it answers T's call; returns whether it did. */
+gboolean
+term_on_reply (Term *t, const KvReply *reply, ClockMs now)
+{
+  if (!t->call_id || reply->id != t->call_id)
+    return FALSE;
+  t->call_id = 0;
+  switch (t->state)
+    {
+    case TERM_LEASING:
+      on_lease (t, reply, now);
+      break;
+    case TERM_READING:
+      on_epoch (t, reply, now);
+      break;
+    case TERM_CLAIMING:
+      on_claim (t, reply, now);
+      break;
+    case TERM_HOLDER:
+      on_keep (t, reply, now);
+      break;
+    case TERM_FOLLOWER:
+      break;
+    }
+  return TRUE;
+}
+
+/* Tells whether this host holds the role. */
+gboolean
+term_is_holder (const Term *t)
+{
+  return t->state == TERM_HOLDER;
+}
+
+/* Returns the fencing token of the orders under this term. */
+gint64
+term_fence (const Term *t)
+{
+  return t->epoch;
+}
+
+/* Returns the least run number under this term; numbers rise from holder
+   to holder. */
+gint64
+term_first_run (const Term *t)
+{
+  return (t->epoch - 1) * RUNS_PER_EPOCH + 1;
+}
+
+/* Returns when term_poll wants to be called. */
+ClockMs
+term_next_deadline (const Term *t)
+{
+  if (t->end_lease)
+    return 0;
+  if (t->state == TERM_HOLDER)
+    return MIN (t->next, t->confirmed + t->ttl + term_overhang + 1);
+  return t->next;
+}
--- /dev/null
+++ b/queue/term.h
@@ -0,0 +1,52 @@
+#ifndef TERM_H
+#define TERM_H
+
+#include "kv.h"
+
+/* The scheduler's role: one host at a time holds a key in the store under a
+   lease.  Each holder counts an epoch up, from which fences and run numbers
+   follow. */
+
+typedef enum TermState
+{
+  TERM_FOLLOWER, /* another host holds the role, or none is known to */
+  TERM_LEASING,  /* asks for a lease */
+  TERM_READING,  /* reads the epoch */
+  TERM_CLAIMING, /* writes the role's key */
+  TERM_HOLDER
+} TermState;
+
+typedef struct Term
+{
+  char *holder_name; /* of this process: host and start */
+  TermState state;
+  gboolean wanted;     /* this host may hold the role */
+  gboolean role_known; /* the role's key has been listed */
+  gboolean role_held;  /* by any host */
+  gint64 role_revision;
+  gint64 lease;
+  ClockMs ttl;
+  gint64 epoch_revision;
+  gint64 epoch;
+  gint64 call_id;
+  gint64 end_lease;  /* to be given back */
+  ClockMs next;      /* when to act next */
+  ClockMs confirmed; /* when the last renewal that went through began */
+  gint64 revision;   /* of the own role key, while holder */
+} Term;
+
+void term_init (Term *t, const char *holder_name);
+void term_clear (Term *t);
+void term_on_role (Term *t, const KvItem *item, ClockMs now, ClockMs jitter);
+KvCall *term_poll (Term *t, ClockMs now, gint64 id);
+gboolean term_on_reply (Term *t, const KvReply *reply, ClockMs now);
+void term_give_up (Term *t, ClockMs now);
+void term_want (Term *t, gboolean wanted);
+gboolean term_is_holder (const Term *t);
+gint64 term_fence (const Term *t);
+gint64 term_first_run (const Term *t);
+ClockMs term_next_deadline (const Term *t);
+
+extern const ClockMs term_overhang;
+
+#endif
--- /dev/null
+++ b/queue/work.c
@@ -0,0 +1,370 @@
+#include "work.h"
+
+#include <string.h>
+
+static const ClockMs milli = 1000;
+
+static WorkStep *
+step_new (WorkJob *job, guint occurrence, guint number)
+{
+  WorkStep *step = g_new0 (WorkStep, 1);
+  const SpecStep *spec = spec_job_step (job->entry->job, number);
+  guint i;
+
+  step->job = job;
+  step->spec = spec;
+  step->occurrence = occurrence;
+  step->number = number;
+  step->need = (PoolRoom) { .cpu_milli = spec->cpu_milli,
+                            .mem_mb = spec->mem_mb,
+                            .accelerators = spec->accelerators };
+  step->tasks = g_new0 (WorkTask, spec->count);
+  for (i = 0; i < spec->count; i++)
+    {
+      step->tasks[i].step = step;
+      step->tasks[i].index = i;
+    }
+  APR_RING_INSERT_TAIL (&job->steps, step, WorkStep, link);
+  job->steps_left++;
+  return step;
+}
+
+static void
+restore_task (WorkJob *job, const ProgressTask *saved)
+{
+  WorkStep *step =
+      work_job_step (job, (guint)saved->occurrence, (guint)saved->step);
+  WorkTask *task;
+
+  if (!step || saved->index >= step->spec->count)
+    return;
+  task = &step->tasks[saved->index];
+  task->attempts = (guint)saved->attempts;
+  task->failed_run = saved->failed_run;
+  work_task_set_checkpoint (task, saved->checkpoint);
+  if (saved->done)
+    work_task_set_done (task);
+}
+
+/* Returns the scheduler's state of ENTRY's job, as its progress left it.
+   NOW is the scheduler's clock, WALL the Unix time. */
+WorkJob *
+work_job_new (BookEntry *entry, ClockMs now, ClockMs wall)
+{
+  const SpecJob *spec = entry->job;
+  WorkJob *job = g_new0 (WorkJob, 1);
+  guint i;
+
+  job->entry = entry;
+  APR_RING_INIT (&job->steps, WorkStep, link);
+  job->state = entry->progress ? (JobState)entry->progress->state : JOB_QUEUED;
+  job->accepted =
+      now - CLAMP (wall - spec->accepted_ms, 0, (ClockMs)G_MAXINT32);
+  job->objective =
+      spec->stretch_milli * spec_job_chain (spec) / milli + spec->target_ms;
+  work_job_add_due (job, wall);
+  for (i = 0; entry->progress && i < entry->progress->tasks.n; i++)
+    restore_task (job, rec_list_at (progress_task_desc (),
+                                    &entry->progress->tasks, i));
+  return job;
+}
+
+static void
+step_free (WorkStep *step)
+{
+  guint i;
+
+  for (i = 0; i < step->spec->count; i++)
+    {
+      if (step->tasks[i].part)
+        work_part_free (step->tasks[i].part);
+      g_free (step->tasks[i].checkpoint);
+    }
+  g_free (step->tasks);
+  g_free (step);
+}
+
+/* Releases JOB and its parts. */
+void
+work_job_free (WorkJob *job)
+{
+  while (!APR_RING_EMPTY (&job->steps, WorkStep, link))
+    {
+      WorkStep *step = APR_RING_FIRST (&job->steps);
+
+      APR_RING_REMOVE (step, link);
+      step_free (step);
+    }
+  g_free (job);
+}
+
+/* Returns the Unix time at which JOB's next occurrence is due, CLOCK_NEVER
+   when there is none. */
+ClockMs
+work_job_next_due (const WorkJob *job)
+{
+  const SpecJob *spec = job->entry->job;
+
+  if (job->next_occurrence >= spec_job_occurrences (spec))
+    return CLOCK_NEVER;
+  if (spec->run_count == 0)
+    return 0;
+  return spec->first_run_ms + job->next_occurrence * spec->interval_ms;
+}
+
+/* Adds the steps of the occurrences that have come due by WALL.  Returns
+   whether there were any. */
+gboolean
+work_job_add_due (WorkJob *job, ClockMs wall)
+{
+  gboolean any = FALSE;
+  guint i;
+
+  while (work_job_next_due (job) <= wall)
+    {
+      for (i = 0; i < job->entry->job->steps.n; i++)
+        step_new (job, job->next_occurrence, i);
+      job->next_occurrence++;
+      any = TRUE;
+    }
+  return any;
+}
+
+/* Returns JOB's step NUMBER of OCCURRENCE, or NULL when it is not due. */
+WorkStep *
+work_job_step (const WorkJob *job, guint occurrence, guint number)
+{
+  WorkStep *step;
+
+  APR_RING_FOREACH (step, &job->steps, WorkStep, link)
+    if (step->occurrence == occurrence && step->number == number)
+      return step;
+  return NULL;
+}
+
+/* Tells whether every task of every occurrence of JOB has ended well. */
+gboolean
+work_job_is_over (const WorkJob *job)
+{
+  return job->steps_left == 0 &&
+         job->next_occurrence >= spec_job_occurrences (job->entry->job);
+}
+
+/* Tells whether all tasks of STEP have ended well. */
+gboolean
+work_step_is_done (const WorkStep *step)
+{
+  return step->n_done == step->spec->count;
+}
+
+/* Tells whether the steps that STEP comes after are done, and itself is
+   not. */
+gboolean
+work_step_is_ready (const WorkStep *step)
+{
+  guint i;
+
+  if (work_step_is_done (step))
+    return FALSE;
+  for (i = 0; i < step->spec->after.n; i++)
+    {
+      const WorkStep *before = work_job_step (step->job, step->occurrence,
+                                              spec_step_after (step->spec, i));
+
+      if (!before || !work_step_is_done (before))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+set_done (WorkTask *task)
+{
+  WorkStep *step = task->step;
+
+  if (task->done)
+    return;
+  task->done = TRUE;
+  step->n_done++;
+  if (work_step_is_done (step))
+    step->job->steps_left--;
+}
+
+/* Notes that TASK has ended well; with a gang, all of its tasks have. */
+void
+work_task_set_done (WorkTask *task)
+{
+  WorkStep *step = task->step;
+  guint i;
+
+  if (!step->spec->gang)
+    {
+      set_done (task);
+      return;
+    }
+  for (i = 0; i < step->spec->count; i++)
+    set_done (&step->tasks[i]);
+}
+
+/* Notes where a new run of TASK would continue; an empty CHECKPOINT says
+   nothing. */
+void
+work_task_set_checkpoint (WorkTask *task, const char *checkpoint)
+{
+  WorkTask *keeper = task->step->spec->gang ? &task->step->tasks[0] : task;
+
+  if (!checkpoint || !*checkpoint ||
+      g_strcmp0 (keeper->checkpoint, checkpoint) == 0)
+    return;
+  g_free (keeper->checkpoint);
+  keeper->checkpoint = g_strdup (checkpoint);
+}
+
+/* Returns TASK's name, as workers are told it; the caller frees it. */
+char *
+work_task_name (const WorkTask *task)
+{
+  const WorkStep *step = task->step;
+
+  return g_strdup_printf ("%s.%u.%u.%u", step->job->entry->id, step->occurrence,
+                          step->number, task->index);
+}
+
+/* Takes NAME apart.  Returns FALSE when it is not a task's name; otherwise
+   the caller frees ID. */
+gboolean
+work_name_parse (const char *name,
+                 char **id,
+                 guint *occurrence,
+                 guint *step,
+                 guint *index)
+{
+  char **words = g_strsplit (name, ".", -1);
+  guint *const numbers[] = { occurrence, step, index };
+  gboolean ok = g_strv_length (words) == 1 + G_N_ELEMENTS (numbers);
+  guint i;
+
+  for (i = 0; ok && i < G_N_ELEMENTS (numbers); i++)
+    {
+      guint64 value;
+
+      ok = g_ascii_string_to_unsigned (words[i + 1], 10, 0, G_MAXINT32, &value,
+                                       NULL);
+      *numbers[i] = ok ? (guint)value : 0;
+    }
+  *id = ok ? g_strdup (words[0]) : NULL;
+  g_strfreev (words);
+  return ok;
+}
+
+/* Returns the task NAME if the scheduler has it at work, else NULL. */
+WorkTask *
+work_find_task (const Book *book, const char *name)
+{
+  guint occurrence, number, index;
+  BookEntry *entry;
+  WorkStep *step;
+  char *id;
+
+  if (!work_name_parse (name, &id, &occurrence, &number, &index))
+    return NULL;
+  entry = book_find (book, id);
+  g_free (id);
+  if (!entry || !entry->work)
+    return NULL;
+  step = work_job_step (entry->work, occurrence, number);
+  return step && index < step->spec->count ? &step->tasks[index] : NULL;
+}
+
+/* Returns a new part of TASK on WORKER, whose room it takes.  A part that
+   waits for room claims it instead. */
+WorkPart *
+work_part_new (WorkTask *task, PoolWorker *worker, gint64 run, PartState state)
+{
+  WorkPart *part = g_new0 (WorkPart, 1);
+
+  part->task = task;
+  part->worker = worker;
+  part->run = run;
+  part->state = state;
+  part->retry = CLOCK_NEVER;
+  pool_take (state == PART_CLAIM ? &worker->claimed : &worker->used,
+             &task->step->need);
+  APR_RING_INSERT_TAIL (&worker->parts, part, WorkPart, on_worker);
+  worker->n_parts++;
+  task->part = part;
+  task->last_run = MAX (task->last_run, run);
+  task->step->n_parts++;
+  task->step->job->n_parts++;
+  return part;
+}
+
+/* Puts PART into STATE, with what that means for its worker's room. */
+void
+work_part_set_state (WorkPart *part, PartState state)
+{
+  const PoolRoom *need = &part->task->step->need;
+
+  if (part->state == PART_CLAIM && state != PART_CLAIM)
+    {
+      pool_give (&part->worker->claimed, need);
+      pool_take (&part->worker->used, need);
+    }
+  part->state = state;
+}
+
+/* Forgets PART and gives its room back. */
+void
+work_part_free (WorkPart *part)
+{
+  WorkTask *task = part->task;
+
+  pool_give (part->state == PART_CLAIM ? &part->worker->claimed
+                                       : &part->worker->used,
+             &task->step->need);
+  APR_RING_REMOVE (part, on_worker);
+  part->worker->n_parts--;
+  task->part = NULL;
+  task->step->n_parts--;
+  task->step->job->n_parts--;
+  g_free (part);
+}
+
+static void
+save_task (Progress *p, const WorkStep *step, const WorkTask *task)
+{
+  ProgressTask *saved;
+  gboolean keep = !task->done && task->checkpoint;
+
+  if (!task->done && !task->attempts && !keep)
+    return;
+  saved = rec_list_add (progress_task_desc (), &p->tasks);
+  saved->occurrence = step->occurrence;
+  saved->step = step->number;
+  saved->index = task->index;
+  saved->done = task->done;
+  saved->attempts = task->attempts;
+  saved->failed_run = task->failed_run;
+  if (keep)
+    rec_set_str (&saved->checkpoint, task->checkpoint);
+}
+
+/* Returns JOB's progress as it is stored. */
+GBytes *
+work_job_progress (const WorkJob *job, ClockMs wall)
+{
+  Progress *p = rec_new (progress_desc ());
+  WorkStep *step;
+  GBytes *packed;
+  guint i;
+
+  p->state = job->state;
+  p->ended_ms = spec_state_is_final (job->state) ? wall : 0;
+  if (!spec_state_is_final (job->state))
+    APR_RING_FOREACH (step, &job->steps, WorkStep, link)
+      for (i = 0; i < (step->spec->gang ? 1 : step->spec->count); i++)
+        save_task (p, step, &step->tasks[i]);
+  packed = rec_pack (progress_desc (), p);
+  rec_free (progress_desc (), p);
+  return packed;
+}
--- a/src/client.c
+++ b/src/client.c
@@ -763,7 +763,7 @@
 {
   Client *client;
   curl_socket_t fd;
-  IoWatch *watch;
+  LoopWatch *watch;
 } Socket;
 
 static void
@@ -791,7 +791,7 @@
   (void)easy;
   if (what == CURL_POLL_REMOVE)
     {
-      io_unwatch (c->io, s ? s->watch : NULL);
+      loop_unwatch (io_loop (c->io), s ? s->watch : NULL);
       curl_multi_assign (c->multi, fd, NULL);
       g_free (s);
       return 0;
@@ -802,12 +802,12 @@
     events |= APR_POLLOUT;
   if (s)
     {
-      io_watch_set (c->io, s->watch, events);
+      loop_watch_set (io_loop (c->io), s->watch, events);
       return 0;
     }
   s = g_new (Socket, 1);
   *s = (Socket) { .client = c, .fd = fd };
-  s->watch = io_watch (c->io, fd, events, on_ready, s);
+  s->watch = loop_watch (io_loop (c->io), fd, events, on_ready, s);
   curl_multi_assign (c->multi, fd, s);
   return 0;
 }
--- /dev/null
+++ b/src/fetch.c
@@ -0,0 +1,382 @@
+#include "fetch.h"
+
+#include <apr_ring.h>
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum
+{
+  MAX_IDLE_HANDLES = 64,
+  MAX_IDLE_CONNECTIONS = 512,
+  MAX_ANSWER_BYTES = 4 << 20, /* four times the store's largest page */
+  CONNECT_MS = 600,           /* a SYN that was dropped is repeated after 1 s */
+  RECEIVE_BUFFER = 16 << 10,
+  USER_TIMEOUT_MS = 3000
+};
+
+typedef struct Transfer
+{
+  APR_RING_ENTRY (Transfer) link;
+  Fetch *fetch;
+  CURL *easy;
+  char *body;
+  struct curl_slist *headers;
+  GByteArray *answer;
+  guint sendings;
+  gboolean sized;
+  ClockMs sent;
+  FetchDone done;
+  void *owner;
+  gint64 tag;
+} Transfer;
+
+APR_RING_HEAD (TransferRing, Transfer);
+
+struct Fetch
+{
+  Loop *loop;
+  CURLM *multi;
+  struct TransferRing transfers;
+  GPtrArray *idle; /* of CURL */
+  ClockMs timer;
+};
+
+typedef struct Socket
+{
+  Fetch *fetch;
+  curl_socket_t fd;
+  LoopWatch *watch;
+} Socket;
+
+static size_t
+on_answer (char *data, size_t size, size_t n, void *owner)
+{
+  Transfer *t = owner;
+
+  if (t->answer->len + size * n > MAX_ANSWER_BYTES)
+    return 0;
+  g_byte_array_append (t->answer, (const guint8 *)data, (guint)(size * n));
+  return size * n;
+}
+
+/* An answer without a length may have been cut short by the end of its
+   connection. */
+static size_t
+on_header (char *line, size_t size, size_t n, void *owner)
+{
+  static const char *const sizes[] = { "content-length:",
+                                       "transfer-encoding: chunked" };
+  Transfer *t = owner;
+  guint i;
+
+  n *= size;
+  for (i = 0; i < G_N_ELEMENTS (sizes); i++)
+    if (n >= strlen (sizes[i]) &&
+        g_ascii_strncasecmp (line, sizes[i], strlen (sizes[i])) == 0)
+      t->sized = TRUE;
+  return n;
+}
+
+/* Called before each sending.  curl would repeat a request when a reused
+   connection closes without an answer, although it may have been
+   executed. */
+static int
+on_sending (void *owner, char *ip, char *local_ip, int port, int local_port)
+{
+  Transfer *t = owner;
+
+  (void)ip;
+  (void)local_ip;
+  (void)port;
+  (void)local_port;
+  return t->sendings++ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+static int
+on_socket_made (void *owner, curl_socket_t fd, curlsocktype purpose)
+{
+  int user_timeout_ms = USER_TIMEOUT_MS;
+
+  (void)owner;
+  (void)purpose;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+              sizeof user_timeout_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+static void
+set_body (Transfer *t, const FetchCall *call)
+{
+  if (!call->body)
+    {
+      if (strcmp (call->method, "GET") != 0)
+        curl_easy_setopt (t->easy, CURLOPT_CUSTOMREQUEST, call->method);
+      return;
+    }
+  t->body = g_strdup (call->body);
+  curl_easy_setopt (t->easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (t->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t)strlen (t->body));
+  curl_easy_setopt (t->easy, CURLOPT_POSTFIELDS, t->body);
+  t->headers = curl_slist_append (t->headers, "Content-Type: application/json");
+  t->headers = curl_slist_append (t->headers, "Expect:");
+}
+
+static void
+set_headers (Transfer *t, const FetchCall *call)
+{
+  const char *const *h;
+
+  for (h = call->headers; h && *h; h++)
+    t->headers = curl_slist_append (t->headers, *h);
+  curl_easy_setopt (t->easy, CURLOPT_HTTPHEADER, t->headers);
+}
+
+static void
+set_callbacks (Transfer *t)
+{
+  CURL *easy = t->easy;
+
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, t);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, t);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_sending);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, t);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, t);
+}
+
+static void
+set_limits (Transfer *t, const FetchCall *call)
+{
+  CURL *easy = t->easy;
+
+  curl_easy_setopt (easy, CURLOPT_URL, call->url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, (long)RECEIVE_BUFFER);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)MIN (call->timeout, CONNECT_MS));
+  if (call->fresh)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+static CURL *
+take_handle (Fetch *f)
+{
+  CURL *easy;
+
+  if (f->idle->len == 0)
+    return curl_easy_init ();
+  easy = g_ptr_array_steal_index_fast (f->idle, f->idle->len - 1);
+  curl_easy_reset (easy);
+  return easy;
+}
+
+/* Starts CALL, whose strings are copied; its DONE is called once, not
+   before this returns. */
+void
+fetch_start (Fetch *f, const FetchCall *call)
+{
+  Transfer *t = g_new0 (Transfer, 1);
+
+  t->fetch = f;
+  t->easy = take_handle (f);
+  t->answer = g_byte_array_new ();
+  t->sent = loop_now (f->loop);
+  t->done = call->done;
+  t->owner = call->owner;
+  t->tag = call->tag;
+  APR_RING_INSERT_TAIL (&f->transfers, t, Transfer, link);
+  set_callbacks (t);
+  set_limits (t, call);
+  set_body (t, call);
+  set_headers (t, call);
+  curl_multi_add_handle (f->multi, t->easy);
+}
+
+static void
+transfer_free (Transfer *t)
+{
+  Fetch *f = t->fetch;
+
+  APR_RING_REMOVE (t, link);
+  if (f->idle->len < MAX_IDLE_HANDLES)
+    g_ptr_array_add (f->idle, t->easy);
+  else
+    curl_easy_cleanup (t->easy);
+  curl_slist_free_all (t->headers);
+  g_byte_array_unref (t->answer);
+  g_free (t->body);
+  g_free (t);
+}
+
+static FetchOutcome
+outcome_of (const Transfer *t, CURLcode code, long status)
+{
+  if (code == CURLE_OK && t->sized && status > 0)
+    return FETCH_ANSWERED;
+  return t->sendings ? FETCH_LOST : FETCH_UNSENT;
+}
+
+static void
+on_transfer_end (Fetch *f, CURL *easy, CURLcode code)
+{
+  Transfer *t;
+  long status = 0;
+  FetchReply reply;
+
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&t);
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_multi_remove_handle (f->multi, easy);
+  reply = (FetchReply) { .outcome = outcome_of (t, code, status),
+                         .status = (int)status,
+                         .body = (const char *)t->answer->data,
+                         .n = t->answer->len,
+                         .sent = t->sent };
+  t->done (t->owner, t->tag, &reply);
+  transfer_free (t);
+}
+
+static void
+act (Fetch *f, curl_socket_t fd, int flags)
+{
+  int running;
+
+  curl_multi_socket_action (f->multi, fd, flags, &running);
+}
+
+static void
+on_ready (void *owner, int events)
+{
+  Socket *s = owner;
+  int flags = 0;
+
+  if (events & APR_POLLIN)
+    flags |= CURL_CSELECT_IN;
+  if (events & APR_POLLOUT)
+    flags |= CURL_CSELECT_OUT;
+  if (events & (APR_POLLERR | APR_POLLHUP))
+    flags |= CURL_CSELECT_ERR;
+  act (s->fetch, s->fd, flags);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *owner, void *socket)
+{
+  Fetch *f = owner;
+  Socket *s = socket;
+  int events = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      loop_unwatch (f->loop, s ? s->watch : NULL);
+      curl_multi_assign (f->multi, fd, NULL);
+      g_free (s);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    events |= APR_POLLIN;
+  if (what & CURL_POLL_OUT)
+    events |= APR_POLLOUT;
+  if (s)
+    {
+      loop_watch_set (f->loop, s->watch, events);
+      return 0;
+    }
+  s = g_new (Socket, 1);
+  *s = (Socket) { .fetch = f, .fd = fd };
+  s->watch = loop_watch (f->loop, fd, events, on_ready, s);
+  curl_multi_assign (f->multi, fd, s);
+  return 0;
+}
+
+static int
+on_timer (CURLM *multi, long timeout_ms, void *owner)
+{
+  Fetch *f = owner;
+
+  (void)multi;
+  f->timer = timeout_ms < 0 ? CLOCK_NEVER : loop_now (f->loop) + timeout_ms;
+  return 0;
+}
+
+/* Returns a client whose sockets LOOP watches. */
+Fetch *
+fetch_new (Loop *loop)
+{
+  Fetch *f = g_new0 (Fetch, 1);
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  f->loop = loop;
+  f->timer = CLOCK_NEVER;
+  APR_RING_INIT (&f->transfers, Transfer, link);
+  f->idle = g_ptr_array_new_with_free_func ((GDestroyNotify)curl_easy_cleanup);
+  f->multi = curl_multi_init ();
+  curl_multi_setopt (f->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (f->multi, CURLMOPT_SOCKETDATA, f);
+  curl_multi_setopt (f->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (f->multi, CURLMOPT_TIMERDATA, f);
+  curl_multi_setopt (f->multi, CURLMOPT_MAXCONNECTS,
+                     (long)MAX_IDLE_CONNECTIONS);
+  curl_multi_setopt (f->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+  return f;
+}
+
+/* Drops all calls without telling their owners and releases F. */
+void
+fetch_free (Fetch *f)
+{
+  if (!f)
+    return;
+  while (!APR_RING_EMPTY (&f->transfers, Transfer, link))
+    {
+      Transfer *t = APR_RING_FIRST (&f->transfers);
+
+      curl_multi_remove_handle (f->multi, t->easy);
+      transfer_free (t);
+    }
+  g_ptr_array_unref (f->idle);
+  curl_multi_cleanup (f->multi);
+  curl_global_cleanup ();
+  g_free (f);
+}
+
+/* Runs curl's timer when it is due and tells the owners of the calls that
+   ended. */
+void
+fetch_run (Fetch *f)
+{
+  CURLMsg *m;
+  int left;
+
+  if (f->timer <= loop_now (f->loop))
+    {
+      f->timer = CLOCK_NEVER;
+      act (f, CURL_SOCKET_TIMEOUT, 0);
+    }
+  while ((m = curl_multi_info_read (f->multi, &left)))
+    if (m->msg == CURLMSG_DONE)
+      on_transfer_end (f, m->easy_handle, m->data.result);
+}
+
+/* Returns when fetch_run wants to be called without an event. */
+ClockMs
+fetch_next_deadline (const Fetch *f)
+{
+  return f->timer;
+}
+
+/* Returns TEXT as it may stand in a query; the caller frees it. */
+char *
+fetch_escape (const char *text)
+{
+  return g_uri_escape_string (text, NULL, FALSE);
+}
--- /dev/null
+++ b/src/fetch.h
@@ -0,0 +1,47 @@
+#ifndef FETCH_H
+#define FETCH_H
+
+#include "loop.h"
+
+/* HTTP/1.1 calls over libcurl, driven by a Loop. */
+typedef struct Fetch Fetch;
+
+typedef enum FetchOutcome
+{
+  FETCH_ANSWERED, /* a whole answer came */
+  FETCH_UNSENT,   /* no byte of the request left */
+  FETCH_LOST      /* it may have been executed */
+} FetchOutcome;
+
+typedef struct FetchReply
+{
+  FetchOutcome outcome;
+  int status; /* with FETCH_ANSWERED */
+  const char *body;
+  gsize n;
+  ClockMs sent; /* when the call began, on the loop's clock */
+} FetchReply;
+
+typedef void (*FetchDone) (void *owner, gint64 tag, const FetchReply *reply);
+
+typedef struct FetchCall
+{
+  const char *method;
+  const char *url;
+  const char *body;           /* JSON, or NULL */
+  const char *const *headers; /* "Name: value", closed by NULL, or NULL */
+  ClockMs timeout;
+  gboolean fresh; /* on a new connection */
+  FetchDone done;
+  void *owner;
+  gint64 tag;
+} FetchCall;
+
+Fetch *fetch_new (Loop *loop);
+void fetch_free (Fetch *f);
+void fetch_start (Fetch *f, const FetchCall *call);
+void fetch_run (Fetch *f);
+ClockMs fetch_next_deadline (const Fetch *f);
+char *fetch_escape (const char *text);
+
+#endif
--- a/src/http.c
+++ b/src/http.c
@@ -75,7 +75,7 @@
   Http *http;
   gboolean operators;
   struct MHD_Daemon *daemon;
-  IoWatch *watch;
+  LoopWatch *watch;
   gboolean due;
   guint n_conns;
   struct HttpConnRing idle;
@@ -107,7 +107,7 @@
   gboolean crowded;  /* all bodies together exceed max_bodies_bytes */
   gboolean pending;
   gboolean gone;
-  IoWatch *hangup;
+  LoopWatch *hangup;
   struct MHD_Response *answer;
   guint status;
 };
@@ -341,7 +341,7 @@
   ssize_t n = recv (call->conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
   (void)events;
-  io_unwatch (h->io, call->hangup);
+  loop_unwatch (io_loop (h->io), call->hangup);
   call->hangup = NULL;
   if (n > 0 || (n < 0 && errno == EAGAIN))
     return;
@@ -364,7 +364,8 @@
   call->pending = TRUE;
   g_hash_table_insert (h->pending, &call->number, call);
   MHD_suspend_connection (call->connection);
-  call->hangup = io_watch (h->io, call->conn->fd, APR_POLLIN, on_hangup, call);
+  call->hangup =
+      loop_watch (io_loop (h->io), call->conn->fd, APR_POLLIN, on_hangup, call);
   return call->number;
 }
 
@@ -827,7 +828,7 @@
       io_post (h->io, EV_CALLER_GONE, &(CallerGone) { .conn = call->number });
     }
   drop_body (call);
-  io_unwatch (h->io, call->hangup);
+  loop_unwatch (io_loop (h->io), call->hangup);
   if (call->answer)
     MHD_destroy_response (call->answer);
   conn_set_idle (call->conn);
@@ -864,7 +865,7 @@
     MHD_add_response_header (call->answer, "X-Request-Id", reply->id);
   call->pending = FALSE;
   g_hash_table_remove (h->pending, &call->number);
-  io_unwatch (h->io, call->hangup);
+  loop_unwatch (io_loop (h->io), call->hangup);
   call->hangup = NULL;
   MHD_resume_connection (call->connection);
   call->listener->due = TRUE;
@@ -1031,8 +1032,8 @@
       return FALSE;
     }
   info = MHD_get_daemon_info (l->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  l->watch =
-      io_watch (l->http->io, info->epoll_fd, APR_POLLIN, on_listener_ready, l);
+  l->watch = loop_watch (io_loop (l->http->io), info->epoll_fd, APR_POLLIN,
+                         on_listener_ready, l);
   return TRUE;
 }
 
@@ -1082,7 +1083,7 @@
 {
   if (!l->daemon)
     return;
-  io_unwatch (l->http->io, l->watch);
+  loop_unwatch (io_loop (l->http->io), l->watch);
   MHD_stop_daemon (l->daemon);
 }
 
--- a/src/io.c
+++ b/src/io.c
@@ -5,14 +5,11 @@
 #include "replay.h"
 #include "wire.h"
 
-#include <apr_general.h>
-#include <apr_portable.h>
 #include <errno.h>
 #include <string.h>
 
 enum
 {
-  POLL_BATCH = 1024,
   POLL_LONGEST_MS = 1000,
   DRAIN_GRACE_MS = 5000, /* beyond drain_ms, for the last answers to leave */
   TRACE_FLUSH_MS = 1000
@@ -20,15 +17,6 @@
 
 static const ClockMs us_per_ms = 1000;
 
-struct IoWatch
-{
-  apr_pollfd_t pfd;
-  IoReady ready;
-  void *owner;
-  gboolean polled;
-  IoWatch *next_free;
-};
-
 /* An event on its way to the core; STAMP is its sender's, for messages. */
 typedef struct Posted
 {
@@ -39,11 +27,7 @@
 struct Io
 {
   Settings *settings;
-  apr_pool_t *pool;
-  apr_pollset_t *pollset;
-  IoWatch *free_watches;
-  IoWatch **due;
-  int n_due;
+  Loop *loop;
   Log *log;
   FILE *trace;
   ClockMs traced;
@@ -91,7 +75,7 @@
 apr_pool_t *
 io_pool (const Io *io)
 {
-  return io->pool;
+  return loop_pool (io->loop);
 }
 
 /* Returns the logger. */
@@ -191,68 +175,11 @@
   post (io, e, stamp);
 }
 
-static void
-poll_add (Io *io, IoWatch *w)
+/* Returns the poll loop, for the shell's modules. */
+Loop *
+io_loop (const Io *io)
 {
-  w->polled = w->pfd.reqevents != 0 &&
-              apr_pollset_add (io->pollset, &w->pfd) == APR_SUCCESS;
-}
-
-static void
-poll_remove (Io *io, IoWatch *w)
-{
-  if (w->polled)
-    apr_pollset_remove (io->pollset, &w->pfd);
-  w->polled = FALSE;
-}
-
-/* Watches FD, which stays the caller's, for EVENTS, APR_POLL* flags; READY
-   is called with OWNER when one comes true. */
-IoWatch *
-io_watch (Io *io, int fd, int events, IoReady ready, void *owner)
-{
-  IoWatch *w = io->free_watches;
-
-  if (w)
-    io->free_watches = w->next_free;
-  else
-    w = apr_pcalloc (io->pool, sizeof *w);
-  w->pfd.p = io->pool;
-  w->pfd.desc_type = APR_POLL_SOCKET;
-  w->pfd.client_data = w;
-  w->pfd.reqevents = (apr_int16_t)events;
-  w->ready = ready;
-  w->owner = owner;
-  apr_os_sock_put (&w->pfd.desc.s, &fd, io->pool);
-  poll_add (io, w);
-  return w;
-}
-
-/* Changes what W waits for to EVENTS; 0 for nothing. */
-void
-io_watch_set (Io *io, IoWatch *w, int events)
-{
-  if (w->pfd.reqevents == events)
-    return;
-  poll_remove (io, w);
-  w->pfd.reqevents = (apr_int16_t)events;
-  poll_add (io, w);
-}
-
-/* Ends W.  To be called while its descriptor is open. */
-void
-io_unwatch (Io *io, IoWatch *w)
-{
-  int i;
-
-  if (!w)
-    return;
-  poll_remove (io, w);
-  for (i = 0; i < io->n_due; i++)
-    if (io->due[i] == w)
-      io->due[i] = NULL;
-  w->next_free = io->free_watches;
-  io->free_watches = w;
+  return io->loop;
 }
 
 static void
@@ -381,35 +308,14 @@
   return CLAMP (next - io->now, 0, longest);
 }
 
-static void
-dispatch (Io *io, const apr_pollfd_t *ready, int n)
-{
-  int i;
-
-  for (i = 0; i < n; i++)
-    io->due[i] = ready[i].client_data;
-  io->n_due = n;
-  for (i = 0; i < n; i++)
-    if (io->due[i])
-      io->due[i]->ready (io->due[i]->owner, ready[i].rtnevents);
-  io->n_due = 0;
-}
-
 /* Does what is due and waits for more, LONGEST milliseconds at most. */
 void
 io_step (Io *io, ClockMs longest)
 {
-  const apr_pollfd_t *ready = NULL;
-  apr_int32_t n = 0;
-  apr_status_t rv;
-
   read_clock (io);
   feed_time (io);
-  rv = apr_pollset_poll (io->pollset, time_to_wait (io, longest) * us_per_ms,
-                         &n, &ready);
+  loop_poll (io->loop, time_to_wait (io, longest));
   read_clock (io);
-  if (rv == APR_SUCCESS)
-    dispatch (io, ready, n);
   client_run (io->client);
   wire_run (io->wire);
   feed_time (io);
@@ -483,8 +389,8 @@
 {
   const Settings *s = io->settings;
 
-  if (apr_pollset_create (&io->pollset, POLL_BATCH, io->pool,
-                          APR_POLLSET_NOCOPY) != APR_SUCCESS)
+  io->loop = loop_new ();
+  if (!io->loop)
     {
       g_set_error (error, IO_ERROR, IO_ERROR_SETUP, "no pollset: %s",
                    g_strerror (errno));
@@ -508,13 +414,10 @@
 {
   Io *io = g_new0 (Io, 1);
 
-  apr_initialize ();
-  apr_pool_create (&io->pool, NULL);
   io->settings = rec_copy (settings_desc (), s);
   io->log =
       log_new (stderr, (LogLevel)log_level_from_name (s->log_level), s->host);
   io->trace = trace;
-  io->due = g_new0 (IoWatch *, POLL_BATCH);
   io->drain_until = CLOCK_NEVER;
   io->wall_start = g_get_real_time () / us_per_ms;
   io->monotonic_start_us = g_get_monotonic_time ();
@@ -550,8 +453,6 @@
   timeline_free (io->timeline);
   log_free (io->log);
   settings_free (io->settings);
-  g_free (io->due);
-  apr_pool_destroy (io->pool);
-  apr_terminate ();
+  loop_free (io->loop);
   g_free (io);
 }
--- a/src/io.h
+++ b/src/io.h
@@ -3,20 +3,16 @@
 
 #include "core.h"
 #include "log.h"
+#include "loop.h"
 #include "metrics.h"
 #include "settings.h"
 #include "timeline.h"
 
-#include <apr_poll.h>
 #include <apr_ring.h>
 
 /* One thread and one pollset drive a node: sockets become events, effects
    become sockets. */
 typedef struct Io Io;
-typedef struct IoWatch IoWatch;
-
-/* Called with the APR_POLL* flags that came true. */
-typedef void (*IoReady) (void *owner, int events);
 
 /* The listeners whose bound port can be asked for. */
 typedef enum IoListener
@@ -38,6 +34,7 @@
 
 /* For the shell's modules. */
 const Settings *io_settings (const Io *io);
+Loop *io_loop (const Io *io);
 apr_pool_t *io_pool (const Io *io);
 Log *io_log (const Io *io);
 ClockMs io_now (const Io *io);
@@ -47,9 +44,6 @@
 void io_count (Io *io, ShellCounter n, gint64 by);
 void io_post (Io *io, EventKind kind, const void *body);
 void io_post_message (Io *io, Event *e, Hlc stamp);
-IoWatch *io_watch (Io *io, int fd, int events, IoReady ready, void *owner);
-void io_watch_set (Io *io, IoWatch *w, int events);
-void io_unwatch (Io *io, IoWatch *w);
 
 GQuark io_error_quark (void);
 #define IO_ERROR io_error_quark ()
--- /dev/null
+++ b/src/loop.c
@@ -0,0 +1,184 @@
+#include "loop.h"
+
+#include <apr_general.h>
+#include <apr_portable.h>
+#include <time.h>
+
+enum
+{
+  POLL_BATCH = 1024
+};
+
+static const ClockMs us_per_ms = 1000;
+static const ClockMs ns_per_ms = 1000000;
+static const ClockMs ms_per_s = 1000;
+
+struct LoopWatch
+{
+  apr_pollfd_t pfd;
+  LoopReady ready;
+  void *owner;
+  gboolean polled;
+  LoopWatch *next_free;
+};
+
+struct Loop
+{
+  apr_pool_t *pool;
+  apr_pollset_t *pollset;
+  LoopWatch *free_watches;
+  LoopWatch **due;
+  int n_due;
+  ClockMs now;
+};
+
+/* Returns a loop, or NULL when the system gives no pollset. */
+Loop *
+loop_new (void)
+{
+  Loop *l = g_new0 (Loop, 1);
+
+  apr_initialize ();
+  apr_pool_create (&l->pool, NULL);
+  l->due = g_new0 (LoopWatch *, POLL_BATCH);
+  if (apr_pollset_create (&l->pollset, POLL_BATCH, l->pool,
+                          APR_POLLSET_NOCOPY) != APR_SUCCESS)
+    {
+      loop_free (l);
+      return NULL;
+    }
+  loop_read_clock (l);
+  return l;
+}
+
+/* Releases L; watched descriptors stay open. */
+void
+loop_free (Loop *l)
+{
+  if (!l)
+    return;
+  g_free (l->due);
+  apr_pool_destroy (l->pool);
+  apr_terminate ();
+  g_free (l);
+}
+
+/* Returns the pool that lives as long as L. */
+apr_pool_t *
+loop_pool (const Loop *l)
+{
+  return l->pool;
+}
+
+/* Returns the time of the present step, in milliseconds since the machine
+   started, with the time that it was suspended. */
+ClockMs
+loop_now (const Loop *l)
+{
+  return l->now;
+}
+
+/* Reads the clock anew and returns it.  It counts suspension, so that a
+   lease that lapsed meanwhile is seen to have lapsed. */
+ClockMs
+loop_read_clock (Loop *l)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  l->now = t.tv_sec * ms_per_s + t.tv_nsec / ns_per_ms;
+  return l->now;
+}
+
+static void
+dispatch (Loop *l, const apr_pollfd_t *ready, int n)
+{
+  int i;
+
+  for (i = 0; i < n; i++)
+    l->due[i] = ready[i].client_data;
+  l->n_due = n;
+  for (i = 0; i < n; i++)
+    if (l->due[i])
+      l->due[i]->ready (l->due[i]->owner, ready[i].rtnevents);
+  l->n_due = 0;
+}
+
+/* Waits LONGEST milliseconds at most and calls the owners of what became
+   ready. */
+void
+loop_poll (Loop *l, ClockMs longest)
+{
+  const apr_pollfd_t *ready = NULL;
+  apr_int32_t n = 0;
+  apr_status_t rv;
+
+  rv = apr_pollset_poll (l->pollset, longest * us_per_ms, &n, &ready);
+  loop_read_clock (l);
+  if (rv == APR_SUCCESS)
+    dispatch (l, ready, n);
+}
+
+static void
+poll_add (Loop *l, LoopWatch *w)
+{
+  w->polled = w->pfd.reqevents != 0 &&
+              apr_pollset_add (l->pollset, &w->pfd) == APR_SUCCESS;
+}
+
+static void
+poll_remove (Loop *l, LoopWatch *w)
+{
+  if (w->polled)
+    apr_pollset_remove (l->pollset, &w->pfd);
+  w->polled = FALSE;
+}
+
+/* Watches FD, which stays the caller's, for EVENTS, APR_POLL* flags; READY
+   is called with OWNER when one comes true. */
+LoopWatch *
+loop_watch (Loop *l, int fd, int events, LoopReady ready, void *owner)
+{
+  LoopWatch *w = l->free_watches;
+
+  if (w)
+    l->free_watches = w->next_free;
+  else
+    w = apr_pcalloc (l->pool, sizeof *w);
+  w->pfd.p = l->pool;
+  w->pfd.desc_type = APR_POLL_SOCKET;
+  w->pfd.client_data = w;
+  w->pfd.reqevents = (apr_int16_t)events;
+  w->ready = ready;
+  w->owner = owner;
+  apr_os_sock_put (&w->pfd.desc.s, &fd, l->pool);
+  poll_add (l, w);
+  return w;
+}
+
+/* Changes what W waits for to EVENTS; 0 for nothing. */
+void
+loop_watch_set (Loop *l, LoopWatch *w, int events)
+{
+  if (w->pfd.reqevents == events)
+    return;
+  poll_remove (l, w);
+  w->pfd.reqevents = (apr_int16_t)events;
+  poll_add (l, w);
+}
+
+/* Ends W, which may be NULL.  To be called while its descriptor is open. */
+void
+loop_unwatch (Loop *l, LoopWatch *w)
+{
+  int i;
+
+  if (!w)
+    return;
+  poll_remove (l, w);
+  for (i = 0; i < l->n_due; i++)
+    if (l->due[i] == w)
+      l->due[i] = NULL;
+  w->next_free = l->free_watches;
+  l->free_watches = w;
+}
--- a/src/wire.c
+++ b/src/wire.c
@@ -79,7 +79,7 @@
   LinkState state;
   apr_pool_t *pool;
   apr_socket_t *socket;
-  IoWatch *watch;
+  LoopWatch *watch;
   ClockMs until; /* the handshake's end */
   guint8 nonce[WIRE_NONCE];
   guint8 peer_nonce[WIRE_NONCE];
@@ -108,7 +108,7 @@
   Io *io;
   const Settings *settings;
   apr_socket_t *socket;
-  IoWatch *watch;
+  LoopWatch *watch;
   GHashTable *peers; /* name to Peer */
   struct LinkRing links;
   guint n_unproven;
@@ -290,7 +290,7 @@
   if (!l->dialled && l->state != LINK_OPEN)
     w->n_unproven--;
   APR_RING_REMOVE (l, link);
-  io_unwatch (w->io, l->watch);
+  loop_unwatch (io_loop (w->io), l->watch);
   apr_pool_destroy (l->pool);
   g_byte_array_unref (l->in);
   g_byte_array_unref (l->out);
@@ -314,8 +314,8 @@
 {
   gboolean sending = l->state == LINK_CONNECTING || l->out->len > l->sent;
 
-  io_watch_set (l->wire->io, l->watch,
-                sending ? APR_POLLIN | APR_POLLOUT : APR_POLLIN);
+  loop_watch_set (io_loop (l->wire->io), l->watch,
+                  sending ? APR_POLLIN | APR_POLLOUT : APR_POLLIN);
 }
 
 /* Sends what it can of OUT.  Returns FALSE when the connection is gone. */
@@ -664,8 +664,8 @@
       return;
     }
   p->out = link_new (w, pool, socket, p);
-  p->out->watch = io_watch (w->io, link_fd (p->out), APR_POLLIN | APR_POLLOUT,
-                            on_link_ready, p->out);
+  p->out->watch = loop_watch (io_loop (w->io), link_fd (p->out),
+                              APR_POLLIN | APR_POLLOUT, on_link_ready, p->out);
   /* The pollset tells how it went, also when it fails at once. */
   apr_socket_connect (socket, address);
 }
@@ -741,7 +741,8 @@
       return;
     }
   l = link_new (w, pool, socket, NULL);
-  l->watch = io_watch (w->io, link_fd (l), APR_POLLIN, on_link_ready, l);
+  l->watch =
+      loop_watch (io_loop (w->io), link_fd (l), APR_POLLIN, on_link_ready, l);
 }
 
 static void
@@ -861,7 +862,7 @@
       return NULL;
     }
   apr_os_sock_get (&fd, w->socket);
-  w->watch = io_watch (io, fd, APR_POLLIN, on_accept, w);
+  w->watch = loop_watch (io_loop (io), fd, APR_POLLIN, on_accept, w);
   return w;
 }
 
@@ -876,7 +877,7 @@
     return;
   APR_RING_FOREACH_SAFE (l, next, &w->links, Link, link)
     link_close (l);
-  io_unwatch (w->io, w->watch);
+  loop_unwatch (io_loop (w->io), w->watch);
   if (w->socket)
     apr_socket_close (w->socket);
   g_hash_table_unref (w->peers);
