Leases of workers that fall silent are no longer renewed

Ruled out: late orders, a lost gang member. Test: QueuePath.WorkersThatLeftGiveTheirTasksBack, red before.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 LIBS = apr-1 msgpack libmicrohttpd glib-2.0 json-c libcurl
 CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SAN) -iquote src -iquote queue -iquote platform -MMD -MP \
 	$(shell pkg-config --cflags $(LIBS) 2>/dev/null)
-CXXFLAGS = -std=gnu++17 -g $(OPT) -Wall -Wextra -Werror -Wno-missing-field-initializers \
+CXXFLAGS = -std=gnu++20 -g $(OPT) -Wall -Wextra -Werror -Wno-missing-field-initializers \
 	$(SAN) -iquote src -iquote queue -iquote platform -iquote tests -MMD -MP \
 	$(shell pkg-config --cflags $(LIBS) gtest 2>/dev/null)
 LDLIBS = $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lcsv
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -64,7 +64,9 @@
   gboolean wait = w->known && w->n_parts > 0 && !w->hold_now && !unsaved &&
                   !w->unanswered && !is_stopping (w);
 
-  if (w->known)
+  /* To a worker that does not answer, nothing is renewed, so that its lease
+     lapses at a time that is known. */
+  if (w->known && !w->unanswered)
     call->deadline = runs_deadline (d, w);
   call->ack = unsaved ? w->acked : w->seen;
   w->acking = call->ack;
@@ -240,6 +242,8 @@
 static void
 take_list (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
+  gboolean was_silent = w->unanswered > 0;
+  gboolean renew = FALSE;
   guint i;
 
   check_life (d, w, reply);
@@ -252,20 +256,26 @@
   for (i = 0; i < reply->running->len; i++)
     take_row (d, w, &g_array_index (reply->running, RunRow, i));
   drop_unlisted (d, w, reply);
-  if (!w->known)
+  if (!w->known || was_silent)
     {
       w->known = TRUE;
-      w->hold_now = w->n_parts > 0;
+      renew = w->n_parts > 0;
       d->replan = TRUE;
     }
   w->void_ = FALSE;
-  w->next_hold = d->now + (is_stopping (w) || w->hold_now ? AGAIN_MS : 0);
+  w->hold_now = w->hold_now || renew;
+  w->next_hold = d->now + (is_stopping (w) && !renew ? AGAIN_MS : 0);
 }
 
 static void
 on_failure (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
   w->unanswered++;
+  if (reply->status == RUN_UNSENT && w->entry->draining && !w->listed)
+    {
+      /* It said that it would leave, and its process is gone. */
+      runs_void_worker (d, w, "left");
+    }
   w->next_hold =
       d->now + MIN ((ClockMs)RETRY_MS * w->unanswered, (ClockMs)RETRY_MOST_MS);
   if (w->unanswered == 1)
--- a/tests/fixture.cc
+++ b/tests/fixture.cc
@@ -472,7 +472,7 @@
     return;
   if (n.paused_until > now)
     {
-      at (n.paused_until, [=] { deliver (host, incarnation, e); });
+      at (n.paused_until, [=, this] { deliver (host, incarnation, e); });
       return;
     }
   e->at = now;
@@ -489,7 +489,7 @@
   if (next != CLOCK_NEVER && (next < n.next_tick || n.next_tick <= now))
     {
       n.next_tick = std::max (next, now + 1);
-      at (n.next_tick, [=] {
+      at (n.next_tick, [=, this] {
         if (nodes.at (host).next_tick == now)
           nodes.at (host).next_tick = CLOCK_NEVER;
         feed (host, EV_TICK, nullptr);
@@ -565,7 +565,7 @@
                             event_free);
   std::string host = n.name;
   gint64 incarnation = n.incarnation;
-  at (now + delay, [=] { deliver (host, incarnation, e); });
+  at (now + delay, [=, this] { deliver (host, incarnation, e); });
 }
 
 void
--- /dev/null
+++ b/tests/queue_path_test.cc
@@ -0,0 +1,167 @@
+#include "queue_world.h"
+
+#include <gtest/gtest.h>
+
+/* A job's way over hosts, store and workers, on calm and on bad days. */
+
+static std::string
+joined (const std::vector<std::string> &list)
+{
+  std::string text;
+
+  for (auto &s : list)
+    text += s + "\n";
+  return text;
+}
+
+#define EXPECT_KEPT(w)                                                         \
+  EXPECT_TRUE ((w).violations.empty ()) << joined ((w).violations)
+
+TEST (QueuePath, JobIsAcceptedRunAndCompleted)
+{
+  QueueWorld w (3, 8);
+
+  w.run (3000);
+  int r = w.submit (0, { "q1/0000000000000001",
+                         world_body (world_step (3, 1000, 1)) });
+  w.run (3000);
+  ASSERT_TRUE (w.answer (r));
+  EXPECT_EQ (w.answer (r)->status, 200);
+  EXPECT_EQ (w.state_of ("0000000000000001"), "completed");
+  EXPECT_EQ (w.n_starts (), 3);
+  EXPECT_KEPT (w);
+}
+
+TEST (QueuePath, SecondStepWaitsForTheFirst)
+{
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  w.submit (0, { "q1/0000000000000002",
+                 world_body (world_step (2, 1000, 1) + "," +
+                             world_step (1, 1000, 1, ",\"after\":[0]")) });
+  w.run (1000);
+  EXPECT_EQ (w.starts ("0000000000000002.0.1.0"), 0);
+  w.run (4000);
+  EXPECT_EQ (w.starts ("0000000000000002.0.1.0"), 1);
+  EXPECT_EQ (w.state_of ("0000000000000002"), "completed");
+  EXPECT_KEPT (w);
+}
+
+TEST (QueuePath, GangRunsTogetherOnOneRack)
+{
+  QueueWorld w (2, 8);
+
+  w.run (3000);
+  w.submit (0, { "q0/0000000000000003",
+                 world_body (world_step (3, 1000, 8,
+                                         ",\"gang\":true,\"sameRack\":true"),
+                             "ms=1000 gang=3") });
+  w.run (5000);
+  EXPECT_EQ (w.state_of ("0000000000000003"), "completed");
+  EXPECT_EQ (w.n_starts (), 3);
+  EXPECT_KEPT (w);
+}
+
+TEST (QueuePath, SameIdAtAnotherHostIsOneJob)
+{
+  QueueWorld w (3, 4);
+  WorldJob job = { "q1/0000000000000004",
+                   world_body (world_step (1, 1000, 1)) };
+
+  w.run (3000);
+  int a = w.submit (0, job);
+  int b = w.submit (1, job);
+  w.run (4000);
+  int c = w.submit (2, job);
+  w.run (2000);
+  EXPECT_EQ (w.answer (a)->status, 200);
+  EXPECT_EQ (w.answer (b)->status, 200);
+  EXPECT_EQ (w.answer (c)->status, 200);
+  EXPECT_EQ (w.n_starts (), 1);
+  EXPECT_KEPT (w);
+}
+
+TEST (QueuePath, CancelStopsWhatRuns)
+{
+  QueueWorld w (3, 4);
+
+  w.run (3000);
+  w.submit (0, { "q1/0000000000000005",
+                 world_body (world_step (2, 1000, 1), "ms=60000") });
+  w.run (1000);
+  int r = w.cancel (2, "0000000000000005");
+  w.run (2000);
+  EXPECT_EQ (w.answer (r)->status, 200);
+  EXPECT_EQ (w.state_of ("0000000000000005"), "cancelled");
+  for (auto &worker : w.workers)
+    EXPECT_TRUE (worker.runs.empty ());
+  EXPECT_KEPT (w);
+}
+
+TEST (QueuePath, UnknownJobIsGoneAndUnknownTokenRefused)
+{
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  int a = w.state (0, "00000000000000aa");
+  int b =
+      w.submit (0, { "q1/00000000000000ab", world_body (world_step (1, 1, 0)) },
+                "other");
+  int c = w.submit (0, { "nowhere/00000000000000ac",
+                         world_body (world_step (1, 1, 0)) });
+  int d = w.submit (0, { "q1/00000000000000ad", "{\"steps\":7}" });
+  w.run (1000);
+  EXPECT_EQ (w.answer (a)->status, 410);
+  EXPECT_EQ (w.answer (b)->status, 401);
+  EXPECT_EQ (w.answer (c)->status, 404);
+  EXPECT_EQ (w.answer (d)->status, 400);
+  EXPECT_EQ (w.n_starts (), 0);
+}
+
+TEST (QueuePath, FailingJobEndsAfterItsAttempts)
+{
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  w.submit (0, { "q1/0000000000000006",
+                 world_body (world_step (1, 1000, 1), "ms=300 fail") });
+  w.run (8000);
+  EXPECT_EQ (w.state_of ("0000000000000006"), "failed");
+  EXPECT_EQ (w.n_starts (), 3);
+  EXPECT_KEPT (w);
+}
+
+TEST (QueuePath, SuccessorTakesOverWhatRuns)
+{
+  QueueWorld w (3, 4);
+
+  w.run (3000);
+  w.submit (0, { "q1/0000000000000007",
+                 world_body (world_step (4, 1000, 1), "ms=5000") });
+  w.run (1000);
+  int holder = w.scheduler ();
+  ASSERT_GE (holder, 0);
+  w.kill_host (holder);
+  w.run (9000);
+  EXPECT_NE (w.scheduler (), holder);
+  EXPECT_EQ (w.state_of ("0000000000000007"), "completed");
+  EXPECT_EQ (w.n_starts (), 4);
+  EXPECT_KEPT (w);
+}
+
+TEST (QueuePath, WorkersThatLeftGiveTheirTasksBack)
+{
+  /* A hold that is sent again and again to a worker that no longer answers
+     must not renew the lease that is waited for. */
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  w.submit (0, { "q1/0000000000000008",
+                 world_body (world_step (8, 16000, 1), "ms=4000") });
+  w.run (500);
+  w.crash_worker (0, true);
+  w.run (14000);
+  EXPECT_EQ (w.state_of ("0000000000000008"), "completed");
+  EXPECT_KEPT (w);
+}
--- /dev/null
+++ b/tests/queue_world.h
@@ -0,0 +1,257 @@
+#ifndef QUEUE_WORLD_H
+#define QUEUE_WORLD_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "codec.h"
+#include "node.h"
+}
+
+/* A deployment in virtual time: real nodes over a small store and small
+   workers that keep the platform's promises and fail on demand.  What must
+   always hold is checked after every event. */
+
+struct WorldJob
+{
+  std::string id;
+  std::string body; /* JSON */
+  gint64 attempts = 4;
+};
+
+/* What a task does, told in its text: "ms=2000 gang=3 fail". */
+struct TaskPlan
+{
+  ClockMs ms = 1000;
+  int gang = 0;
+  bool fail = false;
+};
+
+struct WorldRun
+{
+  std::string task;
+  gint64 run;
+  TaskPlan plan;
+  ClockMs arrived;
+  ClockMs ends = CLOCK_NEVER;
+  PoolRoom need;
+};
+
+struct WorldEnd
+{
+  gint64 number;
+  std::string task;
+  gint64 run;
+  RunEnd how;
+};
+
+struct WorldWorker
+{
+  std::string id;
+  std::string rack;
+  bool alive = true;
+  bool draining = false;
+  bool fails_all = false;
+  bool hangs = false;
+  ClockMs cut_until = 0; /* neither hosts nor the store reach it */
+  double late_share = 0; /* of orders without an answer, executed later */
+  gint64 born = 1;
+  gint64 fence = 0;
+  double rate = 1.0;   /* of its clock */
+  gint64 deadline = 0; /* of its lease, on its clock */
+  gint64 ends_made = 0;
+  std::map<std::string, WorldRun> runs;
+  std::map<std::string, gint64> tombs;
+  std::vector<WorldEnd> ended;
+  PoolRoom room { 64000, 256000, 8 };
+};
+
+struct WorldHost
+{
+  std::string name;
+  Node *node = nullptr;
+  bool frozen = false;
+  ClockMs store_cut_until = 0; /* the store turns it away */
+  int life = 0;
+};
+
+struct WorldAnswer
+{
+  int status = 0;
+  std::string text;
+  gint64 number = 0;
+  ClockMs retry_after = 0;
+};
+
+class QueueWorld
+{
+public:
+  QueueWorld (int n_hosts, int n_workers, unsigned seed = 1);
+  ~QueueWorld ();
+
+  void run (ClockMs span);
+  ClockMs
+  now () const
+  {
+    return now_;
+  }
+  int submit (int host, const WorldJob &job, const std::string &token = "key");
+  int state (int host, const std::string &id);
+  int cancel (int host, const std::string &id);
+  int waiting (int host);
+  const WorldAnswer *answer (int request) const;
+  std::string state_of (const std::string &id);
+  void kill_host (int host);
+  void start_host (int host);
+  void drain_host (int host);
+  void crash_worker (int worker, bool listed);
+  void restart_worker (int worker);
+  void drain_worker (int worker);
+  void leave_worker (int worker);
+  void put_worker (int worker);
+  void drop_worker_entry (int worker);
+  void put_conf (gint64 version,
+                 const std::string &token,
+                 const std::string &extra_route = "");
+  void compact ();
+  int scheduler () const;
+  int starts (const std::string &task) const;
+  int
+  n_starts () const
+  {
+    return (int)started_.size ();
+  }
+  void expect_all_final ();
+
+  std::vector<WorldHost> hosts;
+  std::vector<WorldWorker> workers;
+  ClockMs store_down_until = 0; /* silent; nothing is executed */
+  double store_lost_share = 0;  /* of answers to writes; executed at once */
+  double store_late_share = 0;  /* of writes: executed seconds later */
+  std::vector<std::string> violations;
+  std::vector<std::string> lines;
+  ClockMs wall_step = 0;
+
+private:
+  struct Item
+  {
+    std::string value;
+    gint64 revision;
+    gint64 lease;
+  };
+  struct Lease
+  {
+    ClockMs ttl;
+    ClockMs until;
+  };
+  struct Change
+  {
+    gint64 revision;
+    std::string key;
+    bool deleted;
+    std::string value;
+  };
+  struct Watch
+  {
+    int host;
+    int life;
+    gint64 id;
+    std::string prefix;
+    gint64 after;
+    ClockMs until;
+    ClockMs sent;
+    bool done;
+  };
+  struct Hold
+  {
+    int host;
+    int life;
+    gint64 id;
+    int worker;
+    ClockMs until;
+    ClockMs sent;
+  };
+  struct Accepted
+  {
+    ClockMs at = CLOCK_NEVER;
+    ClockMs cancelled = CLOCK_NEVER;
+    std::string body;
+    gint64 attempts = 4;
+    std::string final_state;
+    bool refused_only = true;
+    bool answered = false;
+  };
+
+  void at (ClockMs when, std::function<void ()> what);
+  void pump (int host);
+  void take_effect (int host, Effect *e);
+  void take_answer (int host, const Answer &a);
+  void store_call (int host, const KvCall *call);
+  void store_execute (const KvCall *call, KvReply *reply);
+  void store_txn (const KvCall *call, KvReply *reply);
+  void write (const std::string &key, const std::string &value, gint64 lease);
+  void erase (const std::string &key);
+  void answer_watches ();
+  bool fill_watch (const Watch &w, KvReply *reply);
+  void reply_kv (int host,
+                 int life,
+                 gint64 id,
+                 std::shared_ptr<KvReply> reply,
+                 ClockMs delay);
+  void run_call (int host, const RunCall *call);
+  void execute_run (WorldWorker &w, const RunCall &call, RunReply *reply);
+  void start (WorldWorker &w, const RunCall &call, RunReply *reply);
+  void end_run (WorldWorker &w, const std::string &task, RunEnd how);
+  void fill_hold (const WorldWorker &w, RunReply *reply);
+  void reply_run (int host,
+                  int life,
+                  std::shared_ptr<RunReply> reply,
+                  ClockMs delay);
+  void tick_workers ();
+  void tick_gangs ();
+  void tick_leases ();
+  gint64 clock_of (const WorldWorker &w) const;
+  bool reaches (const WorldWorker &w) const;
+  void check_start (const WorldWorker &w, const WorldRun &r);
+  void violation (const std::string &text);
+  double chance ();
+  int ask (int host,
+           RequestOp op,
+           const std::string &path,
+           const std::string &token,
+           const std::string &body);
+
+  ClockMs now_ = 1000;
+  ClockMs wall_ = 1700000000000;
+  GRand *rng_;
+  std::multimap<ClockMs, std::function<void ()> > events_;
+  std::map<std::string, Item> items_;
+  std::map<gint64, Lease> leases_;
+  std::vector<Change> history_;
+  std::vector<Watch> watches_;
+  std::vector<Hold> holds_;
+  gint64 revision_ = 5;
+  gint64 compacted_ = 0;
+  gint64 last_lease_ = 100;
+  int last_request_ = 0;
+  std::map<int, WorldAnswer> answers_;
+  std::map<int, std::string> submits_;
+  std::map<int, std::string> cancels_;
+  std::map<std::string, Accepted> jobs_;
+  std::multimap<std::string, ClockMs> started_;
+  std::map<std::string, int> failures_;
+  std::set<std::string> done_;
+};
+
+std::string world_body (const std::string &steps,
+                        const std::string &text = "ms=1000");
+std::string
+world_step (int count, int cpu, int gpu, const std::string &extra = "");
+
+#endif
--- a/tests/req_world.h
+++ b/tests/req_world.h
@@ -81,7 +81,7 @@
   bool
   ended (gint64 conn, ClockMs span = 120000)
   {
-    return run_until ([=] { return reply (conn) != nullptr; }, span);
+    return run_until ([=, this] { return reply (conn) != nullptr; }, span);
   }
 
   Outcome
