Failed runs are counted by number, occurrences as far as their progress goes

Ruled out: stale listings of records, early acknowledgement of ends. Tests: QueuePath.EveryFailedRunIsCountedOnce and DoneOccurrenceStaysDoneUnderASlowerClock, both red before, green after.

--- a/queue/runs.c
+++ b/queue/runs.c
@@ -207,21 +207,20 @@
 count_attempt (Dispatch *d, WorkTask *task, gint64 run)
 {
   WorkJob *job = task->step->job;
-  WorkTask *keeper = task->step->spec->gang ? &task->step->tasks[0] : task;
   gint64 most = job->entry->job->attempts;
+  guint attempts;
 
-  if (run <= keeper->failed_run)
+  if (!work_task_add_failure (task, run))
     return;
-  keeper->failed_run = run;
-  keeper->attempts++;
+  attempts = work_task_attempts (task);
   save_mark (d, job);
   effects_log (
       d->fx,
       "event=task_failed job=%s step=%u.%u task=%u run=%" G_GINT64_FORMAT
       " attempts=%u most=%" G_GINT64_FORMAT,
       job->entry->id, task->step->occurrence, task->step->number, task->index,
-      run, keeper->attempts, most);
-  if (most > 0 && keeper->attempts >= most && !task->step->spec->perpetual &&
+      run, attempts, most);
+  if (most > 0 && attempts >= most && !task->step->spec->perpetual &&
       !spec_state_is_final (job->state))
     dispatch_set_state (d, job, JOB_FAILED);
 }
--- a/queue/spec.c
+++ b/queue/spec.c
@@ -7,6 +7,7 @@
 REC_DEFINE (SpecAfter, spec_after, SPEC_AFTER_FIELDS)
 REC_DEFINE (SpecStep, spec_step, SPEC_STEP_FIELDS)
 REC_DEFINE (SpecJob, spec_job, SPEC_JOB_FIELDS)
+REC_DEFINE (ProgressRun, progress_run, PROGRESS_RUN_FIELDS)
 REC_DEFINE (ProgressTask, progress_task, PROGRESS_TASK_FIELDS)
 REC_DEFINE (Progress, progress, PROGRESS_FIELDS)
 
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -71,17 +71,20 @@
   JOB_STATES (JOB_STATE_ENUM) N_JOB_STATES
 } JobState;
 
-/* One task, or a whole gang (INDEX 0), that has something to keep.
-   FAILED_RUN is the last run that ATTEMPTS counts: a successor in the
-   scheduler's role may be told of its end again. */
+/* A run that failed. */
+#define PROGRESS_RUN_FIELDS(INT, STR, BYTES, LIST) INT (run, 0, G_MAXINT64)
+REC_DECLARE (ProgressRun, progress_run, PROGRESS_RUN_FIELDS)
+
+/* One task, or a whole gang (INDEX 0), that has something to keep.  FAILED
+   lists the runs that failed by number: a successor in the scheduler's role
+   may be told of any of them again, in any order. */
 #define PROGRESS_TASK_FIELDS(INT, STR, BYTES, LIST)                            \
   INT (occurrence, 0, SPEC_MAX_OCCURRENCES)                                    \
   INT (step, 0, SPEC_MAX_STEPS)                                                \
   INT (index, 0, SPEC_MAX_TASKS)                                               \
   INT (done, 0, 1)                                                             \
-  INT (attempts, 0, G_MAXINT32)                                                \
-  INT (failed_run, 0, G_MAXINT64)                                              \
-  STR (checkpoint, 0, SPEC_MAX_NAME)
+  STR (checkpoint, 0, SPEC_MAX_NAME)                                           \
+  LIST (failed, 0, G_MAXINT32, progress_run)
 REC_DECLARE (ProgressTask, progress_task, PROGRESS_TASK_FIELDS)
 
 /* ENDED_MS is the Unix time of the last state, for the removal of old
--- a/queue/work.c
+++ b/queue/work.c
@@ -32,15 +32,22 @@
 static void
 restore_task (WorkJob *job, const ProgressTask *saved)
 {
-  WorkStep *step =
-      work_job_step (job, (guint)saved->occurrence, (guint)saved->step);
+  WorkStep *step;
   WorkTask *task;
+  guint i;
 
+  work_job_reach (job, (guint)saved->occurrence);
+  step = work_job_step (job, (guint)saved->occurrence, (guint)saved->step);
   if (!step || saved->index >= step->spec->count)
     return;
   task = &step->tasks[saved->index];
-  task->attempts = (guint)saved->attempts;
-  task->failed_run = saved->failed_run;
+  for (i = 0; i < saved->failed.n; i++)
+    {
+      const ProgressRun *failed =
+          rec_list_at (progress_run_desc (), &saved->failed, i);
+
+      work_task_add_failure (task, failed->run);
+    }
   work_task_set_checkpoint (task, saved->checkpoint);
   if (saved->done)
     work_task_set_done (task);
@@ -79,6 +86,8 @@
       if (step->tasks[i].part)
         work_part_free (step->tasks[i].part);
       g_free (step->tasks[i].checkpoint);
+      if (step->tasks[i].failed_runs)
+        g_array_unref (step->tasks[i].failed_runs);
     }
   g_free (step->tasks);
   g_free (step);
@@ -112,24 +121,41 @@
   return spec->first_run_ms + job->next_occurrence * spec->interval_ms;
 }
 
+static void
+add_next_occurrence (WorkJob *job)
+{
+  guint i;
+
+  for (i = 0; i < job->entry->job->steps.n; i++)
+    step_new (job, job->next_occurrence, i);
+  job->next_occurrence++;
+}
+
 /* Adds the steps of the occurrences that have come due by WALL.  Returns
    whether there were any. */
 gboolean
 work_job_add_due (WorkJob *job, ClockMs wall)
 {
   gboolean any = FALSE;
-  guint i;
 
   while (work_job_next_due (job) <= wall)
     {
-      for (i = 0; i < job->entry->job->steps.n; i++)
-        step_new (job, job->next_occurrence, i);
-      job->next_occurrence++;
+      add_next_occurrence (job);
       any = TRUE;
     }
   return any;
 }
 
+/* Adds the steps of all occurrences up to OCCURRENCE, which a former
+   scheduler, by another clock, found due. */
+void
+work_job_reach (WorkJob *job, guint occurrence)
+{
+  while (job->next_occurrence <= occurrence &&
+         job->next_occurrence < spec_job_occurrences (job->entry->job))
+    add_next_occurrence (job);
+}
+
 /* Returns JOB's step NUMBER of OCCURRENCE, or NULL when it is not due. */
 WorkStep *
 work_job_step (const WorkJob *job, guint occurrence, guint number)
@@ -206,12 +232,44 @@
     set_done (&step->tasks[i]);
 }
 
+/* Returns the task that keeps what concerns TASK's gang as a whole. */
+static WorkTask *
+keeper_of (WorkTask *task)
+{
+  return task->step->spec->gang ? &task->step->tasks[0] : task;
+}
+
+/* Counts RUN of TASK as failed.  Returns FALSE if it was counted before. */
+gboolean
+work_task_add_failure (WorkTask *task, gint64 run)
+{
+  WorkTask *keeper = keeper_of (task);
+  guint i;
+
+  if (!keeper->failed_runs)
+    keeper->failed_runs = g_array_new (FALSE, FALSE, sizeof (gint64));
+  for (i = 0; i < keeper->failed_runs->len; i++)
+    if (g_array_index (keeper->failed_runs, gint64, i) == run)
+      return FALSE;
+  g_array_append_val (keeper->failed_runs, run);
+  return TRUE;
+}
+
+/* Returns how many runs of TASK have failed. */
+guint
+work_task_attempts (const WorkTask *task)
+{
+  const WorkTask *keeper = keeper_of ((WorkTask *)task);
+
+  return keeper->failed_runs ? keeper->failed_runs->len : 0;
+}
+
 /* Notes where a new run of TASK would continue; an empty CHECKPOINT says
    nothing. */
 void
 work_task_set_checkpoint (WorkTask *task, const char *checkpoint)
 {
-  WorkTask *keeper = task->step->spec->gang ? &task->step->tasks[0] : task;
+  WorkTask *keeper = keeper_of (task);
 
   if (!checkpoint || !*checkpoint ||
       g_strcmp0 (keeper->checkpoint, checkpoint) == 0)
@@ -272,6 +330,7 @@
   g_free (id);
   if (!entry || !entry->work)
     return NULL;
+  work_job_reach (entry->work, occurrence);
   step = work_job_step (entry->work, occurrence, number);
   return step && index < step->spec->count ? &step->tasks[index] : NULL;
 }
@@ -335,16 +394,21 @@
 {
   ProgressTask *saved;
   gboolean keep = !task->done && task->checkpoint;
+  guint i;
 
-  if (!task->done && !task->attempts && !keep)
+  if (!task->done && !work_task_attempts (task) && !keep)
     return;
   saved = rec_list_add (progress_task_desc (), &p->tasks);
   saved->occurrence = step->occurrence;
   saved->step = step->number;
   saved->index = task->index;
   saved->done = task->done;
-  saved->attempts = task->attempts;
-  saved->failed_run = task->failed_run;
+  for (i = 0; i < work_task_attempts (task); i++)
+    {
+      ProgressRun *failed = rec_list_add (progress_run_desc (), &saved->failed);
+
+      failed->run = g_array_index (task->failed_runs, gint64, i);
+    }
   if (keep)
     rec_set_str (&saved->checkpoint, task->checkpoint);
 }
--- a/queue/work.h
+++ b/queue/work.h
@@ -43,8 +43,7 @@
   WorkStep *step;
   guint index;
   gboolean done;
-  guint attempts; /* runs that failed; a gang's are counted at its first task */
-  gint64 failed_run; /* the last run that ATTEMPTS counts */
+  GArray *failed_runs; /* of gint64; a gang's are kept by its first task */
   gint64 last_run;
   char *checkpoint;
   WorkPart *part;
@@ -94,9 +93,12 @@
 gboolean work_step_is_ready (const WorkStep *step);
 gboolean work_step_is_done (const WorkStep *step);
 void work_task_set_done (WorkTask *task);
+gboolean work_task_add_failure (WorkTask *task, gint64 run);
+guint work_task_attempts (const WorkTask *task);
 void work_task_set_checkpoint (WorkTask *task, const char *checkpoint);
 char *work_task_name (const WorkTask *task);
 WorkTask *work_find_task (const Book *book, const char *name);
+void work_job_reach (WorkJob *job, guint occurrence);
 gboolean work_name_parse (const char *name,
                           char **id,
                           guint *occurrence,
--- a/tests/queue_path_test.cc
+++ b/tests/queue_path_test.cc
@@ -165,3 +165,47 @@
   EXPECT_EQ (w.state_of ("0000000000000008"), "completed");
   EXPECT_KEPT (w);
 }
+
+TEST (QueuePath, DoneOccurrenceStaysDoneUnderASlowerClock)
+{
+  /* The successor's time of day is behind: the occurrence that its
+     predecessor ran is not due to it yet. */
+  QueueWorld w (2, 4);
+  std::string body = world_body (world_step (4, 1000, 1), "ms=500");
+
+  w.run (3000);
+  int holder = w.scheduler ();
+  ASSERT_GE (holder, 0);
+  w.hosts[1 - holder].wall_step = -6000;
+  body.insert (1, "\"runCount\":2,\"firstRunMs\":" +
+                      std::to_string (w.wall () + 1000) +
+                      ",\"intervalMs\":2000,");
+  w.submit (holder, { "q1/0000000000000009", body });
+  w.run (2200);
+  EXPECT_EQ (w.n_starts (), 4);
+  w.kill_host (holder);
+  w.run (9000);
+  EXPECT_EQ (w.state_of ("0000000000000009"), "completed");
+  EXPECT_EQ (w.n_starts (), 8);
+  EXPECT_KEPT (w);
+}
+
+TEST (QueuePath, EveryFailedRunIsCountedOnce)
+{
+  /* Workers may report the ends of one task's runs in any order after a
+     takeover, and repeat those that were stored already. */
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  w.submit (0, { "q2/000000000000000a",
+                 world_body (world_step (1, 1000, 1), "ms=250 fail") });
+  w.run (330);
+  int holder = w.scheduler ();
+  w.store_down_until = w.now () + 700;
+  w.run (290);
+  w.kill_host (holder);
+  w.run (12000);
+  EXPECT_EQ (w.state_of ("000000000000000a"), "failed");
+  EXPECT_EQ (w.n_starts (), 3);
+  EXPECT_KEPT (w);
+}
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -160,7 +160,7 @@
   NodeSettings s = { name.c_str (), (guint32)(i * 100 + h.life), 3700 };
 
   h.name = "h" + std::to_string (i);
-  h.node = node_new (&s, &platform_codec, now_, wall_ + now_);
+  h.node = node_new (&s, &platform_codec, now_, wall_ + now_ + h.wall_step);
   at (now_, [this, i] { pump (i); });
 }
 
@@ -368,7 +368,8 @@
     if (hosts[host].life == life && hosts[host].node && !hosts[host].frozen)
       {
         reply->id = id;
-        node_set_time (hosts[host].node, now_, wall_ + now_ + wall_step);
+        node_set_time (hosts[host].node, now_,
+                       wall_ + now_ + hosts[host].wall_step);
         node_on_kv_reply (hosts[host].node, reply.get ());
         pump (host);
       }
@@ -711,7 +712,8 @@
   at (now_ + delay, [this, host, life, reply] {
     if (hosts[host].life == life && hosts[host].node && !hosts[host].frozen)
       {
-        node_set_time (hosts[host].node, now_, wall_ + now_ + wall_step);
+        node_set_time (hosts[host].node, now_,
+                       wall_ + now_ + hosts[host].wall_step);
         node_on_run_reply (hosts[host].node, reply.get ());
         pump (host);
       }
@@ -951,7 +953,7 @@
 
   if (!n || hosts[host].frozen)
     return;
-  node_set_time (n, now_, wall_ + now_ + wall_step);
+  node_set_time (n, now_, wall_ + now_ + hosts[host].wall_step);
   node_tick (n);
   while ((e = node_pop_effect (n)))
     take_effect (host, e);
@@ -998,7 +1000,7 @@
     return last_request_;
   if (op == REQUEST_SUBMIT)
     r.body = g_bytes_new (body.data (), body.size ());
-  node_set_time (hosts[host].node, now_, wall_ + now_ + wall_step);
+  node_set_time (hosts[host].node, now_, wall_ + now_ + hosts[host].wall_step);
   node_on_request (hosts[host].node, &r);
   if (r.body)
     g_bytes_unref (r.body);
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -78,6 +78,7 @@
   Node *node = nullptr;
   bool frozen = false;
   ClockMs store_cut_until = 0; /* the store turns it away */
+  ClockMs wall_step = 0;       /* of its time of day */
   int life = 0;
 };
 
@@ -101,6 +102,11 @@
   {
     return now_;
   }
+  ClockMs
+  wall () const
+  {
+    return wall_ + now_;
+  }
   int submit (int host, const WorldJob &job, const std::string &token = "key");
   int state (int host, const std::string &id);
   int cancel (int host, const std::string &id);
@@ -136,7 +142,6 @@
   double store_late_share = 0;  /* of writes: executed seconds later */
   std::vector<std::string> violations;
   std::vector<std::string> lines;
-  ClockMs wall_step = 0;
 
 private:
   struct Item
