--- a/queue/assign.c
+++ b/queue/assign.c
@@ -21,8 +21,8 @@
 static gboolean
 is_usable (const Dispatch *d, const PoolWorker *w)
 {
-  return w->listed && w->known && !w->entry->draining && !w->unanswered &&
-         w->avoid_until <= d->now;
+  return w->listed && w->known && w->recorded && !w->entry->draining &&
+         !w->unanswered && w->avoid_until <= d->now;
 }
 
 static void
@@ -197,6 +197,7 @@
 static void
 place_tasks (Pass *p, WorkStep *step)
 {
+  gint64 run = 0;
   guint n = 0;
   guint i;
   gboolean room = TRUE;
@@ -210,9 +211,10 @@
         continue;
       room = place_task (p, task);
       n += room;
+      run = MAX (run, task->last_run);
     }
   if (n)
-    note_started (p->d, step, n, step->tasks[0].last_run);
+    note_started (p->d, step, n, run);
   if (!room && step->job->entry->job->priority == 0 &&
       p->d->now - step->job->accepted > URGENT_EVICT_AFTER_MS)
     evict_and_look (p, step);
@@ -240,6 +242,14 @@
   return step->n_done + step->n_parts < step->spec->count;
 }
 
+/* Tells whether a former holder of the role may have started JOB on a
+   worker that has not been heard of yet. */
+static gboolean
+may_run_unseen (const Dispatch *d, const WorkJob *job)
+{
+  return !d->all_known && job->entry->job_revision < d->term.role_revision;
+}
+
 static GArray *
 waiting_steps (const Dispatch *d)
 {
@@ -249,7 +259,7 @@
 
   APR_RING_FOREACH (job, &d->jobs, WorkJob, link)
     {
-      if (spec_state_is_final (job->state))
+      if (spec_state_is_final (job->state) || may_run_unseen (d, job))
         continue;
       APR_RING_FOREACH (step, &job->steps, WorkStep, link)
         if (waits (step))
@@ -308,6 +318,7 @@
 settle_step_claims (Dispatch *d, WorkStep *step)
 {
   gboolean together = step->spec->gang && claims_are_free (step);
+  gint64 run = 0;
   guint n = 0;
   guint i;
 
@@ -320,13 +331,14 @@
       if (step->spec->gang ? together : has_room_now (part))
         {
           runs_start (d, part);
+          run = part->run;
           n++;
         }
       else if (claim_is_void (d, part))
         runs_end (d, part, RUN_STOPPED, NULL);
     }
   if (n)
-    note_started (d, step, n, step->tasks[0].last_run);
+    note_started (d, step, n, run);
 }
 
 static void
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -36,6 +36,7 @@
   d->save.values =
       g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   g_queue_init (&d->save.dirty);
+  roster_start (d);
   g_hash_table_iter_init (&i, book_entries (book));
   while (g_hash_table_iter_next (&i, NULL, &entry))
     dispatch_on_entry (d, entry);
@@ -59,6 +60,7 @@
     return;
   while (!APR_RING_EMPTY (&d->jobs, WorkJob, link))
     forget (d, APR_RING_FIRST (&d->jobs));
+  g_ptr_array_unref (d->roster.ids);
   g_ptr_array_unref (d->save.jobs);
   g_ptr_array_unref (d->save.values);
   g_queue_clear (&d->save.dirty);
@@ -104,6 +106,7 @@
     {
       w->lapse = former_lapse (d);
       w->next_hold = d->now;
+      d->roster.changed = TRUE;
     }
   else if (w->born && entry->born && entry->born > w->born)
     w->hold_now = TRUE;
@@ -230,7 +233,7 @@
 gboolean
 dispatch_on_kv_reply (Dispatch *d, const KvReply *reply)
 {
-  return save_on_reply (d, reply);
+  return save_on_reply (d, reply) || roster_on_reply (d, reply);
 }
 
 /* Tells whether D must give the role up. */
@@ -250,8 +253,6 @@
   for (i = 0; i < d->pool.order->len; i++)
     if (!holds_is_settled (g_ptr_array_index (d->pool.order, i)))
       return;
-  if (d->pool.order->len == 0)
-    return;
   d->all_known = TRUE;
   d->replan = TRUE;
   d->reap = TRUE;
@@ -278,6 +279,7 @@
           (w->known || w->void_) && w->seen <= w->acked)
         {
           pool_remove (&d->pool, w);
+          d->roster.changed = TRUE;
           i--;
         }
     }
@@ -302,15 +304,15 @@
   tick_workers (d);
   look_for_all_known (d);
   add_due_occurrences (d);
-  if (d->all_known && d->conf &&
-      ((d->replan && d->now >= d->next_plan) ||
-       d->now >= d->next_plan + PLAN_IDLE_MS))
+  if (d->conf && ((d->replan && d->now >= d->next_plan) ||
+                  d->now >= d->next_plan + PLAN_IDLE_MS))
     {
       d->replan = FALSE;
       d->next_plan = d->now + PLAN_PACE_MS;
       assign_all (d);
     }
   save_tick (d);
+  roster_tick (d);
   reap (d);
 }
 
@@ -324,6 +326,7 @@
   if (d->replan)
     next = MIN (next, MAX (d->next_plan, d->now + 1));
   next = MIN (next, MAX (save_next (d), d->now + 1));
+  next = MIN (next, MAX (roster_next (d), d->now + 1));
   for (i = 0; i < d->pool.order->len; i++)
     next = MIN (next, MAX (holds_next (d, g_ptr_array_index (d->pool.order, i)),
                            d->now + 1));
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -26,6 +26,16 @@
   GQueue dirty; /* of WorkJob, oldest first */
 } Save;
 
+/* The write of the workers in use, see roster.c. */
+typedef struct RosterSave
+{
+  gboolean changed;
+  gint64 call_id; /* 0 while none is under way */
+  GPtrArray *ids; /* of char *, in the call under way */
+  gint64 revision;
+  ClockMs next;
+} RosterSave;
+
 struct Dispatch
 {
   Effects *fx;
@@ -39,6 +49,7 @@
   struct WorkJobRing jobs;
   GHashTable *orders; /* id to Ordered */
   Save save;
+  RosterSave roster;
   gboolean all_known; /* every worker's runs are known, or void */
   gboolean replan;
   gboolean reap; /* a job may be forgotten */
@@ -83,6 +94,12 @@
 gboolean save_is_durable (const Dispatch *d, guint64 order);
 ClockMs save_next (const Dispatch *d);
 
+/* roster.c */
+void roster_start (Dispatch *d);
+void roster_tick (Dispatch *d);
+gboolean roster_on_reply (Dispatch *d, const KvReply *reply);
+ClockMs roster_next (const Dispatch *d);
+
 /* assign.c */
 void assign_all (Dispatch *d);
 
--- a/queue/evict.c
+++ b/queue/evict.c
@@ -132,8 +132,8 @@
 static gboolean
 is_candidate (const Plan *p, const PoolWorker *w, const char *rack)
 {
-  if (!w->listed || !w->known || w->entry->draining || w->unanswered ||
-      w->avoid_until > p->d->now || !fit_allows (&p->rq, w))
+  if (!w->listed || !w->known || !w->recorded || w->entry->draining ||
+      w->unanswered || w->avoid_until > p->d->now || !fit_allows (&p->rq, w))
     return FALSE;
   return !rack || g_strcmp0 (w->entry->rack, rack) == 0;
 }
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -148,8 +148,31 @@
   work_task_set_checkpoint (part->task, row->checkpoint);
 }
 
+static gboolean
+has_run (const WorkTask *task)
+{
+  return task->step->spec->gang ? task->step->n_parts > 0 : task->part != NULL;
+}
+
+/* Takes over the end E of a run that this scheduler has no part of: a
+   former holder of the role may not have stored it, or it was given up for
+   lost.  With STALE the lease lapsed since, and only success is worth
+   anything, as long as nothing was started in its place. */
 static void
-take_end (Dispatch *d, PoolWorker *w, const RunEnded *e)
+take_foreign_end (Dispatch *d,
+                  WorkTask *task,
+                  const RunEnded *e,
+                  gboolean stale)
+{
+  if (e->how == RUN_DONE ? has_run (task) : stale)
+    return;
+  if (!has_run (task))
+    work_task_set_checkpoint (task, e->checkpoint);
+  runs_apply_end (d, task, e->run, e->how);
+}
+
+static void
+take_end (Dispatch *d, PoolWorker *w, const RunEnded *e, gboolean stale)
 {
   WorkPart *part = find_part (d, w, e->task, e->run);
   WorkTask *task = work_find_task (d->book, e->task);
@@ -159,18 +182,13 @@
   w->seen = e->number;
   effects_log (d->fx,
                "event=end task=%s run=%" G_GINT64_FORMAT
-               " worker=%s how=%s known=%d",
+               " worker=%s how=%s known=%d stale=%d",
                e->task, e->run, w->entry->id, run_end_name (e->how),
-               part != NULL);
+               part != NULL, stale);
   if (part)
     runs_end (d, part, e->how, e->checkpoint);
-  else if (task && !task->part && !d->all_known)
-    {
-      /* It was told to a former holder of the role, who may not have
-         stored it. */
-      work_task_set_checkpoint (task, e->checkpoint);
-      runs_apply_end (d, task, e->run, e->how);
-    }
+  else if (task)
+    take_foreign_end (d, task, e, stale);
   w->seen_save = d->save.last_order;
 }
 
@@ -243,6 +261,7 @@
 take_list (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
   gboolean was_silent = w->unanswered > 0;
+  gboolean stale = w->void_;
   gboolean renew = FALSE;
   guint i;
 
@@ -252,7 +271,7 @@
   w->unanswered = 0;
   w->acked = MAX (w->acked, w->acking);
   for (i = 0; i < reply->ended->len; i++)
-    take_end (d, w, &g_array_index (reply->ended, RunEnded, i));
+    take_end (d, w, &g_array_index (reply->ended, RunEnded, i), stale);
   for (i = 0; i < reply->running->len; i++)
     take_row (d, w, &g_array_index (reply->running, RunRow, i));
   drop_unlisted (d, w, reply);
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -34,12 +34,13 @@
 typedef struct PoolWorker
 {
   PoolEntry *entry;
-  gboolean listed;  /* its entry is in the store */
-  gboolean known;   /* has listed its runs to this holder of the role */
-  gboolean void_;   /* not known, but whatever it ran has surely lapsed */
-  gint64 born;      /* of the life that was listed last */
-  PoolRoom used;    /* by what runs, may run, or is being stopped */
-  PoolRoom claimed; /* by what waits for room here */
+  gboolean listed;   /* its entry is in the store */
+  gboolean recorded; /* in the roster in the store */
+  gboolean known;    /* has listed its runs to this holder of the role */
+  gboolean void_;    /* not known, but whatever it ran has surely lapsed */
+  gint64 born;       /* of the life that was listed last */
+  PoolRoom used;     /* by what runs, may run, or is being stopped */
+  PoolRoom claimed;  /* by what waits for room here */
   struct WorkPartRing parts;
   guint n_parts;
   gint64 clock;      /* the worker's clock ... */
--- a/queue/save.c
+++ b/queue/save.c
@@ -18,8 +18,10 @@
 
   if (job->saving)
     {
+      /* The order is that of the oldest change that is not stored. */
+      if (!job->again)
+        job->save_order = ++s->last_order;
       job->again = TRUE;
-      job->save_order = ++s->last_order;
       return;
     }
   if (job->save_order)
@@ -104,6 +106,18 @@
   send_call (d);
 }
 
+static int
+compare_orders (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const WorkJob *x = a;
+  const WorkJob *y = b;
+
+  (void)data;
+  return x->save_order < y->save_order ? -1 : x->save_order > y->save_order;
+}
+
+/* A job that changed while it was being stored goes back to its place: the
+   queue's head tells what is durable. */
 static void
 release_jobs (Dispatch *d)
 {
@@ -116,7 +130,7 @@
 
       job->saving = FALSE;
       if (job->again)
-        g_queue_push_tail (&s->dirty, job);
+        g_queue_insert_sorted (&s->dirty, job, compare_orders, NULL);
       else
         job->save_order = 0;
       job->again = FALSE;
--- a/queue/spec.c
+++ b/queue/spec.c
@@ -10,6 +10,8 @@
 REC_DEFINE (ProgressRun, progress_run, PROGRESS_RUN_FIELDS)
 REC_DEFINE (ProgressTask, progress_task, PROGRESS_TASK_FIELDS)
 REC_DEFINE (Progress, progress, PROGRESS_FIELDS)
+REC_DEFINE (RosterWorker, roster_worker, ROSTER_WORKER_FIELDS)
+REC_DEFINE (Roster, roster, ROSTER_FIELDS)
 
 /* Tells whether a job in STATE stays in it for good. */
 gboolean
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -95,6 +95,18 @@
   LIST (tasks, 0, SPEC_MAX_TASKS, progress_task)
 REC_DECLARE (Progress, progress, PROGRESS_FIELDS)
 
+/* A worker on which the scheduler may have started something: a successor
+   must hear of it, or wait until its lease has lapsed, even when its own
+   entry in the store is gone. */
+#define ROSTER_WORKER_FIELDS(INT, STR, BYTES, LIST)                            \
+  STR (id, 1, SPEC_MAX_NAME)                                                   \
+  STR (address, 1, SPEC_MAX_NAME)
+REC_DECLARE (RosterWorker, roster_worker, ROSTER_WORKER_FIELDS)
+
+#define ROSTER_FIELDS(INT, STR, BYTES, LIST)                                   \
+  LIST (workers, 0, SPEC_MAX_TASKS, roster_worker)
+REC_DECLARE (Roster, roster, ROSTER_FIELDS)
+
 gboolean spec_state_is_final (JobState state);
 const char *spec_state_name (JobState state);
 const SpecStep *spec_job_step (const SpecJob *job, guint step);
--- /dev/null
+++ b/tests/queue_search_test.cc
@@ -0,0 +1,232 @@
+#include "queue_world.h"
+
+#include <gtest/gtest.h>
+
+/* Seeded histories of jobs and faults over real nodes.  What must always
+   hold is checked after every event; once the faults have ended, every
+   accepted job must come to its end. */
+
+enum
+{
+  N_HOSTS = 3,
+  N_WORKERS = 8,
+  N_FAULT_KINDS = 14
+};
+
+static const ClockMs fault_span = 20000;
+static const ClockMs rest_span = 50000;
+static const ClockMs step_span = 250;
+
+class History
+{
+public:
+  explicit History (unsigned seed)
+      : world (N_HOSTS, N_WORKERS, seed), rng (g_rand_new_with_seed (seed))
+  {
+  }
+  ~History ()
+  {
+    g_rand_free (rng);
+  }
+
+  void
+  play ()
+  {
+    ClockMs end = world.now () + fault_span;
+
+    world.run (2500);
+    while (world.now () < end)
+      {
+        if (chance (0.5))
+          submit ();
+        if (chance (0.1))
+          cancel ();
+        if (chance (0.25))
+          fault ();
+        world.run (step_span);
+      }
+    calm ();
+    world.run (rest_span);
+  }
+
+  QueueWorld world;
+
+private:
+  bool
+  chance (double p)
+  {
+    return g_rand_double (rng) < p;
+  }
+  int
+  below (int n)
+  {
+    return g_rand_int_range (rng, 0, n);
+  }
+
+  void
+  submit ()
+  {
+    static const char *const bodies[] = { "plain", "gang", "steps", "fail",
+                                          "timed" };
+    std::string kind = bodies[below (5)];
+    std::string id = std::to_string (++n_jobs);
+    std::string ms = "ms=" + std::to_string (300 + below (4000));
+    std::string body;
+    int count = 1 + below (4);
+    int host = below (N_HOSTS);
+
+    id = std::string (16 - id.size (), '0') + id;
+    if (kind == "gang")
+      body = world_body (world_step (count, 4000, 1 + below (8),
+                                     ",\"gang\":true,\"sameRack\":true"),
+                         ms + " gang=" + std::to_string (count));
+    else if (kind == "steps")
+      body = world_body (world_step (count, 8000, 1) + "," +
+                             world_step (2, 8000, 1, ",\"after\":[0]"),
+                         ms);
+    else
+      body = world_body (world_step (count, 16000, 1 + below (4)),
+                         kind == "fail" ? ms + " fail" : ms);
+    if (kind == "timed")
+      body.insert (1, "\"runCount\":3,\"firstRunMs\":" +
+                          std::to_string (world.wall () + 500) +
+                          ",\"intervalMs\":1500,");
+    ids.push_back (id);
+    world.submit (host, { "q" + std::to_string (below (3)) + "/" + id, body });
+    if (chance (0.2))
+      world.submit (below (N_HOSTS), { "q1/" + id, body });
+  }
+
+  void
+  cancel ()
+  {
+    if (!ids.empty ())
+      world.cancel (below (N_HOSTS), ids[below ((int)ids.size ())]);
+  }
+
+  void
+  fault ()
+  {
+    int host = below (N_HOSTS);
+    int worker = below (N_WORKERS);
+    ClockMs until = world.now () + 500 + below (6000);
+    WorldWorker &w = world.workers[worker];
+
+    switch (below (N_FAULT_KINDS))
+      {
+      case 0:
+        if (world.hosts[host].node)
+          world.kill_host (host);
+        break;
+      case 1:
+        if (!world.hosts[host].node)
+          world.start_host (host);
+        break;
+      case 2:
+        w.cut_until = until;
+        if (chance (0.5))
+          world.drop_worker_entry (worker);
+        break;
+      case 3:
+        if (w.alive)
+          world.crash_worker (worker, chance (0.5));
+        break;
+      case 4:
+        if (!w.alive)
+          world.restart_worker (worker);
+        break;
+      case 5:
+        w.late_share = chance (0.5) ? 0.3 : 0.0;
+        break;
+      case 6:
+        world.store_down_until = until;
+        break;
+      case 7:
+        world.store_lost_share = chance (0.5) ? 0.3 : 0.0;
+        break;
+      case 8:
+        world.store_late_share = chance (0.5) ? 0.2 : 0.0;
+        break;
+      case 9:
+        world.hosts[host].store_cut_until = until;
+        break;
+      case 10:
+        world.compact ();
+        break;
+      case 11:
+        world.hosts[host].frozen = !world.hosts[host].frozen;
+        break;
+      case 12:
+        w.fails_all = !w.fails_all;
+        break;
+      case 13:
+        if (world.hosts[host].node && world.scheduler () >= 0)
+          world.kill_host (world.scheduler ());
+        break;
+      }
+  }
+
+  void
+  calm ()
+  {
+    world.store_down_until = 0;
+    world.store_lost_share = 0;
+    world.store_late_share = 0;
+    for (int i = 0; i < N_HOSTS; i++)
+      {
+        world.hosts[i].frozen = false;
+        world.hosts[i].store_cut_until = 0;
+        if (!world.hosts[i].node)
+          world.start_host (i);
+      }
+    for (int i = 0; i < N_WORKERS; i++)
+      {
+        WorldWorker &w = world.workers[i];
+
+        w.cut_until = 0;
+        w.late_share = 0;
+        w.fails_all = false;
+        if (!w.alive)
+          world.restart_worker (i);
+        else
+          world.put_worker (i);
+      }
+  }
+
+  GRand *rng;
+  int n_jobs = 0;
+  std::vector<std::string> ids;
+};
+
+static void
+search (unsigned from, unsigned to)
+{
+  for (unsigned seed = from; seed < to; seed++)
+    {
+      History h (seed);
+
+      h.play ();
+      h.world.expect_all_final ();
+      h.world.check_noted ();
+      EXPECT_TRUE (h.world.violations.empty ())
+          << "seed " << seed << ": " << h.world.violations[0] << " and "
+          << h.world.violations.size () - 1 << " more";
+      if (::testing::Test::HasFailure ())
+        {
+          fprintf (stderr, "seed %u\n", seed);
+          if (getenv ("QUEUE_SEARCH_LOG"))
+            for (auto &line : h.world.lines)
+              fprintf (stderr, "%s\n", line.c_str ());
+          return;
+        }
+    }
+}
+
+TEST (QueueSearch, WhatMustHoldHoldsOverSeededFaults)
+{
+  const char *from = getenv ("QUEUE_SEARCH_FROM");
+  const char *n = getenv ("QUEUE_SEARCH_N");
+  unsigned first = from ? (unsigned)atoi (from) : 1;
+
+  search (first, first + (n ? (unsigned)atoi (n) : 60));
+}
