--- a/queue/evict.c
+++ b/queue/evict.c
@@ -17,7 +17,6 @@
   WorkStep *step;
   FitRequest rq;
   GHashTable *victims; /* of WorkStep for gangs, WorkPart for others */
-  GHashTable *taken;   /* PoolWorker to the number of tasks placed */
   PoolWorker **chosen;
   guint n_chosen;
   double cost;
@@ -68,12 +67,24 @@
   return lost_ms (d, part) * part_cores (part) * members;
 }
 
+/* Returns how many tasks the plan places on W. */
+static guint
+n_taken (const Plan *p, const PoolWorker *w)
+{
+  guint n = 0;
+  guint i;
+
+  for (i = 0; i < p->n_chosen; i++)
+    n += p->chosen[i] == w;
+  return n;
+}
+
 /* Returns W's room as it will be once the plan's victims are gone. */
 static PoolRoom
 room_after (const Plan *p, const PoolWorker *w)
 {
   PoolRoom room = pool_free_room (w);
-  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (p->taken, w));
+  guint n = n_taken (p, w);
   WorkPart *part;
 
   APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
@@ -124,7 +135,7 @@
 static gboolean
 may_hold_more (const Plan *p, const PoolWorker *w)
 {
-  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (p->taken, (gpointer)w));
+  guint n = n_taken (p, w);
 
   return p->rq.max_per_worker == 0 || n < p->rq.max_per_worker;
 }
@@ -183,10 +194,6 @@
     return FALSE;
   merge (p->victims, best_more);
   g_hash_table_unref (best_more);
-  g_hash_table_insert (p->taken, best,
-                       GUINT_TO_POINTER (GPOINTER_TO_UINT (g_hash_table_lookup (
-                                             p->taken, best)) +
-                                         1));
   p->chosen[p->n_chosen++] = best;
   p->cost += best_cost;
   return TRUE;
@@ -217,7 +224,6 @@
                          .label = step->spec->label,
                          .rack = "" };
   p->victims = g_hash_table_new (NULL, NULL);
-  p->taken = g_hash_table_new (NULL, NULL);
   p->chosen = g_new0 (PoolWorker *, count);
   for (i = 0; i < count; i++)
     if (!add_task (p, rack))
@@ -229,7 +235,6 @@
 plan_free (Plan *p)
 {
   g_hash_table_unref (p->victims);
-  g_hash_table_unref (p->taken);
   g_free (p->chosen);
   g_free (p);
 }
--- a/queue/intake.c
+++ b/queue/intake.c
@@ -114,8 +114,10 @@
 void
 intake_free (Intake *in)
 {
-  while (!APR_RING_EMPTY (&in->pending, Pending, link))
-    pending_free (in, APR_RING_FIRST (&in->pending));
+  Pending *p, *next;
+
+  APR_RING_FOREACH_SAFE (p, next, &in->pending, Pending, link)
+    pending_free (in, p);
   conf_unref (in->conf);
   g_free (in);
 }
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -6,7 +6,8 @@
 {
   ORDER_TIMEOUT_MS = 450, /* a round trip between regions and a slow host */
   RETRY_MS = 60,
-  START_TRIES = 4, /* within the time that a gang waits for its members */
+  STOP_BACKOFF = 5, /* the longest wait, in retries of a start */
+  START_TRIES = 4,  /* within the time that a gang waits for its members */
   AVOID_MS = 700,
   UNHEALTHY_AVOID_MS = 1500,
   SUSPECT_FAILURES = 2, /* in a row, of different jobs */
@@ -424,7 +425,9 @@
   if (reply->status == RUN_LOST || reply->status == RUN_UNSENT ||
       reply->status == RUN_UNHEALTHY)
     {
-      part->retry = d->now + RETRY_MS * MIN (++part->tries, 5U);
+      part->tries++;
+      part->retry =
+          d->now + (ClockMs)RETRY_MS * MIN (part->tries, STOP_BACKOFF);
       return;
     }
   part->stop_acked = TRUE;
--- a/queue/work.c
+++ b/queue/work.c
@@ -97,13 +97,10 @@
 void
 work_job_free (WorkJob *job)
 {
-  while (!APR_RING_EMPTY (&job->steps, WorkStep, link))
-    {
-      WorkStep *step = APR_RING_FIRST (&job->steps);
+  WorkStep *step, *next;
 
-      APR_RING_REMOVE (step, link);
-      step_free (step);
-    }
+  APR_RING_FOREACH_SAFE (step, next, &job->steps, WorkStep, link)
+    step_free (step);
   g_free (job);
 }
 
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -10,7 +10,7 @@
 enum
 {
   MAX_IDLE_HANDLES = 64,
-  MAX_IDLE_CONNECTIONS = 512,
+  MAX_IDLE_CONNECTIONS = 2000, /* two to each worker of a large site */
   MAX_ANSWER_BYTES = 4 << 20, /* four times the store's largest page */
   CONNECT_MS = 600,           /* a SYN that was dropped is repeated after 1 s */
   RECEIVE_BUFFER = 16 << 10,
@@ -334,12 +334,12 @@
 void
 fetch_free (Fetch *f)
 {
+  Transfer *t, *next;
+
   if (!f)
     return;
-  while (!APR_RING_EMPTY (&f->transfers, Transfer, link))
+  APR_RING_FOREACH_SAFE (t, next, &f->transfers, Transfer, link)
     {
-      Transfer *t = APR_RING_FIRST (&f->transfers);
-
       curl_multi_remove_handle (f->multi, t->easy);
       transfer_free (t);
     }
