--- a/queue/runs.c
+++ b/queue/runs.c
@@ -46,6 +46,23 @@
   g_free (o);
 }
 
+/* Lets the answer to PART's order under way, which a new one supersedes,
+   be ignored. */
+static void
+supersede (Dispatch *d, WorkPart *part)
+{
+  Ordered *o = part->call_id && d->orders
+                   ? g_hash_table_lookup (d->orders, &part->call_id)
+                   : NULL;
+
+  if (!o)
+    return;
+  if (o->op == RUN_START)
+    part->unsure = TRUE;
+  o->part = NULL;
+  part->call_id = 0;
+}
+
 /* Sends CALL, which concerns PART if that isn't NULL.  Returns its
    number. */
 gint64
@@ -53,6 +70,8 @@
 {
   Ordered *o = g_new0 (Ordered, 1);
 
+  if (part)
+    supersede (d, part);
   call->id = effects_next_id (d->fx);
   call->fence = d->term.fence;
   *o = (Ordered) { .op = call->op,
@@ -269,12 +288,8 @@
   WorkStep *step = task->step;
   PoolWorker *w = part->worker;
   gint64 run = part->run;
-  Ordered *o = part->call_id && d->orders
-                   ? g_hash_table_lookup (d->orders, &part->call_id)
-                   : NULL;
 
-  if (o)
-    o->part = NULL;
+  supersede (d, part);
   work_task_set_checkpoint (task, checkpoint);
   if (how == RUN_FAILED)
     {
