Planning looks only at workers with room, and at few evictions a pass

Cause: a pass looked at every worker for every task that waits; at 350 workers the scheduler on a 0.12-core host fell behind, lost its role, and the takeovers cost more.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -8,15 +8,20 @@
 {
   CLAIM_MS = 1600,     /* room that does not become free by then is given up */
   RACK_WAIT_MS = 2500, /* for room near the data before running far from it */
-  URGENT_EVICT_AFTER_MS = 250
+  URGENT_EVICT_AFTER_MS = 250,
+  EVICT_AGAIN_MS = 300,
+  EVICTIONS_PER_PASS = 3, /* bounds the time of a pass */
+  COULD_MS = 1000
 };
 
 /* What a pass of the planner works on. */
 typedef struct Pass
 {
   Dispatch *d;
-  FitWorker *workers;
+  FitWorker *workers; /* those with room for anything that waits */
   guint n;
+  PoolRoom least; /* of what waits, each amount by itself */
+  guint evictions;
 } Pass;
 
 static gboolean
@@ -37,9 +42,10 @@
     {
       PoolWorker *w = g_ptr_array_index (order, i);
 
-      if (is_usable (p->d, w))
-        p->workers[p->n++] =
-            (FitWorker) { .worker = w, .room = pool_free_room (w) };
+      PoolRoom room = pool_free_room (w);
+
+      if (is_usable (p->d, w) && pool_room_holds (&room, &p->least))
+        p->workers[p->n++] = (FitWorker) { .worker = w, .room = room };
     }
 }
 
@@ -56,10 +62,36 @@
 static void
 evict_and_look (Pass *p, WorkStep *step)
 {
+  if (p->evictions >= EVICTIONS_PER_PASS || step->next_evict > p->d->now)
+    return;
+  step->next_evict = p->d->now + EVICT_AGAIN_MS;
+  p->evictions++;
   if (evict_for (p->d, step))
     look_again (p);
 }
 
+/* Tells whether STEP would fit if all workers were empty; that changes only
+   with the workers. */
+static gboolean
+could_ever (Pass *p, WorkStep *step, const FitRequest *rq)
+{
+  const GPtrArray *order = p->d->pool.order;
+  FitWorker *all;
+  guint n = 0;
+  guint i;
+
+  if (step->next_could > p->d->now)
+    return step->could;
+  all = g_new0 (FitWorker, order->len + 1);
+  for (i = 0; i < order->len; i++)
+    if (is_usable (p->d, g_ptr_array_index (order, i)))
+      all[n++].worker = g_ptr_array_index (order, i);
+  step->could = fit_could_ever (rq, all, n);
+  step->next_could = p->d->now + COULD_MS;
+  g_free (all);
+  return step->could;
+}
+
 static const char *
 service_of (const Dispatch *d, const WorkJob *job)
 {
@@ -167,7 +199,7 @@
     {
       rq.anywhere =
           (*rq.rack && age > RACK_WAIT_MS + step->spec->estimate_ms) ||
-          !fit_could_ever (&rq, p->workers, p->n);
+          !could_ever (p, step, &rq);
       if (rq.anywhere && fit_place (&rq, p->workers, p->n, chosen))
         start_gang (p->d, step, chosen);
       else if (step->job->entry->job->priority == 0 &&
@@ -378,6 +410,23 @@
           settle_step_claims (d, step);
 }
 
+static PoolRoom
+least_need (const GArray *ranked)
+{
+  PoolRoom least = { G_MAXINT64, G_MAXINT64, G_MAXINT64 };
+  guint i;
+
+  for (i = 0; i < ranked->len; i++)
+    {
+      const PoolRoom *need = &g_array_index (ranked, Ranked, i).step->need;
+
+      least.cpu_milli = MIN (least.cpu_milli, need->cpu_milli);
+      least.mem_mb = MIN (least.mem_mb, need->mem_mb);
+      least.accelerators = MIN (least.accelerators, need->accelerators);
+    }
+  return least;
+}
+
 /* Starts whatever can be started, in the order of rank_key. */
 void
 assign_all (Dispatch *d)
@@ -388,6 +437,7 @@
 
   settle_claims (d);
   ranked = waiting_steps (d);
+  p.least = least_need (ranked);
   if (ranked->len)
     look_at_workers (&p);
   for (i = 0; i < ranked->len; i++)
--- a/queue/node.c
+++ b/queue/node.c
@@ -92,8 +92,7 @@
   if (strcmp (item->key, book_role_key) == 0)
     {
       n->role_seen = !item->deleted;
-      term_on_role (&n->term, item, n->now,
-                    claim_wait (n));
+      term_on_role (&n->term, item, n->now, claim_wait (n));
       return;
     }
   book_apply (n->book, item);
--- a/queue/work.h
+++ b/queue/work.h
@@ -61,8 +61,11 @@
   WorkTask *tasks;
   guint n_done;
   guint n_parts;
-  gboolean breaking; /* a gang whose run has ended without success */
-  PoolRoom need;     /* of one task */
+  gboolean breaking;  /* a gang whose run has ended without success */
+  PoolRoom need;      /* of one task */
+  ClockMs next_evict; /* when to look for victims again */
+  ClockMs next_could; /* until then COULD holds */
+  gboolean could;     /* fits into an empty fleet */
 };
 
 APR_RING_HEAD (WorkStepRing, WorkStep);
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -160,7 +160,7 @@
 {
   WorldHost &h = hosts[i];
   std::string name = "h" + std::to_string (i) + "#" + std::to_string (++h.life);
-  NodeSettings s = { name.c_str (), (guint32)(i * 100 + h.life), 3700 };
+  NodeSettings s = { name.c_str (), (guint32)(i * 100 + h.life), 3700, 0 };
 
   h.name = "h" + std::to_string (i);
   h.node = node_new (&s, &platform_codec, now_, wall_ + now_ + h.wall_step);
