--- a/Makefile
+++ b/Makefile
@@ -87,6 +87,7 @@
 demo: packages
 	$(MAKE) -s all
 	demo/run
+	demo/platform
 
 # Each part in a process of its own, so that none measures another's heap.
 BENCH_PARTS = $(filter-out main,$(basename $(notdir $(wildcard bench/*.c))))
--- a/standin/server.c
+++ b/standin/server.c
@@ -206,6 +206,13 @@
   return (int)MAX (0, wait);
 }
 
+/* Fires T, which stays the caller's, at AT of server_now's clock. */
+void
+server_arm (Server *s, Timer *t, ClockMs at)
+{
+  timer_heap_arm (&s->timers, t, at);
+}
+
 /* Serves until END, a time of server_now. */
 void
 server_run (Server *s, ClockMs end)
--- a/standin/server.h
+++ b/standin/server.h
@@ -37,6 +37,7 @@
                         int port,
                         ExchangeFunc handle,
                         void *data);
+void server_arm (Server *s, Timer *t, ClockMs at);
 void server_run (Server *s, ClockMs end);
 void server_free (Server *s);
 ClockMs server_now (void);
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -12,6 +12,7 @@
   X (store, "the platform's key-value store and list of hosts")                \
   X (upstream, "one or more upstreams, a port each")                           \
   X (workers, "workers with accelerators, one port for all")                   \
+  X (platform, "the users' platform: its store and its runners")               \
   X (load, "a bounded load of requests, and a table of completion times")
 
 #define STANDIN_DECLARE(name, help)                                            \
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,408 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C"
+{
+#include "boot.h"
+#include "codec.h"
+#include "run_client.h"
+#include "kv_client.h"
+}
+
+/* What the platform's adapter sends, and how it reads what comes back. */
+
+static GBytes *
+bytes (const std::string &text)
+{
+  return g_bytes_new (text.data (), text.size ());
+}
+
+static std::string
+taken (char *text)
+{
+  std::string s = text ? text : "";
+
+  g_free (text);
+  return s;
+}
+
+class FindingsTest : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    findings_init (&findings);
+  }
+  void
+  TearDown () override
+  {
+    findings_clear (&findings);
+  }
+
+  Findings findings;
+};
+
+using PlatformCodec = FindingsTest;
+
+TEST_F (PlatformCodec, ReadsAConfiguration)
+{
+  GBytes *value = bytes (
+      "{\"version\":7,\"news\":1,\"routes\":[{\"name\":\"r\",\"host\":\"a.b\","
+      "\"prefix\":\"/p/\",\"service\":\"s\",\"priority\":2,\"attempts\":4,"
+      "\"stretch\":1.5,\"targetLatencyMs\":500,\"public\":true}],\"services\":"
+      "[{\"name\":\"s\",\"spare\":true}],\"tenants\":[{\"name\":\"t\","
+      "\"apiKeys\":[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":120}}],\"limits\":"
+      "{\"maxBodyBytes\":100}}");
+  Conf *conf = platform_codec.read_conf (value, &findings);
+
+  ASSERT_TRUE (conf);
+  EXPECT_EQ (conf->version, 7);
+  const ConfRoute *r = conf_find_route (conf, "A.b:80", "/p/0123");
+  ASSERT_TRUE (r);
+  EXPECT_EQ (r->priority, 2);
+  EXPECT_EQ (r->attempts, 4);
+  EXPECT_DOUBLE_EQ (r->stretch, 1.5);
+  EXPECT_EQ (r->target, 500);
+  EXPECT_TRUE (r->open);
+  EXPECT_FALSE (conf_find_route (conf, "a.b", "/q/1"));
+  ASSERT_TRUE (conf_find_token (conf, "k2"));
+  EXPECT_EQ (conf_find_token (conf, "k2")->guaranteed, 120);
+  EXPECT_FALSE (conf_find_token (conf, "k3"));
+  EXPECT_EQ (conf->max_body_bytes, 100u);
+  conf_unref (conf);
+  g_bytes_unref (value);
+}
+
+TEST_F (PlatformCodec, LongestPrefixWins)
+{
+  GBytes *value = bytes (
+      "{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\",\"prefix\":"
+      "\"/x/\"},{\"name\":\"b\",\"host\":\"h\",\"prefix\":\"/x/y/\"}]}");
+  Conf *conf = platform_codec.read_conf (value, &findings);
+
+  ASSERT_TRUE (conf);
+  EXPECT_STREQ (conf_find_route (conf, "h", "/x/y/1")->name, "b");
+  EXPECT_STREQ (conf_find_route (conf, "h", "/x/z")->name, "a");
+  conf_unref (conf);
+  g_bytes_unref (value);
+}
+
+TEST_F (PlatformCodec, RefusesBrokenConfigurationsWithTheirPlace)
+{
+  for (const char *text : { "", "[]", "{\"version\":\"x\"}", "{\"routes\":[1]}",
+                            "{\"version\":1" })
+    {
+      GBytes *value = bytes (text);
+      guint before = findings_count (&findings);
+
+      EXPECT_FALSE (platform_codec.read_conf (value, &findings)) << text;
+      EXPECT_GT (findings_count (&findings), before) << text;
+      g_bytes_unref (value);
+    }
+}
+
+static const char worker_text[] =
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+    "\"state\":\"draining\",\"capacity\":{\"cpu\":16000,\"memMb\":32768,"
+    "\"gpu\":4},\"labels\":[\"a\",\"r1-3\"],\"clockMs\":482113,\"seq\":4,"
+    "\"born\":1700000000000}";
+
+TEST_F (PlatformCodec, ReadsAWorkersEntry)
+{
+  GBytes *value = bytes (worker_text);
+  PoolEntry *e = platform_codec.read_worker ("i-1", value, &findings);
+
+  ASSERT_TRUE (e);
+  EXPECT_STREQ (e->rack, "r1-3");
+  EXPECT_STREQ (e->domain, "z");
+  EXPECT_TRUE (e->draining);
+  EXPECT_EQ (e->room.cpu_milli, 16000);
+  EXPECT_EQ (e->room.accelerators, 4);
+  EXPECT_EQ (e->born, 1700000000000);
+  pool_entry_free (e);
+  g_bytes_unref (value);
+}
+
+TEST_F (PlatformCodec, ForeignEntriesNameNoWorker)
+{
+  for (const char *text :
+       { "\x01\x02", "{}", "{\"service\":3}",
+         "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":"
+         "\"resting\",\"capacity\":{},\"labels\":[]}",
+         "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":"
+         "\"ready\",\"capacity\":{\"cpu\":\"many\"},\"labels\":[]}" })
+    {
+      GBytes *value = bytes (text);
+
+      EXPECT_FALSE (platform_codec.read_worker ("i-1", value, &findings))
+          << text;
+      g_bytes_unref (value);
+    }
+}
+
+TEST_F (PlatformCodec, ReadsAJobsSteps)
+{
+  GBytes *body = bytes (
+      "{\"spec\":\"text\",\"runCount\":3,\"firstRunMs\":5,\"intervalMs\":7,"
+      "\"steps\":[{\"count\":4,\"cpu\":500,\"memMb\":256,\"gpu\":1,"
+      "\"estimateMs\":900,\"affinity\":\"r1-3\",\"requiredLabel\":\"a\","
+      "\"maxPerServer\":2},{\"gang\":true,\"sameRack\":true,\"count\":2,"
+      "\"after\":[0],\"checkpointing\":true,\"speculative\":true}]}");
+  SpecJob *job = (SpecJob *)rec_new (spec_job_desc ());
+
+  ASSERT_TRUE (platform_codec.read_job (body, job, &findings));
+  EXPECT_STREQ (job->text, "text");
+  EXPECT_EQ (spec_job_occurrences (job), 3u);
+  EXPECT_EQ (job->steps.n, 2u);
+  EXPECT_STREQ (spec_job_step (job, 0)->rack, "r1-3");
+  EXPECT_EQ (spec_job_step (job, 0)->max_per_worker, 2);
+  EXPECT_TRUE (spec_job_step (job, 1)->gang);
+  EXPECT_EQ (spec_step_after (spec_job_step (job, 1), 0), 0u);
+  rec_free (spec_job_desc (), job);
+  g_bytes_unref (body);
+}
+
+TEST_F (PlatformCodec, HostileJobsAreFindings)
+{
+  std::string deep (100, '[');
+
+  for (const std::string &text :
+       { std::string ("{}"), std::string ("{\"steps\":[3]}"), deep,
+         std::string ("{\"steps\":[{\"count\":\"x\"}]}"),
+         std::string ("{\"steps\":{}}") })
+    {
+      GBytes *body = bytes (text);
+      SpecJob *job = (SpecJob *)rec_new (spec_job_desc ());
+
+      EXPECT_FALSE (platform_codec.read_job (body, job, &findings)) << text;
+      rec_free (spec_job_desc (), job);
+      g_bytes_unref (body);
+    }
+}
+
+TEST (PlatformStore, WritesATransaction)
+{
+  KvCall *call = kv_call_new (KV_TXN, NULL);
+  GBytes *value = bytes ("node-1");
+
+  kv_call_cond (call, "my/leader", 0);
+  kv_call_write (call, "my/leader", value, 77);
+  kv_call_write (call, "my/old", NULL, 0);
+  EXPECT_EQ (taken (kv_client_path (call)), "/api/kv-txn");
+  EXPECT_EQ (taken (kv_client_body (call)),
+             "{\"precondition\":[{\"key\":\"my/leader\",\"revision\":0}],"
+             "\"writes\":[{\"key\":\"my/leader\",\"value\":\"bm9kZS0x\","
+             "\"lease\":77}],\"deletes\":[\"my/old\"]}");
+  kv_call_free (call);
+  g_bytes_unref (value);
+}
+
+TEST (PlatformStore, EscapesKeysAndNamesPages)
+{
+  KvCall *call = kv_call_new (KV_RANGE, "a b/");
+
+  call->after_key = g_strdup ("a b/&");
+  EXPECT_EQ (taken (kv_client_path (call)),
+             "/api/kv-range?prefix=a%20b%2F&after=a%20b%2F%26");
+  kv_call_free (call);
+  call = kv_call_new (KV_WATCH, "op/");
+  call->after = 411;
+  call->wait = 900;
+  EXPECT_EQ (taken (kv_client_path (call)),
+             "/api/kv-watch?prefix=op%2F&after=411&waitMs=900");
+  kv_call_free (call);
+}
+
+static KvReply
+store_reply (FetchOutcome outcome, int status, const std::string &body)
+{
+  FetchReply fetched = { outcome, status, body.data (), body.size (), 9 };
+  KvReply reply;
+
+  kv_client_decode (&fetched, &reply);
+  return reply;
+}
+
+TEST (PlatformStore, TellsWhatCertainlyDidNotHappen)
+{
+  struct
+  {
+    FetchOutcome outcome;
+    int http;
+    KvStatus status;
+  } cases[] = {
+    { FETCH_ANSWERED, 200, KV_OK },        { FETCH_ANSWERED, 404, KV_MISSING },
+    { FETCH_ANSWERED, 410, KV_COMPACTED }, { FETCH_ANSWERED, 412, KV_CONFLICT },
+    { FETCH_ANSWERED, 429, KV_REFUSED },   { FETCH_ANSWERED, 503, KV_REFUSED },
+    { FETCH_UNSENT, 0, KV_REFUSED },       { FETCH_LOST, 0, KV_LOST }
+  };
+
+  for (auto &c : cases)
+    {
+      KvReply reply = store_reply (c.outcome, c.http, "{}");
+
+      EXPECT_EQ (reply.status, c.status) << c.http;
+      kv_reply_clear (&reply);
+    }
+}
+
+TEST (PlatformStore, ReadsItemsEventsAndSingleKeys)
+{
+  KvReply reply = store_reply (
+      FETCH_ANSWERED, 200,
+      "{\"events\":[{\"key\":\"a\",\"value\":\"bm9kZS0x\",\"revision\":412,"
+      "\"lease\":5},{\"key\":\"b\",\"revision\":413,\"deleted\":true}],"
+      "\"storeRevision\":420}");
+
+  ASSERT_EQ (reply.items->len, 2u);
+  EXPECT_EQ (reply.revision, 420);
+  EXPECT_EQ (kv_reply_find (&reply, "a")->lease, 5);
+  EXPECT_EQ (g_bytes_get_size (kv_reply_find (&reply, "a")->value), 6u);
+  EXPECT_TRUE (kv_reply_find (&reply, "b")->deleted);
+  kv_reply_clear (&reply);
+  reply = store_reply (FETCH_ANSWERED, 200,
+                       "{\"key\":\"k\",\"value\":\"\",\"revision\":3,"
+                       "\"created\":3,\"lease\":0,\"storeRevision\":9}");
+  ASSERT_TRUE (kv_reply_find (&reply, "k"));
+  EXPECT_EQ (kv_reply_find (&reply, "k")->revision, 3);
+  EXPECT_EQ (reply.revision, 9);
+  kv_reply_clear (&reply);
+}
+
+TEST (PlatformStore, AnUnreadableAnswerMayHaveBeenExecuted)
+{
+  KvReply reply = store_reply (FETCH_ANSWERED, 200, "{\"revision\":");
+
+  EXPECT_EQ (reply.status, KV_LOST);
+  kv_reply_clear (&reply);
+}
+
+TEST (PlatformRunner, WritesOrders)
+{
+  RunCall *call = run_call_new (RUN_START, "i-1", "10.0.0.1:80");
+
+  call->task = g_strdup ("id.0.1.17");
+  call->run = 2;
+  call->text = g_strdup ("t");
+  call->deadline = 486000;
+  call->fence = 7;
+  call->checkpoint = g_strdup ("0b");
+  EXPECT_EQ (taken (run_client_body (call)),
+             "{\"fence\":7,\"task\":\"id.0.1.17\",\"run\":2,\"spec\":\"t\","
+             "\"checkpoint\":\"0b\",\"deadlineMs\":486000}");
+  run_call_free (call);
+  call = run_call_new (RUN_HOLD, "i-1", "10.0.0.1:80");
+  call->fence = 7;
+  call->ack = 57;
+  call->wait = 1000;
+  EXPECT_EQ (taken (run_client_body (call)),
+             "{\"fence\":7,\"ackCursor\":57,\"waitMs\":1000}");
+  run_call_free (call);
+}
+
+static RunStatus
+order_status (FetchOutcome outcome,
+              int http,
+              const std::string &body,
+              RunOp op = RUN_START)
+{
+  FetchReply fetched = { outcome, http, body.data (), body.size (), 1 };
+  RunReply reply;
+  RunStatus status;
+
+  run_reply_init (&reply);
+  run_client_decode (&fetched, op, &reply);
+  status = reply.status;
+  run_reply_clear (&reply);
+  return status;
+}
+
+TEST (PlatformRunner, TellsRefusalsApart)
+{
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 200, "{\"clockMs\":1}"), RUN_OK);
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 409, "{\"reason\":\"fence\"}"),
+             RUN_FENCED);
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 409, "{\"reason\":\"old\"}"),
+             RUN_OLD);
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 409, "{\"reason\":\"late\"}"),
+             RUN_LATE);
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 409, "{\"reason\":\"room\"}"),
+             RUN_NO_ROOM);
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 409, "{\"reason\":\"new\"}"),
+             RUN_INVALID);
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 421, "{}"), RUN_OTHER_LIFE);
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 503, ""), RUN_UNHEALTHY);
+  EXPECT_EQ (order_status (FETCH_UNSENT, 0, ""), RUN_UNSENT);
+  EXPECT_EQ (order_status (FETCH_LOST, 0, ""), RUN_LOST);
+}
+
+TEST (PlatformRunner, ReadsBothLists)
+{
+  std::string body =
+      "{\"clockMs\":482113,\"born\":17,\"running\":[[\"j.0.1.17\",2,\"0b\",41],"
+      "[\"j.0.1.18\",2,\"\",41.5,300]],\"ended\":[[58,\"j.0.1.9\",1,\"done\","
+      "\"\"],[59,\"j.0.1.8\",1,\"lapsed\",\"c\"]]}";
+  FetchReply fetched = { FETCH_ANSWERED, 200, body.data (), body.size (), 1 };
+  RunReply reply;
+
+  run_reply_init (&reply);
+  run_client_decode (&fetched, RUN_HOLD, &reply);
+  ASSERT_EQ (reply.status, RUN_OK);
+  EXPECT_EQ (reply.clock, 482113);
+  EXPECT_EQ (reply.born, 17);
+  ASSERT_EQ (reply.running->len, 2u);
+  EXPECT_DOUBLE_EQ (g_array_index (reply.running, RunRow, 1).percent, 41.5);
+  ASSERT_EQ (reply.ended->len, 2u);
+  EXPECT_EQ (g_array_index (reply.ended, RunEnded, 1).how, RUN_LAPSED);
+  EXPECT_EQ (g_array_index (reply.ended, RunEnded, 0).number, 58);
+  run_reply_clear (&reply);
+}
+
+TEST (PlatformRunner, AHalfListIsNoList)
+{
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 200,
+                           "{\"clockMs\":1,\"running\":[]}", RUN_HOLD),
+             RUN_LOST);
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 200,
+                           "{\"clockMs\":1,\"running\":[[7]],\"ended\":[]}",
+                           RUN_HOLD),
+             RUN_LOST);
+  EXPECT_EQ (order_status (FETCH_ANSWERED, 200,
+                           "{\"clockMs\":1,\"running\":[],\"ended\":[[1,\"t\","
+                           "1,\"eaten\",\"\"]]}",
+                           RUN_HOLD),
+             RUN_LOST);
+}
+
+using PlatformBoot = FindingsTest;
+
+TEST_F (PlatformBoot, ReadsSettingsAndIgnoresWhatItDoesNotKnow)
+{
+  std::string text =
+      "{\"node\":\"n1\",\"zone\":\"z\",\"ip\":\"10.1.0.19\",\"listen\":{"
+      "\"front\":"
+      "\"10.1.0.19:8521\",\"readiness\":\"10.1.0.19:8523\"},\"portRange\":["
+      "7000,"
+      "7015],\"limits\":{\"cpuShare\":0.12},\"bounds\":{\"revokeMs\":5000,"
+      "\"graceS\":6.5},\"platform\":{\"address\":\"10.2.0.7:8524\"},\"new\":{}"
+      "}";
+  Boot *b = boot_parse (text.data (), text.size (), &findings);
+
+  ASSERT_TRUE (b);
+  EXPECT_EQ (b->front_port, 8521u);
+  EXPECT_EQ (b->metrics_port, 7000u);
+  EXPECT_EQ (b->grace, 6500);
+  EXPECT_DOUBLE_EQ (b->cores, 0.12);
+  EXPECT_STREQ (b->store, "10.2.0.7:8524");
+  boot_free (b);
+}
+
+TEST_F (PlatformBoot, ReportsAllFindingsTogether)
+{
+  std::string text = "{\"listen\":{\"front\":\"nowhere\"}}";
+
+  EXPECT_FALSE (boot_parse (text.data (), text.size (), &findings));
+  EXPECT_GE (findings_count (&findings), 3u);
+}
