Tasks that stand still are moved, failures are compared with peers; histograms

Causes: tasks on workers that stand still were waited for until their lease or for good; hopeless jobs sent every worker into quarantine; a retried task could meet the next failing worker and end its job's attempts. Change: no progress for 2.6 s and a quarter of the task's length stops and moves it; failures count against a worker only while few peers fail; retries go to workers whose last run succeeded; suspects come last. Histograms by GSL at /metrics (libhdr-histogram is not in the registry). Ruled out: lost ends. Tests: QueuePath.TasksThatStandStillAreMoved and AJobThatFailsEverywhereEmptiesNoFleet, both red before.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 PACKAGES = pkg-config libapr1-dev libaprutil1-dev libmsgpack-dev \
 	libmicrohttpd-dev libglib2.0-dev libjson-c-dev libcsv-dev \
-	libcurl4-openssl-dev libxxhash-dev libgtest-dev g++ \
+	libcurl4-openssl-dev libxxhash-dev libgsl-dev libgtest-dev g++ \
 	clang-format clang-tidy cppcheck python3 curl
 
 CC ?= cc
@@ -10,7 +10,7 @@
 OPT ?= -O2
 BUILD ?= build
 WARN = -Wall -Wextra -Werror
-LIBS = apr-1 msgpack libmicrohttpd glib-2.0 json-c libcurl
+LIBS = apr-1 msgpack libmicrohttpd glib-2.0 json-c libcurl gsl
 CFLAGS = -std=gnu11 -g $(OPT) $(WARN) $(SAN) -iquote src -iquote queue -iquote platform -MMD -MP \
 	$(shell pkg-config --cflags $(LIBS) 2>/dev/null)
 CXXFLAGS = -std=gnu++20 -g $(OPT) -Wall -Wextra -Werror -Wno-missing-field-initializers \
@@ -19,7 +19,7 @@
 LDLIBS = $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lcsv
 
 # The shell: whatever touches sockets, clocks, files or threads.
-SHELL_MODULES = loop fetch lines io wire http log metrics timeline settings client cli cli_table cli_job cli_show cli_timeline lanes
+SHELL_MODULES = loop fetch lines latency io wire http log metrics timeline settings client cli cli_table cli_job cli_show cli_timeline lanes
 
 CORE_SRC = $(filter-out $(SHELL_MODULES:%=src/%.c),$(wildcard src/*.c)) $(wildcard queue/*.c)
 SHELL_SRC = $(wildcard $(SHELL_MODULES:%=src/%.c)) $(wildcard platform/*.c)
--- a/queue/assign.c
+++ b/queue/assign.c
@@ -166,10 +166,23 @@
   if (job->state == JOB_QUEUED)
     {
       job->state = JOB_RUNNING;
+      effects_measure (d->fx, MEASURE_FIRST_START, d->now - job->accepted);
       save_mark (d, job);
     }
 }
 
+/* Tells whether a run of any task of STEP has failed or stood still. */
+static gboolean
+was_unlucky (const WorkStep *step)
+{
+  guint i;
+
+  for (i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].failed_on)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 start_gang (Dispatch *d, WorkStep *step, PoolWorker **chosen)
 {
@@ -193,10 +206,12 @@
   ClockMs age = p->d->now - step->job->accepted;
 
   forget_placed (p);
+  rq.proven = was_unlucky (step);
   if (fit_place (&rq, p->workers, p->n, chosen))
     start_gang (p->d, step, chosen);
   else
     {
+      rq.proven = FALSE;
       rq.anywhere =
           (*rq.rack && age > RACK_WAIT_MS + step->spec->estimate_ms) ||
           !could_ever (p, step, &rq);
@@ -219,9 +234,14 @@
   gint64 run;
 
   rq.not_on = task->failed_on;
+  rq.proven = task->failed_on != NULL;
   rq.anywhere = *rq.rack && age > RACK_WAIT_MS + step->spec->estimate_ms;
   if (!fit_place (&rq, p->workers, p->n, &chosen))
-    return FALSE;
+    {
+      rq.proven = FALSE;
+      if (!task->failed_on || !fit_place (&rq, p->workers, p->n, &chosen))
+        return FALSE;
+    }
   run = MAX (task->last_run + 1, p->d->term.first_run);
   runs_start (p->d, work_part_new (task, chosen, run, PART_STARTING));
   return TRUE;
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -159,6 +159,8 @@
                job->entry->job->priority, d->now - job->accepted,
                job->objective);
   job->state = state;
+  if (state == JOB_COMPLETED)
+    effects_measure (d->fx, MEASURE_COMPLETION, d->now - job->accepted);
   save_mark (d, job);
   if (spec_state_is_final (state) && state != JOB_COMPLETED)
     runs_stop_job (d, job, spec_state_name (state));
@@ -265,6 +267,7 @@
   effects_log (d->fx,
                "event=workers_known workers=%u span_ms=%" CLOCK_MS_FORMAT,
                d->pool.order->len, d->now - d->started);
+  effects_measure (d->fx, MEASURE_TAKEOVER, d->now - d->started);
   runs_break_partial_gangs (d);
 }
 
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -79,6 +79,7 @@
 void runs_on_reply (Dispatch *d, Ordered *o, const RunReply *reply);
 void runs_stop_stray (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
 void runs_retry (Dispatch *d, WorkPart *part);
+void runs_still (Dispatch *d, WorkPart *part);
 void runs_apply_end (Dispatch *d, WorkTask *task, gint64 run, RunEnd how);
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPart *part);
 gint64 runs_deadline (Dispatch *d, PoolWorker *w);
--- a/queue/effects.c
+++ b/queue/effects.c
@@ -67,6 +67,16 @@
   va_end (args);
 }
 
+/* Asks for SPAN, in milliseconds, to be counted under MEASURE. */
+void
+effects_measure (Effects *fx, Measure measure, ClockMs span)
+{
+  Effect *e = add (fx, EFFECT_MEASURE);
+
+  e->measure = measure;
+  e->span = span;
+}
+
 /* Takes the oldest effect, to be freed by the caller, or NULL. */
 Effect *
 effects_pop (Effects *fx)
--- a/queue/effects.h
+++ b/queue/effects.h
@@ -30,16 +30,31 @@
   EFFECT_KV,
   EFFECT_RUN,
   EFFECT_ANSWER,
-  EFFECT_LOG
+  EFFECT_LOG,
+  EFFECT_MEASURE
 } EffectKind;
 
+/* X (kind, name): spans that are counted in histograms. */
+#define MEASURES(X)                                                            \
+  X (MEASURE_FIRST_START, "first_start")                                       \
+  X (MEASURE_COMPLETION, "completion")                                         \
+  X (MEASURE_TAKEOVER, "takeover")
+
+#define MEASURE_ENUM(kind, name) kind,
+typedef enum Measure
+{
+  MEASURES (MEASURE_ENUM) N_MEASURES
+} Measure;
+
 typedef struct Effect
 {
   EffectKind kind;
   KvCall *kv;
   RunCall *run;
   Answer answer;
-  char *line; /* "event=... key=value ..." */
+  char *line;      /* "event=... key=value ..." */
+  Measure measure; /* with EFFECT_MEASURE ... */
+  ClockMs span;    /* ... and its value */
 } Effect;
 
 typedef struct Effects
@@ -55,6 +70,7 @@
 void effects_run (Effects *fx, RunCall *call);
 void effects_answer (Effects *fx, const Answer *answer);
 void effects_log (Effects *fx, const char *format, ...) G_GNUC_PRINTF (2, 3);
+void effects_measure (Effects *fx, Measure measure, ClockMs span);
 Effect *effects_pop (Effects *fx);
 void effect_free (Effect *e);
 
--- a/queue/fit.c
+++ b/queue/fit.c
@@ -6,6 +6,8 @@
 gboolean
 fit_allows (const FitRequest *rq, const PoolWorker *w)
 {
+  if (rq->proven && (w->failures || !w->successes))
+    return FALSE;
   return w != rq->not_on && strcmp (w->entry->service, rq->service) == 0 &&
          pool_has_label (w, rq->label);
 }
@@ -23,11 +25,17 @@
   return n;
 }
 
-/* Tells whether A leaves smaller holes than B: accelerators are scarcest,
-   then cores. */
+/* Tells whether A is better than B: workers on which something failed come
+   last, then those that leave smaller holes; accelerators are scarcest, then
+   cores. */
 static gboolean
 is_tighter (const FitWorker *a, const FitWorker *b)
 {
+  gboolean a_failed = a->worker->failures > 0;
+  gboolean b_failed = b->worker->failures > 0;
+
+  if (a_failed != b_failed)
+    return b_failed;
   if (a->room.accelerators != b->room.accelerators)
     return a->room.accelerators < b->room.accelerators;
   return a->room.cpu_milli < b->room.cpu_milli;
--- a/queue/fit.h
+++ b/queue/fit.h
@@ -24,6 +24,7 @@
   const char *label;    /* empty for any worker */
   const char *rack;     /* of the data; empty for none */
   gboolean same_rack;
+  gboolean proven;          /* only where the last run succeeded */
   gboolean anywhere;        /* neither rack need be kept to */
   const PoolWorker *not_on; /* NULL for none */
 } FitRequest;
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -10,6 +10,8 @@
   RETRY_MS = 200,
   RETRY_MOST_MS = 1000,
   AGAIN_MS = 60,   /* between looks at a worker that stops something */
+  STILL_MS = 2600, /* two renewals */
+  STILL_SHARE = 4, /* of a task's length, at the least */
   DURABLE_MS = 300 /* ends that can't be stored hold up the next look */
 };
 
@@ -137,6 +139,19 @@
   return part && part->worker == w && part->run == run ? part : NULL;
 }
 
+/* Tells whether PART has made no progress for as long as a task as slow as
+   any would need for a percent.  Progress comes in whole percent. */
+static gboolean
+stands_still (const Dispatch *d, const WorkPart *part)
+{
+  ClockMs length =
+      MAX (part->task->step->spec->estimate_ms, d->now - part->started);
+
+  if (part->task->step->spec->perpetual)
+    return FALSE;
+  return d->now - part->moved > MAX ((ClockMs)STILL_MS, length / STILL_SHARE);
+}
+
 static void
 take_row (Dispatch *d, PoolWorker *w, const RunRow *row)
 {
@@ -157,6 +172,8 @@
     part->moved = d->now;
   part->percent = row->percent;
   work_task_set_checkpoint (part->task, row->checkpoint);
+  if (part->state == PART_RUNNING && stands_still (d, part))
+    runs_still (d, part);
 }
 
 static gboolean
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -11,6 +11,7 @@
   AVOID_MS = 700,
   UNHEALTHY_AVOID_MS = 1500,
   SUSPECT_FAILURES = 2, /* in a row, of different jobs */
+  FAILING_SHARE = 4,    /* one in so many workers may fail and be to blame */
   QUARANTINE_MS = 4000,
   QUARANTINE_MOST_MS = 16000
 };
@@ -195,8 +196,24 @@
   w->avoid_until = MAX (w->avoid_until, d->now + span);
 }
 
-/* A worker on which different jobs fail in a row, while others succeed
-   elsewhere, is given a rest that doubles. */
+/* Tells whether few workers fail: where many do, the jobs are to blame. */
+static gboolean
+peers_are_well (const Dispatch *d)
+{
+  guint n = d->pool.order->len;
+  guint failing = 0;
+  guint i;
+
+  for (i = 0; i < n; i++)
+    failing +=
+        ((const PoolWorker *)g_ptr_array_index (d->pool.order, i))->failures >
+        0;
+  return failing * FAILING_SHARE <= n + FAILING_SHARE;
+}
+
+/* Counts a run of JOB that failed, or stood still, against W.  A worker on
+   which different jobs fail in a row while its peers are well is given a
+   rest that doubles. */
 static void
 note_failure (Dispatch *d, PoolWorker *w, const WorkJob *job)
 {
@@ -206,7 +223,7 @@
     return;
   w->failed_job = hash;
   w->failures++;
-  if (w->failures < SUSPECT_FAILURES)
+  if (w->failures < SUSPECT_FAILURES || !peers_are_well (d))
     return;
   w->avoid_span = CLAMP (w->avoid_span * 2, QUARANTINE_MS, QUARANTINE_MOST_MS);
   avoid (d, w, w->avoid_span);
@@ -450,6 +467,30 @@
   part->worker->hold_now = TRUE;
 }
 
+/* Stops PART, which makes no progress while its worker answers.  Which
+   member of a gang holds it up can't be told, so that all of their workers
+   are suspected until something succeeds on them. */
+void
+runs_still (Dispatch *d, WorkPart *part)
+{
+  WorkStep *step = part->task->step;
+  guint i;
+
+  effects_log (d->fx,
+               "event=stands_still job=%s task=%u worker=%s percent=%.0f "
+               "still_ms=%" CLOCK_MS_FORMAT,
+               step->job->entry->id, part->task->index, part->worker->entry->id,
+               part->percent, d->now - part->moved);
+  for (i = 0; i < step->spec->count; i++)
+    if (step->tasks[i].part &&
+        (step->spec->gang || step->tasks[i].part == part))
+      {
+        step->tasks[i].failed_on = step->tasks[i].part->worker;
+        note_failure (d, step->tasks[i].part->worker, step->job);
+      }
+  runs_stop (d, part, "stands_still");
+}
+
 /* Sends PART's order again when its time has come. */
 void
 runs_retry (Dispatch *d, WorkPart *part)
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -535,7 +535,9 @@
   json_object_array_add (row, json_object_new_string (run->task));
   json_object_array_add (row, json_object_new_int64 (run->run));
   json_object_array_add (row, json_object_new_string (""));
-  json_object_array_add (row, json_object_new_int (0));
+  json_object_array_add (
+      row, json_object_new_int64 (100 * (server_now () - run->begun) /
+                                  MAX (run->ends - run->begun, 1)));
   return row;
 }
 
--- a/tests/queue_path_test.cc
+++ b/tests/queue_path_test.cc
@@ -213,3 +213,56 @@
   EXPECT_EQ (w.n_starts (), 3);
   expect_kept (w);
 }
+
+TEST (QueuePath, TasksThatStandStillAreMoved)
+{
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  w.workers[1].hangs = true;
+  w.submit (0, { "q1/000000000000000b",
+                 world_body (world_step (12, 16000, 2), "ms=1500") });
+  w.submit (0, { "q1/000000000000000c",
+                 world_body (world_step (3, 1000, 8, ",\"gang\":true"),
+                             "ms=1500 gang=3") });
+  w.run (25000);
+  EXPECT_EQ (w.state_of ("000000000000000b"), "completed");
+  EXPECT_EQ (w.state_of ("000000000000000c"), "completed");
+  expect_kept (w);
+}
+
+TEST (QueuePath, AWorkerThatFailsAllFailsNoJob)
+{
+  QueueWorld w (2, 6);
+  std::string body = world_body (world_step (4, 16000, 2), "ms=700");
+
+  w.run (3000);
+  w.workers[2].fails_all = true;
+  for (int i = 0; i < 20; i++)
+    {
+      w.submit (0, { "q1/00000000000001" + std::to_string (10 + i), body });
+      w.run (300);
+    }
+  w.run (8000);
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (w.state_of ("00000000000001" + std::to_string (10 + i)),
+               "completed")
+        << i;
+  expect_kept (w);
+}
+
+TEST (QueuePath, AJobThatFailsEverywhereEmptiesNoFleet)
+{
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  for (int i = 0; i < 4; i++)
+    w.submit (0, { "q2/000000000000020" + std::to_string (i),
+                   world_body (world_step (8, 4000, 1), "ms=300 fail") });
+  w.run (1500);
+  w.submit (0, { "q1/000000000000020a",
+                 world_body (world_step (4, 4000, 4), "ms=1000") });
+  w.run (4000);
+  EXPECT_EQ (w.state_of ("000000000000020a"), "completed");
+  expect_kept (w);
+}
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -957,6 +957,8 @@
     case EFFECT_ANSWER:
       take_answer (host, e->answer);
       break;
+    case EFFECT_MEASURE:
+      break;
     case EFFECT_LOG:
       lines.push_back (std::to_string (now_) + " " + hosts[host].name + " " +
                        e->line);
