What cannot end on a leaving worker is moved; 100 percent is no standstill

Change: what its progress says cannot end before the worker may leave is stopped and placed elsewhere at once. The race itself stays possible. Tests: WhatCannotEndOnALeavingWorkerIsMovedAtOnce and ATaskThatTakesLongerThanExpectedIsLeftAlone, both red before.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -107,6 +107,11 @@
   if (w && w->entry->draining != entry->draining)
     d->roster.changed = TRUE;
   w = pool_put (&d->pool, entry);
+  if (entry->draining)
+    {
+      w->leaves = d->now + entry->drain_left;
+      w->hold_now = w->n_parts > 0;
+    }
 
   if (is_new)
     {
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -9,12 +9,16 @@
   SHORT_TIMEOUT_MS = 600,
   RETRY_MS = 200,
   RETRY_MOST_MS = 1000,
-  AGAIN_MS = 60,   /* between looks at a worker that stops something */
-  STILL_MS = 2600, /* two renewals */
-  STILL_SHARE = 4, /* of a task's length, at the least */
-  DURABLE_MS = 300 /* ends that can't be stored hold up the next look */
+  AGAIN_MS = 60,         /* between looks at a worker that stops something */
+  STILL_MS = 2600,       /* two renewals */
+  STILL_SHARE = 4,       /* of a task's length, at the least */
+  LEAVE_MARGIN_MS = 300, /* to hear of an end before its worker leaves */
+  LEAST_PERCENT = 5,     /* of progress from which a rate follows */
+  DURABLE_MS = 300       /* ends that can't be stored hold up the next look */
 };
 
+static const double whole = 100.0; /* percent */
+
 /* Tells whether what runs on W can be relied on. */
 gboolean
 holds_is_settled (const PoolWorker *w)
@@ -140,18 +144,31 @@
 }
 
 /* Tells whether PART has made no progress for as long as a task as slow as
-   any would need for a percent.  Progress comes in whole percent. */
+   any would need for a percent.  Progress comes in whole percent, and stays
+   at 100 while a task takes longer than its worker expected. */
 static gboolean
 stands_still (const Dispatch *d, const WorkPart *part)
 {
   ClockMs length =
       MAX (part->task->step->spec->estimate_ms, d->now - part->started);
 
-  if (part->task->step->spec->perpetual)
+  if (part->task->step->spec->perpetual || part->percent >= whole)
     return FALSE;
   return d->now - part->moved > MAX ((ClockMs)STILL_MS, length / STILL_SHARE);
 }
 
+/* Returns how long PART will run on, by its progress so far, or by its
+   estimate while it has made none. */
+static ClockMs
+time_left (const Dispatch *d, const WorkPart *part)
+{
+  double run = (double)(d->now - part->started);
+
+  if (part->percent >= LEAST_PERCENT && part->percent < whole)
+    return (ClockMs)(run * (whole - part->percent) / part->percent);
+  return MAX (part->task->step->spec->estimate_ms - (ClockMs)run, 0);
+}
+
 static void
 take_row (Dispatch *d, PoolWorker *w, const RunRow *row)
 {
@@ -174,6 +191,9 @@
   work_task_set_checkpoint (part->task, row->checkpoint);
   if (part->state == PART_RUNNING && stands_still (d, part))
     runs_still (d, part);
+  else if (part->state == PART_RUNNING && w->entry->draining &&
+           d->now + time_left (d, part) + LEAVE_MARGIN_MS > w->leaves)
+    runs_stop (d, part, "worker_leaves");
 }
 
 static gboolean
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -26,6 +26,7 @@
   PoolRoom room;
   gint64 born; /* start of its present life, Unix milliseconds */
   gboolean draining;
+  ClockMs drain_left; /* while draining: it stays this long at the least */
 } PoolEntry;
 
 typedef struct WorkPart WorkPart;
@@ -54,6 +55,7 @@
   ClockMs hold_sent;
   ClockMs next_hold;
   gboolean hold_now; /* the next hold must not wait for an end */
+  ClockMs leaves;    /* while draining: it stays until then at the least */
   guint unanswered;  /* holds in a row */
   guint failures;    /* in a row, of different jobs */
   guint failed_job;  /* hash of the last one's id */
--- a/tests/queue_path_test.cc
+++ b/tests/queue_path_test.cc
@@ -266,3 +266,44 @@
   EXPECT_EQ (w.state_of ("000000000000020a"), "completed");
   expect_kept (w);
 }
+
+TEST (QueuePath, WhatCannotEndOnALeavingWorkerIsMovedAtOnce)
+{
+  QueueWorld w (2, 3);
+
+  w.run (3000);
+  w.submit (0, { "q1/000000000000000d",
+                 world_body (world_step (3, 40000, 2), "ms=6000") });
+  w.submit (0, { "q1/000000000000000e",
+                 world_body (world_step (3, 10000, 2), "ms=1500") });
+  w.run (500);
+  w.drain_worker (0);
+  w.run (800);
+  /* The long task has left; the short one ends where it is. */
+  for (auto &run : w.workers[0].runs)
+    EXPECT_LE (run.second.plan.ms, 1500) << run.first;
+  w.run (1200);
+  w.leave_worker (0);
+  w.run (14000);
+  EXPECT_EQ (w.state_of ("000000000000000d"), "completed");
+  EXPECT_EQ (w.state_of ("000000000000000e"), "completed");
+  EXPECT_EQ (w.n_starts (), 7);
+  expect_kept (w);
+}
+
+TEST (QueuePath, ATaskThatTakesLongerThanExpectedIsLeftAlone)
+{
+  /* Its worker reports 100 percent long before its end. */
+  QueueWorld w (2, 3);
+
+  w.run (3000);
+  w.workers[0].optimism = 4.0;
+  w.workers[1].optimism = 4.0;
+  w.workers[2].optimism = 4.0;
+  w.submit (0, { "q1/000000000000000f",
+                 world_body (world_step (3, 1000, 2), "ms=8000") });
+  w.run (12000);
+  EXPECT_EQ (w.state_of ("000000000000000f"), "completed");
+  EXPECT_EQ (w.n_starts (), 3);
+  expect_kept (w);
+}
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -61,6 +61,7 @@
   bool draining = false;
   bool fails_all = false;
   bool hangs = false;
+  double optimism = 1.0; /* how much too fast its percent rises */
   ClockMs cut_until = 0; /* neither hosts nor the store reach it */
   double late_share = 0; /* of orders without an answer, executed later */
   gint64 born = 1;
