--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -327,6 +327,7 @@
     }
   save_tick (d);
   roster_tick (d);
+  purge_tick (d);
   reap (d);
 }
 
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -56,6 +56,7 @@
   gboolean reap; /* a job may be forgotten */
   gboolean deposed;
   ClockMs next_plan;
+  ClockMs next_purge;
   gint64 n_starts;
   gint64 n_evicted;
 };
@@ -105,6 +106,9 @@
 gboolean roster_on_reply (Dispatch *d, const KvReply *reply);
 ClockMs roster_next (const Dispatch *d);
 
+/* purge.c */
+void purge_tick (Dispatch *d);
+
 /* assign.c */
 void assign_all (Dispatch *d);
 
--- a/src/client.c
+++ b/src/client.c
@@ -1,6 +1,7 @@
 #include "client.h"
 
-#include <curl/curl.h>
+#include "curl_loop.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -73,14 +74,13 @@
 struct Client
 {
   Io *io;
-  CURLM *multi;
+  CurlLoop curl;
   struct CallRing calls;
   GHashTable *upstreams; /* name to Target */
   GHashTable *workers;   /* name to Target */
   Target *store;
   GPtrArray *idle; /* of CURL */
   guint n_waiting;
-  ClockMs timer;
   ClockMs expire_at; /* when calls that wait are looked at next */
 };
 
@@ -302,7 +302,7 @@
   call->answer = g_byte_array_new ();
   set_callbacks (call);
   set_options (call, left);
-  curl_multi_add_handle (call->client->multi, call->easy);
+  curl_multi_add_handle (call->client->curl.multi, call->easy);
 }
 
 /* Tells the core how CALL ended and forgets it. */
@@ -696,7 +696,7 @@
 static void
 end_transfer (Call *call)
 {
-  curl_multi_remove_handle (call->client->multi, call->easy);
+  curl_multi_remove_handle (call->client->curl.multi, call->easy);
   call->target->open--;
   io_count (call->client->io, SHELL_CALLS_OPEN, -1);
 }
@@ -723,8 +723,9 @@
 }
 
 static void
-on_transfer_end (Client *c, CURL *easy, CURLcode code)
+on_transfer_end (void *owner, CURL *easy, CURLcode code)
 {
+  Client *c = owner;
   Target *target;
   Call *call;
   long status = 0;
@@ -740,105 +741,14 @@
   begin_waiting (c, target);
 }
 
-static void
-take_ends (Client *c)
-{
-  CURLMsg *m;
-  int left;
-
-  while ((m = curl_multi_info_read (c->multi, &left)))
-    if (m->msg == CURLMSG_DONE)
-      on_transfer_end (c, m->easy_handle, m->data.result);
-}
-
-static void
-act (Client *c, curl_socket_t fd, int flags)
-{
-  int running;
-
-  curl_multi_socket_action (c->multi, fd, flags, &running);
-}
-
-typedef struct Socket
-{
-  Client *client;
-  curl_socket_t fd;
-  LoopWatch *watch;
-} Socket;
-
-static void
-on_ready (void *owner, int events)
-{
-  Socket *s = owner;
-  int flags = 0;
-
-  if (events & APR_POLLIN)
-    flags |= CURL_CSELECT_IN;
-  if (events & APR_POLLOUT)
-    flags |= CURL_CSELECT_OUT;
-  if (events & (APR_POLLERR | APR_POLLHUP))
-    flags |= CURL_CSELECT_ERR;
-  act (s->client, s->fd, flags);
-}
-
-static int
-on_socket (CURL *easy, curl_socket_t fd, int what, void *owner, void *socket)
-{
-  Client *c = owner;
-  Socket *s = socket;
-  int events = 0;
-
-  (void)easy;
-  if (what == CURL_POLL_REMOVE)
-    {
-      loop_unwatch (io_loop (c->io), s ? s->watch : NULL);
-      curl_multi_assign (c->multi, fd, NULL);
-      g_free (s);
-      return 0;
-    }
-  if (what & CURL_POLL_IN)
-    events |= APR_POLLIN;
-  if (what & CURL_POLL_OUT)
-    events |= APR_POLLOUT;
-  if (s)
-    {
-      loop_watch_set (io_loop (c->io), s->watch, events);
-      return 0;
-    }
-  s = g_new (Socket, 1);
-  *s = (Socket) { .client = c, .fd = fd };
-  s->watch = loop_watch (io_loop (c->io), fd, events, on_ready, s);
-  curl_multi_assign (c->multi, fd, s);
-  return 0;
-}
-
-static int
-on_timer (CURLM *multi, long timeout_ms, void *owner)
-{
-  Client *c = owner;
-
-  (void)multi;
-  c->timer = timeout_ms < 0 ? CLOCK_NEVER : io_now (c->io) + timeout_ms;
-  return 0;
-}
-
 /* Returns a client of the store, workers and upstreams in IO's settings. */
 Client *
 client_new (Io *io)
 {
   Client *c = g_new0 (Client, 1);
 
-  curl_global_init (CURL_GLOBAL_DEFAULT);
   c->io = io;
-  c->timer = CLOCK_NEVER;
-  c->multi = curl_multi_init ();
-  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
-  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, on_timer);
-  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
-  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS,
-                     (long)MAX_IDLE_CONNECTIONS);
-  curl_multi_setopt (c->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+  curl_loop_init (&c->curl, io_loop (io), MAX_IDLE_CONNECTIONS);
   APR_RING_INIT (&c->calls, Call, link);
   c->upstreams =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, target_free);
@@ -866,11 +776,10 @@
       call_free (call);
     }
   g_ptr_array_unref (c->idle);
-  curl_multi_cleanup (c->multi);
+  curl_loop_clear (&c->curl);
   g_hash_table_unref (c->upstreams);
   g_hash_table_unref (c->workers);
   target_free (c->store);
-  curl_global_cleanup ();
   g_free (c);
 }
 
@@ -923,12 +832,7 @@
 void
 client_run (Client *c)
 {
-  if (c->timer <= io_now (c->io))
-    {
-      c->timer = CLOCK_NEVER;
-      act (c, CURL_SOCKET_TIMEOUT, 0);
-    }
-  take_ends (c);
+  curl_loop_run (&c->curl, on_transfer_end, c);
   run_expiry (c);
 }
 
@@ -936,5 +840,10 @@
 ClockMs
 client_next_deadline (const Client *c)
 {
-  return c->n_waiting ? MIN (c->timer, c->expire_at) : c->timer;
+  ClockMs next = c->curl.timer;
+
+  /* The loop's clock has another zero than the core's. */
+  if (next != CLOCK_NEVER)
+    next += io_now (c->io) - loop_now (io_loop (c->io));
+  return c->n_waiting ? MIN (next, c->expire_at) : next;
 }
--- /dev/null
+++ b/src/curl_loop.c
@@ -0,0 +1,115 @@
+#include "curl_loop.h"
+
+typedef struct Socket
+{
+  CurlLoop *curl;
+  curl_socket_t fd;
+  LoopWatch *watch;
+} Socket;
+
+static void
+act (CurlLoop *c, curl_socket_t fd, int flags)
+{
+  int running;
+
+  curl_multi_socket_action (c->multi, fd, flags, &running);
+}
+
+static void
+on_ready (void *owner, int events)
+{
+  Socket *s = owner;
+  int flags = 0;
+
+  if (events & APR_POLLIN)
+    flags |= CURL_CSELECT_IN;
+  if (events & APR_POLLOUT)
+    flags |= CURL_CSELECT_OUT;
+  if (events & (APR_POLLERR | APR_POLLHUP))
+    flags |= CURL_CSELECT_ERR;
+  act (s->curl, s->fd, flags);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *owner, void *socket)
+{
+  CurlLoop *c = owner;
+  Socket *s = socket;
+  int events = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      loop_unwatch (c->loop, s ? s->watch : NULL);
+      curl_multi_assign (c->multi, fd, NULL);
+      g_free (s);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    events |= APR_POLLIN;
+  if (what & CURL_POLL_OUT)
+    events |= APR_POLLOUT;
+  if (s)
+    {
+      loop_watch_set (c->loop, s->watch, events);
+      return 0;
+    }
+  s = g_new (Socket, 1);
+  *s = (Socket) { .curl = c, .fd = fd };
+  s->watch = loop_watch (c->loop, fd, events, on_ready, s);
+  curl_multi_assign (c->multi, fd, s);
+  return 0;
+}
+
+static int
+on_timer (CURLM *multi, long timeout_ms, void *owner)
+{
+  CurlLoop *c = owner;
+
+  (void)multi;
+  c->timer = timeout_ms < 0 ? CLOCK_NEVER : loop_now (c->loop) + timeout_ms;
+  return 0;
+}
+
+/* Prepares C, whose sockets LOOP watches; it keeps IDLE_CONNECTIONS open at
+   most.  C must not move. */
+void
+curl_loop_init (CurlLoop *c, Loop *loop, long idle_connections)
+{
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  *c = (CurlLoop) { .loop = loop,
+                    .multi = curl_multi_init (),
+                    .timer = CLOCK_NEVER };
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, idle_connections);
+  curl_multi_setopt (c->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+}
+
+/* Releases C, which has no transfer left. */
+void
+curl_loop_clear (CurlLoop *c)
+{
+  curl_multi_cleanup (c->multi);
+  curl_global_cleanup ();
+}
+
+/* Runs what libcurl's timer asks for, then tells OWNER of the transfers that
+   have ended. */
+void
+curl_loop_run (CurlLoop *c, CurlLoopEnd end, void *owner)
+{
+  CURLMsg *m;
+  int left;
+
+  if (c->timer <= loop_now (c->loop))
+    {
+      c->timer = CLOCK_NEVER;
+      act (c, CURL_SOCKET_TIMEOUT, 0);
+    }
+  while ((m = curl_multi_info_read (c->multi, &left)))
+    if (m->msg == CURLMSG_DONE)
+      end (owner, m->easy_handle, m->data.result);
+}
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -1,7 +1,8 @@
 #include "fetch.h"
 
+#include "curl_loop.h"
+
 #include <apr_ring.h>
-#include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -11,8 +12,8 @@
 {
   MAX_IDLE_HANDLES = 64,
   MAX_IDLE_CONNECTIONS = 2000, /* two to each worker of a large site */
-  MAX_ANSWER_BYTES = 4 << 20, /* four times the store's largest page */
-  CONNECT_MS = 600,           /* a SYN that was dropped is repeated after 1 s */
+  MAX_ANSWER_BYTES = 4 << 20,  /* four times the store's largest page */
+  CONNECT_MS = 600, /* a SYN that was dropped is repeated after 1 s */
   RECEIVE_BUFFER = 16 << 10,
   USER_TIMEOUT_MS = 3000
 };
@@ -38,19 +39,11 @@
 struct Fetch
 {
   Loop *loop;
-  CURLM *multi;
+  CurlLoop curl;
   struct TransferRing transfers;
   GPtrArray *idle; /* of CURL */
-  ClockMs timer;
 };
 
-typedef struct Socket
-{
-  Fetch *fetch;
-  curl_socket_t fd;
-  LoopWatch *watch;
-} Socket;
-
 static size_t
 on_answer (char *data, size_t size, size_t n, void *owner)
 {
@@ -198,7 +191,7 @@
   set_limits (t, call);
   set_body (t, call);
   set_headers (t, call);
-  curl_multi_add_handle (f->multi, t->easy);
+  curl_multi_add_handle (f->curl.multi, t->easy);
 }
 
 static void
@@ -226,15 +219,16 @@
 }
 
 static void
-on_transfer_end (Fetch *f, CURL *easy, CURLcode code)
+on_transfer_end (void *owner, CURL *easy, CURLcode code)
 {
+  Fetch *f = owner;
   Transfer *t;
   long status = 0;
   FetchReply reply;
 
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&t);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_multi_remove_handle (f->multi, easy);
+  curl_multi_remove_handle (f->curl.multi, easy);
   reply = (FetchReply) { .outcome = outcome_of (t, code, status),
                          .status = (int)status,
                          .body = (const char *)t->answer->data,
@@ -244,89 +238,16 @@
   transfer_free (t);
 }
 
-static void
-act (Fetch *f, curl_socket_t fd, int flags)
-{
-  int running;
-
-  curl_multi_socket_action (f->multi, fd, flags, &running);
-}
-
-static void
-on_ready (void *owner, int events)
-{
-  Socket *s = owner;
-  int flags = 0;
-
-  if (events & APR_POLLIN)
-    flags |= CURL_CSELECT_IN;
-  if (events & APR_POLLOUT)
-    flags |= CURL_CSELECT_OUT;
-  if (events & (APR_POLLERR | APR_POLLHUP))
-    flags |= CURL_CSELECT_ERR;
-  act (s->fetch, s->fd, flags);
-}
-
-static int
-on_socket (CURL *easy, curl_socket_t fd, int what, void *owner, void *socket)
-{
-  Fetch *f = owner;
-  Socket *s = socket;
-  int events = 0;
-
-  (void)easy;
-  if (what == CURL_POLL_REMOVE)
-    {
-      loop_unwatch (f->loop, s ? s->watch : NULL);
-      curl_multi_assign (f->multi, fd, NULL);
-      g_free (s);
-      return 0;
-    }
-  if (what & CURL_POLL_IN)
-    events |= APR_POLLIN;
-  if (what & CURL_POLL_OUT)
-    events |= APR_POLLOUT;
-  if (s)
-    {
-      loop_watch_set (f->loop, s->watch, events);
-      return 0;
-    }
-  s = g_new (Socket, 1);
-  *s = (Socket) { .fetch = f, .fd = fd };
-  s->watch = loop_watch (f->loop, fd, events, on_ready, s);
-  curl_multi_assign (f->multi, fd, s);
-  return 0;
-}
-
-static int
-on_timer (CURLM *multi, long timeout_ms, void *owner)
-{
-  Fetch *f = owner;
-
-  (void)multi;
-  f->timer = timeout_ms < 0 ? CLOCK_NEVER : loop_now (f->loop) + timeout_ms;
-  return 0;
-}
-
 /* Returns a client whose sockets LOOP watches. */
 Fetch *
 fetch_new (Loop *loop)
 {
   Fetch *f = g_new0 (Fetch, 1);
 
-  curl_global_init (CURL_GLOBAL_DEFAULT);
   f->loop = loop;
-  f->timer = CLOCK_NEVER;
   APR_RING_INIT (&f->transfers, Transfer, link);
   f->idle = g_ptr_array_new_with_free_func ((GDestroyNotify)curl_easy_cleanup);
-  f->multi = curl_multi_init ();
-  curl_multi_setopt (f->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-  curl_multi_setopt (f->multi, CURLMOPT_SOCKETDATA, f);
-  curl_multi_setopt (f->multi, CURLMOPT_TIMERFUNCTION, on_timer);
-  curl_multi_setopt (f->multi, CURLMOPT_TIMERDATA, f);
-  curl_multi_setopt (f->multi, CURLMOPT_MAXCONNECTS,
-                     (long)MAX_IDLE_CONNECTIONS);
-  curl_multi_setopt (f->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+  curl_loop_init (&f->curl, loop, MAX_IDLE_CONNECTIONS);
   return f;
 }
 
@@ -340,38 +261,26 @@
     return;
   APR_RING_FOREACH_SAFE (t, next, &f->transfers, Transfer, link)
     {
-      curl_multi_remove_handle (f->multi, t->easy);
+      curl_multi_remove_handle (f->curl.multi, t->easy);
       transfer_free (t);
     }
   g_ptr_array_unref (f->idle);
-  curl_multi_cleanup (f->multi);
-  curl_global_cleanup ();
+  curl_loop_clear (&f->curl);
   g_free (f);
 }
 
-/* Runs curl's timer when it is due and tells the owners of the calls that
-   ended. */
+/* Does what is due and tells the owners of the calls that ended. */
 void
 fetch_run (Fetch *f)
 {
-  CURLMsg *m;
-  int left;
-
-  if (f->timer <= loop_now (f->loop))
-    {
-      f->timer = CLOCK_NEVER;
-      act (f, CURL_SOCKET_TIMEOUT, 0);
-    }
-  while ((m = curl_multi_info_read (f->multi, &left)))
-    if (m->msg == CURLMSG_DONE)
-      on_transfer_end (f, m->easy_handle, m->data.result);
+  curl_loop_run (&f->curl, on_transfer_end, f);
 }
 
 /* Returns when fetch_run wants to be called without an event. */
 ClockMs
 fetch_next_deadline (const Fetch *f)
 {
-  return f->timer;
+  return f->curl.timer;
 }
 
 /* Returns TEXT as it may stand in a query; the caller frees it. */
--- a/tests/queue_path_test.cc
+++ b/tests/queue_path_test.cc
@@ -307,3 +307,23 @@
   EXPECT_EQ (w.n_starts (), 3);
   expect_kept (w);
 }
+
+TEST (QueuePath, RecordsOfJobsThatWereOverLongAgoAreDeleted)
+{
+  QueueWorld w (2, 2);
+
+  w.run (3000);
+  for (int i = 0; i < 10; i++)
+    w.submit (0, { "q1/000000000000030" + std::to_string (i),
+                   world_body (world_step (1, 1000, 1), "ms=200") });
+  w.cancel (0, "0000000000000303");
+  w.run (5000);
+  EXPECT_EQ (w.n_keys ("wagtailpass/job/"), 10);
+  w.run (590000);
+  EXPECT_EQ (w.n_keys ("wagtailpass/job/"), 10);
+  w.run (20000);
+  EXPECT_EQ (w.n_keys ("wagtailpass/job/"), 0);
+  EXPECT_EQ (w.n_keys ("wagtailpass/progress/"), 0);
+  EXPECT_EQ (w.n_keys ("wagtailpass/cancel/"), 0);
+  EXPECT_EQ (w.state_of ("0000000000000301"), "410");
+}
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -298,6 +298,13 @@
     {
       const KvWrite &w = g_array_index (call->writes, KvWrite, i);
       gsize n;
+
+      if (!w.value)
+        {
+          if (items_.erase (w.key))
+            history_.push_back ({ revision_, w.key, true, "" });
+          continue;
+        }
       const char *data = (const char *)g_bytes_get_data (w.value, &n);
       std::string value (data, n);
 
@@ -1177,3 +1184,13 @@
           << j.first << " is " << state;
     }
 }
+
+int
+QueueWorld::n_keys (const std::string &prefix) const
+{
+  int n = 0;
+
+  for (auto &i : items_)
+    n += i.first.rfind (prefix, 0) == 0;
+  return n;
+}
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -136,6 +136,7 @@
   {
     return (int)started_.size ();
   }
+  int n_keys (const std::string &prefix) const;
   void expect_all_final ();
   void check_noted ();
 
