--- a/standin/platform.c
+++ b/standin/platform.c
@@ -69,8 +69,9 @@
   int index;
   gint64 fence;
   gint64 n_ends;
-  GPtrArray *runs; /* of Run */
-  GPtrArray *ends; /* of End */
+  ClockMs deadline; /* of its lease; 0 while there is none */
+  GPtrArray *runs;  /* of Run */
+  GPtrArray *ends;  /* of End */
 } Runner;
 
 /* An answer that waits for something to happen. */
@@ -88,6 +89,7 @@
   Server *server;
   StandinPlace place;
   int n_runners;
+  int advertised;   /* first port that runners are said to have; 0: their own */
   GPtrArray *items; /* of Item, by key */
   GPtrArray *leases;
   GPtrArray *waiters;
@@ -474,6 +476,9 @@
   e->run = run->run;
   e->how = how;
   g_ptr_array_add (r->ends, e);
+  printf ("%" CLOCK_MS_FORMAT " end %s run %" G_GINT64_FORMAT " on w%d %s\n",
+          server_now (), run->task, run->run, r->index, how);
+  fflush (stdout);
   g_ptr_array_remove (r->runs, run);
 }
 
@@ -501,8 +506,8 @@
   run->ends = run->begun + number_in (text, "ms=", DEFAULT_TASK_MS);
   run->gang = number_in (text, "gang=", 0);
   g_ptr_array_add (r->runs, run);
-  printf ("start %s run %" G_GINT64_FORMAT " on w%d\n", task, run->run,
-          r->index);
+  printf ("%" CLOCK_MS_FORMAT " start %s run %" G_GINT64_FORMAT " on w%d\n",
+          server_now (), task, run->run, r->index);
   fflush (stdout);
 }
 
@@ -585,6 +590,13 @@
     reply_lists (r, x);
 }
 
+/* A lease is never shortened. */
+static void
+renew (Runner *r, json_object *o, Findings *f)
+{
+  r->deadline = MAX (r->deadline, json_int (o, "deadlineMs", 0, f));
+}
+
 static void
 refuse_fence (const Runner *r, Exchange *x)
 {
@@ -610,6 +622,7 @@
   else
     {
       r->fence = json_int (o, "fence", 0, &f);
+      renew (r, o, &f);
       if (strcmp (x->path, "/api/hold") == 0)
         take_hold (r, x, o, &f);
       else
@@ -629,13 +642,16 @@
 static void
 end_due_runs (Runner *r)
 {
+  gboolean lapsed = r->deadline && r->deadline < server_now ();
   guint i = r->runs->len;
 
   while (i--)
     {
       Run *run = g_ptr_array_index (r->runs, i);
 
-      if (run->ends <= server_now ())
+      if (lapsed)
+        end_run (r, run, "lapsed");
+      else if (run->ends <= server_now ())
         end_run (r, run, run->stopping ? "stopped" : "done");
     }
 }
@@ -732,8 +748,9 @@
       "{\"service\":\"render\",\"address\":\"%s:%d\",\"zone\":\"z\","
       "\"state\":\"ready\",\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":%d},"
       "\"labels\":[\"a\",\"r%d\"],\"born\":%d}",
-      p->place.address ? p->place.address : "127.0.0.1", p->place.port + 1 + i,
-      CPU_MILLI, MEM_MB, ACCELERATORS, i / RUNNERS_PER_RACK, 1 + i);
+      p->place.address ? p->place.address : "127.0.0.1",
+      (p->advertised ? p->advertised : p->place.port + 1) + i, CPU_MILLI,
+      MEM_MB, ACCELERATORS, i / RUNNERS_PER_RACK, 1 + i);
 
   r->platform = p;
   r->index = i;
@@ -766,10 +783,13 @@
 standin_platform (int argc, char **argv, GError **error)
 {
   Platform p = { .n_runners = 4, .place = { .port = 17400, .seconds = 60 } };
-  const GOptionEntry entries[] = { { "runners", 0, 0, G_OPTION_ARG_INT,
-                                     &p.n_runners, "stand in for N runners",
-                                     "N" },
-                                   { NULL } };
+  const GOptionEntry entries[] = {
+    { "runners", 0, 0, G_OPTION_ARG_INT, &p.n_runners, "stand in for N runners",
+      "N" },
+    { "advertise", 0, 0, G_OPTION_ARG_INT, &p.advertised,
+      "say that the runners listen on PORT and the ports after it", "PORT" },
+    { NULL }
+  };
 
   if (!standin_options ("The platform's store and its runners.", entries,
                         &p.place, argc, argv, error))
