--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -15,6 +15,7 @@
 import re
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 
@@ -23,6 +24,7 @@
 BUILD = os.environ.get("BUILD", "build")
 TOKEN = "soak-token"
 SETTLE_S = 45  # for everything accepted to end once the faults are over
+PORTS = 400  # from the first one: store and runners, links, hosts
 LATE_MS = 400  # between a runner's end and the scheduler's knowledge of it
 
 
@@ -291,15 +293,33 @@
             await self.tear_down()
 
 
+def is_free(port):
+    with socket.socket() as s:
+        try:
+            s.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def free_ports():
+    """Returns the first of a row of ports that no program listens on."""
+    for base in range(18000, 30000, PORTS):
+        if all(is_free(port) for port in range(base, base + PORTS)):
+            return base
+    raise RuntimeError("no free ports")
+
+
 def main():
     p = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     p.add_argument("--seed", type=int, default=1)
     p.add_argument("--seconds", type=int, default=15)
     p.add_argument("--hosts", type=int, default=3)
     p.add_argument("--runners", type=int, default=6)
-    p.add_argument("--port", type=int, default=18000)
+    p.add_argument("--port", type=int, help="first of 400 ports; else free ones are looked for")
     p.add_argument("--keep", help="keep logs of a broken seed here")
     options = p.parse_args()
+    options.port = options.port or free_ports()
     work = tempfile.mkdtemp(prefix="wagtailpass-soak")
     soak = Soak(options, work)
     broken = asyncio.run(soak.run())
