--- a/standin/platform.c
+++ b/standin/platform.c
@@ -72,6 +72,7 @@
   ClockMs deadline; /* of its lease; 0 while there is none */
   GPtrArray *runs;  /* of Run */
   GPtrArray *ends;  /* of End */
+  GHashTable *over; /* task to the highest run that ended or was stopped */
 } Runner;
 
 /* An answer that waits for something to happen. */
@@ -466,6 +467,23 @@
   return NULL;
 }
 
+static gint64
+last_over (const Runner *r, const char *task)
+{
+  const gint64 *run = g_hash_table_lookup (r->over, task);
+
+  return run ? *run : 0;
+}
+
+/* Has every start of TASK up to RUN refused from now on. */
+static void
+set_over (Runner *r, const char *task, gint64 run)
+{
+  if (run > last_over (r, task))
+    g_hash_table_insert (r->over, g_strdup (task),
+                         g_memdup2 (&run, sizeof run));
+}
+
 static void
 end_run (Runner *r, Run *run, const char *how)
 {
@@ -479,6 +497,7 @@
   printf ("%" CLOCK_MS_FORMAT " end %s run %" G_GINT64_FORMAT " on w%d %s\n",
           server_now (), run->task, run->run, r->index, how);
   fflush (stdout);
+  set_over (r, run->task, run->run);
   g_ptr_array_remove (r->runs, run);
 }
 
@@ -490,18 +509,23 @@
   return at ? (int)strtol (at + strlen (name), NULL, 10) : missing;
 }
 
-static void
+/* Starts what O asks for, unless it is there.  Returns FALSE when as high a
+   run is over here. */
+static gboolean
 start_run (Runner *r, json_object *o, Findings *f)
 {
   const char *task = json_text (o, "task", "", f);
   const char *text = json_text (o, "spec", "", f);
-  Run *run;
+  gint64 number = json_int (o, "run", 0, f);
+  Run *run = find_run (r, task);
 
-  if (find_run (r, task))
-    return;
+  if (run && run->run == number)
+    return TRUE;
+  if (run || number <= last_over (r, task))
+    return FALSE;
   run = g_new0 (Run, 1);
   run->task = g_strdup (task);
-  run->run = json_int (o, "run", 0, f);
+  run->run = number;
   run->begun = server_now ();
   run->ends = run->begun + number_in (text, "ms=", DEFAULT_TASK_MS);
   run->gang = number_in (text, "gang=", 0);
@@ -509,14 +533,18 @@
   printf ("%" CLOCK_MS_FORMAT " start %s run %" G_GINT64_FORMAT " on w%d\n",
           server_now (), task, run->run, r->index);
   fflush (stdout);
+  return TRUE;
 }
 
 static void
-stop_run (const Runner *r, json_object *o, Findings *f)
+stop_run (Runner *r, json_object *o, Findings *f)
 {
-  Run *run = find_run (r, json_text (o, "task", "", f));
+  const char *task = json_text (o, "task", "", f);
+  gint64 number = json_int (o, "run", 0, f);
+  Run *run = find_run (r, task);
 
-  if (!run || run->run > json_int (o, "run", 0, f))
+  set_over (r, task, number);
+  if (!run || run->run > number)
     return;
   run->stopping = TRUE;
   run->ends = server_now () + STOP_MS;
@@ -598,11 +626,11 @@
 }
 
 static void
-refuse_fence (const Runner *r, Exchange *x)
+refuse (const Runner *r, Exchange *x, const char *reason)
 {
   json_object *o = runner_json (r);
 
-  json_put_text (o, "reason", "fence");
+  json_put_text (o, "reason", reason);
   reply (x, HTTP_CONFLICT, o);
 }
 
@@ -618,18 +646,18 @@
   if (!o)
     reply (x, HTTP_BAD_REQUEST, json_object_new_object ());
   else if (json_int (o, "fence", 0, &f) < r->fence)
-    refuse_fence (r, x);
+    refuse (r, x, "fence");
   else
     {
       r->fence = json_int (o, "fence", 0, &f);
       renew (r, o, &f);
       if (strcmp (x->path, "/api/hold") == 0)
         take_hold (r, x, o, &f);
+      else if (strcmp (x->path, "/api/run-start") == 0 && !start_run (r, o, &f))
+        refuse (r, x, "old");
       else
         {
-          if (strcmp (x->path, "/api/run-start") == 0)
-            start_run (r, o, &f);
-          else
+          if (strcmp (x->path, "/api/run-stop") == 0)
             stop_run (r, o, &f);
           reply (x, HTTP_OK, runner_json (r));
         }
@@ -756,6 +784,7 @@
   r->index = i;
   r->runs = g_ptr_array_new_with_free_func (run_free);
   r->ends = g_ptr_array_new_with_free_func (end_free);
+  r->over = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   put_text (p, key, text);
   g_free (key);
   g_free (text);
