Calls of feeds and terms are numbered where they are made; stalled tasks

Names only: stands_still is stalled, void_ is lapsed; feed_poll and term_poll hand their calls to the effects themselves in place of taking a number that the caller had to guess.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -170,12 +170,12 @@
   if (spec_state_is_final (state) && state != JOB_COMPLETED)
     runs_stop_job (d, job, spec_state_name (state));
   d->replan = TRUE;
-  dispatch_forget_job (d, job);
+  dispatch_may_forget (d, job);
 }
 
 /* Lets JOB be forgotten once nothing of it is left to do. */
 void
-dispatch_forget_job (Dispatch *d, WorkJob *job)
+dispatch_may_forget (Dispatch *d, WorkJob *job)
 {
   if (spec_state_is_final (job->state) && job->n_parts == 0)
     d->reap = TRUE;
@@ -290,7 +290,7 @@
       APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
         runs_retry (d, part);
       if (!w->listed && w->n_parts == 0 && !w->hold_id &&
-          (w->known || w->void_) && w->seen <= w->acked)
+          (w->known || w->lapsed) && w->seen <= w->acked)
         {
           pool_remove (&d->pool, w);
           d->roster.changed = TRUE;
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -66,7 +66,7 @@
 /* dispatch.c */
 WorkJob *dispatch_work_of (Dispatch *d, BookEntry *entry);
 void dispatch_set_state (Dispatch *d, WorkJob *job, JobState state);
-void dispatch_forget_job (Dispatch *d, WorkJob *job);
+void dispatch_may_forget (Dispatch *d, WorkJob *job);
 
 /* runs.c */
 void runs_start (Dispatch *d, WorkPart *part);
@@ -80,7 +80,7 @@
 void runs_on_reply (Dispatch *d, Ordered *o, const RunReply *reply);
 void runs_stop_stray (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
 void runs_retry (Dispatch *d, WorkPart *part);
-void runs_still (Dispatch *d, WorkPart *part);
+void runs_move_stalled (Dispatch *d, WorkPart *part);
 void runs_apply_end (Dispatch *d, WorkTask *task, gint64 run, RunEnd how);
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPart *part);
 gint64 runs_deadline (Dispatch *d, PoolWorker *w);
--- a/queue/feed.c
+++ b/queue/feed.c
@@ -98,20 +98,19 @@
   return call;
 }
 
-/* Returns the next call when its time has come, under number ID, else
-   NULL. */
-KvCall *
-feed_poll (Feed *f, ClockMs now, gint64 id)
+/* Asks FX for F's next call when its time has come. */
+void
+feed_poll (Feed *f, ClockMs now, Effects *fx)
 {
   KvCall *call;
 
   if (f->call_id || f->next > now)
-    return NULL;
+    return;
   call = f->listing ? list_call (f) : watch_call (f);
-  call->id = id;
-  f->call_id = id;
+  call->id = effects_next_id (fx);
+  f->call_id = call->id;
   f->next = now + f->pace;
-  return call;
+  effects_kv (fx, call);
 }
 
 static void
--- a/queue/feed.h
+++ b/queue/feed.h
@@ -1,7 +1,7 @@
 #ifndef FEED_H
 #define FEED_H
 
-#include "kv.h"
+#include "effects.h"
 
 /* Keeps a copy of the keys under one prefix of the store current: a listing
    first, then watches, and a listing again whenever the history was lost. */
@@ -35,7 +35,7 @@
                 ClockMs pace);
 void feed_clear (Feed *f);
 void feed_restart (Feed *f);
-KvCall *feed_poll (Feed *f, ClockMs now, gint64 id);
+void feed_poll (Feed *f, ClockMs now, Effects *fx);
 gboolean feed_on_reply (Feed *f, const KvReply *reply, ClockMs now);
 ClockMs feed_next_deadline (const Feed *f);
 ClockMs feed_age (const Feed *f, ClockMs now);
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -10,8 +10,8 @@
   RETRY_MS = 200,
   RETRY_MOST_MS = 1000,
   AGAIN_MS = 60,         /* between looks at a worker that stops something */
-  STILL_MS = 2600,       /* two renewals */
-  STILL_SHARE = 4,       /* of a task's length, at the least */
+  STALL_MS = 2600,       /* two renewals */
+  STALL_SHARE = 4,       /* of a task's length, at the least */
   LEAVE_MARGIN_MS = 300, /* to hear of an end before its worker leaves */
   LEAST_PERCENT = 5,     /* of progress from which a rate follows */
   DURABLE_MS = 300       /* ends that can't be stored hold up the next look */
@@ -23,7 +23,7 @@
 gboolean
 holds_is_settled (const PoolWorker *w)
 {
-  return w->known || w->void_;
+  return w->known || w->lapsed;
 }
 
 static gboolean
@@ -95,9 +95,9 @@
 void
 holds_tick (Dispatch *d, PoolWorker *w)
 {
-  if (w->unanswered && d->now > w->lapse && !w->void_)
+  if (w->unanswered && d->now > w->lapse && !w->lapsed)
     g_hash_table_foreach_remove (d->strays, is_of_worker, w);
-  if (w->unanswered && d->now > w->lapse && !w->void_)
+  if (w->unanswered && d->now > w->lapse && !w->lapsed)
     runs_void_worker (d, w, FALSE, "lapsed");
   if (holds_next (d, w) <= d->now)
     send_hold (d, w);
@@ -147,14 +147,14 @@
    any would need for a percent.  Progress comes in whole percent, and stays
    at 100 while a task takes longer than its worker expected. */
 static gboolean
-stands_still (const Dispatch *d, const WorkPart *part)
+is_stalled (const Dispatch *d, const WorkPart *part)
 {
   ClockMs length =
       MAX (part->task->step->spec->estimate_ms, d->now - part->started);
 
   if (part->task->step->spec->perpetual || part->percent >= whole)
     return FALSE;
-  return d->now - part->moved > MAX ((ClockMs)STILL_MS, length / STILL_SHARE);
+  return d->now - part->moved > MAX ((ClockMs)STALL_MS, length / STALL_SHARE);
 }
 
 /* Returns how long PART will run on, by its progress so far, or by its
@@ -189,8 +189,8 @@
     part->moved = d->now;
   part->percent = row->percent;
   work_task_set_checkpoint (part->task, row->checkpoint);
-  if (part->state == PART_RUNNING && stands_still (d, part))
-    runs_still (d, part);
+  if (part->state == PART_RUNNING && is_stalled (d, part))
+    runs_move_stalled (d, part);
   else if (part->state == PART_RUNNING && w->entry->draining &&
            d->now + time_left (d, part) + LEAVE_MARGIN_MS > w->leaves)
     runs_stop (d, part, "worker_leaves");
@@ -310,7 +310,7 @@
 take_list (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
   gboolean was_silent = w->unanswered > 0;
-  gboolean stale = w->void_;
+  gboolean stale = w->lapsed;
   gboolean renew = FALSE;
   guint i;
 
@@ -331,7 +331,7 @@
       renew = w->n_parts > 0;
       d->replan = TRUE;
     }
-  w->void_ = FALSE;
+  w->lapsed = FALSE;
   w->next_hold =
       d->now + (!renew && (w->hold_now || is_stopping (w)) ? AGAIN_MS : 0);
   w->hold_now = w->hold_now || renew;
--- a/queue/node.c
+++ b/queue/node.c
@@ -320,38 +320,16 @@
     dispatch_on_run_reply (n->dispatch, reply);
 }
 
-static void
-poll_feed (Node *n, Feed *f)
-{
-  KvCall *call = feed_poll (f, n->now, n->fx.last_id + 1);
-
-  if (!call)
-    return;
-  effects_next_id (&n->fx);
-  effects_kv (&n->fx, call);
-}
-
-static void
-poll_term (Node *n)
-{
-  KvCall *call = term_poll (&n->term, n->now, n->fx.last_id + 1);
-
-  if (!call)
-    return;
-  effects_next_id (&n->fx);
-  effects_kv (&n->fx, call);
-}
-
 /* Does what is due. */
 void
 node_tick (Node *n)
 {
-  poll_term (n);
+  term_poll (&n->term, n->now, &n->fx);
   follow_term (n);
-  poll_feed (n, &n->conf_feed);
-  poll_feed (n, &n->book_feed);
+  feed_poll (&n->conf_feed, n->now, &n->fx);
+  feed_poll (&n->book_feed, n->now, &n->fx);
   if (term_is_holder (&n->term))
-    poll_feed (n, &n->worker_feed);
+    feed_poll (&n->worker_feed, n->now, &n->fx);
   intake_tick (n->intake);
   if (n->dispatch)
     dispatch_tick (n->dispatch);
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -38,7 +38,7 @@
   gboolean listed;   /* its entry is in the store */
   gboolean recorded; /* in the roster in the store */
   gboolean known;    /* has listed its runs to this holder of the role */
-  gboolean void_;    /* not known, but whatever it ran has surely lapsed */
+  gboolean lapsed;   /* not known, but whatever it ran has surely lapsed */
   gint64 born;       /* of the life that was listed last */
   PoolRoom used;     /* by what runs, may run, or is being stopped */
   PoolRoom claimed;  /* by what waits for room here */
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -320,7 +320,7 @@
   if (step->spec->gang)
     settle_gang (d, step);
   d->replan = TRUE;
-  dispatch_forget_job (d, step->job);
+  dispatch_may_forget (d, step->job);
 }
 
 /* Has PART, whose start may still reach its worker's new life, refused
@@ -372,7 +372,7 @@
       stop_unsure (d, part);
   while ((part = find_over (w, new_life)))
     runs_end (d, part, RUN_LAPSED, NULL);
-  w->void_ = TRUE;
+  w->lapsed = TRUE;
 }
 
 /* Stops RUN of a task on W that this scheduler knows nothing of. */
@@ -471,14 +471,14 @@
    member of a gang holds it up can't be told, so that all of their workers
    are suspected until something succeeds on them. */
 void
-runs_still (Dispatch *d, WorkPart *part)
+runs_move_stalled (Dispatch *d, WorkPart *part)
 {
   WorkStep *step = part->task->step;
   guint i;
 
   effects_log (d->fx,
-               "event=stands_still job=%s task=%u worker=%s percent=%.0f "
-               "still_ms=%" CLOCK_MS_FORMAT,
+               "event=stalled job=%s task=%u worker=%s percent=%.0f "
+               "stalled_ms=%" CLOCK_MS_FORMAT,
                step->job->entry->id, part->task->index, part->worker->entry->id,
                part->percent, d->now - part->moved);
   for (i = 0; i < step->spec->count; i++)
@@ -488,7 +488,7 @@
         step->tasks[i].failed_on = step->tasks[i].part->worker;
         note_failure (d, step->tasks[i].part->worker, step->job);
       }
-  runs_stop (d, part, "stands_still");
+  runs_stop (d, part, "stalled");
 }
 
 /* Sends PART's order again when its time has come. */
--- a/queue/save.c
+++ b/queue/save.c
@@ -134,7 +134,7 @@
       else
         job->save_order = 0;
       job->again = FALSE;
-      dispatch_forget_job (d, job);
+      dispatch_may_forget (d, job);
     }
   g_ptr_array_set_size (s->jobs, 0);
   g_ptr_array_set_size (s->values, 0);
--- a/queue/term.c
+++ b/queue/term.c
@@ -71,21 +71,19 @@
 }
 
 static KvCall *
-make_call (Term *t, KvOp op, const char *key, gint64 id)
+make_call (Term *t, KvOp op, const char *key)
 {
   KvCall *call = kv_call_new (op, key);
 
-  call->id = id;
   call->timeout = CALL_TIMEOUT_MS;
-  t->call_id = id;
   t->next = CLOCK_NEVER;
   return call;
 }
 
 static KvCall *
-lease_call (Term *t, gint64 id)
+lease_call (Term *t)
 {
-  KvCall *call = make_call (t, KV_LEASE, NULL, id);
+  KvCall *call = make_call (t, KV_LEASE, NULL);
 
   call->ttl = TTL_MS;
   t->state = TERM_LEASING;
@@ -93,29 +91,18 @@
 }
 
 static KvCall *
-end_call (Term *t, gint64 id)
+keep_call (Term *t)
 {
-  KvCall *call = make_call (t, KV_END, NULL, id);
-
-  call->lease = t->end_lease;
-  t->call_id = 0;
-  t->end_lease = 0;
-  return call;
-}
-
-static KvCall *
-keep_call (Term *t, gint64 id)
-{
-  KvCall *call = make_call (t, KV_KEEP, NULL, id);
+  KvCall *call = make_call (t, KV_KEEP, NULL);
 
   call->lease = t->lease;
   return call;
 }
 
 static KvCall *
-claim_call (Term *t, gint64 id)
+claim_call (Term *t)
 {
-  KvCall *call = make_call (t, KV_TXN, NULL, id);
+  KvCall *call = make_call (t, KV_TXN, NULL);
   char *epoch = g_strdup_printf ("%" G_GINT64_FORMAT, t->epoch);
   GBytes *epoch_value = g_bytes_new (epoch, strlen (epoch));
   GBytes *name = g_bytes_new (t->holder_name, strlen (t->holder_name));
@@ -130,47 +117,72 @@
   return call;
 }
 
+/* Gives the lease of an ended or failed tenure back; its answer does not
+   matter, since the lease lapses by itself. */
+static void
+end_lease (Term *t, ClockMs now, Effects *fx)
+{
+  KvCall *call = make_call (t, KV_END, NULL);
+
+  call->id = effects_next_id (fx);
+  call->lease = t->end_lease;
+  t->end_lease = 0;
+  t->next = now + RETRY_MS;
+  effects_kv (fx, call);
+}
+
 static gboolean
 has_lapsed (const Term *t, ClockMs now)
 {
   return now > t->confirmed + t->ttl + term_overhang;
 }
 
-/* Returns the next call to the store when its time has come, under number
-   ID, else NULL. */
-KvCall *
-term_poll (Term *t, ClockMs now, gint64 id)
+/* Returns the call that T's state asks for, or NULL. */
+static KvCall *
+next_call (Term *t)
 {
-  if (t->state == TERM_HOLDER && (has_lapsed (t, now) || !t->wanted))
-    term_give_up (t, now);
-  if (t->end_lease)
-    {
-      KvCall *call = end_call (t, id);
-
-      t->next = now + RETRY_MS;
-      return call;
-    }
-  if (t->call_id || t->next > now)
-    return NULL;
   switch (t->state)
     {
     case TERM_FOLLOWER:
       t->next = CLOCK_NEVER;
       if (!t->wanted || !t->role_known || t->role_held)
         return NULL;
-      return lease_call (t, id);
+      return lease_call (t);
     case TERM_READING:
-      return make_call (t, KV_GET, book_epoch_key, id);
+      return make_call (t, KV_GET, book_epoch_key);
     case TERM_CLAIMING:
-      return claim_call (t, id);
+      return claim_call (t);
     case TERM_HOLDER:
-      return keep_call (t, id);
+      return keep_call (t);
     case TERM_LEASING:
       break;
     }
   return NULL;
 }
 
+/* Asks FX for T's next call to the store when its time has come. */
+void
+term_poll (Term *t, ClockMs now, Effects *fx)
+{
+  KvCall *call;
+
+  if (t->state == TERM_HOLDER && (has_lapsed (t, now) || !t->wanted))
+    term_give_up (t, now);
+  if (t->end_lease)
+    {
+      end_lease (t, now, fx);
+      return;
+    }
+  if (t->call_id || t->next > now)
+    return;
+  call = next_call (t);
+  if (!call)
+    return;
+  call->id = effects_next_id (fx);
+  t->call_id = call->id;
+  effects_kv (fx, call);
+}
+
 static void
 on_lease (Term *t, const KvReply *reply, ClockMs now)
 {
--- a/queue/term.h
+++ b/queue/term.h
@@ -1,7 +1,7 @@
 #ifndef TERM_H
 #define TERM_H
 
-#include "kv.h"
+#include "effects.h"
 
 /* The scheduler's role: one host at a time holds a key in the store under a
    lease.  Each holder counts an epoch up, from which fences and run numbers
@@ -38,7 +38,7 @@
 void term_init (Term *t, const char *holder_name);
 void term_clear (Term *t);
 void term_on_role (Term *t, const KvItem *item, ClockMs now, ClockMs jitter);
-KvCall *term_poll (Term *t, ClockMs now, gint64 id);
+void term_poll (Term *t, ClockMs now, Effects *fx);
 gboolean term_on_reply (Term *t, const KvReply *reply, ClockMs now);
 void term_give_up (Term *t, ClockMs now);
 void term_want (Term *t, gboolean wanted);
