The soak asks for a lapsed lease before a task may start again

Change: runners say when their lease lapses; a start after an end without a lapse in between is broken, whatever the time between them (stricter).

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -667,10 +667,22 @@
   findings_clear (&f);
 }
 
+/* Ends the lease once it is over.  Returns whether that is now. */
+static gboolean
+lapse (Runner *r)
+{
+  if (!r->deadline || r->deadline >= server_now ())
+    return FALSE;
+  r->deadline = 0;
+  printf ("%" CLOCK_MS_FORMAT " lapse on w%d\n", server_now (), r->index);
+  fflush (stdout);
+  return TRUE;
+}
+
 static void
 end_due_runs (Runner *r)
 {
-  gboolean lapsed = r->deadline && r->deadline < server_now ();
+  gboolean lapsed = lapse (r);
   guint i = r->runs->len;
 
   while (i--)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -25,7 +25,6 @@
 TOKEN = "soak-token"
 SETTLE_S = 45  # for everything accepted to end once the faults are over
 PORTS = 400  # from the first one: store and runners, links, hosts
-LATE_MS = 400  # between a runner's end and the scheduler's knowledge of it
 
 
 class Process:
@@ -243,11 +242,14 @@
 
     def check_runs(self):
         """Reads what the runners ran: no task on two at once, none started
-        after it was done unless its runner's lease lapsed, none of a job
-        whose every attempt was refused."""
-        broken, running, done = [], {}, {}
+        after it was done unless its runner's lease lapsed in between, none
+        of a job whose every attempt was refused."""
+        broken, running, done, lapses = [], {}, {}, {}
         with open(self.work + "/platform.log", encoding="utf-8") as f:
             for line in f:
+                lapse = re.match(r"(\d+) lapse on (w\d+)", line)
+                if lapse:
+                    lapses[lapse.group(2)] = int(lapse.group(1))
                 m = re.match(r"(\d+) (start|end) (\S+) run (\d+) on (w\d+) ?(\w*)", line)
                 if not m:
                     continue
@@ -255,13 +257,15 @@
                 if what == "end":
                     running.pop((task, runner), None)
                     if how == "done":
-                        done.setdefault(task, int(at))
+                        done.setdefault(task, (int(at), runner))
                     continue
-                broken += self.check_start(int(at), task, runner, running, done)
+                broken += self.check_start(task, runner, running)
+                if task in done and lapses.get(done[task][1], 0) < done[task][0]:
+                    broken.append("TWICE after done %s" % task)
                 running[(task, runner)] = int(at)
         return broken
 
-    def check_start(self, at, task, runner, running, done):
+    def check_start(self, task, runner, running):
         broken = ["TWICE at once %s on %s and %s" % (task, other, runner)
                   for t, other in running if t == task]
         job = self.jobs.get(task.split(".")[0])
@@ -269,8 +273,6 @@
             broken.append("UNASKED %s" % task)
         elif job["answers"] and all(a in (429, 503, 404, 401) for a in job["answers"]):
             broken.append("REFUSED %s" % task)
-        if task in done and at - done[task] < LATE_MS * 10:
-            broken.append("TWICE after done %s" % task)
         return broken
 
     async def tear_down(self):
