--- a/queue/assign.c
+++ b/queue/assign.c
@@ -24,8 +24,9 @@
   guint evictions;
 } Pass;
 
-static gboolean
-is_usable (const Dispatch *d, const PoolWorker *w)
+/* Tells whether anything new may be placed on W. */
+gboolean
+assign_is_usable (const Dispatch *d, const PoolWorker *w)
 {
   return w->listed && w->known && w->recorded && !w->entry->draining &&
          !w->unanswered && w->avoid_until <= d->now;
@@ -44,7 +45,7 @@
 
       PoolRoom room = pool_free_room (w);
 
-      if (is_usable (p->d, w) && pool_room_holds (&room, &p->least))
+      if (assign_is_usable (p->d, w) && pool_room_holds (&room, &p->least))
         p->workers[p->n++] = (FitWorker) { .worker = w, .room = room };
     }
 }
@@ -84,7 +85,7 @@
     return step->could;
   all = g_new0 (FitWorker, order->len + 1);
   for (i = 0; i < order->len; i++)
-    if (is_usable (p->d, g_ptr_array_index (order, i)))
+    if (assign_is_usable (p->d, g_ptr_array_index (order, i)))
       all[n++].worker = g_ptr_array_index (order, i);
   step->could = fit_could_ever (rq, all, n);
   step->next_could = p->d->now + COULD_MS;
@@ -100,8 +101,9 @@
   return route ? route->service : job->entry->job->service;
 }
 
-static FitRequest
-request_for (const Dispatch *d, const WorkStep *step, guint count)
+/* Returns what placing COUNT tasks of STEP asks for. */
+FitRequest
+assign_request (const Dispatch *d, const WorkStep *step, guint count)
 {
   const SpecStep *spec = step->spec;
 
@@ -140,8 +142,9 @@
     }
 }
 
-static gint64
-next_run (const Dispatch *d, const WorkStep *step)
+/* Returns a run number for STEP that is higher than any before. */
+gint64
+assign_next_run (const Dispatch *d, const WorkStep *step)
 {
   gint64 run = 0;
   guint i;
@@ -186,7 +189,7 @@
 static void
 start_gang (Dispatch *d, WorkStep *step, PoolWorker **chosen)
 {
-  gint64 run = next_run (d, step);
+  gint64 run = assign_next_run (d, step);
   guint i;
 
   for (i = 0; i < step->spec->count; i++)
@@ -201,7 +204,7 @@
 place_gang (Pass *p, WorkStep *step)
 {
   guint count = (guint)step->spec->count;
-  FitRequest rq = request_for (p->d, step, count);
+  FitRequest rq = assign_request (p->d, step, count);
   PoolWorker **chosen = g_new0 (PoolWorker *, count);
   ClockMs age = p->d->now - step->job->accepted;
 
@@ -228,7 +231,7 @@
 place_task (Pass *p, WorkTask *task)
 {
   WorkStep *step = task->step;
-  FitRequest rq = request_for (p->d, step, 1);
+  FitRequest rq = assign_request (p->d, step, 1);
   PoolWorker *chosen;
   ClockMs age = p->d->now - step->job->accepted;
   gint64 run;
@@ -387,7 +390,8 @@
 static gboolean
 claim_is_void (const Dispatch *d, const WorkPart *part)
 {
-  return d->now - part->started > CLAIM_MS || !is_usable (d, part->worker);
+  return d->now - part->started > CLAIM_MS ||
+         !assign_is_usable (d, part->worker);
 }
 
 static void
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -2,6 +2,7 @@
 #define DISPATCH_STATE_H
 
 #include "dispatch.h"
+#include "fit.h"
 #include "work.h"
 
 /* What the scheduler's modules share.  For them only. */
@@ -111,6 +112,10 @@
 
 /* assign.c */
 void assign_all (Dispatch *d);
+gboolean assign_is_usable (const Dispatch *d, const PoolWorker *w);
+FitRequest
+assign_request (const Dispatch *d, const WorkStep *step, guint count);
+gint64 assign_next_run (const Dispatch *d, const WorkStep *step);
 
 /* evict.c */
 gboolean evict_for (Dispatch *d, WorkStep *step);
--- a/queue/evict.c
+++ b/queue/evict.c
@@ -6,8 +6,6 @@
    long: starting again and restoring a checkpoint. */
 static const double restart_ms = 600.0;
 static const double checkpoint_ms = 1200.0; /* work since the last one */
-static const double milli = 1000.0;
-static const double cores_per_accelerator = 8.0;
 
 /* One way to make room for a step: what is stopped, and where its tasks
    go. */
@@ -48,15 +46,6 @@
   return run + restart_ms;
 }
 
-static double
-part_cores (const WorkPart *part)
-{
-  const PoolRoom *need = &part->task->step->need;
-
-  return (double)need->cpu_milli / milli +
-         cores_per_accelerator * (double)need->accelerators;
-}
-
 /* Returns what stopping PART costs; a gang is stopped whole. */
 static double
 victim_cost (const Dispatch *d, const WorkPart *part)
@@ -64,7 +53,7 @@
   double members =
       part->task->step->spec->gang ? (double)part->task->step->n_parts : 1.0;
 
-  return lost_ms (d, part) * part_cores (part) * members;
+  return lost_ms (d, part) * spec_step_cores (part->task->step->spec) * members;
 }
 
 /* Returns how many tasks the plan places on W. */
@@ -143,8 +132,7 @@
 static gboolean
 is_candidate (const Plan *p, const PoolWorker *w, const char *rack)
 {
-  if (!w->listed || !w->known || !w->recorded || w->entry->draining ||
-      w->unanswered || w->avoid_until > p->d->now || !fit_allows (&p->rq, w))
+  if (!assign_is_usable (p->d, w) || !fit_allows (&p->rq, w))
     return FALSE;
   return !rack || g_strcmp0 (w->entry->rack, rack) == 0;
 }
@@ -210,19 +198,11 @@
 {
   guint count = tasks_missing (step);
   Plan *p = g_new0 (Plan, 1);
-  const ConfRoute *route =
-      conf_route_named (d->conf, step->job->entry->job->route);
   guint i;
 
   p->d = d;
   p->step = step;
-  p->rq = (FitRequest) { .service = route ? route->service
-                                          : step->job->entry->job->service,
-                         .need = step->need,
-                         .count = count,
-                         .max_per_worker = (guint)step->spec->max_per_worker,
-                         .label = step->spec->label,
-                         .rack = "" };
+  p->rq = assign_request (d, step, count);
   p->victims = g_hash_table_new (NULL, NULL);
   p->chosen = g_new0 (PoolWorker *, count);
   for (i = 0; i < count; i++)
@@ -311,12 +291,10 @@
 claim (Plan *p)
 {
   WorkStep *step = p->step;
-  gint64 run = p->d->term.first_run;
+  gint64 run = assign_next_run (p->d, step);
   guint k = 0;
   guint i;
 
-  for (i = 0; i < step->spec->count; i++)
-    run = MAX (run, step->tasks[i].last_run + 1);
   for (i = 0; i < step->spec->count && k < p->n_chosen; i++)
     {
       WorkTask *task = &step->tasks[i];
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -96,9 +96,10 @@
 holds_tick (Dispatch *d, PoolWorker *w)
 {
   if (w->unanswered && d->now > w->lapse && !w->lapsed)
-    g_hash_table_foreach_remove (d->strays, is_of_worker, w);
-  if (w->unanswered && d->now > w->lapse && !w->lapsed)
-    runs_void_worker (d, w, FALSE, "lapsed");
+    {
+      g_hash_table_foreach_remove (d->strays, is_of_worker, w);
+      runs_void_worker (d, w, FALSE, "lapsed");
+    }
   if (holds_next (d, w) <= d->now)
     send_hold (d, w);
 }
--- a/queue/intake.c
+++ b/queue/intake.c
@@ -315,9 +315,8 @@
     }
   if (!record)
     {
-      char *text = findings_text (&findings);
+      char *text = findings_line (&findings);
 
-      g_strdelimit (text, "\n\"", ' ');
       effects_log (in->fx, "event=job_invalid job=%s reason=\"%s\"", id, text);
       g_free (text);
     }
--- a/queue/node.c
+++ b/queue/node.c
@@ -58,9 +58,8 @@
   conf = n->codec->read_conf (item->value, &findings);
   if (!conf || (n->conf && conf->version < n->conf->version))
     {
-      char *text = findings_text (&findings);
+      char *text = findings_line (&findings);
 
-      g_strdelimit (text, "\n\"", ' ');
       effects_log (&n->fx,
                    "event=conf_ignored revision=%" G_GINT64_FORMAT
                    " reason=\"%s\"",
@@ -126,9 +125,8 @@
   entry = n->codec->read_worker (id, item->value, &findings);
   if (!entry)
     {
-      char *text = findings_text (&findings);
+      char *text = findings_line (&findings);
 
-      g_strdelimit (text, "\n\"", ' ');
       effects_log (&n->fx, "event=worker_unreadable worker=%s reason=\"%s\"",
                    id, text);
       g_free (text);
--- a/queue/spec.c
+++ b/queue/spec.c
@@ -109,12 +109,18 @@
   return longest;
 }
 
+/* Returns the cores that one task of STEP takes, accelerators included. */
+double
+spec_step_cores (const SpecStep *step)
+{
+  return (double)step->cpu_milli / milli +
+         cores_per_accelerator * (double)step->accelerators;
+}
+
 /* Returns the estimated work of all tasks of STEP, in core-milliseconds. */
 double
 spec_step_core_ms (const SpecStep *step)
 {
-  double cores = (double)step->cpu_milli / milli +
-                 cores_per_accelerator * (double)step->accelerators;
-
-  return cores * (double)step->estimate_ms * (double)step->count;
+  return spec_step_cores (step) * (double)step->estimate_ms *
+         (double)step->count;
 }
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -115,6 +115,7 @@
 guint spec_job_occurrences (const SpecJob *job);
 void spec_job_check (const SpecJob *job, Findings *findings);
 ClockMs spec_job_chain (const SpecJob *job);
+double spec_step_cores (const SpecStep *step);
 double spec_step_core_ms (const SpecStep *step);
 
 #endif
--- a/src/util.c
+++ b/src/util.c
@@ -72,6 +72,14 @@
   return g_string_free (s, FALSE);
 }
 
+/* Returns all findings as one line that may stand in quotes; the caller
+   frees it. */
+char *
+findings_line (const Findings *f)
+{
+  return g_strdelimit (findings_text (f), "\n\"", ' ');
+}
+
 /* Returns S, or the empty string for NULL. */
 const char *
 util_str (const char *s)
--- a/src/util.h
+++ b/src/util.h
@@ -23,6 +23,7 @@
 guint findings_count (const Findings *f);
 const Finding *findings_at (const Findings *f, guint i);
 char *findings_text (const Findings *f);
+char *findings_line (const Findings *f);
 
 const char *util_str (const char *s);
 gboolean util_is_name (const char *s);
