Guarantees are reclaimed from urgent work that has borrowed them

Cause: what a workspace is guaranteed was read from the configuration and never used. An urgent job could only push out less urgent work, so that one workspace's flood of urgent jobs held others off for as long as it lasted. Ruled out: that eviction by cost covers it (a fleet full of urgent gangs has no victim of lower priority); that order alone does (short urgent jobs went first for ever).

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -2,6 +2,7 @@
 
 #include "fit.h"
 #include "rank.h"
+#include "share.h"
 #include "term.h"
 
 enum
@@ -460,6 +461,7 @@
   guint i;
 
   settle_claims (d);
+  share_mark (&d->jobs, d->conf);
   ranked = waiting_steps (d);
   p.least = least_need (ranked);
   if (ranked->len)
--- a/queue/evict.c
+++ b/queue/evict.c
@@ -2,11 +2,22 @@
 
 #include "fit.h"
 
+enum
+{
+  /* For other urgent work to end by itself; well within the seconds in which
+     a guarantee must be had. */
+  RECLAIM_AFTER_MS = 700
+};
+
 /* What it costs to stop a part even if no work is lost, as work of this
    long: starting again and restoring a checkpoint. */
 static const double restart_ms = 600.0;
 static const double checkpoint_ms = 1200.0; /* work since the last one */
 
+/* How much more a borrower's urgent work costs than other work: its caller
+   waits for it. */
+static const double urgent_cost = 10.0;
+
 /* One way to make room for a step: what is stopped, and where its tasks
    go. */
 typedef struct Plan
@@ -14,6 +25,7 @@
   Dispatch *d;
   WorkStep *step;
   FitRequest rq;
+  gboolean reclaim;    /* urgent work beyond its guarantee is stopped, too */
   GHashTable *victims; /* of WorkStep for gangs, WorkPart for others */
   PoolWorker **chosen;
   guint n_chosen;
@@ -27,11 +39,21 @@
                                       : (gpointer)part;
 }
 
+/* Tells whether JOB, of PLAN's own priority, holds what is owed to the
+   plan's job. */
+static gboolean
+has_borrowed (const Plan *p, const WorkJob *job)
+{
+  return p->reclaim && job->entry->job->priority == 0 && !job->guaranteed;
+}
+
 static gboolean
 may_evict (const Plan *p, const WorkPart *part)
 {
   const WorkJob *job = part->task->step->job;
 
+  if (has_borrowed (p, job))
+    return part->state != PART_STOPPING;
   return job->entry->job->priority > p->step->job->entry->job->priority &&
          (part->state == PART_RUNNING || part->state == PART_STARTING);
 }
@@ -53,7 +75,10 @@
   double members =
       part->task->step->spec->gang ? (double)part->task->step->n_parts : 1.0;
 
-  return lost_ms (d, part) * spec_step_cores (part->task->step->spec) * members;
+  double weight = part->task->step->job->entry->job->priority ? 1 : urgent_cost;
+
+  return lost_ms (d, part) * spec_step_cores (part->task->step->spec) *
+         members * weight;
 }
 
 /* Returns how many tasks the plan places on W. */
@@ -194,7 +219,7 @@
 }
 
 static Plan *
-plan_new (Dispatch *d, WorkStep *step, const char *rack)
+plan_new (Dispatch *d, WorkStep *step, const char *rack, gboolean reclaim)
 {
   guint count = tasks_missing (step);
   Plan *p = g_new0 (Plan, 1);
@@ -202,6 +227,7 @@
 
   p->d = d;
   p->step = step;
+  p->reclaim = reclaim;
   p->rq = assign_request (d, step, count);
   p->victims = g_hash_table_new (NULL, NULL);
   p->chosen = g_new0 (PoolWorker *, count);
@@ -228,7 +254,7 @@
 
 /* Returns the cheapest plan over the racks, or NULL. */
 static Plan *
-best_over_racks (Dispatch *d, WorkStep *step)
+best_over_racks (Dispatch *d, WorkStep *step, gboolean reclaim)
 {
   const GPtrArray *order = d->pool.order;
   const char *last = NULL;
@@ -244,7 +270,7 @@
       if (i > 0 && g_strcmp0 (rack, last) == 0)
         continue;
       last = rack;
-      p = plan_new (d, step, rack);
+      p = plan_new (d, step, rack, reclaim);
       if (is_complete (p) && (!best || p->cost < best->cost))
         {
           Plan *worse = best;
@@ -271,8 +297,7 @@
       WorkPart *part;
 
       APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
-        if (part->state != PART_CLAIM &&
-            g_hash_table_contains (p->victims, victim_key (part)))
+        if (g_hash_table_contains (p->victims, victim_key (part)))
           g_ptr_array_add (parts, part);
     }
   for (i = 0; i < parts->len; i++)
@@ -306,30 +331,45 @@
     }
 }
 
+/* Returns the cheapest complete plan for STEP, or NULL.  A gang that is
+   better off on one rack gets several where no one rack can be had. */
+static Plan *
+find_plan (Dispatch *d, WorkStep *step, gboolean reclaim)
+{
+  Plan *p = NULL;
+
+  if (step->spec->gang && step->spec->same_rack)
+    p = best_over_racks (d, step, reclaim);
+  if (!p)
+    p = plan_new (d, step, NULL, reclaim);
+  if (is_complete (p))
+    return p;
+  plan_free (p);
+  return NULL;
+}
+
 /* Stops less urgent work so that STEP can start, and claims the room for
-   it.  Answers the load of a fleet that is full when an urgent job comes:
-   the cheapest set of victims, by the work that they lose.  Returns whether
-   a way was found. */
+   it.  What a workspace is guaranteed is also taken back from urgent work
+   that has borrowed it, once RECLAIM_AFTER_MS have shown that nothing else
+   makes room.  Answers the load of a fleet that is full when an urgent job
+   comes: the cheapest set of victims, by the work that they lose.  Returns
+   whether a way was found. */
 gboolean
 evict_for (Dispatch *d, WorkStep *step)
 {
-  Plan *p = NULL;
+  ClockMs age = d->now - step->job->accepted;
+  Plan *p = find_plan (d, step, FALSE);
 
-  if (step->spec->gang && step->spec->same_rack)
-    p = best_over_racks (d, step);
+  if (!p && step->job->guaranteed && age > RECLAIM_AFTER_MS)
+    p = find_plan (d, step, TRUE);
   if (!p)
-    p = plan_new (d, step, NULL);
-  if (!is_complete (p))
-    {
-      plan_free (p);
-      return FALSE;
-    }
+    return FALSE;
   effects_log (d->fx,
                "event=evict job=%s step=%u.%u tasks=%u victims=%u cost=%.0f "
-               "age_ms=%" CLOCK_MS_FORMAT,
+               "reclaim=%d age_ms=%" CLOCK_MS_FORMAT,
                step->job->entry->id, step->occurrence, step->number,
-               p->n_chosen, g_hash_table_size (p->victims), p->cost,
-               d->now - step->job->accepted);
+               p->n_chosen, g_hash_table_size (p->victims), p->cost, p->reclaim,
+               age);
   stop_victims (p);
   claim (p);
   plan_free (p);
--- a/queue/rank.c
+++ b/queue/rank.c
@@ -6,6 +6,7 @@
 
 enum
 {
+  BAND_GUARANTEED,
   BAND_URGENT,
   BAND_IN_TIME,
   BAND_LATE,
@@ -19,6 +20,8 @@
   ClockMs left = step->spec->estimate_ms;
   ClockMs end = now + left - job->accepted;
 
+  if (job->guaranteed)
+    return BAND_GUARANTEED;
   if (end > late_factor * job->objective)
     return BAND_BEYOND;
   if (job->entry->job->priority == 0)
@@ -27,9 +30,9 @@
 }
 
 /* Returns STEP's key at NOW.  Answers the load of more work than fits:
-   urgent jobs first, then those that can still end in time, and among
-   equals the one that keeps the fewest cores from others for each unit of
-   priority. */
+   what workspaces are guaranteed first, then other urgent jobs, then those
+   that can still end in time, and among equals the one that keeps the fewest
+   cores from others for each unit of priority. */
 RankKey
 rank_key (const WorkStep *step, ClockMs now)
 {
--- a/queue/rank.h
+++ b/queue/rank.h
@@ -8,7 +8,7 @@
 /* What the order looks at; the least comes first. */
 typedef struct RankKey
 {
-  guint band;  /* urgent, in time, late, beyond use */
+  guint band;  /* guaranteed, urgent, in time, late, beyond use */
   double cost; /* what decides inside a band */
   ClockMs accepted;
 } RankKey;
--- /dev/null
+++ b/queue/share.c
@@ -0,0 +1,88 @@
+#include "share.h"
+
+#include <string.h>
+
+/* Returns how many accelerators JOB's tasks take that run or could. */
+static gint64
+accelerators_of (const WorkJob *job)
+{
+  const WorkStep *step;
+  gint64 sum = 0;
+
+  APR_RING_FOREACH (step, &job->steps, WorkStep, link)
+    if (work_step_is_ready (step))
+      sum += (step->spec->count - step->n_done) * step->need.accelerators;
+  return sum;
+}
+
+/* Older jobs come first, so that a job that is within the guarantee stays
+   so whatever comes later. */
+static int
+compare_age (gconstpointer a, gconstpointer b)
+{
+  const WorkJob *x = *(WorkJob *const *)a;
+  const WorkJob *y = *(WorkJob *const *)b;
+
+  if (x->entry->job->accepted_ms != y->entry->job->accepted_ms)
+    return x->entry->job->accepted_ms < y->entry->job->accepted_ms ? -1 : 1;
+  return strcmp (x->entry->id, y->entry->id);
+}
+
+static GPtrArray *
+urgent_jobs (struct WorkJobRing *jobs)
+{
+  GPtrArray *urgent = g_ptr_array_new ();
+  WorkJob *job;
+
+  APR_RING_FOREACH (job, jobs, WorkJob, link)
+    {
+      job->guaranteed = FALSE;
+      if (job->entry->job->priority == 0 && !spec_state_is_final (job->state))
+        g_ptr_array_add (urgent, job);
+    }
+  g_ptr_array_sort (urgent, compare_age);
+  return urgent;
+}
+
+/* Returns the accelerators that are left of WORKSPACE's guarantee, by
+   reference, for the caller to count down. */
+static gint64 *
+left_of (GHashTable *left, const Conf *conf, const char *workspace)
+{
+  gint64 *n = g_hash_table_lookup (left, workspace);
+  const ConfWorkspace *w;
+
+  if (n)
+    return n;
+  w = conf_workspace_named (conf, workspace);
+  n = g_new (gint64, 1);
+  *n = w ? w->guaranteed : 0;
+  g_hash_table_insert (left, (gpointer)workspace, n);
+  return n;
+}
+
+/* Marks those of JOBS that are urgent and, taken from the oldest on, within
+   what CONF guarantees their workspace.  Answers the load of a workspace
+   that floods the fleet with urgent work: what it has borrowed is told from
+   what it is owed. */
+void
+share_mark (struct WorkJobRing *jobs, const Conf *conf)
+{
+  GPtrArray *urgent = urgent_jobs (jobs);
+  GHashTable *left =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  guint i;
+
+  for (i = 0; i < urgent->len; i++)
+    {
+      WorkJob *job = g_ptr_array_index (urgent, i);
+      gint64 *n = left_of (left, conf, job->entry->job->workspace);
+      gint64 need = accelerators_of (job);
+
+      job->guaranteed = need <= *n;
+      if (job->guaranteed)
+        *n -= need;
+    }
+  g_hash_table_unref (left);
+  g_ptr_array_unref (urgent);
+}
--- a/queue/work.h
+++ b/queue/work.h
@@ -81,9 +81,10 @@
   guint n_parts;
   guint64 save_order; /* place among the jobs to be saved; 0: none */
   gboolean saving;
-  gboolean again;    /* changed while it was being saved */
-  ClockMs accepted;  /* on the scheduler's clock */
-  ClockMs objective; /* from its acceptance until it is late */
+  gboolean again;      /* changed while it was being saved */
+  gboolean guaranteed; /* urgent, and within its workspace's guarantee */
+  ClockMs accepted;    /* on the scheduler's clock */
+  ClockMs objective;   /* from its acceptance until it is late */
 };
 
 APR_RING_HEAD (WorkJobRing, WorkJob);
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -130,7 +130,8 @@
              extra +
              "],\"services\":[{\"name\":\"render\"}],\"tenants\":[{\"name\":"
              "\"alpha\",\"apiKeys\":[\"" +
-             token + "\"],\"guaranteed\":{\"gpu\":16}}],\"limits\":{}}",
+             token + "\"],\"guaranteed\":{\"gpu\":16}}" + more_tenants +
+             "],\"limits\":{}}",
          0);
 }
 
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -145,6 +145,7 @@
   ClockMs store_down_until = 0; /* silent; nothing is executed */
   double store_lost_share = 0;  /* of answers to writes; executed at once */
   double store_late_share = 0;  /* of writes: executed seconds later */
+  std::string more_tenants;     /* of the next configuration: ",{...}" */
   std::vector<std::string> violations;
   std::vector<std::string> lines;
 
