A gang that failed is placed on unproven workers, too

Cause: after a failure a gang was placed on proven workers, or, where no rack could ever hold it, anywhere; with a rack that could hold it and no proven worker (none has succeeded yet, or all have failed since) it waited for ever. Ruled out: the heap of workers and the sharded roster, which only moved the history (the step was ranked, eight idle workers were looked at).

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -199,32 +199,41 @@
   note_started (d, step, (guint)step->spec->count, run);
 }
 
-/* A gang waits for one rack as long as any could hold it; where none can,
-   it runs over several, however slowly. */
-static void
-place_gang (Pass *p, WorkStep *step)
+/* Chooses workers for all of STEP, a gang.  One that was unlucky is placed
+   on proven workers if there are any.  A gang waits for one rack as long as
+   any could hold it; where none can, it runs over several, however
+   slowly. */
+static gboolean
+find_gang (Pass *p, WorkStep *step, PoolWorker **chosen)
 {
-  guint count = (guint)step->spec->count;
-  FitRequest rq = assign_request (p->d, step, count);
-  PoolWorker **chosen = g_new0 (PoolWorker *, count);
+  FitRequest rq = assign_request (p->d, step, (guint)step->spec->count);
   ClockMs age = p->d->now - step->job->accepted;
 
   forget_placed (p);
   rq.proven = was_unlucky (step);
   if (fit_place (&rq, p->workers, p->n, chosen))
-    start_gang (p->d, step, chosen);
-  else
+    return TRUE;
+  if (rq.proven)
     {
       rq.proven = FALSE;
-      rq.anywhere =
-          (*rq.rack && age > RACK_WAIT_MS + step->spec->estimate_ms) ||
-          !could_ever (p, step, &rq);
-      if (rq.anywhere && fit_place (&rq, p->workers, p->n, chosen))
-        start_gang (p->d, step, chosen);
-      else if (step->job->entry->job->priority == 0 &&
-               age > URGENT_EVICT_AFTER_MS)
-        evict_and_look (p, step);
+      if (fit_place (&rq, p->workers, p->n, chosen))
+        return TRUE;
     }
+  rq.anywhere = (*rq.rack && age > RACK_WAIT_MS + step->spec->estimate_ms) ||
+                !could_ever (p, step, &rq);
+  return rq.anywhere && fit_place (&rq, p->workers, p->n, chosen);
+}
+
+static void
+place_gang (Pass *p, WorkStep *step)
+{
+  PoolWorker **chosen = g_new0 (PoolWorker *, step->spec->count);
+  ClockMs age = p->d->now - step->job->accepted;
+
+  if (find_gang (p, step, chosen))
+    start_gang (p->d, step, chosen);
+  else if (step->job->entry->job->priority == 0 && age > URGENT_EVICT_AFTER_MS)
+    evict_and_look (p, step);
   g_free (chosen);
 }
 
--- a/tests/queue_path_test.cc
+++ b/tests/queue_path_test.cc
@@ -267,6 +267,26 @@
   expect_kept (w);
 }
 
+TEST (QueuePath, AGangThatFailedNeedsNoProvenWorker)
+{
+  /* Nothing has succeeded anywhere yet when it is started again. */
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  for (auto &worker : w.workers)
+    worker.fails_all = true;
+  w.submit (0, { "q1/0000000000000210",
+                 world_body (world_step (2, 1000, 8,
+                                         ",\"gang\":true,\"sameRack\":true"),
+                             "ms=500 gang=2") });
+  w.run (600);
+  for (auto &worker : w.workers)
+    worker.fails_all = false;
+  w.run (3000);
+  EXPECT_EQ (w.state_of ("0000000000000210"), "completed");
+  expect_kept (w);
+}
+
 TEST (QueuePath, WhatCannotEndOnALeavingWorkerIsMovedAtOnce)
 {
   QueueWorld w (2, 3);
--- a/tests/queue_search_test.cc
+++ b/tests/queue_search_test.cc
@@ -242,6 +242,7 @@
     1295, /* a worker's new life was told the old one's acknowledgement */
     1776, /* a job accepted by the deposed holder was not known yet */
     2268, /* an order under way met its worker's new life */
+    3432, /* a gang that had failed waited for a proven worker for ever */
   };
 
   for (unsigned seed : seeds)
