The roster is stored in shards that only a new scheduler reads

Cause: one value of about 50 bytes a worker was written at every change of any worker, under the prefix that every host watches; at 3,000 workers each change sent 200 KB to 297 hosts. Ruled out: leaving it unwatched but whole, since a change would still write all of it. Change: 15 shards by the worker's id under a prefix of their own, listed once at the begin of a term; changed shards share one transaction.

--- a/queue/book.c
+++ b/queue/book.c
@@ -5,7 +5,6 @@
 const char book_prefix[] = "wagtailpass/";
 const char book_role_key[] = "wagtailpass/role";
 const char book_epoch_key[] = "wagtailpass/epoch";
-const char book_roster_key[] = "wagtailpass/roster";
 
 static const char job_prefix[] = "wagtailpass/job/";
 static const char progress_prefix[] = "wagtailpass/progress/";
@@ -16,8 +15,6 @@
   GHashTable *entries; /* id to BookEntry */
   BookChanged changed;
   void *owner;
-  Roster *roster; /* NULL while there is none */
-  gint64 roster_revision;
   guint unreadable; /* records that could not be decoded */
 };
 
@@ -73,8 +70,6 @@
 book_free (Book *b)
 {
   g_hash_table_unref (b->entries);
-  if (b->roster)
-    rec_free (roster_desc (), b->roster);
   g_free (b);
 }
 
@@ -166,18 +161,6 @@
   b->changed (b->owner, e);
 }
 
-static void
-apply_roster (Book *b, const KvItem *item)
-{
-  Roster *roster =
-      item->deleted ? NULL : read_record (b, roster_desc (), item->value);
-
-  if (b->roster)
-    rec_free (roster_desc (), b->roster);
-  b->roster = roster;
-  b->roster_revision = item->deleted ? 0 : item->revision;
-}
-
 /* Takes over what ITEM, from under book_prefix, says of a job. */
 void
 book_apply (Book *b, const KvItem *item)
@@ -193,8 +176,6 @@
   };
   guint i;
 
-  if (strcmp (item->key, book_roster_key) == 0)
-    apply_roster (b, item);
   for (i = 0; i < G_N_ELEMENTS (kinds); i++)
     if (g_str_has_prefix (item->key, kinds[i].prefix))
       kinds[i].apply (b, item->key + strlen (kinds[i].prefix), item);
@@ -246,15 +227,6 @@
   return n;
 }
 
-/* Returns the workers that the last holder of the scheduler's role used, or
-   NULL, and the REVISION of that record, 0 when there is none. */
-const Roster *
-book_roster (const Book *b, gint64 *revision)
-{
-  *revision = b->roster_revision;
-  return b->roster;
-}
-
 /* Returns how many records could not be decoded. */
 guint
 book_unreadable (const Book *b)
--- a/queue/book.h
+++ b/queue/book.h
@@ -33,7 +33,6 @@
 GHashTable *book_entries (const Book *b);
 JobState book_state (const BookEntry *entry);
 guint book_waiting (const Book *b, const char *route);
-const Roster *book_roster (const Book *b, gint64 *revision);
 guint book_unreadable (const Book *b);
 
 char *book_job_key (const char *id);
@@ -43,6 +42,5 @@
 extern const char book_prefix[];
 extern const char book_role_key[];
 extern const char book_epoch_key[];
-extern const char book_roster_key[];
 
 #endif
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -9,11 +9,12 @@
   DUE_LOOK_MS = 50    /* how exactly due times are kept */
 };
 
-/* Returns the scheduler for TERM.  BOOK, of which a whole listing must have
-   been taken over, and FX stay the caller's. */
+/* Returns the scheduler for TERM.  BOOK and ROSTER, of which whole listings
+   must have been taken over under this term, and FX stay the caller's. */
 Dispatch *
 dispatch_new (Effects *fx,
               Book *book,
+              const RosterRecords *roster,
               const DispatchTerm *term,
               ClockMs now,
               ClockMs wall)
@@ -37,7 +38,7 @@
       g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   g_queue_init (&d->save.dirty);
   d->strays = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  roster_start (d);
+  roster_start (d, roster);
   g_hash_table_iter_init (&i, book_entries (book));
   while (g_hash_table_iter_next (&i, NULL, &entry))
     dispatch_on_entry (d, entry);
@@ -106,7 +107,7 @@
   gboolean is_new = !w;
 
   if (w && w->entry->draining != entry->draining)
-    d->roster.changed = TRUE;
+    roster_mark (d, entry->id);
   w = pool_put (&d->pool, entry);
   if (entry->draining)
     {
@@ -118,7 +119,7 @@
     {
       w->lapse = former_lapse (d);
       w->next_hold = d->now;
-      d->roster.changed = TRUE;
+      roster_mark (d, entry->id);
     }
   else if (w->born && entry->born && entry->born > w->born)
     w->hold_now = TRUE;
--- a/queue/dispatch.h
+++ b/queue/dispatch.h
@@ -5,6 +5,7 @@
 #include "conf.h"
 #include "effects.h"
 #include "pool.h"
+#include "roster.h"
 
 /* The scheduler, on the host that holds the role: it learns what runs,
    starts and stops tasks, and records their ends. */
@@ -20,6 +21,7 @@
 
 Dispatch *dispatch_new (Effects *fx,
                         Book *book,
+                        const RosterRecords *roster,
                         const DispatchTerm *term,
                         ClockMs now,
                         ClockMs wall);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -3,6 +3,7 @@
 
 #include "dispatch.h"
 #include "fit.h"
+#include "roster.h"
 #include "work.h"
 
 /* What the scheduler's modules share.  For them only. */
@@ -30,10 +31,11 @@
 /* The write of the workers in use, see roster.c. */
 typedef struct RosterSave
 {
-  gboolean changed;
+  gboolean changed[ROSTER_SHARDS];
+  gboolean writing[ROSTER_SHARDS]; /* in the call under way */
+  gint64 revisions[ROSTER_SHARDS];
   gint64 call_id; /* 0 while none is under way */
   GPtrArray *ids; /* of char *, in the call under way */
-  gint64 revision;
   ClockMs next;
 } RosterSave;
 
@@ -113,7 +115,8 @@
 ClockMs save_next (const Dispatch *d);
 
 /* roster.c */
-void roster_start (Dispatch *d);
+void roster_start (Dispatch *d, const RosterRecords *records);
+void roster_mark (Dispatch *d, const char *worker);
 void roster_tick (Dispatch *d);
 gboolean roster_on_reply (Dispatch *d, const KvReply *reply);
 ClockMs roster_next (const Dispatch *d);
--- a/queue/due.c
+++ b/queue/due.c
@@ -78,8 +78,8 @@
     {
       if (w->touched)
         g_ptr_array_remove (d->touched, w);
+      roster_mark (d, w->entry->id);
       pool_remove (&d->pool, w);
-      d->roster.changed = TRUE;
       return;
     }
   next = next_of (d, w);
--- a/queue/node.c
+++ b/queue/node.c
@@ -26,6 +26,8 @@
   Feed conf_feed;
   Feed book_feed;
   Feed worker_feed;
+  Feed roster_feed; /* listed once at the begin of a term */
+  RosterRecords roster;
   GHashTable *entries; /* worker id to its entry's value, GBytes */
   Book *book;
   Conf *conf;
@@ -143,6 +145,15 @@
   findings_clear (&findings);
 }
 
+static void
+on_roster_item (void *owner, const KvItem *item)
+{
+  Node *n = owner;
+
+  if (!roster_records_apply (&n->roster, item))
+    effects_log (&n->fx, "event=roster_unreadable key=%s", item->key);
+}
+
 /* Returns a node that reads others' entries by CODEC.  NOW is the host's
    clock, WALL Unix time, both in milliseconds. */
 Node *
@@ -164,6 +175,7 @@
   feed_init (&n->book_feed, book_prefix, on_book_item, n, BOOK_PACE_MS);
   feed_init (&n->worker_feed, codec->workers_prefix, on_worker_item, n,
              WORKERS_PACE_MS);
+  feed_init (&n->roster_feed, roster_prefix, on_roster_item, n, 0);
   n->entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                       (GDestroyNotify)g_bytes_unref);
   n->book = book_new (on_book_changed, n);
@@ -185,6 +197,8 @@
   feed_clear (&n->conf_feed);
   feed_clear (&n->book_feed);
   feed_clear (&n->worker_feed);
+  feed_clear (&n->roster_feed);
+  roster_records_clear (&n->roster);
   g_hash_table_unref (n->entries);
   conf_unref (n->conf);
   g_rand_free (n->rng);
@@ -235,7 +249,8 @@
   GHashTableIter i;
   gpointer id, value;
 
-  n->dispatch = dispatch_new (&n->fx, n->book, &term, n->now, n->wall);
+  n->dispatch =
+      dispatch_new (&n->fx, n->book, &n->roster, &term, n->now, n->wall);
   if (n->conf)
     dispatch_on_conf (n->dispatch, n->conf);
   g_hash_table_iter_init (&i, n->entries);
@@ -288,8 +303,10 @@
       n->book_feed.pace = BOOK_PACE_HOLDER_MS;
       feed_restart (&n->book_feed);
       feed_restart (&n->worker_feed);
+      feed_restart (&n->roster_feed);
     }
-  else if (!n->dispatch && n->book_feed.complete && n->worker_feed.complete)
+  else if (!n->dispatch && n->book_feed.complete && n->worker_feed.complete &&
+           n->roster_feed.complete)
     start_dispatch (n);
 }
 
@@ -301,6 +318,7 @@
 
   if (feed_on_reply (&n->conf_feed, reply, n->now) ||
       feed_on_reply (&n->worker_feed, reply, n->now) ||
+      feed_on_reply (&n->roster_feed, reply, n->now) ||
       term_on_reply (&n->term, reply, n->now) ||
       intake_on_kv_reply (n->intake, reply) ||
       (n->dispatch && dispatch_on_kv_reply (n->dispatch, reply)))
@@ -327,7 +345,11 @@
   feed_poll (&n->conf_feed, n->now, &n->fx);
   feed_poll (&n->book_feed, n->now, &n->fx);
   if (term_is_holder (&n->term))
-    feed_poll (&n->worker_feed, n->now, &n->fx);
+    {
+      feed_poll (&n->worker_feed, n->now, &n->fx);
+      if (!n->roster_feed.complete)
+        feed_poll (&n->roster_feed, n->now, &n->fx);
+    }
   intake_tick (n->intake);
   if (n->dispatch)
     dispatch_tick (n->dispatch);
@@ -360,6 +382,8 @@
   next = MIN (next, intake_next_deadline (n->intake));
   if (term_is_holder (&n->term))
     next = MIN (next, feed_next_deadline (&n->worker_feed));
+  if (term_is_holder (&n->term) && !n->roster_feed.complete)
+    next = MIN (next, feed_next_deadline (&n->roster_feed));
   if (n->dispatch)
     next = MIN (next, dispatch_next_deadline (n->dispatch));
   return next;
