Slow workers are told by progress; urgent jobs make room sooner; a same-millisecond race

Cause (race): a hold of the same millisecond in which a start was answered was taken to have left after it, so that a run which the worker did not list yet counted as gone: its room was given away and its task started again. Ruled out: evictions of claims, the lanes of libcurl, refused starts (none was logged; event=run_vanished came 2 ms after the start). Change: calls are told apart by number.

Cause (speed): half of the urgent gangs that were late had started at once and ran on workers that had turned slow; others waited 250 ms before anything was stopped for them. Change: speed.c judges each worker by the pace of what runs on it, gangs avoid slow ones; eviction begins after 60 ms.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -9,7 +9,8 @@
 {
   CLAIM_MS = 1600,     /* room that does not become free by then is given up */
   RACK_WAIT_MS = 2500, /* for room near the data before running far from it */
-  URGENT_EVICT_AFTER_MS = 250,
+  URGENT_EVICT_AFTER_MS = 60,
+  SLOW_WAIT_MS = 900, /* the time that an eviction takes, twice */
   EVICT_AGAIN_MS = 300,
   EVICTIONS_PER_PASS = 3, /* bounds the time of a pass */
   COULD_MS = 1000
@@ -114,6 +115,7 @@
                         .max_per_worker = (guint)spec->max_per_worker,
                         .label = spec->label,
                         .rack = spec->rack,
+                        .now = d->now,
                         .same_rack = spec->same_rack && spec->gang };
 }
 
@@ -199,10 +201,20 @@
   note_started (d, step, (guint)step->spec->count, run);
 }
 
-/* Chooses workers for all of STEP, a gang.  One that was unlucky is placed
-   on proven workers if there are any.  A gang waits for one rack as long as
-   any could hold it; where none can, it runs over several, however
-   slowly. */
+/* Urgent gangs rather make room for themselves on quick workers, but take
+   what there is when that has not come about. */
+static gboolean
+may_run_slow (const Pass *p, const WorkStep *step)
+{
+  return step->job->entry->job->priority > 0 ||
+         p->d->now - step->job->accepted > SLOW_WAIT_MS;
+}
+
+/* Chooses workers for all of STEP, a gang: its slowest member sets the pace,
+   so that slow workers are left out where that is possible.  One that was
+   unlucky is placed on proven workers if there are any.  A gang waits for one
+   rack as long as any could hold it; where none can, it runs over several,
+   however slowly. */
 static gboolean
 find_gang (Pass *p, WorkStep *step, PoolWorker **chosen)
 {
@@ -210,6 +222,7 @@
   ClockMs age = p->d->now - step->job->accepted;
 
   forget_placed (p);
+  rq.quick = TRUE;
   rq.proven = was_unlucky (step);
   if (fit_place (&rq, p->workers, p->n, chosen))
     return TRUE;
@@ -219,6 +232,9 @@
       if (fit_place (&rq, p->workers, p->n, chosen))
         return TRUE;
     }
+  rq.quick = FALSE;
+  if (may_run_slow (p, step) && fit_place (&rq, p->workers, p->n, chosen))
+    return TRUE;
   rq.anywhere = (*rq.rack && age > RACK_WAIT_MS + step->spec->estimate_ms) ||
                 !could_ever (p, step, &rq);
   return rq.anywhere && fit_place (&rq, p->workers, p->n, chosen);
--- a/queue/evict.c
+++ b/queue/evict.c
@@ -219,7 +219,11 @@
 }
 
 static Plan *
-plan_new (Dispatch *d, WorkStep *step, const char *rack, gboolean reclaim)
+plan_new (Dispatch *d,
+          WorkStep *step,
+          const char *rack,
+          gboolean reclaim,
+          gboolean quick)
 {
   guint count = tasks_missing (step);
   Plan *p = g_new0 (Plan, 1);
@@ -229,6 +233,7 @@
   p->step = step;
   p->reclaim = reclaim;
   p->rq = assign_request (d, step, count);
+  p->rq.quick = quick;
   p->victims = g_hash_table_new (NULL, NULL);
   p->chosen = g_new0 (PoolWorker *, count);
   for (i = 0; i < count; i++)
@@ -254,7 +259,7 @@
 
 /* Returns the cheapest plan over the racks, or NULL. */
 static Plan *
-best_over_racks (Dispatch *d, WorkStep *step, gboolean reclaim)
+best_over_racks (Dispatch *d, WorkStep *step, gboolean reclaim, gboolean quick)
 {
   const GPtrArray *order = d->pool.order;
   const char *last = NULL;
@@ -270,7 +275,7 @@
       if (i > 0 && g_strcmp0 (rack, last) == 0)
         continue;
       last = rack;
-      p = plan_new (d, step, rack, reclaim);
+      p = plan_new (d, step, rack, reclaim, quick);
       if (is_complete (p) && (!best || p->cost < best->cost))
         {
           Plan *worse = best;
@@ -334,14 +339,14 @@
 /* Returns the cheapest complete plan for STEP, or NULL.  A gang that is
    better off on one rack gets several where no one rack can be had. */
 static Plan *
-find_plan (Dispatch *d, WorkStep *step, gboolean reclaim)
+find_plan (Dispatch *d, WorkStep *step, gboolean reclaim, gboolean quick)
 {
   Plan *p = NULL;
 
   if (step->spec->gang && step->spec->same_rack)
-    p = best_over_racks (d, step, reclaim);
+    p = best_over_racks (d, step, reclaim, quick);
   if (!p)
-    p = plan_new (d, step, NULL, reclaim);
+    p = plan_new (d, step, NULL, reclaim, quick);
   if (is_complete (p))
     return p;
   plan_free (p);
@@ -358,10 +363,12 @@
 evict_for (Dispatch *d, WorkStep *step)
 {
   ClockMs age = d->now - step->job->accepted;
-  Plan *p = find_plan (d, step, FALSE);
+  Plan *p = find_plan (d, step, FALSE, TRUE);
 
+  if (!p)
+    p = find_plan (d, step, FALSE, FALSE);
   if (!p && step->job->guaranteed && age > RECLAIM_AFTER_MS)
-    p = find_plan (d, step, TRUE);
+    p = find_plan (d, step, TRUE, FALSE);
   if (!p)
     return FALSE;
   effects_log (d->fx,
--- a/queue/fit.c
+++ b/queue/fit.c
@@ -1,5 +1,7 @@
 #include "fit.h"
 
+#include "speed.h"
+
 #include <string.h>
 
 /* Tells whether REQUEST's tasks may run on W at all. */
@@ -8,6 +10,8 @@
 {
   if (rq->proven && (w->failures || !w->successes))
     return FALSE;
+  if (rq->quick && speed_is_slow (w, rq->now))
+    return FALSE;
   return w != rq->not_on && strcmp (w->entry->service, rq->service) == 0 &&
          pool_has_label (w, rq->label);
 }
@@ -25,17 +29,24 @@
   return n;
 }
 
+/* Returns how little W is to be trusted with a task. */
+static guint
+doubt (const FitRequest *rq, const PoolWorker *w)
+{
+  return 2 * (w->failures > 0) + speed_is_slow (w, rq->now);
+}
+
 /* Tells whether A is better than B: workers on which something failed come
-   last, then those that leave smaller holes; accelerators are scarcest, then
-   cores. */
+   last, then slow ones, then those that leave smaller holes; accelerators
+   are scarcest, then cores. */
 static gboolean
-is_tighter (const FitWorker *a, const FitWorker *b)
+is_tighter (const FitRequest *rq, const FitWorker *a, const FitWorker *b)
 {
-  gboolean a_failed = a->worker->failures > 0;
-  gboolean b_failed = b->worker->failures > 0;
+  guint doubt_a = doubt (rq, a->worker);
+  guint doubt_b = doubt (rq, b->worker);
 
-  if (a_failed != b_failed)
-    return b_failed;
+  if (doubt_a != doubt_b)
+    return doubt_a < doubt_b;
   if (a->room.accelerators != b->room.accelerators)
     return a->room.accelerators < b->room.accelerators;
   return a->room.cpu_milli < b->room.cpu_milli;
@@ -78,7 +89,7 @@
 
   for (i = g.from; i < g.to; i++)
     if (slots (rq, &workers[i]) > 0 &&
-        (!best || is_tighter (&workers[i], best)))
+        (!best || is_tighter (rq, &workers[i], best)))
       best = &workers[i];
   return best;
 }
--- a/queue/fit.h
+++ b/queue/fit.h
@@ -25,6 +25,8 @@
   const char *rack;     /* of the data; empty for none */
   gboolean same_rack;
   gboolean proven;          /* only where the last run succeeded */
+  gboolean quick;           /* not on workers that are slow ... */
+  ClockMs now;              /* ... at this time */
   gboolean anywhere;        /* neither rack need be kept to */
   const PoolWorker *not_on; /* NULL for none */
 } FitRequest;
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -1,5 +1,7 @@
 #include "dispatch_state.h"
 
+#include "speed.h"
+
 #include <string.h>
 
 enum
@@ -123,10 +125,10 @@
     }
   part = work_part_new (task, w, row->run, PART_RUNNING);
   part->sent = TRUE;
-  part->confirmed = d->now;
+  part->confirmed = d->fx->last_id;
   part->started = d->now;
   part->moved = d->now;
-  part->percent = row->percent;
+  speed_note (part, d->now, row->percent);
   effects_log (d->fx,
                "event=adopted task=%s run=%" G_GINT64_FORMAT " worker=%s",
                row->task, row->run, w->entry->id);
@@ -184,11 +186,9 @@
     {
       part->state = PART_RUNNING;
       part->retry = CLOCK_NEVER;
-      part->confirmed = d->now;
+      part->confirmed = d->fx->last_id;
     }
-  if (row->percent > part->percent)
-    part->moved = d->now;
-  part->percent = row->percent;
+  speed_note (part, d->now, row->percent);
   work_task_set_checkpoint (part->task, row->checkpoint);
   if (part->state == PART_RUNNING && is_stalled (d, part))
     runs_move_stalled (d, part);
@@ -259,7 +259,8 @@
 }
 
 /* A part that the worker answered for before the hold left, and that the
-   worker does not list, is gone. */
+   worker does not list, is gone.  Calls are told apart by number: many are
+   made and answered within a millisecond. */
 static void
 drop_unlisted (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
@@ -272,8 +273,7 @@
       gboolean answered = part->state == PART_RUNNING ||
                           (part->state == PART_STOPPING && part->stop_acked);
 
-      if (answered && part->confirmed <= reply->sent &&
-          !is_listed (reply, part))
+      if (answered && part->confirmed < reply->id && !is_listed (reply, part))
         g_ptr_array_add (gone, part);
     }
   for (i = 0; i < gone->len; i++)
@@ -307,6 +307,15 @@
   w->failures = 0;
 }
 
+static void
+judge_speed (Dispatch *d, PoolWorker *w)
+{
+  if (!speed_judge (w, d->now))
+    return;
+  effects_log (d->fx, "event=worker_speed worker=%s slow=%d parts=%u",
+               w->entry->id, speed_is_slow (w, d->now), w->n_parts);
+}
+
 static void
 take_list (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
@@ -326,6 +335,7 @@
   for (i = 0; i < reply->running->len; i++)
     take_row (d, w, &g_array_index (reply->running, RunRow, i));
   drop_unlisted (d, w, reply);
+  judge_speed (d, w);
   if (!w->known || was_silent)
     {
       w->known = TRUE;
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -63,8 +63,9 @@
   guint successes;
   ClockMs avoid_until; /* takes nothing new before */
   ClockMs avoid_span;
-  Timer due;        /* when to look at it again */
-  gboolean touched; /* to be looked at at once */
+  ClockMs slow_until; /* taken for slow before */
+  Timer due;          /* when to look at it again */
+  gboolean touched;   /* to be looked at at once */
 } PoolWorker;
 
 typedef struct Pool
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -436,7 +436,7 @@
   switch (reply->status)
     {
     case RUN_OK:
-      part->confirmed = d->now;
+      part->confirmed = d->fx->last_id;
       if (part->state == PART_STARTING)
         part->state = PART_RUNNING;
       return;
@@ -465,7 +465,7 @@
       return;
     }
   part->stop_acked = TRUE;
-  part->confirmed = d->now;
+  part->confirmed = d->fx->last_id;
   part->worker->hold_now = TRUE;
 }
 
--- a/queue/work.h
+++ b/queue/work.h
@@ -29,14 +29,20 @@
   gboolean sent;   /* an order to start it may have arrived */
   gboolean unsure; /* an order to start it got no answer */
   gboolean stop_acked;
-  gint64 call_id;    /* of the order under way; 0 for none */
-  ClockMs ordered;   /* when the last order began */
-  ClockMs confirmed; /* when its start or stop was answered */
-  ClockMs retry;     /* when to send the order again */
+  gint64 call_id;   /* of the order under way; 0 for none */
+  ClockMs ordered;  /* when the last order began */
+  gint64 confirmed; /* the last call made when its start or stop was answered */
+  ClockMs retry;    /* when to send the order again */
   guint tries;
   ClockMs started;
   double percent;
-  ClockMs moved; /* when PERCENT last rose */
+  ClockMs moved;         /* when PERCENT last rose */
+  ClockMs listed;        /* when its worker first listed it; 0: not yet ... */
+  double listed_percent; /* ... and its progress then */
+  ClockMs sound;         /* until when its pace was sound ... */
+  double sound_percent;  /* ... and its progress then */
+  ClockMs mark;          /* since when its pace is judged ... */
+  double mark_percent;   /* ... and its progress then */
 };
 
 struct WorkTask
--- a/tests/queue_search_test.cc
+++ b/tests/queue_search_test.cc
@@ -199,12 +199,13 @@
 };
 
 static void
-search (unsigned from, unsigned to)
+search (unsigned from, unsigned to, bool calls_overtake = false)
 {
   for (unsigned seed = from; seed < to; seed++)
     {
       History h (seed);
 
+      h.world.calls_overtake = calls_overtake;
       h.play ();
       h.world.expect_all_final ();
       h.world.check_noted ();
@@ -231,6 +232,17 @@
   search (first, first + (n ? (unsigned)atoi (n) : 60));
 }
 
+/* A start that was answered before a hold left may still be carried out
+   after it within one millisecond of the host's clock. */
+TEST (QueueSearch, WhatMustHoldHoldsWhileCallsOvertakeEachOther)
+{
+  const char *from = getenv ("QUEUE_SEARCH_FROM");
+  const char *n = getenv ("QUEUE_SEARCH_N");
+  unsigned first = from ? (unsigned)atoi (from) : 1;
+
+  search (first, first + (n ? (unsigned)atoi (n) : 60), true);
+}
+
 /* Each of these failed once; the cause stands beside it. */
 TEST (QueueSearch, SeedsThatFailedOnce)
 {
--- /dev/null
+++ b/tests/queue_speed_test.cc
@@ -0,0 +1,95 @@
+#include "queue_world.h"
+
+#include <gtest/gtest.h>
+
+/* What slow workers cost those who wait. */
+
+static std::string
+id_of (int n)
+{
+  std::string id = std::to_string (n);
+
+  return std::string (16 - id.size (), '0') + id;
+}
+
+/* Eight workers with a long task each, of which SLOW have turned slow. */
+static std::unique_ptr<QueueWorld>
+busy_fleet (const std::vector<int> &slow)
+{
+  auto w = std::make_unique<QueueWorld> (2, 8);
+
+  w->run (3000);
+  w->submit (0, { "q1/" + id_of (1),
+                  world_body (world_step (8, 50000, 1, ",\"estimateMs\":20000"),
+                              "ms=30000") });
+  w->run (5000);
+  for (int i : slow)
+    w->workers[i].slowness = 8.0;
+  w->run (2500);
+  return w;
+}
+
+static std::string
+urgent_gang ()
+{
+  return world_body (world_step (2, 1000, 2, ",\"gang\":true"),
+                     "ms=1000 gang=2");
+}
+
+TEST (QueueSpeed, GangsAreNotHeldUpByWorkersThatHaveTurnedSlow)
+{
+  auto w = busy_fleet ({ 0, 1, 2 });
+
+  for (int i = 10; i < 18; i++)
+    {
+      w->submit (0, { "q0/" + id_of (i), urgent_gang () });
+      w->run (100);
+    }
+  w->run (1500);
+  for (int i = 10; i < 18; i++)
+    EXPECT_EQ (w->state_of (id_of (i)), "completed") << i;
+  for (auto &worker : w->workers)
+    for (auto &run : worker.runs)
+      EXPECT_EQ (run.first.substr (0, 16), id_of (1)) << run.first;
+  EXPECT_TRUE (w->violations.empty ());
+}
+
+TEST (QueueSpeed, SlowWorkersAreBetterThanNone)
+{
+  auto w = busy_fleet ({ 0, 1, 2, 3, 4, 5, 6, 7 });
+
+  w->submit (0, { "q0/" + id_of (10), urgent_gang () });
+  w->run (12000);
+  EXPECT_EQ (w->state_of (id_of (10)), "completed");
+}
+
+TEST (QueueSpeed, AWorkerThatRecoversIsNoLongerSlow)
+{
+  auto w = busy_fleet ({ 4 });
+  auto says = [&] (const char *text) {
+    int n = 0;
+
+    for (auto &line : w->lines)
+      n += line.find (text) != std::string::npos;
+    return n;
+  };
+
+  EXPECT_EQ (says ("event=worker_speed worker=w4 slow=1"), 1);
+  w->workers[4].slowness = 1.0;
+  w->run (4000);
+  EXPECT_EQ (says ("event=worker_speed worker=w4 slow=0"), 1);
+  EXPECT_EQ (says ("event=worker_speed"), 2);
+}
+
+TEST (QueueSpeed, JobsThatTakeTwiceTheirEstimateCondemnNoWorker)
+{
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  w.submit (0, { "q1/" + id_of (1),
+                 world_body (world_step (8, 4000, 1, ",\"estimateMs\":4000"),
+                             "ms=9000") });
+  w.run (9000);
+  for (auto &line : w.lines)
+    EXPECT_EQ (line.find ("event=worker_speed"), std::string::npos) << line;
+}
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -645,8 +645,11 @@
     }
   w.deadline = std::max (w.deadline,
                          std::min (call.deadline, clock_of (w) + hold_most_ms));
-  r = { call.task, call.run,    parse_plan (call.text ? call.text : ""),
-        now_,      CLOCK_NEVER, {} };
+  r.task = call.task;
+  r.run = call.run;
+  r.plan = parse_plan (call.text ? call.text : "");
+  r.arrived = now_;
+  r.slowness = w.slowness;
   spec = (SpecJob *)rec_new (spec_job_desc ());
   findings_init (&f);
   const std::string &text = jobs_[job_of (call.task)].body;
@@ -662,7 +665,7 @@
   findings_clear (&f);
   rec_free (spec_job_desc (), spec);
   if (!r.plan.gang)
-    r.ends = now_ + r.plan.ms;
+    r.began = now_;
   w.runs[call.task] = r;
   check_start (w, r);
 }
@@ -674,10 +677,9 @@
     {
       RunRow row = { g_strdup (r.first.c_str ()), r.second.run, nullptr,
                      w.hangs ? 0.0
-                             : std::min (100.0,
-                                         w.optimism * 100.0 *
-                                             (double)(now_ - r.second.arrived) /
-                                             (double)r.second.plan.ms) };
+                             : std::min (100.0, w.optimism * 100.0 *
+                                                    r.second.worked /
+                                                    (double)r.second.plan.ms) };
 
       g_array_append_val (reply->running, row);
     }
@@ -781,6 +783,13 @@
   return reply;
 }
 
+/* Several calls of one millisecond may be carried out in any order. */
+ClockMs
+QueueWorld::worker_delay ()
+{
+  return calls_overtake ? g_rand_int_range (rng_, 0, 3) : worker_ms;
+}
+
 void
 QueueWorld::run_call (int host, const RunCall *raw)
 {
@@ -815,7 +824,7 @@
                  raw->timeout);
       return;
     }
-  at (now_ + worker_ms, [this, host, life, call, sent, n] {
+  at (now_ + worker_delay (), [this, host, life, call, sent, n] {
     auto reply = new_run_reply (call->id, sent, RUN_OK);
     WorldWorker &w = workers[n];
 
@@ -834,7 +843,7 @@
       }
     if (call->op == RUN_HOLD && reply->status == RUN_OK)
       fill_hold (w, reply.get ());
-    reply_run (host, life, reply, worker_ms);
+    reply_run (host, life, reply, worker_delay ());
   });
 }
 
@@ -860,10 +869,16 @@
       bool begun = false;
 
       for (auto &m : g.second)
-        begun = begun || m.second->ends != CLOCK_NEVER;
+        begun = begun || m.second->began != CLOCK_NEVER;
+      double slowness = 1.0;
+
+      for (auto &m : g.second)
+        slowness = std::max (slowness, m.first->slowness);
+      for (auto &m : g.second)
+        m.second->slowness = slowness;
       for (auto &m : g.second)
         if (whole && !begun)
-          m.second->ends = now_ + m.second->plan.ms;
+          m.second->began = now_;
         else if (!whole && begun)
           {
             std::string task = m.second->task;
@@ -879,9 +894,25 @@
     }
 }
 
+void
+QueueWorld::tick_work ()
+{
+  for (WorldWorker &w : workers)
+    for (auto &r : w.runs)
+      if (r.second.began != CLOCK_NEVER)
+        {
+          ClockMs span = now_ - std::max (last_work_, r.second.began);
+          double slowness = r.second.plan.gang ? r.second.slowness : w.slowness;
+
+          r.second.worked += (double)span / slowness;
+        }
+  last_work_ = now_;
+}
+
 void
 QueueWorld::tick_workers ()
 {
+  tick_work ();
   tick_gangs ();
   for (WorldWorker &w : workers)
     {
@@ -895,7 +926,7 @@
           over.push_back ({ r.first, RUN_LAPSED });
       else if (!w.hangs)
         for (auto &r : w.runs)
-          if (r.second.ends <= now_)
+          if (r.second.worked >= (double)r.second.plan.ms)
             over.push_back ({ r.first, r.second.plan.fail || w.fails_all
                                            ? RUN_FAILED
                                            : RUN_DONE });
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -39,7 +39,9 @@
   gint64 run;
   TaskPlan plan;
   ClockMs arrived;
-  ClockMs ends = CLOCK_NEVER;
+  ClockMs began = CLOCK_NEVER; /* a gang's: when it was whole */
+  double worked = 0;           /* of PLAN's time */
+  double slowness = 1.0;       /* of the slowest worker that it runs on */
   PoolRoom need;
 };
 
@@ -61,6 +63,7 @@
   bool draining = false;
   bool fails_all = false;
   bool hangs = false;
+  double slowness = 1.0; /* its tasks take so many times as long */
   double optimism = 1.0; /* how much too fast its percent rises */
   ClockMs cut_until = 0; /* neither hosts nor the store reach it */
   double late_share = 0; /* of orders without an answer, executed later */
@@ -144,6 +147,7 @@
   std::vector<WorldWorker> workers;
   ClockMs store_down_until = 0; /* silent; nothing is executed */
   double store_lost_share = 0;  /* of answers to writes; executed at once */
+  bool calls_overtake = false;  /* calls to one worker pass each other */
   double store_late_share = 0;  /* of writes: executed seconds later */
   std::string more_tenants;     /* of the next configuration: ",{...}" */
   std::vector<std::string> violations;
@@ -231,12 +235,14 @@
                   ClockMs delay);
   void tick_workers ();
   void tick_gangs ();
+  void tick_work ();
   void tick_leases ();
   gint64 clock_of (const WorldWorker &w) const;
   bool reaches (const WorldWorker &w) const;
   void check_start (const WorldWorker &w, const WorldRun &r);
   void violation (const std::string &text);
   double chance ();
+  ClockMs worker_delay ();
   int ask (int host,
            RequestOp op,
            const std::string &path,
@@ -245,6 +251,7 @@
 
   bool is_troubled () const;
 
+  ClockMs last_work_ = 0;    /* when the runs' work was counted last */
   ClockMs last_trouble_ = 0; /* of hosts, their ways or the store */
   ClockMs now_ = 1000;
   ClockMs wall_ = 1700000000000;
