Nothing runs in the last moments of a worker that leaves

Ruled out: waiting for the lease of a worker that said it would leave (the end would be no better known then). RunReply's sending time is no longer used and gone. Before: QueuePath.NothingRunsInTheLastMoments... fails; after: passes.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -105,6 +105,7 @@
 void holds_on_reply (Dispatch *d, PoolWorker *w, const RunReply *reply);
 ClockMs holds_next (const Dispatch *d, const PoolWorker *w);
 gboolean holds_is_settled (const PoolWorker *w);
+ClockMs holds_clearing (const PoolWorker *w);
 
 /* save.c */
 void save_mark (Dispatch *d, WorkJob *job);
--- a/queue/due.c
+++ b/queue/due.c
@@ -52,6 +52,8 @@
 
   if (w->unanswered && !w->lapsed)
     next = MIN (next, w->lapse + 1);
+  if (w->n_parts > 0 && holds_clearing (w) > d->now)
+    next = MIN (next, holds_clearing (w));
   APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
     next = MIN (next, part->retry);
   return next;
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -85,6 +85,24 @@
   w->hold_id = runs_send (d, call, NULL);
 }
 
+/* Returns when whatever still runs on W has to be stopped: the news of an
+   end in its last moments might be lost with it. */
+ClockMs
+holds_clearing (const PoolWorker *w)
+{
+  return w->entry->draining ? w->leaves - LEAVE_MARGIN_MS : CLOCK_NEVER;
+}
+
+static void
+clear_leaving (Dispatch *d, PoolWorker *w)
+{
+  WorkPart *part;
+
+  APR_RING_FOREACH (part, &w->parts, WorkPart, on_worker)
+    if (part->state == PART_RUNNING || part->state == PART_STARTING)
+      runs_stop (d, part, "worker_leaves");
+}
+
 static gboolean
 is_of_worker (gpointer task, gpointer id, gpointer w)
 {
@@ -102,6 +120,8 @@
       g_hash_table_foreach_remove (d->strays, is_of_worker, w);
       runs_void_worker (d, w, FALSE, "lapsed");
     }
+  if (holds_clearing (w) <= d->now)
+    clear_leaving (d, w);
   if (holds_next (d, w) <= d->now)
     send_hold (d, w);
 }
--- a/queue/run_call.h
+++ b/queue/run_call.h
@@ -76,7 +76,6 @@
   RunStatus status;
   gint64 clock; /* the worker's; 0 when it gave none */
   gint64 born;  /* start of the worker's life, Unix milliseconds; 0: not told */
-  ClockMs sent;
   GArray *running; /* of RunRow; with RUN_HOLD */
   GArray *ended;   /* of RunEnded; with RUN_HOLD */
 } RunReply;
--- a/tests/queue_path_test.cc
+++ b/tests/queue_path_test.cc
@@ -311,6 +311,34 @@
   expect_kept (w);
 }
 
+TEST (QueuePath, NothingRunsInTheLastMomentsOfALeavingWorker)
+{
+  /* By its progress the task would end in time.  An end so shortly before
+     its worker is gone might never be heard of. */
+  QueueWorld w (2, 3);
+
+  w.run (3000);
+  w.workers[0].optimism = 1.3;
+  w.submit (0, { "q1/0000000000000211",
+                 world_body (world_step (1, 40000, 2), "ms=3480") });
+  w.run (1000);
+  int on = -1;
+  for (int i = 0; i < 3; i++)
+    if (!w.workers[i].runs.empty ())
+      on = i;
+  ASSERT_GE (on, 0);
+  w.workers[on].optimism = 1.3;
+  w.drain_worker (on);
+  w.run (2400);
+  EXPECT_TRUE (w.workers[on].runs.empty ());
+  w.run (100);
+  w.leave_worker (on);
+  w.run (9000);
+  EXPECT_EQ (w.state_of ("0000000000000211"), "completed");
+  EXPECT_EQ (w.n_starts (), 2);
+  expect_kept (w);
+}
+
 TEST (QueuePath, ATaskThatTakesLongerThanExpectedIsLeftAlone)
 {
   /* Its worker reports 100 percent long before its end. */
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -772,13 +772,12 @@
 }
 
 static std::shared_ptr<RunReply>
-new_run_reply (gint64 id, ClockMs sent, RunStatus status)
+new_run_reply (gint64 id, RunStatus status)
 {
   std::shared_ptr<RunReply> reply (new RunReply, free_run_reply);
 
   run_reply_init (reply.get ());
   reply->id = id;
-  reply->sent = sent;
   reply->status = status;
   return reply;
 }
@@ -795,7 +794,6 @@
 {
   int life = hosts[host].life;
   auto call = copy_run (raw);
-  ClockMs sent = now_;
   int n = atoi (raw->worker + 1);
   WorldWorker &w = workers[n];
 
@@ -804,7 +802,7 @@
       bool refused = !w.alive && w.cut_until <= now_;
 
       reply_run (host, life,
-                 new_run_reply (raw->id, sent, refused ? RUN_UNSENT : RUN_LOST),
+                 new_run_reply (raw->id, refused ? RUN_UNSENT : RUN_LOST),
                  refused ? worker_ms : raw->timeout);
       return;
     }
@@ -815,17 +813,16 @@
           (ClockMs)(chance () * (double)(late_most_ms - late_least_ms));
 
       at (now_ + delay, [this, n, call] {
-        auto reply = new_run_reply (0, now_, RUN_OK);
+        auto reply = new_run_reply (0, RUN_OK);
 
         if (reaches (workers[n]))
           execute_run (workers[n], *call, reply.get ());
       });
-      reply_run (host, life, new_run_reply (raw->id, sent, RUN_LOST),
-                 raw->timeout);
+      reply_run (host, life, new_run_reply (raw->id, RUN_LOST), raw->timeout);
       return;
     }
-  at (now_ + worker_delay (), [this, host, life, call, sent, n] {
-    auto reply = new_run_reply (call->id, sent, RUN_OK);
+  at (now_ + worker_delay (), [this, host, life, call, n] {
+    auto reply = new_run_reply (call->id, RUN_OK);
     WorldWorker &w = workers[n];
 
     if (!reaches (w))
@@ -838,7 +835,7 @@
     if (call->op == RUN_HOLD && reply->status == RUN_OK && call->wait &&
         w.ended.empty ())
       {
-        holds_.push_back ({ host, life, call->id, n, now_ + call->wait, sent });
+        holds_.push_back ({ host, life, call->id, n, now_ + call->wait });
         return;
       }
     if (call->op == RUN_HOLD && reply->status == RUN_OK)
@@ -939,13 +936,12 @@
 
       if (!reaches (w))
         {
-          reply_run (h.host, h.life, new_run_reply (h.id, h.sent, RUN_LOST),
-                     500);
+          reply_run (h.host, h.life, new_run_reply (h.id, RUN_LOST), 500);
           h.id = 0;
         }
       else if (!w.ended.empty () || now_ >= h.until)
         {
-          auto reply = new_run_reply (h.id, h.sent, RUN_OK);
+          auto reply = new_run_reply (h.id, RUN_OK);
 
           reply->clock = clock_of (w);
           reply->born = w.born;
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -190,7 +190,6 @@
     gint64 id;
     int worker;
     ClockMs until;
-    ClockMs sent;
   };
   struct Accepted
   {
