The search checks order, route, drain, gangs, guarantees and what callers are told

Found at once: a record that others delete or replace while its job is at work was freed under the scheduler (use after free); it is now kept until the job is over.

--- a/queue/book.c
+++ b/queue/book.c
@@ -115,6 +115,14 @@
 
   if (!item->deleted && !job)
     return;
+  if (e->work)
+    {
+      /* A job's record never changes while it is at work; whoever deleted or
+         replaced it does not take its tasks away from their scheduler. */
+      if (job)
+        rec_free (spec_job_desc (), job);
+      return;
+    }
   if (e->job)
     rec_free (spec_job_desc (), e->job);
   e->job = job;
--- a/tests/queue_path_test.cc
+++ b/tests/queue_path_test.cc
@@ -356,6 +356,21 @@
   expect_kept (w);
 }
 
+TEST (QueuePath, ARecordDeletedByOthersDoesNotEndItsJob)
+{
+  QueueWorld w (2, 4);
+
+  w.run (3000);
+  w.submit (0, { "q1/0000000000000212",
+                 world_body (world_step (4, 1000, 1), "ms=2000") });
+  w.run (1000);
+  w.forge_gone ("0000000000000212");
+  w.run (4000);
+  EXPECT_EQ (w.n_starts (), 4);
+  for (auto &worker : w.workers)
+    EXPECT_TRUE (worker.runs.empty ());
+}
+
 TEST (QueuePath, RecordsOfJobsThatWereOverLongAgoAreDeleted)
 {
   QueueWorld w (2, 2);
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -56,6 +56,12 @@
   return task.substr (0, task.find ('.'));
 }
 
+static std::string
+unit_of (const std::string &task, bool gang)
+{
+  return gang ? task.substr (0, task.rfind ('.')) : task;
+}
+
 static int
 word_of (const std::string &task, int n)
 {
@@ -205,6 +211,7 @@
 {
   workers[i].alive = true;
   workers[i].draining = false;
+  workers[i].drained = CLOCK_NEVER;
   workers[i].born = wall_ + now_;
   put_worker (i);
 }
@@ -213,6 +220,7 @@
 QueueWorld::drain_worker (int i)
 {
   workers[i].draining = true;
+  workers[i].drained = std::min (workers[i].drained, now_);
   put_worker (i);
 }
 
@@ -592,10 +600,17 @@
   w.runs.erase (it);
   w.tombs[task] = std::max (w.tombs[task], r.run);
   w.ended.push_back ({ ++w.ends_made, task, r.run, how, now_, false });
+  if (how == RUN_DONE)
+    done_units_.insert (unit_of (task, r.plan.gang > 0));
+  if (how == RUN_ALONE && is_calm () &&
+      jobs_[job_of (task)].cancelled == CLOCK_NEVER)
+    violation ("GANG " + task);
 }
 
 void
-QueueWorld::check_start (const WorldWorker &w, const WorldRun &r)
+QueueWorld::check_start (const WorldWorker &w,
+                         const WorldRun &r,
+                         const std::string &text)
 {
   auto job = jobs_.find (job_of (r.task));
   PoolRoom used = { 0, 0, 0 };
@@ -611,6 +626,14 @@
     violation ("UNASKED after cancel " + r.task);
   if (job->second.refusals == job->second.tries)
     violation ("REFUSED " + r.task);
+  if (job->second.spec)
+    {
+      check_order (r, *job->second.spec);
+      check_route (w, r, *job->second.spec);
+      if (text != (job->second.spec->text ? job->second.spec->text : ""))
+        violation ("UNASKED with another text " + r.task);
+    }
+  check_drain (w, r);
   for (const WorldWorker &o : workers)
     if (&o != &w && o.alive && o.runs.count (r.task))
       violation ("TWICE at once " + r.task + " on " + o.id + " and " + w.id);
@@ -626,9 +649,6 @@
   auto it = w.runs.find (call.task);
   auto tomb = w.tombs.find (call.task);
   WorldRun r;
-  SpecJob *spec;
-  Findings f;
-  GBytes *body;
 
   if (it != w.runs.end () && it->second.run == call.run)
     return;
@@ -650,24 +670,18 @@
   r.plan = parse_plan (call.text ? call.text : "");
   r.arrived = now_;
   r.slowness = w.slowness;
-  spec = (SpecJob *)rec_new (spec_job_desc ());
-  findings_init (&f);
-  const std::string &text = jobs_[job_of (call.task)].body;
-  body = g_bytes_new (text.data (), text.size ());
-  if (platform_codec.read_job (body, spec, &f))
+  auto job = jobs_.find (job_of (call.task));
+  if (job != jobs_.end () && job->second.spec)
     {
-      const SpecStep *step =
-          spec_job_step (spec, (guint)word_of (call.task, 2));
+      const SpecStep *step = spec_job_step (job->second.spec.get (),
+                                            (guint)word_of (call.task, 2));
 
       r.need = { step->cpu_milli, step->mem_mb, step->accelerators };
     }
-  g_bytes_unref (body);
-  findings_clear (&f);
-  rec_free (spec_job_desc (), spec);
   if (!r.plan.gang)
     r.began = now_;
   w.runs[call.task] = r;
-  check_start (w, r);
+  check_start (w, r, call.text ? call.text : "");
 }
 
 void
@@ -972,9 +986,11 @@
       if (a.status == 429 || a.status == 503 || a.status == 404 ||
           a.status == 401)
         j.refusals++;
-      if (a.status == 200)
-        j.at = std::min (j.at, now_);
+      if (a.status == 200 && j.at == CLOCK_NEVER)
+        on_accepted (j);
     }
+  if (states_.count (request))
+    check_state (states_[request], kept);
   if (cancels_.count (request) && a.status == 200)
     jobs_[cancels_[request]].cancelled =
         std::min (jobs_[cancels_[request]].cancelled, now_);
@@ -1049,10 +1065,10 @@
           what ();
         }
       now_ = next;
-      if (is_troubled ())
-        last_trouble_ = now_;
+      look_for_trouble ();
       tick_leases ();
       tick_workers ();
+      check_reclaim ();
       answer_watches ();
       for (size_t i = 0; i < hosts.size (); i++)
         if (hosts[i].node && node_next_deadline (hosts[i].node) <= now_)
@@ -1089,6 +1105,9 @@
   std::string id = job.id.substr (job.id.find ('/') + 1);
 
   j.body = job.body;
+  j.urgent = job.id[1] == '0';
+  j.own_workspace = token == "key";
+  read_spec (j);
   j.tries++;
   submits_[last_request_ + 1] = id;
   return ask (host, REQUEST_SUBMIT, "/" + job.id, token, job.body);
@@ -1097,6 +1116,7 @@
 int
 QueueWorld::state (int host, const std::string &id)
 {
+  states_[last_request_ + 1] = id;
   return ask (host, REQUEST_STATE, "/q1/" + id, "key", "");
 }
 
@@ -1153,12 +1173,6 @@
   return (int)started_.count (task);
 }
 
-static std::string
-unit_of (const std::string &task, bool gang)
-{
-  return gang ? task.substr (0, task.rfind ('.')) : task;
-}
-
 /* An end counts once it has been acknowledged, unless the worker's lease
    lapsed before. */
 void
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -61,6 +61,7 @@
   std::string rack;
   bool alive = true;
   bool draining = false;
+  ClockMs drained = CLOCK_NEVER; /* when it first said so */
   bool fails_all = false;
   bool hangs = false;
   double slowness = 1.0; /* its tasks take so many times as long */
@@ -132,6 +133,12 @@
                  const std::string &token,
                  const std::string &extra_route = "");
   void compact ();
+  void order (int worker,
+              const std::string &task,
+              const std::string &text = "ms=1000");
+  void forge_completed (const std::string &id);
+  void forge_gone (const std::string &id);
+  bool is_violated (const std::string &rule) const;
   int scheduler () const;
   int starts (const std::string &task) const;
   int
@@ -198,8 +205,14 @@
     std::string body;
     gint64 attempts = 4;
     std::string final_state;
-    int tries = 0;    /* to hand it in */
-    int refusals = 0; /* of them */
+    std::shared_ptr<SpecJob> spec; /* NULL when it can't be read */
+    bool guaranteed =
+        false;           /* urgent, and within its guarantee when accepted */
+    bool judged = false; /* whether that was kept */
+    bool urgent = false;
+    bool own_workspace = false; /* the first one's token was used */
+    int tries = 0;              /* to hand it in */
+    int refusals = 0;           /* of them */
   };
 
   void at (ClockMs when, std::function<void ()> what);
@@ -238,7 +251,9 @@
   void tick_leases ();
   gint64 clock_of (const WorldWorker &w) const;
   bool reaches (const WorldWorker &w) const;
-  void check_start (const WorldWorker &w, const WorldRun &r);
+  void check_start (const WorldWorker &w,
+                    const WorldRun &r,
+                    const std::string &text);
   void violation (const std::string &text);
   double chance ();
   ClockMs worker_delay ();
@@ -249,9 +264,22 @@
            const std::string &body);
 
   bool is_troubled () const;
+  bool is_calm () const;
+  void look_for_trouble ();
+  bool is_done (const SpecJob &spec, const std::string &id, int k, int step);
+  bool has_begun (const Accepted &job, const std::string &id) const;
+  gint64 urgent_demand () const;
+  void on_accepted (Accepted &job);
+  void read_spec (Accepted &job);
+  void check_order (const WorldRun &r, const SpecJob &spec);
+  void check_route (const WorldWorker &w, const WorldRun &r, const SpecJob &s);
+  void check_drain (const WorldWorker &w, const WorldRun &r);
+  void check_state (const std::string &id, const WorldAnswer &answer);
+  void check_reclaim ();
 
   ClockMs last_work_ = 0;    /* when the runs' work was counted last */
   ClockMs last_trouble_ = 0; /* of hosts, their ways or the store */
+  ClockMs last_worker_trouble_ = 0;
   ClockMs now_ = 1000;
   ClockMs wall_ = 1700000000000;
   GRand *rng_;
@@ -268,6 +296,8 @@
   std::map<int, WorldAnswer> answers_;
   std::map<int, std::string> submits_;
   std::map<int, std::string> cancels_;
+  std::map<int, std::string> states_;
+  std::set<std::string> done_units_; /* ended well, acknowledged or not */
   std::map<std::string, Accepted> jobs_;
   std::multimap<std::string, ClockMs> started_;
   /* Ends that have been acknowledged, by task, or by gang. */
