Lines about single tasks are left out before those about the scheduler

Ruled out: a larger budget (logs cost processor time). Change: lines have a rank; details may not use the last 60 KB of the budget.

--- a/queue/effects.c
+++ b/queue/effects.c
@@ -67,6 +67,19 @@
   va_end (args);
 }
 
+/* Asks for a line about a single task, of which there may be many. */
+void
+effects_log_detail (Effects *fx, const char *format, ...)
+{
+  Effect *e = add (fx, EFFECT_LOG);
+  va_list args;
+
+  va_start (args, format);
+  e->line = g_strdup_vprintf (format, args);
+  va_end (args);
+  e->detail = TRUE;
+}
+
 /* Asks for SPAN, in milliseconds, to be counted under MEASURE. */
 void
 effects_measure (Effects *fx, Measure measure, ClockMs span)
--- a/queue/effects.h
+++ b/queue/effects.h
@@ -53,6 +53,7 @@
   RunCall *run;
   Answer answer;
   char *line;      /* "event=... key=value ..." */
+  gboolean detail; /* of a single task: the line may be left out first */
   Measure measure; /* with EFFECT_MEASURE ... */
   ClockMs span;    /* ... and its value */
 } Effect;
@@ -70,6 +71,8 @@
 void effects_run (Effects *fx, RunCall *call);
 void effects_answer (Effects *fx, const Answer *answer);
 void effects_log (Effects *fx, const char *format, ...) G_GNUC_PRINTF (2, 3);
+void effects_log_detail (Effects *fx, const char *format, ...)
+    G_GNUC_PRINTF (2, 3);
 void effects_measure (Effects *fx, Measure measure, ClockMs span);
 Effect *effects_pop (Effects *fx);
 void effect_free (Effect *e);
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -134,9 +134,10 @@
 
   if (!task || task->part)
     {
-      effects_log (d->fx,
-                   "event=stray task=%s run=%" G_GINT64_FORMAT " worker=%s",
-                   row->task, row->run, w->entry->id);
+      effects_log_detail (d->fx,
+                          "event=stray task=%s run=%" G_GINT64_FORMAT
+                          " worker=%s",
+                          row->task, row->run, w->entry->id);
       runs_stop_stray (d, w, row->task, row->run);
       g_hash_table_insert (d->strays, g_strdup (row->task),
                            g_strdup (w->entry->id));
@@ -149,9 +150,10 @@
   part->started = d->now;
   part->moved = d->now;
   speed_note (part, d->now, row->percent);
-  effects_log (d->fx,
-               "event=adopted task=%s run=%" G_GINT64_FORMAT " worker=%s",
-               row->task, row->run, w->entry->id);
+  effects_log_detail (d->fx,
+                      "event=adopted task=%s run=%" G_GINT64_FORMAT
+                      " worker=%s",
+                      row->task, row->run, w->entry->id);
   if (task->done || spec_state_is_final (task->step->job->state) ||
       d->all_known)
     runs_stop (d, part, "not_wanted");
@@ -249,11 +251,11 @@
   if (e->number <= w->seen)
     return;
   w->seen = e->number;
-  effects_log (d->fx,
-               "event=end task=%s run=%" G_GINT64_FORMAT
-               " worker=%s how=%s known=%d stale=%d",
-               e->task, e->run, w->entry->id, run_end_name (e->how),
-               part != NULL, stale);
+  effects_log_detail (d->fx,
+                      "event=end task=%s run=%" G_GINT64_FORMAT
+                      " worker=%s how=%s known=%d stale=%d",
+                      e->task, e->run, w->entry->id, run_end_name (e->how),
+                      part != NULL, stale);
   if (part)
     runs_end (d, part, e->how, e->checkpoint);
   else if (task)
@@ -332,8 +334,8 @@
 {
   if (!speed_judge (w, d->now))
     return;
-  effects_log (d->fx, "event=worker_speed worker=%s slow=%d parts=%u",
-               w->entry->id, speed_is_slow (w, d->now), w->n_parts);
+  effects_log_detail (d->fx, "event=worker_speed worker=%s slow=%d parts=%u",
+                      w->entry->id, speed_is_slow (w, d->now), w->n_parts);
 }
 
 static void
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -158,12 +158,12 @@
       runs_end (d, part, RUN_STOPPED, NULL);
       return;
     }
-  effects_log (d->fx,
-               "event=stop job=%s step=%u.%u task=%u run=%" G_GINT64_FORMAT
-               " worker=%s reason=%s",
-               task->step->job->entry->id, task->step->occurrence,
-               task->step->number, task->index, part->run,
-               part->worker->entry->id, why);
+  effects_log_detail (
+      d->fx,
+      "event=stop job=%s step=%u.%u task=%u run=%" G_GINT64_FORMAT
+      " worker=%s reason=%s",
+      task->step->job->entry->id, task->step->occurrence, task->step->number,
+      task->index, part->run, part->worker->entry->id, why);
   part->state = PART_STOPPING;
   part->stop_acked = FALSE;
   send_stop (d, part);
--- a/src/lines.c
+++ b/src/lines.c
@@ -8,6 +8,7 @@
 {
   BYTES_PER_S = 40000,
   BURST_BYTES = 120000,
+  EVENT_BYTES = 60000, /* of these, only for events */
   MAX_BUFFER_BYTES = 64 << 10
 };
 
@@ -72,16 +73,24 @@
   l->told = l->dropped;
 }
 
+static gboolean
+has_room (const Lines *l, LineRank rank)
+{
+  if (rank == LINE_DETAIL)
+    return l->budget > EVENT_BYTES && l->buffer->len <= MAX_BUFFER_BYTES / 2;
+  return l->budget > 0 && l->buffer->len <= MAX_BUFFER_BYTES;
+}
+
 /* Adds a line of TEXT, pairs of key and value.  NOW is the host's clock,
    WALL Unix time. */
 void
-lines_add (Lines *l, ClockMs now, ClockMs wall, const char *text)
+lines_add (Lines *l, ClockMs now, ClockMs wall, LineRank rank, const char *text)
 {
   gsize before = l->buffer->len;
 
   if (now > l->at)
     refill (l, now);
-  if (l->budget <= 0 || l->buffer->len > MAX_BUFFER_BYTES)
+  if (!has_room (l, rank))
     {
       l->dropped++;
       return;
