wagtailpass why: a job's life from the logs of all hosts

Cause: the way from a job's id to its cause was a page of greps over merged logs; nothing checked that it leads there.

--- a/src/cli.h
+++ b/src/cli.h
@@ -44,6 +44,7 @@
   X (cli_hosts, "hosts", "", "the hosts and what is known of each")            \
   X (cli_explain, "explain", "ID", "why a job or a request waits or ended")    \
   X (cli_top, "top", "", "the state of the system, redrawn")                   \
+  X (cli_why, "why", "ID FILE...", "a job's life from the hosts' log files")   \
   X (cli_timeline, "timeline", "", "events of all hosts in causal order")      \
   X (cli_replay, "replay", "TRACE", "replay a recorded trace")
 
