--- a/tests/queue_path_test.cc
+++ b/tests/queue_path_test.cc
@@ -356,42 +356,48 @@
   expect_kept (w);
 }
 
-TEST (QueuePath, LongTasksAreLookedAtSeldomAndOutlastTheirScheduler)
+/* Four workers without trouble for long, all busy with tasks of minutes. */
+static std::unique_ptr<QueueWorld>
+world_of_long_tasks (const std::string &id)
 {
-  QueueWorld w (2, 4);
+  auto w = std::make_unique<QueueWorld> (2, 4);
   std::string steps = world_step (8, 1000, 4, ",\"estimateMs\":90000");
 
-  w.run (15000);
-  w.submit (0, { "q1/0000000000000213", world_body (steps, "ms=60000") });
-  w.run (4000);
-  int before = w.n_holds;
-  w.run (20000);
+  w->run (15000);
+  w->submit (0, { "q1/" + id, world_body (steps, "ms=60000") });
+  w->run (4000);
+  return w;
+}
+
+TEST (QueuePath, LongTasksAreLookedAtSeldomAndOutlastTheirScheduler)
+{
+  auto w = world_of_long_tasks ("0000000000000213");
+  int before = w->n_holds;
+
+  w->run (20000);
   /* Four workers, a look every four seconds. */
-  EXPECT_LE (w.n_holds - before, 24);
-  EXPECT_GE (w.n_holds - before, 16);
-  w.kill_host (w.scheduler ());
-  w.run (9000);
-  EXPECT_GE (w.scheduler (), 0);
-  EXPECT_EQ (w.n_starts (), 8);
-  w.run (31000);
-  EXPECT_EQ (w.state_of ("0000000000000213"), "completed");
-  EXPECT_EQ (w.n_starts (), 8);
-  expect_kept (w);
+  EXPECT_LE (w->n_holds - before, 24);
+  EXPECT_GE (w->n_holds - before, 16);
+  w->kill_host (w->scheduler ());
+  w->run (9000);
+  EXPECT_GE (w->scheduler (), 0);
+  EXPECT_EQ (w->n_starts (), 8);
+  w->run (31000);
+  EXPECT_EQ (w->state_of ("0000000000000213"), "completed");
+  EXPECT_EQ (w->n_starts (), 8);
+  expect_kept (*w);
 }
 
 TEST (QueuePath, ACancelIsNotDelayedByALongPause)
 {
-  QueueWorld w (2, 4);
-  std::string steps = world_step (8, 1000, 4, ",\"estimateMs\":90000");
+  auto w = world_of_long_tasks ("0000000000000214");
 
-  w.run (15000);
-  w.submit (0, { "q1/0000000000000214", world_body (steps, "ms=60000") });
-  w.run (6000);
-  w.cancel (1, "0000000000000214");
-  w.run (1000);
-  for (auto &worker : w.workers)
+  w->run (2000);
+  w->cancel (1, "0000000000000214");
+  w->run (1000);
+  for (auto &worker : w->workers)
     EXPECT_TRUE (worker.runs.empty ());
-  expect_kept (w);
+  expect_kept (*w);
 }
 
 TEST (QueuePath, ARecordDeletedByOthersDoesNotEndItsJob)
--- a/tests/queue_rules.cc
+++ b/tests/queue_rules.cc
@@ -14,22 +14,6 @@
 static const ClockMs kept_ms = 600000; /* records of jobs that are over */
 static const gint64 guaranteed = 16;   /* accelerators of the first workspace */
 
-static int
-word_of (const std::string &task, int n)
-{
-  size_t at = 0;
-
-  while (n--)
-    at = task.find ('.', at) + 1;
-  return atoi (task.c_str () + at);
-}
-
-static std::string
-job_of (const std::string &task)
-{
-  return task.substr (0, task.find ('.'));
-}
-
 static std::string
 step_of (const std::string &task)
 {
@@ -93,13 +77,13 @@
 void
 QueueWorld::check_order (const WorldRun &r, const SpecJob &spec)
 {
-  const SpecStep *step = spec_job_step (&spec, (guint)word_of (r.task, 2));
-  int k = word_of (r.task, 1);
+  const SpecStep *step = spec_job_step (&spec, (guint)world_word (r.task, 2));
+  int k = world_word (r.task, 1);
   ClockMs due = spec.first_run_ms + k * spec.interval_ms;
   ClockMs slack = early_ms;
 
   for (guint i = 0; i < step->after.n; i++)
-    if (!is_done (spec, job_of (r.task), k, (int)spec_step_after (step, i)))
+    if (!is_done (spec, world_job (r.task), k, (int)spec_step_after (step, i)))
       violation ("ORDER " + r.task);
   for (const WorldHost &h : hosts)
     if (h.wall_step)
@@ -113,7 +97,7 @@
                          const WorldRun &r,
                          const SpecJob &spec)
 {
-  const SpecStep *step = spec_job_step (&spec, (guint)word_of (r.task, 2));
+  const SpecStep *step = spec_job_step (&spec, (guint)world_word (r.task, 2));
   std::string label = step->label ? step->label : "";
   int n = 0;
 
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -50,8 +50,8 @@
   return p;
 }
 
-static std::string
-job_of (const std::string &task)
+std::string
+world_job (const std::string &task)
 {
   return task.substr (0, task.find ('.'));
 }
@@ -62,8 +62,8 @@
   return gang ? task.substr (0, task.rfind ('.')) : task;
 }
 
-static int
-word_of (const std::string &task, int n)
+int
+world_word (const std::string &task, int n)
 {
   size_t at = 0;
 
@@ -603,7 +603,7 @@
   if (how == RUN_DONE)
     done_units_.insert (unit_of (task, r.plan.gang > 0));
   if (how == RUN_ALONE && is_calm () &&
-      jobs_[job_of (task)].cancelled == CLOCK_NEVER)
+      jobs_[world_job (task)].cancelled == CLOCK_NEVER)
     violation ("GANG " + task);
 }
 
@@ -612,7 +612,7 @@
                          const WorldRun &r,
                          const std::string &text)
 {
-  auto job = jobs_.find (job_of (r.task));
+  auto job = jobs_.find (world_job (r.task));
   PoolRoom used = { 0, 0, 0 };
 
   started_.emplace (r.task, now_);
@@ -670,11 +670,11 @@
   r.plan = parse_plan (call.text ? call.text : "");
   r.arrived = now_;
   r.slowness = w.slowness;
-  auto job = jobs_.find (job_of (call.task));
+  auto job = jobs_.find (world_job (call.task));
   if (job != jobs_.end () && job->second.spec)
     {
       const SpecStep *step = spec_job_step (job->second.spec.get (),
-                                            (guint)word_of (call.task, 2));
+                                            (guint)world_word (call.task, 2));
 
       r.need = { step->cpu_milli, step->mem_mb, step->accelerators };
     }
@@ -1179,7 +1179,7 @@
 void
 QueueWorld::note_end (const WorldEnd &e)
 {
-  bool gang = parse_plan (jobs_[job_of (e.task)].body).gang > 0;
+  bool gang = parse_plan (jobs_[world_job (e.task)].body).gang > 0;
   std::string unit = unit_of (e.task, gang);
 
   if (e.lapsed)
@@ -1197,7 +1197,7 @@
 {
   for (auto &s : started_)
     {
-      bool gang = parse_plan (jobs_[job_of (s.first)].body).gang > 0;
+      bool gang = parse_plan (jobs_[world_job (s.first)].body).gang > 0;
       auto done = done_.find (unit_of (s.first, gang));
       int failed = 0;
 
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -306,6 +306,10 @@
   std::map<std::string, ClockMs> done_;
 };
 
+/* The job that TASK, a name, is of, and the N-th number in the name. */
+std::string world_job (const std::string &task);
+int world_word (const std::string &task, int n);
+
 std::string world_body (const std::string &steps,
                         const std::string &text = "ms=1000");
 std::string
