--- a/queue/assign.c
+++ b/queue/assign.c
@@ -9,8 +9,8 @@
 {
   CLAIM_MS = 1600,     /* room that does not become free by then is given up */
   RACK_WAIT_MS = 2500, /* for room near the data before running far from it */
-  URGENT_EVICT_AFTER_MS = 60,
-  SLOW_WAIT_MS = 900, /* the time that an eviction takes, twice */
+  URGENT_EVICT_AFTER_MS = 60, /* room may just be becoming free */
+  SLOW_WAIT_MS = 900,         /* the time that an eviction takes, twice */
   EVICT_AGAIN_MS = 300,
   EVICTIONS_PER_PASS = 3, /* bounds the time of a pass */
   COULD_MS = 1000
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -37,7 +37,7 @@
   d->save.values =
       g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   g_queue_init (&d->save.dirty);
-  d->former_lapse = now + term_overhang + holds_longest_lease (d) * 21 / 20;
+  d->former_lapse = holds_former_lapse (d);
   d->strays = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   roster_start (d, roster);
   g_hash_table_iter_init (&i, book_entries (book));
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -107,7 +107,7 @@
 gboolean holds_is_settled (const PoolWorker *w);
 ClockMs holds_clearing (const PoolWorker *w);
 ClockMs holds_lease (const Dispatch *d, const PoolWorker *w);
-ClockMs holds_longest_lease (const Dispatch *d);
+ClockMs holds_former_lapse (const Dispatch *d);
 
 /* save.c */
 void save_mark (Dispatch *d, WorkJob *job);
--- a/queue/evict.c
+++ b/queue/evict.c
@@ -18,6 +18,14 @@
    waits for it. */
 static const double urgent_cost = 10.0;
 
+/* How far a plan may go. */
+typedef enum PlanFlags
+{
+  PLAN_ANY = 0,
+  PLAN_QUICK = 1 << 0,  /* only onto workers that are not slow */
+  PLAN_RECLAIM = 1 << 1 /* urgent work beyond its guarantee is stopped, too */
+} PlanFlags;
+
 /* One way to make room for a step: what is stopped, and where its tasks
    go. */
 typedef struct Plan
@@ -25,7 +33,7 @@
   Dispatch *d;
   WorkStep *step;
   FitRequest rq;
-  gboolean reclaim;    /* urgent work beyond its guarantee is stopped, too */
+  PlanFlags flags;
   GHashTable *victims; /* of WorkStep for gangs, WorkPart for others */
   PoolWorker **chosen;
   guint n_chosen;
@@ -39,12 +47,12 @@
                                       : (gpointer)part;
 }
 
-/* Tells whether JOB, of PLAN's own priority, holds what is owed to the
-   plan's job. */
+/* Tells whether JOB holds room that is owed to P's job. */
 static gboolean
 has_borrowed (const Plan *p, const WorkJob *job)
 {
-  return p->reclaim && job->entry->job->priority == 0 && !job->guaranteed;
+  return (p->flags & PLAN_RECLAIM) && job->entry->job->priority == 0 &&
+         !job->guaranteed;
 }
 
 static gboolean
@@ -72,13 +80,11 @@
 static double
 victim_cost (const Dispatch *d, const WorkPart *part)
 {
-  double members =
-      part->task->step->spec->gang ? (double)part->task->step->n_parts : 1.0;
-
-  double weight = part->task->step->job->entry->job->priority ? 1 : urgent_cost;
+  const WorkStep *step = part->task->step;
+  double members = step->spec->gang ? (double)step->n_parts : 1.0;
+  double weight = step->job->entry->job->priority == 0 ? urgent_cost : 1.0;
 
-  return lost_ms (d, part) * spec_step_cores (part->task->step->spec) *
-         members * weight;
+  return lost_ms (d, part) * spec_step_cores (step->spec) * members * weight;
 }
 
 /* Returns how many tasks the plan places on W. */
@@ -219,11 +225,7 @@
 }
 
 static Plan *
-plan_new (Dispatch *d,
-          WorkStep *step,
-          const char *rack,
-          gboolean reclaim,
-          gboolean quick)
+plan_new (Dispatch *d, WorkStep *step, const char *rack, PlanFlags flags)
 {
   guint count = tasks_missing (step);
   Plan *p = g_new0 (Plan, 1);
@@ -231,9 +233,9 @@
 
   p->d = d;
   p->step = step;
-  p->reclaim = reclaim;
+  p->flags = flags;
   p->rq = assign_request (d, step, count);
-  p->rq.quick = quick;
+  p->rq.quick = (flags & PLAN_QUICK) != 0;
   p->victims = g_hash_table_new (NULL, NULL);
   p->chosen = g_new0 (PoolWorker *, count);
   for (i = 0; i < count; i++)
@@ -259,7 +261,7 @@
 
 /* Returns the cheapest plan over the racks, or NULL. */
 static Plan *
-best_over_racks (Dispatch *d, WorkStep *step, gboolean reclaim, gboolean quick)
+best_over_racks (Dispatch *d, WorkStep *step, PlanFlags flags)
 {
   const GPtrArray *order = d->pool.order;
   const char *last = NULL;
@@ -275,7 +277,7 @@
       if (i > 0 && g_strcmp0 (rack, last) == 0)
         continue;
       last = rack;
-      p = plan_new (d, step, rack, reclaim, quick);
+      p = plan_new (d, step, rack, flags);
       if (is_complete (p) && (!best || p->cost < best->cost))
         {
           Plan *worse = best;
@@ -339,14 +341,14 @@
 /* Returns the cheapest complete plan for STEP, or NULL.  A gang that is
    better off on one rack gets several where no one rack can be had. */
 static Plan *
-find_plan (Dispatch *d, WorkStep *step, gboolean reclaim, gboolean quick)
+find_plan (Dispatch *d, WorkStep *step, PlanFlags flags)
 {
   Plan *p = NULL;
 
   if (step->spec->gang && step->spec->same_rack)
-    p = best_over_racks (d, step, reclaim, quick);
+    p = best_over_racks (d, step, flags);
   if (!p)
-    p = plan_new (d, step, NULL, reclaim, quick);
+    p = plan_new (d, step, NULL, flags);
   if (is_complete (p))
     return p;
   plan_free (p);
@@ -363,20 +365,20 @@
 evict_for (Dispatch *d, WorkStep *step)
 {
   ClockMs age = d->now - step->job->accepted;
-  Plan *p = find_plan (d, step, FALSE, TRUE);
+  Plan *p = find_plan (d, step, PLAN_QUICK);
 
   if (!p)
-    p = find_plan (d, step, FALSE, FALSE);
+    p = find_plan (d, step, PLAN_ANY);
   if (!p && step->job->guaranteed && age > RECLAIM_AFTER_MS)
-    p = find_plan (d, step, TRUE, FALSE);
+    p = find_plan (d, step, PLAN_RECLAIM);
   if (!p)
     return FALSE;
   effects_log (d->fx,
                "event=evict job=%s step=%u.%u tasks=%u victims=%u cost=%.0f "
                "reclaim=%d age_ms=%" CLOCK_MS_FORMAT,
                step->job->entry->id, step->occurrence, step->number,
-               p->n_chosen, g_hash_table_size (p->victims), p->cost, p->reclaim,
-               age);
+               p->n_chosen, g_hash_table_size (p->victims), p->cost,
+               (p->flags & PLAN_RECLAIM) != 0, age);
   stop_victims (p);
   claim (p);
   plan_free (p);
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -1,6 +1,7 @@
 #include "dispatch_state.h"
 
 #include "speed.h"
+#include "term.h"
 
 #include <string.h>
 
@@ -32,17 +33,20 @@
 static const ClockMs quiet_pause = 3000;
 static const ClockMs quiet_task = 60000;
 
+/* The platform may execute an order that got no answer up to 12 s later,
+   perhaps in the worker's next life, whose ends a hold then acknowledges:
+   they must have been heard of by then. */
+static const ClockMs late_order = 13000;
+
+/* Workers' clocks may be 2% slow; one part in so many is allowed for. */
+static const ClockMs clock_slow_part = 20;
+
 static gboolean
 is_quiet_step (const SpecStep *spec)
 {
   return spec->estimate_ms >= quiet_task && !spec->perpetual;
 }
 
-/* A hold that got no answer may be executed so much later, perhaps by the
-   worker's next life, whose ends it then acknowledges: they must have been
-   heard of by then. */
-static const ClockMs late_order = 13000;
-
 static gboolean
 is_quiet (const Dispatch *d, const PoolWorker *w)
 {
@@ -75,10 +79,8 @@
   return FALSE;
 }
 
-/* Returns the longest lease that a scheduler of the jobs on record can have
-   given. */
-ClockMs
-holds_longest_lease (const Dispatch *d)
+static ClockMs
+longest_lease (const Dispatch *d)
 {
   GHashTableIter i;
   gpointer p;
@@ -94,6 +96,16 @@
   return lease;
 }
 
+/* Returns when the leases that a former scheduler of the jobs on record gave
+   have lapsed at the latest. */
+ClockMs
+holds_former_lapse (const Dispatch *d)
+{
+  ClockMs longest = longest_lease (d);
+
+  return d->started + term_overhang + longest + longest / clock_slow_part;
+}
+
 /* Tells whether what runs on W can be relied on. */
 gboolean
 holds_is_settled (const PoolWorker *w)
