--- a/tests/queue_rules.cc
+++ b/tests/queue_rules.cc
@@ -138,7 +138,7 @@
         violation ("MIXED " + id);
 }
 
-/* Returns how many accelerators the urgent jobs that have not ended need. */
+/* Returns how many accelerators the first workspace's urgent jobs need. */
 gint64
 QueueWorld::urgent_demand () const
 {
@@ -148,7 +148,8 @@
     {
       const Accepted &job = j.second;
 
-      if (!job.urgent || job.at == CLOCK_NEVER || !job.spec)
+      if (!job.urgent || !job.own_workspace || job.at == CLOCK_NEVER ||
+          !job.spec)
         continue;
       for (guint n = 0; n < job.spec->steps.n; n++)
         {
--- a/tests/queue_search_test.cc
+++ b/tests/queue_search_test.cc
@@ -19,12 +19,27 @@
 
 static const std::string short_estimate = "\"estimateMs\":1000";
 
+/* What a history has besides its faults. */
+struct HistoryOptions
+{
+  bool calls_overtake = false; /* calls to one worker pass each other */
+  bool long_estimates = false; /* leases are long, looks are seldom */
+  bool two_workspaces = false; /* the second one's guarantee is smaller */
+};
+
 class History
 {
 public:
-  explicit History (unsigned seed)
-      : world (N_HOSTS, N_WORKERS, seed), rng (g_rand_new_with_seed (seed))
+  History (unsigned seed, const HistoryOptions &o)
+      : world (N_HOSTS, N_WORKERS, seed), options (o),
+        rng (g_rand_new_with_seed (seed))
   {
+    world.calls_overtake = o.calls_overtake;
+    if (!o.two_workspaces)
+      return;
+    world.more_tenants = ",{\"name\":\"beta\",\"apiKeys\":[\"beta-key\"],"
+                         "\"guaranteed\":{\"gpu\":8}}";
+    world.put_conf (2, "key");
   }
   ~History ()
   {
@@ -52,7 +67,6 @@
   }
 
   QueueWorld world;
-  bool long_estimates = false; /* leases are long, looks are seldom */
 
 private:
   bool
@@ -74,6 +88,7 @@
     std::string kind = bodies[below (5)];
     std::string id = std::to_string (++n_jobs);
     std::string ms = "ms=" + std::to_string (300 + below (4000));
+    std::string token = "key";
     std::string body;
     int count = 1 + below (4);
     int host = below (N_HOSTS);
@@ -90,7 +105,7 @@
     else
       body = world_body (world_step (count, 16000, 1 + below (4)),
                          kind == "fail" ? ms + " fail" : ms);
-    if (long_estimates)
+    if (options.long_estimates)
       for (size_t at = body.find (short_estimate); at != std::string::npos;
            at = body.find (short_estimate, at))
         body.replace (at, short_estimate.size (), "\"estimateMs\":60000");
@@ -99,9 +114,12 @@
                           std::to_string (world.wall () + 500) +
                           ",\"intervalMs\":1500,");
     ids.push_back (id);
-    world.submit (host, { "q" + std::to_string (below (3)) + "/" + id, body });
+    if (options.two_workspaces && chance (0.6))
+      token = "beta-key";
+    world.submit (host, { "q" + std::to_string (below (3)) + "/" + id, body },
+                  token);
     if (chance (0.2))
-      world.submit (below (N_HOSTS), { "q1/" + id, body });
+      world.submit (below (N_HOSTS), { "q1/" + id, body }, token);
   }
 
   void
@@ -200,23 +218,19 @@
       }
   }
 
+  HistoryOptions options;
   GRand *rng;
   int n_jobs = 0;
   std::vector<std::string> ids;
 };
 
 static void
-search (unsigned from,
-        unsigned to,
-        bool calls_overtake = false,
-        bool long_estimates = false)
+search (unsigned from, unsigned to, const HistoryOptions &options = {})
 {
   for (unsigned seed = from; seed < to; seed++)
     {
-      History h (seed);
+      History h (seed, options);
 
-      h.world.calls_overtake = calls_overtake;
-      h.long_estimates = long_estimates;
       h.play ();
       h.world.expect_all_final ();
       h.world.check_noted ();
@@ -234,35 +248,40 @@
     }
 }
 
-TEST (QueueSearch, WhatMustHoldHoldsOverSeededFaults)
+/* Searches the seeds that the environment names, or the first 60. */
+static void
+search_named (const HistoryOptions &options = {})
 {
   const char *from = getenv ("QUEUE_SEARCH_FROM");
   const char *n = getenv ("QUEUE_SEARCH_N");
   unsigned first = from ? (unsigned)atoi (from) : 1;
 
-  search (first, first + (n ? (unsigned)atoi (n) : 60));
+  search (first, first + (n ? (unsigned)atoi (n) : 60), options);
+}
+
+TEST (QueueSearch, WhatMustHoldHoldsOverSeededFaults)
+{
+  search_named ();
 }
 
 /* A start that was answered before a hold left may still be carried out
    after it within one millisecond of the host's clock. */
 TEST (QueueSearch, WhatMustHoldHoldsWhileCallsOvertakeEachOther)
 {
-  const char *from = getenv ("QUEUE_SEARCH_FROM");
-  const char *n = getenv ("QUEUE_SEARCH_N");
-  unsigned first = from ? (unsigned)atoi (from) : 1;
-
-  search (first, first + (n ? (unsigned)atoi (n) : 60), true);
+  search_named ({ .calls_overtake = true });
 }
 
 /* Workers of long tasks hold longer leases and are looked at less often; here
    the tasks end, and their workers fail, all the same. */
 TEST (QueueSearch, WhatMustHoldHoldsUnderLongLeases)
 {
-  const char *from = getenv ("QUEUE_SEARCH_FROM");
-  const char *n = getenv ("QUEUE_SEARCH_N");
-  unsigned first = from ? (unsigned)atoi (from) : 1;
+  search_named ({ .calls_overtake = true, .long_estimates = true });
+}
 
-  search (first, first + (n ? (unsigned)atoi (n) : 60), true, true);
+/* What one workspace is guaranteed it gets whatever the other borrows. */
+TEST (QueueSearch, WhatMustHoldHoldsForTwoWorkspaces)
+{
+  search_named ({ .calls_overtake = true, .two_workspaces = true });
 }
 
 /* Each of these failed once; the cause stands beside it. */
@@ -281,6 +300,8 @@
 
   for (unsigned seed : seeds)
     search (seed, seed + 1);
-  search (8, 9, true);           /* a hold overtook the start before it */
-  search (169, 170, true, true); /* a former life's acknowledgement was late */
+  /* A hold overtook the start before it. */
+  search (8, 9, { .calls_overtake = true });
+  /* A former life's acknowledgement was late. */
+  search (169, 170, { .calls_overtake = true, .long_estimates = true });
 }
