--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -310,6 +310,12 @@
 std::string world_job (const std::string &task);
 int world_word (const std::string &task, int n);
 
+/* What TEXT has a task do. */
+TaskPlan world_plan (const std::string &text);
+
+/* The task, or the gang that it is of. */
+std::string world_unit (const std::string &task, bool gang);
+
 std::string world_body (const std::string &steps,
                         const std::string &text = "ms=1000");
 std::string
--- /dev/null
+++ b/tests/queue_world_store.cc
@@ -0,0 +1,329 @@
+#include "queue_world.h"
+
+/* The world's store. */
+
+static const ClockMs store_ms = 2;
+static const ClockMs watch_timeout_ms = 600; /* beyond its wait */
+static const ClockMs late_least_ms = 2000;
+
+void
+QueueWorld::write (const std::string &key,
+                   const std::string &value,
+                   gint64 lease)
+{
+  revision_++;
+  items_[key] = { value, revision_, lease };
+  history_.push_back ({ revision_, key, false, value });
+}
+
+void
+QueueWorld::erase (const std::string &key)
+{
+  if (!items_.erase (key))
+    return;
+  revision_++;
+  history_.push_back ({ revision_, key, true, "" });
+}
+
+void
+QueueWorld::compact ()
+{
+  history_.clear ();
+  compacted_ = revision_;
+}
+
+static KvItem *
+to_item (const std::string &key, const std::string &value, gint64 revision)
+{
+  GBytes *bytes = g_bytes_new (value.data (), value.size ());
+  KvItem *item = kv_item_new (key.c_str (), bytes, revision);
+
+  g_bytes_unref (bytes);
+  return item;
+}
+
+void
+QueueWorld::store_txn (const KvCall *call, KvReply *reply)
+{
+  bool ok = true;
+
+  for (guint i = 0; i < call->conds->len; i++)
+    {
+      const KvCond &c = g_array_index (call->conds, KvCond, i);
+      auto it = items_.find (c.key);
+      gint64 revision = it == items_.end () ? 0 : it->second.revision;
+
+      ok = ok && revision == c.revision;
+      if (it == items_.end ())
+        g_ptr_array_add (reply->items, kv_item_new (c.key, nullptr, 0));
+      else
+        g_ptr_array_add (reply->items,
+                         to_item (c.key, it->second.value, revision));
+    }
+  if (call->conds->len + call->writes->len > 32)
+    violation ("a transaction of more than 32 entries");
+  reply->status = ok ? KV_OK : KV_CONFLICT;
+  if (!ok)
+    return;
+  g_ptr_array_set_size (reply->items, 0);
+  for (guint i = 0; i < call->writes->len; i++)
+    {
+      const KvWrite &w = g_array_index (call->writes, KvWrite, i);
+
+      if (w.lease && !leases_.count (w.lease))
+        {
+          reply->status = KV_MISSING;
+          return;
+        }
+    }
+  revision_++;
+  for (guint i = 0; i < call->writes->len; i++)
+    {
+      const KvWrite &w = g_array_index (call->writes, KvWrite, i);
+      gsize n;
+
+      if (!w.value)
+        {
+          if (items_.erase (w.key))
+            history_.push_back ({ revision_, w.key, true, "" });
+          continue;
+        }
+      const char *data = (const char *)g_bytes_get_data (w.value, &n);
+      std::string value (data, n);
+
+      items_[w.key] = { value, revision_, w.lease };
+      history_.push_back ({ revision_, w.key, false, value });
+    }
+  reply->revision = revision_;
+}
+
+void
+QueueWorld::store_execute (const KvCall *call, KvReply *reply)
+{
+  switch (call->op)
+    {
+    case KV_GET:
+      {
+        auto it = items_.find (call->key);
+
+        reply->status = it == items_.end () ? KV_MISSING : KV_OK;
+        if (it != items_.end ())
+          g_ptr_array_add (reply->items, to_item (call->key, it->second.value,
+                                                  it->second.revision));
+        break;
+      }
+    case KV_RANGE:
+      for (auto it = items_.lower_bound (call->key);
+           it != items_.end () && it->first.rfind (call->key, 0) == 0; ++it)
+        {
+          if (call->after_key && it->first <= call->after_key)
+            continue;
+          if (reply->items->len == 20)
+            {
+              reply->more = TRUE;
+              break;
+            }
+          g_ptr_array_add (reply->items, to_item (it->first, it->second.value,
+                                                  it->second.revision));
+        }
+      reply->revision = revision_;
+      break;
+    case KV_TXN:
+      store_txn (call, reply);
+      break;
+    case KV_LEASE:
+      reply->lease = ++last_lease_;
+      reply->ttl = call->ttl;
+      leases_[reply->lease] = { call->ttl, now_ + call->ttl };
+      break;
+    case KV_KEEP:
+      if (leases_.count (call->lease))
+        leases_[call->lease].until = now_ + leases_[call->lease].ttl;
+      else
+        reply->status = KV_MISSING;
+      break;
+    case KV_END:
+      if (leases_.count (call->lease))
+        leases_[call->lease].until = now_;
+      break;
+    case KV_WATCH:
+      break;
+    }
+}
+
+void
+QueueWorld::reply_kv (int host,
+                      int life,
+                      gint64 id,
+                      std::shared_ptr<KvReply> reply,
+                      ClockMs delay)
+{
+  reply->id = id;
+  deliver (host, life, delay,
+           [reply] (Node *n) { node_on_kv_reply (n, reply.get ()); });
+}
+
+static void
+free_kv_reply (KvReply *reply)
+{
+  kv_reply_clear (reply);
+  delete reply;
+}
+
+static std::shared_ptr<KvReply>
+new_reply (ClockMs sent, KvStatus status = KV_OK)
+{
+  KvReply *reply = new KvReply {};
+
+  reply->status = status;
+  reply->items = g_ptr_array_new_with_free_func (kv_item_free);
+  reply->sent = sent;
+  return std::shared_ptr<KvReply> (reply, free_kv_reply);
+}
+
+static std::shared_ptr<KvCall>
+copy_call (const KvCall *call)
+{
+  KvCall *c = kv_call_new (call->op, call->key);
+
+  c->id = call->id;
+  c->timeout = call->timeout;
+  c->after_key = g_strdup (call->after_key);
+  c->after = call->after;
+  c->wait = call->wait;
+  c->lease = call->lease;
+  c->ttl = call->ttl;
+  for (guint i = 0; i < call->conds->len; i++)
+    {
+      const KvCond &k = g_array_index (call->conds, KvCond, i);
+
+      kv_call_cond (c, k.key, k.revision);
+    }
+  for (guint i = 0; i < call->writes->len; i++)
+    {
+      const KvWrite &w = g_array_index (call->writes, KvWrite, i);
+
+      kv_call_write (c, w.key, w.value, w.lease);
+    }
+  return std::shared_ptr<KvCall> (c, kv_call_free);
+}
+
+void
+QueueWorld::store_call (int host, const KvCall *raw)
+{
+  int life = hosts[host].life;
+  gint64 id = raw->id;
+  ClockMs sent = now_;
+  ClockMs timeout = raw->timeout;
+  auto call = copy_call (raw);
+  bool writes = raw->op == KV_TXN;
+
+  if (now_ < store_down_until)
+    {
+      reply_kv (host, life, id, new_reply (sent, KV_LOST), timeout);
+      return;
+    }
+  if (now_ < hosts[host].store_cut_until)
+    {
+      reply_kv (host, life, id, new_reply (sent, KV_REFUSED), store_ms);
+      return;
+    }
+  if (writes && chance () < store_late_share)
+    {
+      at (now_ + late_least_ms, [this, call] {
+        auto reply = new_reply (now_);
+
+        store_execute (call.get (), reply.get ());
+        answer_watches ();
+      });
+      reply_kv (host, life, id, new_reply (sent, KV_LOST), timeout);
+      return;
+    }
+  at (now_ + store_ms, [this, call, host, life, id, sent, timeout, writes] {
+    if (call->op == KV_WATCH)
+      {
+        watches_.push_back ({ host, life, id, call->key, call->after,
+                              now_ + call->wait, sent, false });
+        answer_watches ();
+        return;
+      }
+    auto reply = new_reply (sent);
+
+    store_execute (call.get (), reply.get ());
+    answer_watches ();
+    if (writes && chance () < store_lost_share)
+      {
+        reply_kv (host, life, id, new_reply (sent, KV_LOST), timeout);
+        return;
+      }
+    reply_kv (host, life, id, reply, store_ms);
+  });
+}
+
+bool
+QueueWorld::fill_watch (const Watch &w, KvReply *reply)
+{
+  if (w.after < compacted_)
+    {
+      reply->status = KV_COMPACTED;
+      return true;
+    }
+  for (const Change &c : history_)
+    if (c.revision > w.after && c.key.rfind (w.prefix, 0) == 0)
+      {
+        if (c.deleted)
+          g_ptr_array_add (reply->items,
+                           kv_item_new (c.key.c_str (), nullptr, c.revision));
+        else
+          g_ptr_array_add (reply->items, to_item (c.key, c.value, c.revision));
+      }
+  reply->revision = revision_;
+  return reply->items->len > 0 || now_ >= w.until;
+}
+
+void
+QueueWorld::answer_watches ()
+{
+  for (Watch &w : watches_)
+    {
+      auto reply = new_reply (w.sent);
+
+      if (now_ < store_down_until)
+        {
+          if (now_ < w.until + watch_timeout_ms)
+            continue;
+          w.done = true;
+          reply->status = KV_LOST;
+          reply_kv (w.host, w.life, w.id, reply, 0);
+        }
+      else if (fill_watch (w, reply.get ()))
+        {
+          w.done = true;
+          reply_kv (w.host, w.life, w.id, reply, store_ms);
+        }
+    }
+  std::erase_if (watches_, [] (const Watch &w) { return w.done; });
+}
+
+void
+QueueWorld::tick_leases ()
+{
+  std::vector<gint64> over;
+
+  if (now_ < store_down_until)
+    return;
+  for (auto &l : leases_)
+    if (l.second.until <= now_)
+      over.push_back (l.first);
+  for (gint64 lease : over)
+    {
+      std::vector<std::string> keys;
+
+      leases_.erase (lease);
+      for (auto &i : items_)
+        if (i.second.lease == lease)
+          keys.push_back (i.first);
+      for (auto &k : keys)
+        erase (k);
+    }
+}
