Reading a record out of a stored value stands once

Change: spec_read serves both; the book still counts what it can't read, the roster still logs it. Behaviour unchanged.

--- a/queue/book.c
+++ b/queue/book.c
@@ -86,23 +86,14 @@
   return e;
 }
 
-/* Returns the record of kind D in VALUE, or NULL when it can't be read. */
+/* Like spec_read, and counts what can't be read. */
 static void *
 read_record (Book *b, const RecDesc *d, GBytes *value)
 {
-  void *rec = rec_new (d);
-  Findings findings;
-  gsize n;
-  gconstpointer data = g_bytes_get_data (value, &n);
+  void *rec = spec_read (d, value);
 
-  findings_init (&findings);
-  if (!rec_unpack (d, rec, data, n, &findings))
-    {
-      b->unreadable++;
-      rec_free (d, rec);
-      rec = NULL;
-    }
-  findings_clear (&findings);
+  if (!rec)
+    b->unreadable++;
   return rec;
 }
 
--- a/queue/roster.c
+++ b/queue/roster.c
@@ -41,24 +41,6 @@
   return TRUE;
 }
 
-static Roster *
-read_shard (const KvItem *item)
-{
-  Roster *roster = rec_new (roster_desc ());
-  Findings findings;
-  gsize n;
-  gconstpointer data = g_bytes_get_data (item->value, &n);
-
-  findings_init (&findings);
-  if (!rec_unpack (roster_desc (), roster, data, n, &findings))
-    {
-      rec_free (roster_desc (), roster);
-      roster = NULL;
-    }
-  findings_clear (&findings);
-  return roster;
-}
-
 /* Takes over ITEM, from under roster_prefix, into R.  Returns FALSE when it
    can't be read. */
 gboolean
@@ -72,7 +54,7 @@
   s = &r->shards[shard];
   if (s->workers)
     rec_free (roster_desc (), s->workers);
-  s->workers = item->deleted ? NULL : read_shard (item);
+  s->workers = item->deleted ? NULL : spec_read (roster_desc (), item->value);
   s->revision = item->deleted ? 0 : item->revision;
   return item->deleted || s->workers;
 }
--- a/queue/spec.c
+++ b/queue/spec.c
@@ -124,3 +124,23 @@
   return spec_step_cores (step) * (double)step->estimate_ms *
          (double)step->count;
 }
+
+/* Returns the record of kind D that VALUE holds, or NULL when it can't be
+   read; the caller frees it. */
+void *
+spec_read (const RecDesc *d, GBytes *value)
+{
+  void *rec = rec_new (d);
+  Findings findings;
+  gsize n;
+  gconstpointer data = g_bytes_get_data (value, &n);
+
+  findings_init (&findings);
+  if (!rec_unpack (d, rec, data, n, &findings))
+    {
+      rec_free (d, rec);
+      rec = NULL;
+    }
+  findings_clear (&findings);
+  return rec;
+}
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -108,6 +108,7 @@
   LIST (workers, 0, SPEC_MAX_TASKS, roster_worker)
 REC_DECLARE (Roster, roster, ROSTER_FIELDS)
 
+void *spec_read (const RecDesc *d, GBytes *value);
 gboolean spec_state_is_final (JobState state);
 const char *spec_state_name (JobState state);
 const SpecStep *spec_job_step (const SpecJob *job, guint step);
