Logs tell why a run was taken for over

What operators saw: of a task that ran twice, the logs name neither the moment nor the reason at which the scheduler took the first run for over; event=worker_void does not name the job.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -542,9 +542,11 @@
     {
       placement = g_ptr_array_index (gone, i);
       if (placement->state == PLACEMENT_RUNNING)
-        effects_log (d->fx, "event=run_vanished job=%s task=%u worker=%s",
+        effects_log (d->fx,
+                     "event=run_vanished job=%s task=%u run=%" G_GINT64_FORMAT
+                     " worker=%s",
                      placement->task->step->job->entry->id,
-                     placement->task->index, w->entry->id);
+                     placement->task->index, placement->run, w->entry->id);
       runs_end (d, placement, RUN_STOPPED, NULL);
     }
   g_ptr_array_unref (gone);
@@ -659,8 +661,9 @@
                                (ClockMs)(w->lease_expired ? RETRY_LAPSED_MS
                                                           : RETRY_MAX_MS));
   if (w->polls_unanswered == 1)
-    effects_log (d->fx, "event=worker_silent worker=%s status=%s", w->entry->id,
-                 run_status_name (reply->status));
+    effects_log (d->fx, "event=worker_silent worker=%s status=%s error=\"%s\"",
+                 w->entry->id, run_status_name (reply->status),
+                 reply->error ? reply->error : "");
 }
 
 /* Handles REPLY if it answers W's hold in flight. */
--- a/queue/run_call.h
+++ b/queue/run_call.h
@@ -86,6 +86,7 @@
   /* The worker closed the connection that was made for this call; it may have
      reached the limit of its connections. */
   gboolean refused;
+  const char *error; /* why no answer came, a static text for logs, or NULL */
   gsize link_bytes; /* size of the reply on the host's network link */
 } RunReply;
 
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -497,6 +497,45 @@
   g_hash_table_foreach_remove (d->orphans, is_on_worker, w);
 }
 
+static const char *
+placement_state_name (PlacementState state)
+{
+  static const char *const names[] = {
+    [PLACEMENT_RESERVED] = "reserved",
+    [PLACEMENT_STARTING] = "starting",
+    [PLACEMENT_RUNNING] = "running",
+    [PLACEMENT_STOPPING] = "stopping",
+  };
+
+  return names[state];
+}
+
+/* Returns for how many milliseconds a run on W may go on without a renewal;
+   negative once its lease has surely expired. */
+static ClockMs
+lease_left (const Dispatch *d, const PoolWorker *w)
+{
+  return w->lease_expiry - d->now;
+}
+
+/* Logs that PLACEMENT is ended although W has not reported its end. */
+static void
+log_given_up (const Dispatch *d,
+              const WorkPlacement *placement,
+              const char *reason)
+{
+  const WorkStep *step = placement->task->step;
+
+  effects_log (
+      d->fx,
+      "event=run_given_up job=%s step=%u.%u task=%u run=%" G_GINT64_FORMAT
+      " worker=%s state=%s reason=%s lease_left_ms=%" CLOCK_MS_FORMAT,
+      step->job->entry->id, step->occurrence, step->number,
+      placement->task->index, placement->run, placement->worker->entry->id,
+      placement_state_name (placement->state), reason,
+      lease_left (d, placement->worker));
+}
+
 /* Ends all placements on W, because its process has ended or its lease has
    surely expired.  RESTARTED tells that W answers again under the same id:
    start orders in flight may still be executed there, so these placements are
@@ -511,13 +550,19 @@
 
   runs_forget_orphans (d, w);
   if (w->n_placements)
-    effects_log (d->fx, "event=worker_void worker=%s parts=%u reason=%s",
-                 w->entry->id, w->n_placements, reason);
+    effects_log (d->fx,
+                 "event=worker_void worker=%s parts=%u reason=%s draining=%d "
+                 "listed=%d lease_left_ms=%" CLOCK_MS_FORMAT,
+                 w->entry->id, w->n_placements, reason, w->entry->draining,
+                 w->registered, lease_left (d, w));
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     if (restarted && may_still_start (placement))
       stop_unconfirmed_start (d, placement);
   while ((placement = find_placement_to_end (w, restarted)))
-    runs_end (d, placement, RUN_LEASE_EXPIRED, NULL);
+    {
+      log_given_up (d, placement, reason);
+      runs_end (d, placement, RUN_LEASE_EXPIRED, NULL);
+    }
   w->lease_expired = TRUE;
 }
 
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -227,6 +227,15 @@
   return t->sendings ? FETCH_LOST : FETCH_UNSENT;
 }
 
+static const char *
+error_of (const Transfer *t, CURLcode code, long status)
+{
+  if (outcome_of (t, code, status) == FETCH_ANSWERED)
+    return NULL;
+  return code == CURLE_OK ? "answer without a length"
+                          : curl_easy_strerror (code);
+}
+
 /* Tells whether the connection that was made for T was closed by the peer. */
 static gboolean
 was_refused (const Transfer *t, CURLcode code)
@@ -265,6 +274,7 @@
   reply = (FetchReply) { .outcome = outcome_of (t, code, status),
                          .status = (int)status,
                          .refused = was_refused (t, code),
+                         .error = error_of (t, code, status),
                          .body = (const char *)t->answer->data,
                          .n = t->answer->len,
                          .received = count_traffic (t),
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -24,6 +24,7 @@
   /* The peer closed the connection that was made for this call before it
      answered. */
   gboolean refused;
+  const char *error; /* a static text; NULL with FETCH_ANSWERED */
 } FetchReply;
 
 typedef void (*FetchDone) (void *owner, gint64 tag, const FetchReply *reply);
