Three runs that start a task twice, each on one hypothesis

The simulated workers did not show this before: a worker that was cut off lost calls and never refused a connection, and its clock went on over a restart. Connections to it may now fail, and its clock begins anew, as the platform's page says.

--- /dev/null
+++ b/tests/queue_unreachable_test.cc
@@ -0,0 +1,87 @@
+#include "queue_world.h"
+
+#include <gtest/gtest.h>
+
+/* Workers that can't be reached, or restart unnoticed: what still runs there
+   is not started elsewhere. */
+
+static int
+worker_running (const QueueWorld &w, const std::string &task)
+{
+  for (size_t i = 0; i < w.workers.size (); i++)
+    if (w.workers[i].runs.count (task))
+      return (int)i;
+  return -1;
+}
+
+TEST (QueueUnreachable, DrainingWorkerThatRefusesConnectionsKeepsItsRuns)
+{
+  QueueWorld w (2, 3);
+  const std::string id = "0000000000000301";
+
+  w.run (3000);
+  w.submit (0, { "q1/" + id, world_body (world_step (2, 1000, 1), "ms=8000") });
+  w.run (1000);
+  int worker = worker_running (w, id + ".0.0.0");
+  ASSERT_GE (worker, 0);
+  w.drain_worker (worker);
+  w.run (150);
+  w.workers[worker].cut_refuses_connections = true;
+  w.workers[worker].unreachable_until = w.now () + 15000;
+  w.run (500);
+  w.drop_worker_entry (worker);
+  w.run (20000);
+  EXPECT_EQ (w.state_of (id), "completed");
+  w.expect_no_violations ();
+}
+
+/* Starts eight tasks on workers that have just restarted unnoticed.  The first
+   list of the new process may be older than the starts it answers after. */
+static void
+start_on_restarted_workers (unsigned seed)
+{
+  QueueWorld w (1, 2, seed);
+
+  w.reorder_calls = true;
+  w.run (3000);
+  for (int i = 0; i < 2; i++)
+    {
+      w.crash_worker (i, true);
+      w.restart_worker (i);
+    }
+  w.submit (0, { "q0/0000000000000302",
+                 world_body (world_step (8, 1000, 1), "ms=3000") });
+  w.run (8000);
+  EXPECT_EQ (w.state_of ("0000000000000302"), "completed");
+  w.expect_no_violations ();
+}
+
+TEST (QueueUnreachable, RunsStartedOverAnOlderListOfANewProcessAreKept)
+{
+  for (unsigned seed = 1; seed <= 300 && !HasFailure (); seed++)
+    {
+      SCOPED_TRACE (seed);
+      start_on_restarted_workers (seed);
+    }
+}
+
+TEST (QueueUnreachable, LeaseGrantedByTheClockOfAnEarlierProcessIsWaitedFor)
+{
+  QueueWorld w (1, 2);
+  const std::string id = "0000000000000303";
+
+  w.run (60000);
+  for (int i = 0; i < 2; i++)
+    {
+      w.crash_worker (i, true);
+      w.restart_worker (i);
+    }
+  w.run (500);
+  w.submit (0, { "q0/" + id, world_body (world_step (1, 1000, 1), "ms=9500") });
+  w.run (50);
+  int worker = worker_running (w, id + ".0.0.0");
+  ASSERT_GE (worker, 0);
+  w.workers[worker].unreachable_until = w.now () + 30000;
+  w.run (30000);
+  w.expect_no_violations ();
+}
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -216,6 +216,7 @@
 QueueWorld::restart_worker (int i)
 {
   workers[i].alive = true;
+  workers[i].started_at = now_;
   workers[i].draining = false;
   workers[i].drain_started_at = CLOCK_NEVER;
   workers[i].incarnation = wall_ + now_;
@@ -230,6 +231,13 @@
   put_worker (i);
 }
 
+/* Tells whether a worker has an entry in the store. */
+bool
+QueueWorld::has_worker_entry (int i) const
+{
+  return items_.count ("servers/" + workers[i].id) > 0;
+}
+
 /* Stops a worker and deletes its entry in the store. */
 void
 QueueWorld::remove_worker (int i)
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -83,11 +83,14 @@
   double progress_factor = 1.0;  /* reported / true progress */
   ClockMs reply_delay = 0;       /* added to the normal latency */
   ClockMs unreachable_until = 0; /* its network is cut off */
-  double late_call_rate = 0;     /* calls executed late, without a reply */
-  gint64 incarnation = 1;        /* after a restart: its time, Unix ms */
-  gint64 fence = 0;              /* highest seen */
-  double clock_rate = 1.0;       /* relative to virtual time */
-  gint64 lease_deadline = 0;     /* on its own clock; 0: none */
+  /* While it is cut off, connections to it fail instead of hanging. */
+  bool cut_refuses_connections = false;
+  double late_call_rate = 0; /* calls executed late, without a reply */
+  gint64 incarnation = 1;    /* after a restart: its time, Unix ms */
+  gint64 fence = 0;          /* highest seen */
+  double clock_rate = 1.0;   /* relative to virtual time */
+  ClockMs started_at = 0;    /* when its own clock read 0 */
+  gint64 lease_deadline = 0; /* on its own clock; 0: none */
   gint64 last_end_number = 0;
   std::map<std::string, WorldRun> runs;
   /* Highest run that was stopped or has ended, by task. */
@@ -164,6 +167,7 @@
   void remove_worker (int worker);
   void put_worker (int worker);
   void drop_worker_entry (int worker);
+  bool has_worker_entry (int worker) const;
   void put_conf (gint64 version,
                  const std::string &token,
                  const std::string &extra_route = "");
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -19,7 +19,7 @@
 gint64
 QueueWorld::worker_clock (const WorldWorker &w) const
 {
-  return (gint64)((double)now_ * w.clock_rate);
+  return (gint64)((double)(now_ - w.started_at) * w.clock_rate);
 }
 
 /* Whether W is running and its network isn't cut off. */
@@ -335,7 +335,8 @@
                raw->timeout);
   if (!is_reachable (w))
     {
-      bool refused = !w.alive && w.unreachable_until <= now_;
+      bool refused = (!w.alive && w.unreachable_until <= now_) ||
+                     w.cut_refuses_connections;
 
       reply_run (host, incarnation,
                  new_run_reply (raw->id, refused ? RUN_UNSENT : RUN_LOST),
