A worker that can't be reached keeps its runs until their lease ends

What callers saw: tasks ran on two workers at once.

Cause: the scheduler took a call that found no connection, to a worker that had announced that it drains and whose entry was gone, for proof that the process had ended, and started its tasks elsewhere. A connection also fails while the way is cut (refused, or timed out after 600 ms), while the listener is closed before the tasks end, and when the caller's own process stood still; and an entry is removed after 4.5 s of silence, before a lease of 5.5 s ends.

Why it works: only the lease's end, a list of the worker, or another process at its address end a run now. What it costs: tasks of a worker that leaves with work on it begin elsewhere up to 5.8 s later; they are stopped before it leaves where it can be reached.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -142,8 +142,7 @@
 }
 
 /* Tells whether it is certain which runs are active on W: W has listed them, or
-   all have ended because their lease expired or W's process left or was
-   replaced. */
+   all have ended because their lease expired or W's process was replaced. */
 gboolean
 holds_runs_are_known (const PoolWorker *w)
 {
@@ -652,11 +651,6 @@
 {
   w->polls_unanswered++;
   w->last_disruption = d->now;
-  if (reply->status == RUN_UNSENT && w->entry->draining && !w->registered)
-    {
-      /* The worker had announced that it drains; its process is gone. */
-      runs_end_all_on_worker (d, w, FALSE, "left");
-    }
   w->next_poll = d->now + MIN ((ClockMs)RETRY_MS * w->polls_unanswered,
                                (ClockMs)(w->lease_expired ? RETRY_LAPSED_MS
                                                           : RETRY_MAX_MS));
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -75,8 +75,8 @@
   gboolean registered; /* its entry is in the store */
   gboolean in_roster;  /* the roster in the store contains it */
   gboolean runs_known; /* it has listed its runs to this scheduler */
-  /* All runs on it have ended, because their lease expired or its process left
-     or was replaced. */
+  /* All runs on it have ended, because their lease expired or its process was
+     replaced.  That it can't be reached proves nothing. */
   gboolean lease_expired;
   gint64 incarnation;     /* the one that answered the last poll */
   PoolResources used;     /* by placements that may run, or are stopping */
