Runs started over an older list of a restarted worker are kept

What callers saw: tasks ran on two workers at once.

Cause: a list that came from a new process of a worker ended every placement there whose start had been answered. Calls to a worker run on several connections: the list may have been made before a start that the new process answered first. Its run went on, and the task was started elsewhere.

Why it works: a restart ends nothing by itself any more. The rule that holds for every list holds for the first one of a process too: what was answered before the list was asked for, and is not in it, is over; the rest waits for the next list. Starts that the new process may still execute are stopped, as before. Runs that the new process has begun go on, where they were ended, adopted and stopped before.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -121,10 +121,8 @@
                WorkPlacement *placement,
                RunEnd how,
                const char *checkpoint);
-void runs_end_all_on_worker (Dispatch *d,
-                             PoolWorker *w,
-                             gboolean restarted,
-                             const char *reason);
+void runs_end_all_on_worker (Dispatch *d, PoolWorker *w, const char *reason);
+void runs_on_restart (Dispatch *d, PoolWorker *w);
 void runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply);
 void runs_cancel_late_starts (Dispatch *d, PoolWorker *w);
 void
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -331,7 +331,7 @@
 holds_tick (Dispatch *d, PoolWorker *w)
 {
   if (w->polls_unanswered && d->now > w->lease_expiry && !w->lease_expired)
-    runs_end_all_on_worker (d, w, FALSE, "lapsed");
+    runs_end_all_on_worker (d, w, "lapsed");
   if (holds_evacuate_at (w) <= d->now)
     evacuate_worker (d, w);
   if (holds_next (d, w) <= d->now)
@@ -552,8 +552,7 @@
 }
 
 /* Handles the first reply of a worker process to this scheduler.  If another
-   process of W replied before, W has restarted, and none of its earlier runs is
-   active any more. */
+   process of W replied before, W has restarted. */
 static void
 detect_restart (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
@@ -561,8 +560,7 @@
     return;
   if (w->incarnation)
     {
-      runs_end_all_on_worker (d, w, TRUE, "new_life");
-      runs_cancel_late_starts (d, w);
+      runs_on_restart (d, w);
       w->lease_expiry = 0;
     }
   w->incarnation = reply->incarnation;
@@ -691,7 +689,7 @@
   else
     {
       if (reply->status == RUN_OTHER_INCARNATION)
-        runs_end_all_on_worker (d, w, FALSE, "other_life");
+        runs_end_all_on_worker (d, w, "other_life");
       on_failure (d, w, reply);
     }
 }
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -467,21 +467,6 @@
          (placement->state == PLACEMENT_STARTING && placement->call_id);
 }
 
-/* Returns a placement of W that is to be ended because W's lease or process has
-   ended, or NULL.  RESTARTED is as for runs_end_all_on_worker.
-   Ending one may free others, so the caller has to search again each time. */
-static WorkPlacement *
-find_placement_to_end (PoolWorker *w, gboolean restarted)
-{
-  WorkPlacement *placement;
-
-  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    if (!restarted || placement->state != PLACEMENT_STOPPING ||
-        placement->stop_acked)
-      return placement;
-  return NULL;
-}
-
 static gboolean
 is_on_worker (gpointer task, gpointer id, gpointer w)
 {
@@ -537,17 +522,10 @@
 }
 
 /* Ends all placements on W, because its process has ended or its lease has
-   surely expired.  RESTARTED tells that W answers again under the same id:
-   start orders in flight may still be executed there, so these placements are
-   stopped instead. */
+   surely expired.  REASON is for the logs. */
 void
-runs_end_all_on_worker (Dispatch *d,
-                        PoolWorker *w,
-                        gboolean restarted,
-                        const char *reason)
+runs_end_all_on_worker (Dispatch *d, PoolWorker *w, const char *reason)
 {
-  WorkPlacement *placement;
-
   runs_forget_orphans (d, w);
   if (w->n_placements)
     effects_log (d->fx,
@@ -555,17 +533,35 @@
                  "listed=%d lease_left_ms=%" CLOCK_MS_FORMAT,
                  w->entry->id, w->n_placements, reason, w->entry->draining,
                  w->registered, lease_left (d, w));
-  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    if (restarted && may_still_start (placement))
-      stop_unconfirmed_start (d, placement);
-  while ((placement = find_placement_to_end (w, restarted)))
+  /* Ending one may end others, of its gang. */
+  while (w->n_placements)
     {
+      WorkPlacement *placement = APR_RING_FIRST (&w->placements);
+
       log_given_up (d, placement, reason);
       runs_end (d, placement, RUN_LEASE_EXPIRED, NULL);
     }
   w->lease_expired = TRUE;
 }
 
+/* Handles that W's process was found to be a new one.  Stops the placements
+   whose start order the new process may still execute.  What else became of
+   the placements is told by its lists: each ends once a list that was asked
+   for after its last answered order does not show it. */
+void
+runs_on_restart (Dispatch *d, PoolWorker *w)
+{
+  WorkPlacement *placement;
+
+  if (w->n_placements)
+    effects_log (d->fx, "event=worker_restarted worker=%s parts=%u",
+                 w->entry->id, w->n_placements);
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    if (may_still_start (placement))
+      stop_unconfirmed_start (d, placement);
+  runs_cancel_late_starts (d, w);
+}
+
 /* Stops RUN of a task on W that has no placement in this scheduler.  W gets no
    new placements for EXCLUSION_MS. */
 void
@@ -801,7 +797,7 @@
     }
   if (reply->status == RUN_OTHER_INCARNATION && w)
     {
-      runs_end_all_on_worker (d, w, FALSE, "other_life");
+      runs_end_all_on_worker (d, w, "other_life");
       w->runs_known = FALSE;
       return;
     }
--- a/src/why.c
+++ b/src/why.c
@@ -138,13 +138,14 @@
     const char *event;
     LineKind kind;
   } kinds[] = {
-    { "role_taken", LINE_OF_ALL },       { "role_left", LINE_OF_ALL },
-    { "workers_known", LINE_OF_ALL },    { "deposed", LINE_OF_ALL },
-    { "save_failed", LINE_OF_ALL },      { "started", LINE_OF_HOST },
-    { "stopping", LINE_OF_HOST },        { "conf", LINE_OF_HOST },
-    { "worker_silent", LINE_OF_WORKER }, { "worker_back", LINE_OF_WORKER },
-    { "worker_void", LINE_OF_WORKER },   { "quarantine", LINE_OF_WORKER },
-    { "worker_speed", LINE_OF_WORKER },  { "lines_dropped", LINE_OF_LOG },
+    { "role_taken", LINE_OF_ALL },          { "role_left", LINE_OF_ALL },
+    { "workers_known", LINE_OF_ALL },       { "deposed", LINE_OF_ALL },
+    { "save_failed", LINE_OF_ALL },         { "started", LINE_OF_HOST },
+    { "stopping", LINE_OF_HOST },           { "conf", LINE_OF_HOST },
+    { "worker_silent", LINE_OF_WORKER },    { "worker_back", LINE_OF_WORKER },
+    { "worker_void", LINE_OF_WORKER },      { "quarantine", LINE_OF_WORKER },
+    { "worker_restarted", LINE_OF_WORKER }, { "worker_speed", LINE_OF_WORKER },
+    { "lines_dropped", LINE_OF_LOG },
   };
   guint i;
 
