A restarted worker's runs are waited for as long as its lease may last

What callers saw: tasks ran on two workers at once.

Cause: a call's deadline is on the clock of the worker's process. After an unnoticed restart calls still carry deadlines by the clock of the process before; the new clock begins anew, so they are far ahead, and the worker shortens them to the longest lease, 10 s. When the scheduler saw the restart it forgot what it had granted, set its own bound to 0, and then took the lease for over 5.8 s after its next call.

Why it works: from a restart on the bound is the longest lease that a worker takes, from the moment of its first list on, by a clock as slow as it may be.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -559,10 +559,7 @@
   if (!reply->incarnation || reply->incarnation == w->incarnation)
     return;
   if (w->incarnation)
-    {
-      runs_on_restart (d, w);
-      w->lease_expiry = 0;
-    }
+    runs_on_restart (d, w);
   w->incarnation = reply->incarnation;
   if (w->pace.incarnation != w->incarnation)
     w->pace = (PoolPace) { .incarnation = w->incarnation };
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -34,6 +34,18 @@
    arrive later. */
 static const ClockMs reply_delay_margin = 150;
 
+/* Workers limit a lease to this many milliseconds. */
+static const ClockMs max_lease = 10000;
+
+/* Returns the latest time by the scheduler's clock at which SPAN milliseconds
+   of W's clock, which began at FROM, are over. */
+static ClockMs
+latest_end (const PoolWorker *w, ClockMs from, ClockMs span)
+{
+  return from + span + span * max_clock_lag_permille / 1000 +
+         MAX (reply_delay_margin, rtt_bound (&w->rtt));
+}
+
 /* Returns the deadline of a lease of W that begins now, by W's clock.  Updates
    W's lease expiry, the latest time at which the lease ends by the scheduler's
    clock. */
@@ -41,11 +53,9 @@
 runs_lease_deadline (Dispatch *d, PoolWorker *w)
 {
   ClockMs span = d->now - w->worker_clock_at + holds_lease_duration (d, w);
-  ClockMs expiry =
-      w->worker_clock_at + span + span * max_clock_lag_permille / 1000;
 
-  w->lease_expiry = MAX (w->lease_expiry, expiry + MAX (reply_delay_margin,
-                                                        rtt_bound (&w->rtt)));
+  w->lease_expiry =
+      MAX (w->lease_expiry, latest_end (w, w->worker_clock_at, span));
   return w->worker_clock + span;
 }
 
@@ -547,7 +557,9 @@
 /* Handles that W's process was found to be a new one.  Stops the placements
    whose start order the new process may still execute.  What else became of
    the placements is told by its lists: each ends once a list that was asked
-   for after its last answered order does not show it. */
+   for after its last answered order does not show it.  Deadlines by the clock
+   of the process before mean nothing to the new one, whose clock began anew:
+   they may have granted it the longest lease. */
 void
 runs_on_restart (Dispatch *d, PoolWorker *w)
 {
@@ -560,6 +572,7 @@
     if (may_still_start (placement))
       stop_unconfirmed_start (d, placement);
   runs_cancel_late_starts (d, w);
+  w->lease_expiry = latest_end (w, d->now, max_lease);
 }
 
 /* Stops RUN of a task on W that has no placement in this scheduler.  W gets no
