A restarted worker is told to refuse late starts until it confirms

What callers saw: tasks started again after they had ended done.

Cause: after a restart of a worker the scheduler sent one stop for each start without an answer, so that the new process refuses it. A stop that was lost was not repeated, and the late start ran.

Why it works: the stops are repeated with each list of the worker, which is polled for that, until each is confirmed or the order can't be executed any more; another restart begins anew.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -125,6 +125,7 @@
 void runs_on_restart (Dispatch *d, PoolWorker *w);
 void runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply);
 void runs_cancel_late_starts (Dispatch *d, PoolWorker *w);
+void runs_refuse_late_starts (Dispatch *d, PoolWorker *w);
 void
 runs_stop_orphan (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
 void runs_forget_orphans (Dispatch *d, PoolWorker *w);
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -162,7 +162,7 @@
 needs_hold (const PoolWorker *w)
 {
   return !w->runs_known || w->n_placements > 0 || w->poll_immediately ||
-         w->ends_applied > w->ends_acked ||
+         w->ends_applied > w->ends_acked || pool_has_unwanted_late_start (w) ||
          (w->polls_unanswered && w->registered);
 }
 
@@ -644,6 +644,7 @@
   guint i;
 
   detect_restart (d, w, reply);
+  runs_refuse_late_starts (d, w);
   w->worker_clock = reply->worker_clock;
   w->worker_clock_at = d->now;
   w->polls_unanswered = 0;
--- a/queue/pool.c
+++ b/queue/pool.c
@@ -64,6 +64,31 @@
       late_start_free (start);
 }
 
+/* Records that W's present process refuses a late start of RUN of the task with
+   the name TASK. */
+void
+pool_late_start_refused (PoolWorker *w, const char *task, gint64 run)
+{
+  PoolLateStart *start;
+
+  APR_RING_FOREACH (start, &w->late_starts, PoolLateStart, link)
+    if (start->run == run && strcmp (start->task, task) == 0)
+      start->unwanted = FALSE;
+}
+
+/* Tells whether W, which has restarted, has not confirmed yet that it refuses
+   all of its late starts. */
+gboolean
+pool_has_unwanted_late_start (const PoolWorker *w)
+{
+  const PoolLateStart *start;
+
+  APR_RING_FOREACH (start, &w->late_starts, PoolLateStart, link)
+    if (start->unwanted)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 worker_free (gpointer p)
 {
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -44,7 +44,8 @@
   APR_RING_ENTRY (PoolLateStart) link;
   char *task; /* its name */
   gint64 run;
-  ClockMs expires; /* the order can't be executed after this */
+  ClockMs expires;   /* the order can't be executed after this */
+  gboolean unwanted; /* its worker has restarted and may not refuse it yet */
 } PoolLateStart;
 
 APR_RING_HEAD (PoolLateStartRing, PoolLateStart);
@@ -142,6 +143,8 @@
 void
 pool_add_late_start (PoolWorker *w, char *task, gint64 run, ClockMs expires);
 void pool_expire_late_starts (PoolWorker *w, ClockMs now);
+void pool_late_start_refused (PoolWorker *w, const char *task, gint64 run);
+gboolean pool_has_unwanted_late_start (const PoolWorker *w);
 PoolEntry *pool_entry_new (const char *id);
 void pool_entry_free (gpointer entry);
 gboolean pool_has_label (const PoolWorker *w, const char *label);
--- a/queue/run_call.h
+++ b/queue/run_call.h
@@ -87,7 +87,7 @@
      reached the limit of its connections. */
   gboolean refused;
   const char *error; /* why no answer came, a static text for logs, or NULL */
-  gsize link_bytes; /* size of the reply on the host's network link */
+  gsize link_bytes;  /* size of the reply on the host's network link */
 } RunReply;
 
 RunCall *run_call_new (RunOp op, const char *worker, const char *address);
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -411,16 +411,29 @@
                          placement->last_order_at + holds_late_order_window);
 }
 
-/* Sends stop orders for the late starts of W after its restart, so that the
-   new process, which has no record of their runs, refuses them. */
+/* Has W, which has restarted and has no record of its former process's runs,
+   refuse the late starts; see runs_refuse_late_starts. */
 void
 runs_cancel_late_starts (Dispatch *d, PoolWorker *w)
+{
+  PoolLateStart *late;
+
+  APR_RING_FOREACH (late, &w->late_starts, PoolLateStart, link)
+    late->unwanted = TRUE;
+  runs_refuse_late_starts (d, w);
+}
+
+/* Sends stop orders for the unwanted late starts of W.  Called until W has
+   confirmed each, as a stop may be lost too. */
+void
+runs_refuse_late_starts (Dispatch *d, PoolWorker *w)
 {
   const PoolLateStart *late;
 
   pool_expire_late_starts (w, d->now);
   APR_RING_FOREACH (late, &w->late_starts, PoolLateStart, link)
-    send_orphan_stop (d, w, late->task, late->run);
+    if (late->unwanted)
+      send_orphan_stop (d, w, late->task, late->run);
 }
 
 /* Frees PLACEMENT, whose run has ended, or never began, with the result HOW.
@@ -817,6 +830,8 @@
       w->runs_known = FALSE;
       return;
     }
+  if (!placement && w && o->op == RUN_STOP && reply->status == RUN_OK)
+    pool_late_start_refused (w, o->task, o->run);
   if (!placement)
     return;
   if (placement->call_id == reply->id)
