An answer is not noted under a time before it was made

Cause: the time of an answer was the time of the look at the sockets that the step began with. libcurl's timers make it read sockets later in the step. A process that lost its processor in between noted a worker's clock under too early a time, and took the worker's lease for over too early by as much; the margin is 150 ms and 3% of the span.

Evidence: Fetch.AnswerReadAfterAStallIsNotStampedEarlierThanItWasMade, on real sockets with the process standing still for 400 ms, before: noted 1415147, answered 1415297, three runs of three alike; after: three of three pass.

Why it works: the clock is read again when an answer has been read.

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -262,7 +262,9 @@
   return (gsize)header + t->answer->len;
 }
 
-/* Tells T's owner how it ended, and frees it. */
+/* Tells T's owner how it ended, and frees it.  Reads the clock anew: the answer
+   may have come after the look at the sockets that this step began with, and
+   what its owner notes of time must not be earlier than the answer. */
 static void
 end_transfer (Transfer *t, CURLcode code)
 {
@@ -271,6 +273,7 @@
 
   curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_multi_remove_handle (t->lane->multi, t->easy);
+  loop_read_clock (t->fetch->loop);
   reply = (FetchReply) { .outcome = outcome_of (t, code, status),
                          .status = (int)status,
                          .refused = was_refused (t, code),
--- /dev/null
+++ b/tests/fetch_test.cc
@@ -0,0 +1,124 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <time.h>
+#include <unistd.h>
+
+extern "C"
+{
+#include "fetch.h"
+}
+
+/* Calls over real sockets and the real clock. */
+
+static ClockMs
+clock_now ()
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  return t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
+/* Listens on a free port of loopback and returns the socket. */
+static int
+listen_on_loopback (int *port)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = {};
+  socklen_t n = sizeof address;
+
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  EXPECT_EQ (bind (fd, (sockaddr *)&address, sizeof address), 0);
+  EXPECT_EQ (listen (fd, 4), 0);
+  getsockname (fd, (sockaddr *)&address, &n);
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+/* Answers one request after DELAY milliseconds with the time of the answer. */
+static void
+serve_once (int listener, int delay)
+{
+  int fd = accept (listener, nullptr, nullptr);
+  char request[2000];
+
+  EXPECT_GT (read (fd, request, sizeof request), 0);
+  usleep (delay * 1000);
+  std::string body = std::to_string (clock_now ());
+  std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string (body.size ()) +
+      "\r\n\r\n" + body;
+  EXPECT_EQ (write (fd, answer.data (), answer.size ()),
+             (ssize_t)answer.size ());
+  close (fd);
+}
+
+struct Seen
+{
+  Loop *loop;
+  ClockMs answered_at = 0; /* by the server */
+  ClockMs noted_at = 0;    /* by the loop */
+};
+
+static void
+on_done (void *owner, gint64 tag, const FetchReply *reply)
+{
+  Seen *seen = (Seen *)owner;
+
+  (void)tag;
+  ASSERT_EQ (reply->outcome, FETCH_ANSWERED);
+  seen->answered_at = std::stoll (std::string (reply->body, reply->n));
+  seen->noted_at = loop_now (seen->loop);
+}
+
+/* Runs FETCH until SEEN has its answer, and lets the process stand still for
+   STALL milliseconds when libcurl's timer of a new connection is due. */
+static void
+run_with_stall (Loop *loop, Fetch *fetch, Seen *seen, int stall)
+{
+  ClockMs began = loop_now (loop);
+
+  while (!seen->noted_at && loop_now (loop) < began + 5000)
+    {
+      ClockMs wait = fetch_next_deadline (fetch) - loop_now (loop);
+
+      loop_poll (loop, CLAMP (wait, 0, 10));
+      if (loop_now (loop) > began + 100 &&
+          fetch_next_deadline (fetch) <= loop_now (loop))
+        usleep (stall * 1000);
+      fetch_run (fetch);
+    }
+}
+
+TEST (Fetch, AnswerReadAfterAStallIsNotStampedEarlierThanItWasMade)
+{
+  int port;
+  int listener = listen_on_loopback (&port);
+  std::thread server (serve_once, listener, 350);
+  Loop *loop = loop_new ();
+  Fetch *fetch = fetch_new (loop);
+  Seen seen = { loop };
+  FetchTraffic traffic = {};
+  std::string url = "http://127.0.0.1:" + std::to_string (port) + "/";
+  FetchCall call = {};
+
+  call.method = "GET";
+  call.url = url.c_str ();
+  call.timeout = 2000;
+  call.traffic = &traffic;
+  call.done = on_done;
+  call.owner = &seen;
+  fetch_start (fetch, &call);
+  run_with_stall (loop, fetch, &seen, 400);
+  server.join ();
+  close (listener);
+  EXPECT_GT (seen.answered_at, 0);
+  EXPECT_GE (seen.noted_at, seen.answered_at);
+  fetch_free (fetch);
+  loop_free (loop);
+}
