Ends beyond a full list are not taken for lost runs

Cause: a worker lists 500 ends at most at once. A run that had ended but whose end was not among these was neither running nor ended in the answer, and was taken for lost.

Why it works: an answer with 500 ends proves nothing of runs that it does not show; the rest comes once these are acknowledged.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -543,26 +543,33 @@
   return found;
 }
 
-/* Ends the placements whose start or stop W had confirmed before the hold was
-   sent, but that W does not list.  Calls are ordered by number rather than by
-   time, because many are sent and answered within a millisecond. */
+/* Tells whether REPLY shows that PLACEMENT's run is over: its worker had
+   confirmed the start or stop before the hold was sent, but does not list the
+   run.  Calls are ordered by number rather than by time, because many are sent
+   and answered within a millisecond. */
+static gboolean
+is_missing (const RunReply *reply, const WorkPlacement *placement)
+{
+  gboolean confirmed =
+      placement->state == PLACEMENT_RUNNING ||
+      (placement->state == PLACEMENT_STOPPING && placement->stop_acked);
+
+  return confirmed && placement->confirmed_call < reply->id &&
+         !is_listed (reply, placement);
+}
+
+/* Ends the placements on W that are missing in REPLY.  If there are more ends
+   than REPLY has, none is known to be missing. */
 static void
-end_unlisted_placements (Dispatch *d, PoolWorker *w, const RunReply *reply)
+end_missing_placements (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
   GPtrArray *gone = g_ptr_array_new ();
   WorkPlacement *placement;
   guint i;
 
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    {
-      gboolean answered =
-          placement->state == PLACEMENT_RUNNING ||
-          (placement->state == PLACEMENT_STOPPING && placement->stop_acked);
-
-      if (answered && placement->confirmed_call < reply->id &&
-          !is_listed (reply, placement))
-        g_ptr_array_add (gone, placement);
-    }
+    if (!reply->more_ended && is_missing (reply, placement))
+      g_ptr_array_add (gone, placement);
   for (i = 0; i < gone->len; i++)
     {
       placement = g_ptr_array_index (gone, i);
@@ -654,7 +661,7 @@
   runs_forget_orphans (d, w);
   for (i = 0; i < reply->running->len; i++)
     apply_run_row (d, w, &g_array_index (reply->running, RunActive, i));
-  end_unlisted_placements (d, w, reply);
+  end_missing_placements (d, w, reply);
   update_speed (d, w);
   log_pace (d, w);
   if (!w->runs_known || was_unresponsive)
--- a/queue/run_call.h
+++ b/queue/run_call.h
@@ -83,6 +83,7 @@
                           not given */
   GArray *running;     /* of RunActive; with RUN_POLL */
   GArray *ended;       /* of RunEnded; with RUN_POLL */
+  gboolean more_ended; /* there are more ends than ENDED has */
   /* The worker closed the connection that was made for this call; it may have
      reached the limit of its connections. */
   gboolean refused;
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -85,3 +85,20 @@
   w.run (30000);
   w.expect_no_violations ();
 }
+
+TEST (QueueUnreachable, EndsBeyondAFullListAreNotTakenForLostRuns)
+{
+  QueueWorld w (1, 1);
+  const std::string id = "0000000000000304";
+
+  w.workers[0].clock_rate = 1.0;
+  w.run (3000);
+  w.submit (0,
+            { "q1/" + id, world_body (world_step (600, 100, 0), "ms=1500") });
+  w.run (1200);
+  w.store_down_until = w.now () + 2500;
+  w.run (10000);
+  EXPECT_EQ (w.state_of (id), "completed");
+  EXPECT_EQ (w.n_starts (), 600);
+  w.expect_no_violations ();
+}
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -8,6 +8,8 @@
    RUN_GANG_INCOMPLETE. */
 static const ClockMs gang_wait_ms = 3000;
 static const ClockMs max_lease_ms = 10000;
+/* Ends that a worker lists at once. */
+static const guint max_ended_rows = 500;
 /* No task may start when this time has passed since its cancel was
    acknowledged and since the last fault of a host or the store. */
 static const ClockMs max_cancel_ms = 3000;
@@ -144,8 +146,11 @@
 
       g_array_append_val (reply->running, row);
     }
+  reply->more_ended = w.unacked_ends.size () >= max_ended_rows;
   for (auto &e : w.unacked_ends)
     {
+      if (reply->ended->len == max_ended_rows)
+        break;
       RunEnded ended = { e.number, g_strdup (e.task.c_str ()), e.run, e.how,
                          nullptr };
 
