A lease reckoned from an old reading of a worker's clock is not too long

Cause: a deadline is the worker's clock at its last list, plus the whole time since, plus the lease. A clock that is 2% slow has moved on by less: after 400 s without work a start grants the longest lease, 10 s. The scheduler itself counts that, but its successor takes 5.5 s for the longest.

Why it works: the time since the reading counts 3% less, so no lease is longer than meant, and an idle worker's clock is read once a minute, so that none is more than 1.8 s shorter; the hold that follows each start renews it.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -44,7 +44,10 @@
      poll.  If it sent more polls at once than it can process replies for within
      the time-out, the excess would time out. */
   MAX_FIRST_HOLDS = 200,
-  UNSAVED_DELAY_MS = 300 /* least time between holds while ends are unsaved */
+  UNSAVED_DELAY_MS = 300, /* least time between holds while ends are unsaved */
+  /* Between readings of an idle worker's clock.  A lease reckoned from an older
+     reading would be too short for a worker whose clock is right. */
+  CLOCK_READING_MS = 60000
 };
 
 static const double full_percent = 100.0;
@@ -149,6 +152,14 @@
   return w->runs_known || w->lease_expired;
 }
 
+/* Returns when W needs a hold though nothing runs there: what its next lease is
+   reckoned from must not get too old. */
+static ClockMs
+next_clock_reading (const PoolWorker *w)
+{
+  return w->registered ? w->worker_clock_at + CLOCK_READING_MS : CLOCK_NEVER;
+}
+
 static gboolean
 has_unsaved_ends (const Dispatch *d, const PoolWorker *w)
 {
@@ -178,9 +189,10 @@
 ClockMs
 holds_next (const Dispatch *d, const PoolWorker *w)
 {
-  if (w->poll_id || w->first_poll_queued || !needs_hold (w) ||
-      !call_limit_allows (&w->calls))
+  if (w->poll_id || w->first_poll_queued || !call_limit_allows (&w->calls))
     return CLOCK_NEVER;
+  if (!needs_hold (w))
+    return next_clock_reading (w);
   if (has_unsaved_ends (d, w) && w->poll_sent_at + UNSAVED_DELAY_MS > d->now)
     return w->poll_sent_at + UNSAVED_DELAY_MS;
   return w->next_poll;
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -46,13 +46,17 @@
          MAX (reply_delay_margin, rtt_bound (&w->rtt));
 }
 
-/* Returns the deadline of a lease of W that begins now, by W's clock.  Updates
-   W's lease expiry, the latest time at which the lease ends by the scheduler's
+/* Returns the deadline of a lease of W that begins now, by W's clock: at most
+   the lease's duration ahead, however slow that clock may be.  Updates W's
+   lease expiry, the latest time at which the lease ends by the scheduler's
    clock. */
 gint64
 runs_lease_deadline (Dispatch *d, PoolWorker *w)
 {
-  ClockMs span = d->now - w->worker_clock_at + holds_lease_duration (d, w);
+  ClockMs elapsed = d->now - w->worker_clock_at;
+  /* A slow clock has moved on by less since its reading. */
+  ClockMs span = elapsed - elapsed * max_clock_lag_permille / 1000 +
+                 holds_lease_duration (d, w);
 
   w->lease_expiry =
       MAX (w->lease_expiry, latest_end (w, w->worker_clock_at, span));
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -14,6 +14,33 @@
   return -1;
 }
 
+/* Restarts a worker that has no time yet to write its entry. */
+static void
+restart_unnoticed (QueueWorld &w, int i)
+{
+  w.crash_worker (i, true);
+  w.workers[i].alive = true;
+  w.workers[i].started_at = w.now ();
+  w.workers[i].incarnation = w.wall ();
+}
+
+static WorldJob
+one_task (const std::string &id, const std::string &text)
+{
+  return { "q0/" + id, world_body (world_step (1, 1000, 1), text) };
+}
+
+/* Runs W until TASK runs and its start has been answered.  Returns the
+   worker. */
+static int
+run_until_started (QueueWorld &w, const std::string &task)
+{
+  for (int i = 0; i < 50 && worker_running (w, task) < 0; i++)
+    w.run (1);
+  w.run (1);
+  return worker_running (w, task);
+}
+
 TEST (QueueUnreachable, DrainingWorkerThatRefusesConnectionsKeepsItsRuns)
 {
   QueueWorld w (2, 3);
@@ -102,3 +129,37 @@
   EXPECT_EQ (w.n_starts (), 600);
   w.expect_no_violations ();
 }
+
+TEST (QueueUnreachable, LeaseByAClockThatWasReadLongAgoIsWaitedForByASuccessor)
+{
+  QueueWorld w (2, 2);
+  const std::string id = "0000000000000409";
+
+  for (WorldWorker &o : w.workers)
+    o.clock_rate = 0.98;
+  w.run (400000);
+  w.submit (w.scheduler (), one_task (id, "ms=9900"));
+  int worker = run_until_started (w, id + ".0.0.0");
+  ASSERT_GE (worker, 0);
+  w.workers[worker].unreachable_until = w.now () + 30000;
+  w.kill_host (w.scheduler ());
+  w.run (30000);
+  w.expect_no_violations ();
+}
+
+TEST (QueueUnreachable, LeaseByAnOldClockIsWaitedForAfterAHandover)
+{
+  QueueWorld w (2, 2);
+  const std::string id = "0000000000000410";
+
+  for (WorldWorker &o : w.workers)
+    o.clock_rate = 0.98;
+  w.run (200000);
+  w.submit (w.scheduler (), one_task (id, "ms=9900"));
+  int worker = run_until_started (w, id + ".0.0.0");
+  ASSERT_GE (worker, 0);
+  w.workers[worker].unreachable_until = w.now () + 30000;
+  w.drain_host (w.scheduler ());
+  w.run (30000);
+  w.expect_no_violations ();
+}
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -143,7 +143,8 @@
   const WorldWorker &w = workers[i];
 
   write ("servers/" + w.id,
-         "{\"service\":\"render\",\"address\":\"10.0.0." + std::to_string (i) +
+         "{\"service\":\"render\",\"address\":\"10.0.0." +
+             std::to_string (w.address < 0 ? i : w.address) +
              ":1\",\"zone\":\"z\",\"state\":\"" +
              (w.draining ? "draining" : "ready") +
              "\",\"capacity\":{\"cpu\":64000,\"memMb\":256000,\"gpu\":8},"
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -71,6 +71,7 @@
 {
   std::string id;
   std::string rack;
+  int address = -1; /* number of its address, N of 10.0.0.N; -1: its own */
   bool alive = true;
   bool draining = false;
   ClockMs drain_started_at = CLOCK_NEVER; /* first announced */
@@ -289,6 +290,7 @@
                  std::shared_ptr<KvReply> reply,
                  ClockMs delay);
   void run_call (int host, const RunCall *call);
+  RunStatus status_at_address (int address) const;
   bool open_connection (int host, WorldWorker &w, const RunCall &call);
   void release_connection (int host, int incarnation, gint64 call);
   void close_connections (int host);
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -306,6 +306,18 @@
   return reorder_calls ? g_rand_int_range (rng_, 0, 3) : worker_latency_ms;
 }
 
+/* Returns the answer to a call to ADDRESS that is meant for a worker which does
+   not have that address. */
+RunStatus
+QueueWorld::status_at_address (int address) const
+{
+  for (size_t i = 0; i < workers.size (); i++)
+    if (is_reachable (workers[i]) &&
+        address == (workers[i].address < 0 ? (int)i : workers[i].address))
+      return RUN_OTHER_INCARNATION;
+  return RUN_UNSENT;
+}
+
 void
 QueueWorld::run_call (int host, const RunCall *raw)
 {
@@ -368,7 +380,14 @@
                                               n] {
     auto reply = new_run_reply (call->id, RUN_OK);
     WorldWorker &w = workers[n];
+    int address = atoi (strrchr (call->address, '.') + 1);
 
+    if (address != (w.address < 0 ? n : w.address))
+      {
+        reply->status = status_at_address (address);
+        reply_run (host, incarnation, reply, worker_delay ());
+        return;
+      }
     if (!is_reachable (w))
       {
         reply->status = RUN_LOST;
