A worker that may have restarted is not told what it may forget

What callers saw: tasks started again after they had ended done.

Cause: a hold that follows a lost one, or the news of a restart, still acknowledged ends by the numbers of the former process. The new one, which numbers from 1 again, forgot ends that nobody had seen.

Why it works: the first hold to a process that may be new acknowledges nothing; its list tells whether it is.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -298,13 +298,23 @@
   finish_hold (d, w);
 }
 
+/* Tells whether W's process may be another one than that whose list was seen
+   last. */
+static gboolean
+may_have_restarted (const PoolWorker *w)
+{
+  return w->polls_unanswered || w->entry->incarnation > w->incarnation;
+}
+
 /* Returns what W's next hold acknowledges: 0 if W has confirmed all of it
-   already.  A hold may be executed late, by a new process of W, which numbers
-   its ends from 1 again. */
+   already, or may have restarted.  A new process numbers its ends from 1 again,
+   and the hold may also be executed late. */
 static gint64
 ack_to_send (const PoolWorker *w, gboolean unsaved)
 {
-  return !unsaved && w->ends_applied > w->ends_acked ? w->ends_applied : 0;
+  if (unsaved || w->ends_applied <= w->ends_acked || may_have_restarted (w))
+    return 0;
+  return w->ends_applied;
 }
 
 static void
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -163,3 +163,31 @@
   w.run (30000);
   w.expect_no_violations ();
 }
+
+TEST (QueueUnreachable, EndsOfANewProcessAreNotForgottenByItsFirstHold)
+{
+  for (unsigned seed = 1; seed <= 60 && !HasFailure (); seed++)
+    {
+      QueueWorld w (1, 1, seed);
+
+      SCOPED_TRACE (seed);
+      w.run (3000);
+      w.submit (0, { "q0/0000000000000404",
+                     world_body (world_step (1, 1000, 1), "ms=400") });
+      w.submit (0, { "q0/0000000000000405",
+                     world_body (world_step (1, 1000, 1), "ms=9000") });
+      /* Until the first end has been listed, and its acknowledgement is on its
+         way. */
+      for (int i = 0; i < 1000 && (w.workers[0].last_end_number == 0 ||
+                                   !w.workers[0].unacked_ends.empty ());
+           i++)
+        w.run (1);
+      w.run (seed * 5);
+      restart_unnoticed (w, 0);
+      w.workers[0].unreachable_until = w.now () + 6;
+      w.run (6);
+      w.submit (0, one_task ("0000000000000406", "ms=100"));
+      w.run (15000);
+      w.expect_no_violations ();
+    }
+}
