Stopping what runs on a leaving worker does not walk a freed list

What operators would see: a scheduler that ends by itself (found by reading).

Cause: evacuate_worker walked the placements of a worker and stopped each. The stop of a start that is still queued frees its placement, and a gang's others with it, while the walk goes on from it.

Why it works: the walk begins anew after each stop, as each stop takes one placement out of those that are looked for.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -362,15 +362,27 @@
   return w->entry->draining ? w->leaves_at - DRAIN_MARGIN_MS : CLOCK_NEVER;
 }
 
-static void
-evacuate_worker (Dispatch *d, PoolWorker *w)
+/* Returns a placement on W that runs or starts, or NULL. */
+static WorkPlacement *
+find_active (PoolWorker *w)
 {
   WorkPlacement *placement;
 
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     if (placement->state == PLACEMENT_RUNNING ||
         placement->state == PLACEMENT_STARTING)
-      runs_stop (d, placement, "worker_leaves");
+      return placement;
+  return NULL;
+}
+
+static void
+evacuate_worker (Dispatch *d, PoolWorker *w)
+{
+  WorkPlacement *placement;
+
+  /* Stopping one may free it, and others of its gang. */
+  while ((placement = find_active (w)))
+    runs_stop (d, placement, "worker_leaves");
 }
 
 /* Sends W's next hold if it is due, stops W's runs if W is about to leave, and
