The answer to a start tells of a restart that no list has shown yet

What callers saw: tasks ran on two workers at once.

Cause: a worker restarts, takes a start by the deadline of its former process's clock, so for 10 s, and falls silent before its first list. The scheduler knew of no restart and took the lease for over after 5.8 s.

Evidence: QueueUnreachable.LeaseOfAnUnnoticedRestartIsWaitedFor, before: at 68633: TWICE at once ...402.0.0.0 on w0 and w1; after: passes.

Why it works: each answer carries the worker's clock. One that is behind the last list's is a new process's; the longest lease is then waited for.

--- a/queue/runs.c
+++ b/queue/runs.c
@@ -595,6 +595,20 @@
   w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
 }
 
+/* Compares the clock in REPLY, an answer of W to an order, with W's last list.
+   A clock that has gone back is that of a new process, which may have got the
+   longest lease by the deadline of the order. */
+static void
+check_worker_clock (Dispatch *d, PoolWorker *w, const RunReply *reply)
+{
+  if (reply->status != RUN_OK || !reply->worker_clock ||
+      reply->worker_clock + reply_delay_margin >= w->worker_clock)
+    return;
+  effects_log (d->fx, "event=worker_clock_back worker=%s", w->entry->id);
+  w->lease_expiry = MAX (w->lease_expiry, latest_end (w, d->now, max_lease));
+  w->poll_immediately = TRUE;
+}
+
 /* Stops RUN of a task on W that has no placement in this scheduler.  W gets no
    new placements for EXCLUSION_MS. */
 void
@@ -834,6 +848,8 @@
       w->runs_known = FALSE;
       return;
     }
+  if (w)
+    check_worker_clock (d, w, reply);
   if (!placement && w && o->op == RUN_STOP && reply->status == RUN_OK)
     pool_late_start_refused (w, o->task, o->run);
   if (!placement)
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -191,3 +191,19 @@
       w.expect_no_violations ();
     }
 }
+
+TEST (QueueUnreachable, LeaseOfAnUnnoticedRestartIsWaitedFor)
+{
+  QueueWorld w (1, 2);
+  const std::string id = "0000000000000402";
+
+  w.run (60000);
+  for (int i = 0; i < 2; i++)
+    restart_unnoticed (w, i);
+  w.submit (0, one_task (id, "ms=9500"));
+  int worker = run_until_started (w, id + ".0.0.0");
+  ASSERT_GE (worker, 0);
+  w.workers[worker].unreachable_until = w.now () + 30000;
+  w.run (30000);
+  w.expect_no_violations ();
+}
