Late starts of a worker that comes back are refused

What callers saw: tasks ran on two workers at once.

Cause: starts without an answer were forgotten with a worker that left the pool. It came back under its id, and nothing told it to refuse them.

Why it works: the pool keeps them by the worker's id until they can't be executed any more, and the worker's first list has them refused.

--- a/queue/due.c
+++ b/queue/due.c
@@ -94,7 +94,7 @@
       if (w->first_poll_queued)
         g_queue_remove (&d->first_hold_queue, w);
       roster_mark_dirty (d, w->entry->id);
-      pool_remove (&d->pool, w);
+      pool_remove (&d->pool, w, d->now);
       return;
     }
   next = next_due_time (d, w);
--- a/queue/pool.c
+++ b/queue/pool.c
@@ -53,17 +53,72 @@
   APR_RING_INSERT_TAIL (&w->late_starts, start, PoolLateStart, link);
 }
 
-/* Removes the late starts of W that have expired by NOW. */
-void
-pool_expire_late_starts (PoolWorker *w, ClockMs now)
+static void
+expire (struct PoolLateStartRing *starts, ClockMs now)
 {
   PoolLateStart *start, *next;
 
-  APR_RING_FOREACH_SAFE (start, next, &w->late_starts, PoolLateStart, link)
+  APR_RING_FOREACH_SAFE (start, next, starts, PoolLateStart, link)
     if (start->expires <= now)
       late_start_free (start);
 }
 
+/* Removes the late starts of W that have expired by NOW. */
+void
+pool_expire_late_starts (PoolWorker *w, ClockMs now)
+{
+  expire (&w->late_starts, now);
+}
+
+static void
+departed_free (gpointer starts)
+{
+  expire (starts, CLOCK_NEVER);
+  g_free (starts);
+}
+
+static gboolean
+has_expired (gpointer id, gpointer starts, gpointer now)
+{
+  (void)id;
+  expire (starts, *(const ClockMs *)now);
+  return APR_RING_EMPTY ((struct PoolLateStartRing *)starts, PoolLateStart,
+                         link);
+}
+
+/* Keeps the late starts of W, which is removed from P at NOW. */
+static void
+keep_late_starts (Pool *p, PoolWorker *w, ClockMs now)
+{
+  struct PoolLateStartRing *starts;
+
+  g_hash_table_foreach_remove (p->departed, has_expired, &now);
+  pool_expire_late_starts (w, now);
+  if (APR_RING_EMPTY (&w->late_starts, PoolLateStart, link))
+    return;
+  starts = g_new (struct PoolLateStartRing, 1);
+  APR_RING_INIT (starts, PoolLateStart, link);
+  APR_RING_CONCAT (starts, &w->late_starts, PoolLateStart, link);
+  g_hash_table_insert (p->departed, g_strdup (w->entry->id), starts);
+}
+
+/* Gives W, which is new in P, the late starts that it had before.  Its process
+   has probably restarted. */
+static void
+take_late_starts (Pool *p, PoolWorker *w)
+{
+  struct PoolLateStartRing *starts =
+      g_hash_table_lookup (p->departed, w->entry->id);
+  PoolLateStart *start;
+
+  if (!starts)
+    return;
+  APR_RING_CONCAT (&w->late_starts, starts, PoolLateStart, link);
+  APR_RING_FOREACH (start, &w->late_starts, PoolLateStart, link)
+    start->unwanted = TRUE;
+  g_hash_table_remove (p->departed, w->entry->id);
+}
+
 /* Records that W's present process refuses a late start of RUN of the task with
    the name TASK. */
 void
@@ -105,6 +160,8 @@
 {
   p->workers =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, worker_free);
+  p->departed =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, departed_free);
   p->by_rack = g_ptr_array_new ();
   p->least_calls = G_MAXUINT;
 }
@@ -115,6 +172,7 @@
 {
   g_ptr_array_unref (p->by_rack);
   g_hash_table_unref (p->workers);
+  g_hash_table_unref (p->departed);
 }
 
 /* Returns the worker with this ID, or NULL. */
@@ -205,6 +263,7 @@
     }
   w->entry = entry;
   w->registered = TRUE;
+  take_late_starts (p, w);
   g_hash_table_insert (p->workers, entry->id, w);
   if (moves)
     insert_by_rack (p, w);
@@ -213,8 +272,9 @@
 
 /* Removes and frees W, which must have no placements. */
 void
-pool_remove (Pool *p, PoolWorker *w)
+pool_remove (Pool *p, PoolWorker *w, ClockMs now)
 {
+  keep_late_starts (p, w, now);
   g_ptr_array_remove (p->by_rack, w);
   g_hash_table_remove (p->workers, w->entry->id);
 }
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -128,8 +128,11 @@
 typedef struct Pool
 {
   GHashTable *workers; /* id to PoolWorker, which it owns */
-  GPtrArray *by_rack;  /* of PoolWorker, sorted by rack, then id */
-  guint least_calls;   /* least CallLimit.max after a refusal */
+  /* Id of a worker that was removed to its late starts, PoolLateStartRing: it
+     may come back before they have expired. */
+  GHashTable *departed;
+  GPtrArray *by_rack; /* of PoolWorker, sorted by rack, then id */
+  guint least_calls;  /* least CallLimit.max after a refusal */
 } Pool;
 
 void pool_init (Pool *p);
@@ -139,7 +142,7 @@
 PoolWorker *pool_at (const Pool *p, guint i);
 guint pool_rack_end (const Pool *p, guint from);
 PoolWorker *pool_update (Pool *p, PoolEntry *entry);
-void pool_remove (Pool *p, PoolWorker *w);
+void pool_remove (Pool *p, PoolWorker *w, ClockMs now);
 void
 pool_add_late_start (PoolWorker *w, char *task, gint64 run, ClockMs expires);
 void pool_expire_late_starts (PoolWorker *w, ClockMs now);
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -207,3 +207,58 @@
   w.run (30000);
   w.expect_no_violations ();
 }
+
+TEST (QueueUnreachable, LateStartOfAWorkerThatLeftThePoolIsRefused)
+{
+  for (unsigned seed = 1; seed <= 40 && !HasFailure (); seed++)
+    {
+      QueueWorld w (1, 2, seed);
+
+      SCOPED_TRACE (seed);
+      w.run (3000);
+      w.remove_worker (1);
+      w.run (8000);
+      w.workers[0].late_call_rate = 1;
+      w.submit (0, one_task ("0000000000000401", "ms=9000"));
+      w.run (100);
+      w.workers[0].late_call_rate = 0;
+      w.crash_worker (0, false);
+      w.restart_worker (1);
+      w.run (6300);
+      w.restart_worker (0);
+      w.run (15000);
+      w.expect_no_violations ();
+    }
+}
+
+TEST (QueueUnreachable, RefusalAtAnOldAddressDoesNotEndRunsAtTheNewOne)
+{
+  for (int wait = 0; wait < 40 && !HasFailure (); wait++)
+    {
+      QueueWorld w (1, 3);
+
+      SCOPED_TRACE (wait);
+      w.run (3000);
+      w.remove_worker (2);
+      w.run (8000);
+      for (int n = 0; n < 12; n++)
+        w.submit (0, one_task ("00000000000005" + std::to_string (10 + n),
+                               "ms=6000"));
+      w.run (300);
+      /* Workers 0 and 1 restart, and swap their addresses. */
+      for (int i = 0; i < 2; i++)
+        {
+          w.crash_worker (i, true);
+          w.workers[i].address = 1 - i;
+          w.restart_worker (i);
+        }
+      for (int n = 0; n < 12; n++)
+        {
+          w.submit (0, one_task ("00000000000006" + std::to_string (10 + n),
+                                 "ms=3000"));
+          w.run (wait);
+        }
+      w.run (15000);
+      w.expect_no_violations ();
+    }
+}
