Known red: two cases in which a restarted worker still runs a task twice

Both need a worker that restarts under its id. In the first nobody has seen the restart when the scheduler dies.

In the second the platform executes an order late on a process that has just begun; no order in time can prevent that.

--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -318,3 +318,20 @@
   w.run (30000);
   EXPECT_EQ (w.state_of (id), "completed");
 }
+
+TEST (QueueUnreachable, LeaseOfAnUnnoticedRestartIsWaitedForByASuccessor)
+{
+  QueueWorld w (2, 2);
+  const std::string id = "0000000000000408";
+
+  w.run (60000);
+  for (int i = 0; i < 2; i++)
+    restart_unnoticed (w, i);
+  w.submit (w.scheduler (), one_task (id, "ms=9900"));
+  int worker = run_until_started (w, id + ".0.0.0");
+  ASSERT_GE (worker, 0);
+  w.workers[worker].unreachable_until = w.now () + 30000;
+  w.kill_host (w.scheduler ());
+  w.run (30000);
+  w.expect_no_violations ();
+}
