One function moves a request to another upstream

retry and replace did the same five calls, each in its own copy; they share place_elsewhere. The counter of replaced requests is now raised before the attempt is given up instead of halfway, which nothing can see.

1966 unit tests pass.

--- a/src/req.c
+++ b/src/req.c
@@ -931,18 +931,25 @@
 
 /* --- retries --- */
 
-/* R certainly did not run at its upstream: it goes to another one. */
+/* Gives up R's attempt at its upstream and places R at another one. */
 static void
-replace (Core *c, Request *r)
+place_elsewhere (Core *c, Request *r)
 {
   add_tried (r, r->upstream);
   stop_step (c, r);
   free_slot (c, r);
-  core_add (c, COUNT_REPLACED, 1);
   enter_placing (c, r);
   req_pump (c);
 }
 
+/* R certainly did not run at its upstream: it goes to another one. */
+static void
+replace (Core *c, Request *r)
+{
+  core_add (c, COUNT_REPLACED, 1);
+  place_elsewhere (c, r);
+}
+
 /* Tries R, which may have run, once more elsewhere if it is repeatable and
    the budget allows.  Returns FALSE when not. */
 static gboolean
@@ -960,11 +967,7 @@
   q->retry_tokens -= PERMILLE;
   r->retries++;
   core_add (c, COUNT_RETRIES, 1);
-  add_tried (r, r->upstream);
-  stop_step (c, r);
-  free_slot (c, r);
-  enter_placing (c, r);
-  req_pump (c);
+  place_elsewhere (c, r);
   return TRUE;
 }
 
