Requests: seven modules in place of one file of 1586 lines

req.c keeps a request's arrival and end, callers' questions and the drain. Replies to waiting callers, limits and costs, placing, one attempt at an upstream, health of upstreams, and explanations each have a file now; req_state.h lists them and declares what they share.

Sameness: the parts joined back into one file compile to the same code as before (same-code, -O0), statics that became external aside, but for req_explain and the drain's bound, which call req_state_name where they read the table of names.

--- a/src/req_state.h
+++ b/src/req_state.h
@@ -6,8 +6,24 @@
 #include "req.h"
 #include "route.h"
 #include "store.h"
-
-/* What req.c, claim.c and slots.c share.  For these alone. */
+#include "table.h"
+
+/* What the modules of requests share.  For these alone:
+   req.c          arrival, end, questions of callers, drain
+   req_reply.c    callers that wait, and the replies to them
+   req_admit.c    limits of workspaces and queue; what work costs
+   req_place.c    slots; which upstream a request goes to, and when
+   req_attempt.c  one attempt: silence, answers, retries
+   req_upstream.c health of upstreams, and probes
+   req_explain.c  where a request stands and how it ended
+   claim.c        at most one run of work that must not be repeated
+   slots.c        how hosts divide the slots */
+
+enum
+{
+  PERMILLE = 1000,
+  REQ_COST_FIRST_MS = 100 /* of a kind of work not seen yet */
+};
 
 #define REQUEST_STATES(X)                                                      \
   X (REQUEST_QUEUED, "queued")         /* in the fair queue */                 \
@@ -123,19 +139,61 @@
   gboolean closed; /* a drain's bound has passed: nothing starts */
 };
 
-void req_pump (Core *c);
-void req_send (Core *c, Request *r);
-void req_ask_upstream (Core *c, Request *r);
-void req_release (Core *c, Request *r);
-void req_wait_for_store (Core *c, Request *r);
 void req_finish (Core *c,
                  Request *r,
                  Outcome outcome,
                  int status,
                  const char *reason,
                  GBytes *body);
+void req_wait_for_store (Core *c, Request *r);
 ClockMs req_grow (ClockMs span, ClockMs most);
 
+void req_attach (Core *c, Request *r, gint64 conn);
+void req_waiter_free (gpointer p);
+void req_reply (Core *c,
+                gint64 conn,
+                const Request *r,
+                Outcome outcome,
+                int status,
+                const char *reason,
+                GBytes *body);
+void req_reply_all (Core *c,
+                    Request *r,
+                    Outcome outcome,
+                    int status,
+                    const char *reason,
+                    GBytes *body);
+void
+req_reply_json (Core *c, gint64 conn, const char *id, int status, char *text);
+void req_refuse (Core *c, gint64 conn, int status, const char *reason);
+
+CostEntry *req_cost (Req *q, const char *workspace, const char *kind);
+void req_learn_cost (const Request *r, gint64 ms);
+gboolean req_admit (Core *c, Request *r, const Workspace *w);
+void req_enqueue (Core *c, Request *r);
+
+void req_pump (Core *c);
+void req_send (Core *c, Request *r);
+void req_place_elsewhere (Core *c, Request *r);
+void req_release (Core *c, Request *r);
+void req_on_tick (Core *c, Timer *t);
+
+void req_watch_silence (Core *c, Request *r);
+void req_on_silence (Core *c, Timer *t);
+void req_stop_step (Core *c, Request *r);
+void req_ask_upstream (Core *c, Request *r);
+void req_cancel_upstream (Core *c, Request *r);
+
+void req_learn_result (Core *c, Request *r, UpstreamResult result);
+void req_learn_leaving (Core *c, const char *name, int u);
+void req_on_probe (Core *c, Timer *t);
+
+const char *req_upstream_name (Core *c, const Request *r);
+const char *req_state_name (RequestState s);
+void req_note (Core *c, const Request *r, NoteKind kind, const char *detail);
+void req_remember (Core *c, const Request *r, Outcome outcome, const char *why);
+void req_ended_free (gpointer p);
+
 Claims *claim_new (Core *c);
 void claim_free (Claims *k);
 gboolean claim_busy (const Core *c);
