Plan: four modules in place of one file of 1421 lines

plan.c keeps workers, the table, the arrival and end of jobs and the readers. Which work is charged to a guarantee, the next step, and jobs that have waited long (draining and moves) each have a file; plan_state.h lists them and declares what they share, with what its fields mean.

--- a/src/plan.c
+++ b/src/plan.c
@@ -1,65 +1,14 @@
 #include "plan.h"
 
-#include "learn.h"
-#include "order.h"
-#include "quota.h"
-#include "reclaim.h"
+#include "plan_state.h"
 
 #include <string.h>
 
 enum
 {
-  PLAN_MAX_FAILED = 32,  /* shapes remembered to have no room */
-  PLAN_MAX_RECLAIMS = 8, /* searches in one call */
-  PLAN_MAX_PROMOTED = 16,
   PLAN_STOP_PERCENT = 125 /* of its memory */
 };
 
-/* A shape that found no room, and so has no larger one. */
-typedef struct PlanShape
-{
-  guint parts;
-  guint accelerators;
-  gint64 cores;
-  gint64 memory_mb;
-  gboolean may_backfill;
-} PlanShape;
-
-typedef struct PlanRow
-{
-  char *name;
-  gint64 max_queued;
-  gboolean listed;
-} PlanRow;
-
-struct Plan
-{
-  char *domain;
-  GRand *rng;
-  Fleet fleet;
-  Quota quota;
-  Order order;
-  Learn learn;
-  QuotaInventory inventory;
-  const PlaceOps *ops;
-  GHashTable *workspaces; /* name -> guint */
-  GHashTable *kinds;
-  GPtrArray *rows;      /* of PlanRow, by workspace */
-  GPtrArray *claimants; /* of FleetJob */
-  GPtrArray *victims;   /* of the last step */
-  GArray *units;        /* of QuotaUnit, of the job that is tried */
-  double *scores;       /* by workspace, while a search runs */
-  PlanShape failed[PLAN_MAX_FAILED];
-  guint n_failed;
-  guint64 failed_at; /* releases when they failed */
-  FleetJob *drain;   /* who the draining reservation is for */
-  ClockMs drain_since;
-  ClockMs moved;
-  gboolean is_idle; /* nothing changed since the last round found nothing */
-  gboolean has_adopted;
-  gboolean is_unfit; /* the guarantees have to be fitted again */
-};
-
 static void
 row_free (gpointer p)
 {
@@ -257,10 +206,6 @@
   apply_usable (p, i, now);
 }
 
-static void
-charge_anew (Plan *p, guint workspace, const GArray *sizes, ClockMs now);
-static void promote (Plan *p, guint workspace, ClockMs now);
-
 static void
 set_row (Plan *p, const Workspace *row, const GArray *sizes, ClockMs now)
 {
@@ -273,7 +218,7 @@
   w->weight = (double)MAX (row->weight, 1);
   w->max_accelerators = row->max_accelerators;
   w->max_running = row->max_running;
-  charge_anew (p, i, sizes, now);
+  plan_charge_anew (p, i, sizes, now);
 }
 
 /* Takes the N rows of the table in force at NOW.  Work that runs is charged
@@ -295,135 +240,18 @@
     }
   for (i = 0; i < p->rows->len; i++)
     if (!((PlanRow *)g_ptr_array_index (p->rows, i))->listed)
-      charge_anew (p, i, NULL, now);
+      plan_charge_anew (p, i, NULL, now);
   g_free (runs);
   quota_fit_to_fleet (&p->quota, &p->fleet);
   for (i = 0; i < p->rows->len; i++)
-    promote (p, i, now);
+    plan_promote (p, i, now);
   p->fleet.releases++;
   changed (p);
 }
 
-/* Moves J, which is placed, into its guarantee or out of it, by the slots
-   that its parts have. */
-static void
-retag (Plan *p, FleetJob *j, gboolean in_guarantee, ClockMs now)
-{
-  order_free (&p->order, j, now);
-  fleet_retag (&p->fleet, j, in_guarantee);
-  order_take (&p->order, j, now);
-}
-
-/* Charges J, which is placed and borrows, to runs around it if its workers
-   stay sound. */
-static gboolean
-charge_placed (Plan *p, FleetJob *j, ClockMs now)
-{
-  if (!quota_charge_at (&p->quota, &p->fleet, j))
-    return FALSE;
-  retag (p, j, TRUE, now);
-  if (fleet_job_is_sound (&p->fleet, j))
-    return TRUE;
-  quota_discharge (&p->quota, &p->fleet, j);
-  retag (p, j, FALSE, now);
-  return FALSE;
-}
-
-static gboolean
-must_hold (const FleetJob *j)
-{
-  return j->accelerators > 0 && !j->checkpointable && !j->repeatable;
-}
-
-/* Charges are made in this order: what can't be taken back, urgent work,
-   older work. */
-static gint
-compare_charges (gconstpointer a, gconstpointer b)
-{
-  const FleetJob *x = *(FleetJob *const *)a;
-  const FleetJob *y = *(FleetJob *const *)b;
-
-  if (must_hold (x) != must_hold (y))
-    return must_hold (x) ? -1 : 1;
-  if (x->work_class != y->work_class)
-    return x->work_class < y->work_class ? -1 : 1;
-  return x->id < y->id ? -1 : x->id > y->id;
-}
-
-static GPtrArray *
-placed_jobs (Plan *p, guint workspace)
-{
-  OrderWorkspace *w = order_workspace (&p->order, workspace);
-  GPtrArray *jobs = g_ptr_array_new ();
-  FleetJob *j = NULL;
-
-  APR_RING_FOREACH (j, &w->placed, FleetJob, link)
-    {
-      g_ptr_array_add (jobs, j);
-    }
-  g_ptr_array_sort (jobs, compare_charges);
-  return jobs;
-}
-
-/* Releases the claims of WORKSPACE, so that its jobs are planned again. */
-static void
-drop_claims_of (Plan *p, guint workspace, ClockMs now)
-{
-  guint k = 0;
-
-  while (k < p->claimants->len)
-    {
-      FleetJob *j = g_ptr_array_index (p->claimants, k);
-
-      if (j->workspace == workspace && j->in_guarantee)
-        plan_requeue (p, j, now);
-      else
-        k++;
-    }
-}
-
-/* Charges J, which is placed and not charged; what can't be taken back
-   holds its place by itself if no run is around it. */
-static void
-charge_again (Plan *p, FleetJob *j, ClockMs now)
-{
-  if (j->in_guarantee)
-    retag (p, j, FALSE, now);
-  if (!charge_placed (p, j, now) && must_hold (j))
-    retag (p, j, TRUE, now);
-}
-
-static void
-charge_anew (Plan *p, guint workspace, const GArray *sizes, ClockMs now)
-{
-  GPtrArray *former;
-  GPtrArray *jobs;
-  guint i;
-
-  if (quota_has_runs (&p->quota, workspace, sizes))
-    return;
-  former = g_ptr_array_new ();
-  drop_claims_of (p, workspace, now);
-  jobs = placed_jobs (p, workspace);
-  for (i = 0; i < jobs->len; i++)
-    {
-      FleetJob *j = g_ptr_array_index (jobs, i);
-
-      if (!j->in_guarantee)
-        continue;
-      quota_discharge (&p->quota, &p->fleet, j);
-      retag (p, j, must_hold (j), now);
-      g_ptr_array_add (former, j);
-    }
-  quota_set_runs (&p->quota, workspace, sizes);
-  for (i = 0; i < former->len; i++)
-    charge_again (p, g_ptr_array_index (former, i), now);
-  g_ptr_array_unref (former);
-  g_ptr_array_unref (jobs);
-}
-
-static void
-prepare (FleetJob *j)
+/* Makes J a job that waits and holds nothing. */
+void
+plan_prepare (FleetJob *j)
 {
   guint i;
 
@@ -461,8 +289,9 @@
                  "%" G_GINT64_FORMAT " accelerators are more than the limit "
                  "of %" G_GINT64_FORMAT " of workspace \"%s\"",
                  wanted, w->max_accelerators, row->name);
-  else if (must_hold (j) && !quota_fits_when_empty (&p->quota, j->workspace,
-                                                    j->parts, j->accelerators))
+  else if (plan_must_hold (j) &&
+           !quota_fits_when_empty (&p->quota, j->workspace, j->parts,
+                                   j->accelerators))
     g_set_error (error, PLAN_ERROR, PLAN_ERROR_LIMIT,
                  "work that can be neither repeated nor resumed runs only "
                  "inside a guarantee, and that of workspace \"%s\" in domain "
@@ -496,98 +325,12 @@
 void
 plan_submit (Plan *p, FleetJob *j)
 {
-  prepare (j);
+  plan_prepare (j);
   correct_memory (p, j);
   order_add (&p->order, j);
   changed (p);
 }
 
-static gboolean
-may_yield (const FleetJob *v, const FleetJob *j)
-{
-  return v->in_guarantee && v->state == FLEET_PLACED && !must_hold (v) &&
-         (must_hold (j) ? v->work_class >= j->work_class
-                        : v->work_class > j->work_class);
-}
-
-/* Undoes the discharge of V, whose SLOTS were kept. */
-static void
-restore (Plan *p, FleetJob *v, const gint32 *slots)
-{
-  guint i;
-
-  for (i = 0; i < v->parts; i++)
-    v->part[i].slot = slots[i];
-  quota_anchor (&p->quota, &p->fleet, v);
-}
-
-static gint32 *
-keep_slots (const FleetJob *v)
-{
-  gint32 *slots = g_new (gint32, v->parts);
-  guint i;
-
-  for (i = 0; i < v->parts; i++)
-    slots[i] = v->part[i].slot;
-  return slots;
-}
-
-/* Takes runs of the guarantee from work of J's own workspace that is less
-   urgent and can be taken back, until J can be charged; that work goes on as
-   borrowed.  Returns FALSE, with nothing changed, if that isn't enough. */
-static gboolean
-charge_by_swap (Plan *p, FleetJob *j, ClockMs now)
-{
-  GPtrArray *jobs = placed_jobs (p, j->workspace);
-  GPtrArray *yielded = g_ptr_array_new ();
-  GPtrArray *slots = g_ptr_array_new_with_free_func (g_free);
-  gboolean charged = FALSE;
-  guint i;
-
-  for (i = jobs->len; i > 0 && !charged; i--)
-    {
-      FleetJob *v = g_ptr_array_index (jobs, i - 1);
-
-      if (!may_yield (v, j))
-        continue;
-      g_ptr_array_add (yielded, v);
-      g_ptr_array_add (slots, keep_slots (v));
-      quota_discharge (&p->quota, &p->fleet, v);
-      charged = quota_charge (&p->quota, j, p->units);
-    }
-  for (i = yielded->len; i > 0; i--)
-    if (charged)
-      retag (p, g_ptr_array_index (yielded, i - 1), FALSE, now);
-    else
-      restore (p, g_ptr_array_index (yielded, i - 1),
-               g_ptr_array_index (slots, i - 1));
-  g_ptr_array_unref (slots);
-  g_ptr_array_unref (yielded);
-  g_ptr_array_unref (jobs);
-  return charged;
-}
-
-static gboolean
-may_swap (const Plan *p, const FleetJob *j)
-{
-  const QuotaWorkspace *w = quota_workspace (&p->quota, j->workspace);
-
-  return w && w->accelerators >= j->parts * j->accelerators &&
-         (j->work_class == CLASS_INTERACTIVE || must_hold (j));
-}
-
-/* Assigns J to runs of its workspace's guarantee, in p->units, if those are
-   free. */
-static gboolean
-charge (Plan *p, FleetJob *j, ClockMs now)
-{
-  if (j->accelerators == 0)
-    return FALSE;
-  if (quota_charge (&p->quota, j, p->units))
-    return TRUE;
-  return may_swap (p, j) && charge_by_swap (p, j, now);
-}
-
 /* Takes J as running at NOW where its parts' WORKER and FIRST say: J->part
    was allocated with g_new0 by the caller and belongs to P from here on.
    Charges to guarantees are made at the next plan_next, when all are there.
@@ -596,564 +339,20 @@
 gboolean
 plan_adopt (Plan *p, FleetJob *j, ClockMs now)
 {
-  prepare (j);
+  plan_prepare (j);
   if (!fleet_place (&p->fleet, j))
     return FALSE;
   if (!j->started)
     j->started = now;
   order_take (&p->order, j, now);
-  if (must_hold (j))
-    retag (p, j, TRUE, now);
+  if (plan_must_hold (j))
+    plan_retag (p, j, TRUE, now);
   j->wait = PLAN_WAIT_NONE;
   p->has_adopted = p->is_unfit = TRUE;
   changed (p);
   return TRUE;
 }
 
-static void
-end_drain (Plan *p)
-{
-  guint i;
-
-  for (i = 0; i < p->fleet.workers->len; i++)
-    fleet_worker (&p->fleet, i)->drained = FALSE;
-  p->fleet.drained_until = 0;
-  p->fleet.releases++;
-  p->drain = NULL;
-}
-
-static void
-give_start (Plan *p, FleetJob *j, ClockMs now, PlanStep *step)
-{
-  j->started = now;
-  j->saved = 0;
-  j->wait = PLAN_WAIT_NONE;
-  if (p->drain == j)
-    end_drain (p);
-  *step = (PlanStep) { .kind = PLAN_START, .job = j };
-}
-
-/* Starts a job whose claim has come free. */
-static gboolean
-start_claimant (Plan *p, ClockMs now, PlanStep *step)
-{
-  guint i;
-
-  for (i = 0; i < p->claimants->len; i++)
-    {
-      FleetJob *j = g_ptr_array_index (p->claimants, i);
-
-      if (!fleet_claim_is_free (&p->fleet, j) || !fleet_place (&p->fleet, j))
-        continue;
-      g_ptr_array_remove_index (p->claimants, i);
-      give_start (p, j, now, step);
-      return TRUE;
-    }
-  return FALSE;
-}
-
-static PlanShape
-shape_of (const Plan *p, const FleetJob *j, ClockMs ends)
-{
-  return (PlanShape) { .parts = j->parts,
-                       .accelerators = j->accelerators,
-                       .cores = j->cores,
-                       .memory_mb = j->memory_mb,
-                       .may_backfill = ends <= p->fleet.drained_until };
-}
-
-/* Tells whether a shape that isn't larger than S has found no room. */
-static gboolean
-has_failed (Plan *p, const PlanShape *s)
-{
-  guint i;
-
-  if (p->failed_at != p->fleet.releases)
-    p->n_failed = 0;
-  p->failed_at = p->fleet.releases;
-  for (i = 0; i < p->n_failed; i++)
-    {
-      const PlanShape *f = &p->failed[i];
-
-      if (s->parts >= f->parts && s->accelerators >= f->accelerators &&
-          s->cores >= f->cores && s->memory_mb >= f->memory_mb &&
-          s->may_backfill <= f->may_backfill)
-        return TRUE;
-    }
-  return FALSE;
-}
-
-static void
-note_failed (Plan *p, const PlanShape *s)
-{
-  if (p->n_failed < PLAN_MAX_FAILED)
-    p->failed[p->n_failed++] = *s;
-}
-
-static gboolean
-find_room (Plan *p, FleetJob *j, ClockMs ends, gboolean may_spoil)
-{
-  PlaceAsk ask = { .fleet = &p->fleet,
-                   .job = j,
-                   .ends = ends,
-                   .ignore_drain = j->in_guarantee || p->drain == j,
-                   .keep_shares = !fleet_can_stop (j) && !j->in_guarantee,
-                   .may_spoil = may_spoil,
-                   .rng = p->rng };
-
-  if (p->ops->find (&ask))
-    return TRUE;
-  if (!j->avoid)
-    return FALSE;
-  j->avoid = 0;
-  return p->ops->find (&ask);
-}
-
-/* Tells whether what J took where it stands leaves all guarantees whole. */
-static gboolean
-keeps_promises (const Plan *p, const FleetJob *j)
-{
-  return fleet_job_is_sound (&p->fleet, j) &&
-         quota_holds (&p->quota, &p->fleet);
-}
-
-/* Puts J, which waits, where its parts say; FALSE if that is not free or
-   breaks the invariant. */
-static gboolean
-settle (Plan *p, FleetJob *j, ClockMs now)
-{
-  if (!fleet_place (&p->fleet, j))
-    return FALSE;
-  quota_anchor (&p->quota, &p->fleet, j);
-  if (!fleet_can_stop (j) && !keeps_promises (p, j))
-    {
-      guint64 releases = p->fleet.releases;
-
-      fleet_release (&p->fleet, j);
-      quota_discharge (&p->quota, &p->fleet, j);
-      p->fleet.releases = releases;
-      return FALSE;
-    }
-  order_remove (&p->order, j);
-  order_take (&p->order, j, now);
-  return TRUE;
-}
-
-static void
-score_all (Plan *p, ClockMs now)
-{
-  guint i;
-
-  for (i = 0; i < p->rows->len; i++)
-    p->scores[i] = order_score (&p->order, i, now);
-}
-
-/* Looks for what to stop so that J finds room; fills p->victims. */
-static gboolean
-search (Plan *p, FleetJob *j, ReclaimKind kind, ClockMs now, double *cost)
-{
-  ReclaimAsk ask = { .fleet = &p->fleet,
-                     .job = j,
-                     .kind = kind,
-                     .now = now,
-                     .scores = p->scores,
-                     .n_scores = p->rows->len };
-  guint need[FLEET_MAX_ACCELERATORS + 1];
-
-  if (kind == RECLAIM_GUARANTEE)
-    {
-      quota_need_without (&p->quota, j, need);
-      ask.need = need;
-      ask.units = (const QuotaUnit *)(gpointer)p->units->data;
-      ask.n_units = p->units->len;
-    }
-  score_all (p, now);
-  return reclaim_find (&ask, p->victims, cost);
-}
-
-/* Claims the place of J and gives out its victims, or starts it if there is
-   nothing to wait for. */
-static void
-give_claim (Plan *p, FleetJob *j, PlanKind kind, ClockMs now, PlanStep *step)
-{
-  guint i;
-
-  if (p->drain == j)
-    end_drain (p);
-  quota_anchor (&p->quota, &p->fleet, j);
-  fleet_claim (&p->fleet, j);
-  order_remove (&p->order, j);
-  order_take (&p->order, j, now);
-  if (p->victims->len == 0 && fleet_claim_is_free (&p->fleet, j) &&
-      fleet_place (&p->fleet, j))
-    {
-      give_start (p, j, now, step);
-      return;
-    }
-  g_ptr_array_add (p->claimants, j);
-  j->wait = PLAN_WAIT_RECLAIM;
-  for (i = 0; i < p->victims->len; i++)
-    ((FleetJob *)g_ptr_array_index (p->victims, i))->stopping = 1;
-  *step = (PlanStep) { .kind = kind,
-                       .job = j,
-                       .victims = (FleetJob **)p->victims->pdata,
-                       .n_victims = p->victims->len };
-}
-
-/* Tells whether each part of J is assigned to a run of just its size, so
-   that any placer will do. */
-static gboolean
-fits_runs (const Plan *p, const FleetJob *j)
-{
-  guint i;
-
-  for (i = 0; i < p->units->len; i++)
-    {
-      const QuotaUnit *u = &g_array_index (p->units, QuotaUnit, i);
-
-      if (u->anchored || u->hold != j->accelerators)
-        return FALSE;
-    }
-  return TRUE;
-}
-
-static gboolean
-start_in_guarantee (Plan *p, FleetJob *j, ClockMs now, PlanStep *step)
-{
-  double cost;
-
-  if (fits_runs (p, j) && find_room (p, j, CLOCK_NEVER, FALSE))
-    {
-      if (settle (p, j, now))
-        {
-          give_start (p, j, now, step);
-          return TRUE;
-        }
-      if (!quota_charge (&p->quota, j, p->units))
-        return FALSE;
-    }
-  if (!search (p, j, RECLAIM_GUARANTEE, now, &cost))
-    return FALSE;
-  give_claim (p, j, PLAN_RECLAIM, now, step);
-  return TRUE;
-}
-
-/* Tries to start J inside its guarantee; RECLAIMS counts the failures that
-   are still allowed. */
-static gboolean
-try_guarantee (Plan *p,
-               FleetJob *j,
-               ClockMs now,
-               guint *reclaims,
-               PlanStep *step)
-{
-  guint i;
-
-  if (*reclaims == 0 || !charge (p, j, now))
-    return FALSE;
-  j->in_guarantee = TRUE;
-  if (start_in_guarantee (p, j, now, step))
-    {
-      promote (p, j->workspace, now);
-      return TRUE;
-    }
-  --*reclaims;
-  for (i = 0; i < j->parts; i++)
-    j->part[i].slot = FLEET_NO_SLOT;
-  j->in_guarantee = FALSE;
-  j->wait = PLAN_WAIT_ROOM;
-  promote (p, j->workspace, now);
-  return FALSE;
-}
-
-static gboolean
-try_borrow (Plan *p, FleetJob *j, ClockMs now, PlanStep *step)
-{
-  ClockMs run = learn_run_ms (&p->learn, j);
-  ClockMs ends = run == CLOCK_NEVER ? CLOCK_NEVER : now + run;
-  PlanShape shape = shape_of (p, j, ends);
-
-  if (must_hold (j))
-    {
-      j->wait = PLAN_WAIT_GUARANTEE;
-      return FALSE;
-    }
-  j->wait = p->drain == j ? PLAN_WAIT_DRAIN : PLAN_WAIT_ROOM;
-  if (p->drain != j && has_failed (p, &shape))
-    return FALSE;
-  if ((find_room (p, j, ends, FALSE) && settle (p, j, now)) ||
-      (!fleet_can_stop (j) && find_room (p, j, ends, TRUE) &&
-       settle (p, j, now)))
-    {
-      give_start (p, j, now, step);
-      return TRUE;
-    }
-  if (p->drain != j)
-    note_failed (p, &shape);
-  return FALSE;
-}
-
-static gboolean
-run_round (Plan *p, ClockMs now, gboolean guaranteed, PlanStep *step)
-{
-  OrderRound round;
-  FleetJob *j;
-  gboolean found = FALSE;
-  guint reclaims = PLAN_MAX_RECLAIMS;
-
-  order_round_init (&round, &p->order, guaranteed, now);
-  while (!found && (j = order_round_next (&round)))
-    if (!order_within_limits (&p->order, j))
-      j->wait = PLAN_WAIT_LIMIT;
-    else if (guaranteed)
-      found = try_guarantee (p, j, now, &reclaims, step);
-    else
-      found = try_borrow (p, j, now, step);
-  order_round_clear (&round);
-  return found;
-}
-
-/* Returns when the last part on W that may be waited for is likely to end,
-   or the time at which stopping begins. */
-static ClockMs
-free_at (const Plan *p, const FleetWorker *w, ClockMs now)
-{
-  ClockMs last = now;
-  FleetPart *part = NULL;
-
-  APR_RING_FOREACH (part, &w->parts, FleetPart, link)
-    {
-      ClockMs run = learn_run_ms (&p->learn, part->job);
-      ClockMs end = now + PLAN_DRAIN_MOST_MS;
-
-      if (part->job->accelerators == 0)
-        continue;
-      if (run < PLAN_DRAIN_MOST_MS * 100LL)
-        end = MIN (end, MAX (part->job->started + run, now));
-      last = MAX (last, end);
-    }
-  return last;
-}
-
-typedef struct Drainable
-{
-  guint worker;
-  guint parts;
-  ClockMs free_at;
-} Drainable;
-
-static gint
-compare_drainable (gconstpointer a, gconstpointer b)
-{
-  const Drainable *x = a;
-  const Drainable *y = b;
-
-  if (x->free_at != y->free_at)
-    return x->free_at < y->free_at ? -1 : 1;
-  if (x->parts != y->parts)
-    return x->parts > y->parts ? -1 : 1;
-  return x->worker < y->worker ? -1 : 1;
-}
-
-static GArray *
-drainable_workers (Plan *p, const FleetJob *j, ClockMs now)
-{
-  GArray *list = g_array_new (FALSE, FALSE, sizeof (Drainable));
-  guint i;
-
-  for (i = 0; i < p->fleet.workers->len; i++)
-    {
-      const FleetWorker *w = fleet_worker (&p->fleet, i);
-      guint64 open =
-          fleet_run_mask (0, w->accelerators) & ~(w->held | w->claimed);
-      Drainable d = { .worker = i };
-
-      while (w->usable && open)
-        {
-          guint len = fleet_run_length (open);
-
-          d.parts += len / j->accelerators;
-          open &= ~fleet_run_mask ((guint)__builtin_ctzll (open), len);
-        }
-      if (d.parts == 0 || w->cores < j->cores || w->memory_mb < j->memory_mb)
-        continue;
-      d.free_at = free_at (p, w, now);
-      g_array_append_val (list, d);
-    }
-  g_array_sort (list, compare_drainable);
-  return list;
-}
-
-/* Keeps the workers that come free first for J. */
-static void
-begin_drain (Plan *p, FleetJob *j, ClockMs now)
-{
-  GArray *list = drainable_workers (p, j, now);
-  guint parts = 0;
-  guint i;
-
-  for (i = 0; i < list->len && parts < j->parts; i++)
-    parts += g_array_index (list, Drainable, i).parts;
-  if (parts >= j->parts)
-    {
-      p->drain = j;
-      p->drain_since = now;
-      while (i-- > 0)
-        {
-          const Drainable *d = &g_array_index (list, Drainable, i);
-
-          fleet_worker (&p->fleet, d->worker)->drained = TRUE;
-          p->fleet.drained_until = MAX (p->fleet.drained_until, d->free_at);
-        }
-    }
-  g_array_unref (list);
-}
-
-static gboolean
-may_drain (const FleetJob *j)
-{
-  return j->accelerators > 0 && !must_hold (j);
-}
-
-/* Sees to it that the oldest gang doesn't wait for ever: keeps workers free
-   for it, and stops what is still there when that has taken too long. */
-static gboolean
-run_drain (Plan *p, ClockMs now, PlanStep *step)
-{
-  FleetJob *j = p->drain;
-  double cost;
-
-  if (!j)
-    {
-      j = order_oldest (&p->order, may_drain);
-      if (j && now - j->arrived >= PLAN_DRAIN_AFTER_MS)
-        begin_drain (p, j, now);
-      return FALSE;
-    }
-  if (order_within_limits (&p->order, j) &&
-      now - p->drain_since < PLAN_DRAIN_MOST_MS)
-    return FALSE;
-  if (order_within_limits (&p->order, j) &&
-      search (p, j, RECLAIM_DRAIN, now, &cost))
-    {
-      give_claim (p, j, PLAN_RECLAIM, now, step);
-      return TRUE;
-    }
-  end_drain (p);
-  return FALSE;
-}
-
-/* Tells whether all of p->victims find room elsewhere while J has its
-   claim. */
-static gboolean
-victims_have_room (Plan *p, FleetJob *j)
-{
-  guint n = p->victims->len;
-  FleetJob *trial = g_new (FleetJob, n);
-  gboolean ok = TRUE;
-  guint done = 0;
-
-  fleet_claim (&p->fleet, j);
-  while (done < n && ok)
-    {
-      FleetJob *t = &trial[done];
-
-      *t = *(FleetJob *)g_ptr_array_index (p->victims, done);
-      t->part = g_new0 (FleetPart, t->parts);
-      prepare (t);
-      ok = find_room (p, t, CLOCK_NEVER, FALSE) && fleet_place (&p->fleet, t);
-      done++;
-    }
-  while (done-- > 0)
-    {
-      fleet_release (&p->fleet, &trial[done]);
-      g_free (trial[done].part);
-    }
-  fleet_release (&p->fleet, j);
-  g_free (trial);
-  return ok;
-}
-
-/* Moves work that can save itself, if what is lost is less than what the
-   oldest job has lost by waiting. */
-static gboolean
-run_move (Plan *p, ClockMs now, PlanStep *step)
-{
-  FleetJob *j = order_oldest (&p->order, may_drain);
-  guint64 releases = p->fleet.releases;
-  gint64 width;
-  double cost;
-
-  if (!j || now - j->arrived < PLAN_MOVE_AFTER_MS ||
-      now - p->moved < PLAN_MOVE_EVERY_MS)
-    return FALSE;
-  width = (gint64)j->parts * j->accelerators;
-  if (p->fleet.n_accelerators - p->fleet.n_used < width)
-    return FALSE;
-  p->moved = now;
-  if (!search (p, j, RECLAIM_MOVE, now, &cost) ||
-      cost > (double)width * (double)(now - j->arrived) ||
-      !victims_have_room (p, j))
-    {
-      p->fleet.releases = releases;
-      return FALSE;
-    }
-  give_claim (p, j, PLAN_MOVE, now, step);
-  return TRUE;
-}
-
-/* Charges what was adopted. */
-static void
-charge_adopted (Plan *p, ClockMs now)
-{
-  guint i;
-  guint k;
-
-  for (i = 0; i < p->rows->len; i++)
-    {
-      GPtrArray *jobs = placed_jobs (p, i);
-
-      for (k = 0; k < jobs->len; k++)
-        {
-          FleetJob *j = g_ptr_array_index (jobs, k);
-
-          if (j->state == FLEET_PLACED && j->part[0].slot == FLEET_NO_SLOT &&
-              !j->stopping)
-            charge_again (p, j, now);
-        }
-      g_ptr_array_unref (jobs);
-    }
-  p->has_adopted = FALSE;
-}
-
-static void
-fit_guarantees (Plan *p, ClockMs now)
-{
-  if (p->has_adopted)
-    charge_adopted (p, now);
-  if (p->is_unfit)
-    quota_fit_to_fleet (&p->quota, &p->fleet);
-  p->is_unfit = FALSE;
-}
-
-/* Decides one step at NOW.  Returns FALSE if there is nothing to do until
-   something changes or plan_tick is called. */
-gboolean
-plan_next (Plan *p, ClockMs now, PlanStep *step)
-{
-  if (p->is_idle)
-    return FALSE;
-  fit_guarantees (p, now);
-  if (start_claimant (p, now, step))
-    return TRUE;
-  if (p->order.n_waiting > 0 &&
-      (run_round (p, now, TRUE, step) || run_round (p, now, FALSE, step) ||
-       run_drain (p, now, step) || run_move (p, now, step)))
-    return TRUE;
-  p->is_idle = TRUE;
-  return FALSE;
-}
-
 /* Notes that J wrote a checkpoint at NOW. */
 void
 plan_saved (Plan *p, FleetJob *j, ClockMs now)
@@ -1162,32 +361,6 @@
   j->saved = now;
 }
 
-/* Counts work of WORKSPACE that borrows as guaranteed where room for it has
-   come. */
-static void
-promote (Plan *p, guint workspace, ClockMs now)
-{
-  OrderWorkspace *w = order_workspace (&p->order, workspace);
-  GPtrArray *jobs;
-  guint i;
-
-  if (APR_RING_EMPTY (&w->placed, FleetJob, link) ||
-      quota_unused (&p->quota, workspace) == 0)
-    return;
-  jobs = placed_jobs (p, workspace);
-  for (i = 0; i < MIN (jobs->len, PLAN_MAX_PROMOTED); i++)
-    {
-      FleetJob *j = g_ptr_array_index (jobs, i);
-
-      if (j->in_guarantee || j->stopping || j->state != FLEET_PLACED ||
-          !charge_placed (p, j, now) || quota_holds (&p->quota, &p->fleet))
-        continue;
-      quota_discharge (&p->quota, &p->fleet, j);
-      retag (p, j, FALSE, now);
-    }
-  g_ptr_array_unref (jobs);
-}
-
 /* Takes J out of wherever it stands. */
 static void
 withdraw (Plan *p, FleetJob *j, ClockMs now)
@@ -1198,7 +371,7 @@
     {
       order_remove (&p->order, j);
       if (p->drain == j)
-        end_drain (p);
+        plan_end_drain (p);
       return;
     }
   order_free (&p->order, j, now);
@@ -1209,7 +382,7 @@
   j->in_guarantee = FALSE;
   j->stopping = 0;
   if (was_held)
-    promote (p, j->workspace, now);
+    plan_promote (p, j->workspace, now);
 }
 
 /* Frees the room of J at NOW; J waits again in its old place. */
