--- a/daemons/wagtailpass-node.c
+++ b/daemons/wagtailpass-node.c
@@ -1,4 +1,5 @@
 #include "host.h"
+#include "input.h"
 
 #include <apr_signal.h>
 #include <signal.h>
@@ -56,13 +57,10 @@
 {
   Findings findings;
   BootSettings *boot;
-  char *text;
 
   findings_init (&findings);
   boot = boot_load (file, &findings);
-  text = findings_text (&findings);
-  fputs (text, stderr);
-  g_free (text);
+  input_report (&findings, stderr);
   findings_clear (&findings);
   return boot;
 }
--- a/daemons/wagtailpassd.c
+++ b/daemons/wagtailpassd.c
@@ -1,3 +1,4 @@
+#include "input.h"
 #include "io.h"
 
 #include <apr_signal.h>
@@ -59,13 +60,10 @@
 {
   Findings findings;
   Settings *s;
-  char *text;
 
   findings_init (&findings);
   s = settings_load (file, &findings);
-  text = findings_text (&findings);
-  fputs (text, stderr);
-  g_free (text);
+  input_report (&findings, stderr);
   findings_clear (&findings);
   return s;
 }
--- a/src/claim.c
+++ b/src/claim.c
@@ -123,13 +123,6 @@
          strcmp (v->host, c->cfg->host) == 0;
 }
 
-static const StoreItem *
-first_item (const StoreReply *reply)
-{
-  return reply->items.n ? rec_list_at (store_item_desc (), &reply->items, 0)
-                        : NULL;
-}
-
 /* Returns the claim in ITEM, or NULL when it can't be read. */
 static ClaimValue *
 parse (const StoreItem *item)
@@ -282,7 +275,7 @@
 on_claimed (Core *c, const StoreReply *reply, gpointer owner, guint64 arg)
 {
   Request *r = owner;
-  const StoreItem *item = first_item (reply);
+  const StoreItem *item = store_first_item (reply);
 
   (void)arg;
   r->claim_call = 0;
@@ -363,7 +356,7 @@
 on_watched (Core *c, const StoreReply *reply, gpointer owner, guint64 arg)
 {
   Request *r = owner;
-  const StoreItem *item = first_item (reply);
+  const StoreItem *item = store_first_item (reply);
 
   (void)arg;
   r->claim_call = 0;
@@ -399,7 +392,7 @@
 on_found (Core *c, const StoreReply *reply, gpointer owner, guint64 arg)
 {
   Request *r = owner;
-  const StoreItem *item = first_item (reply);
+  const StoreItem *item = store_first_item (reply);
 
   (void)arg;
   r->claim_call = 0;
@@ -477,7 +470,7 @@
   else if (reply->status == STORE_OK)
     write_end (c, w);
   else if (reply->status == STORE_CONFLICT)
-    write_conflict (c, w, first_item (reply));
+    write_conflict (c, w, store_first_item (reply));
   else
     {
       if (reply->status == STORE_MISSING)
--- a/src/cli_show.c
+++ b/src/cli_show.c
@@ -1,5 +1,6 @@
 #include "cli.h"
 
+#include "input.h"
 #include "replay.h"
 
 #include <stdio.h>
@@ -163,10 +164,7 @@
   r = replay_new ();
   if (!replay_text (r, text, argv[1], &findings))
     {
-      char *lines = findings_text (&findings);
-
-      fputs (lines, stdout);
-      g_free (lines);
+      input_report (&findings, stdout);
       code = CLI_REFUSED;
     }
   else
--- a/src/cli_timeline.c
+++ b/src/cli_timeline.c
@@ -1,5 +1,6 @@
 #include "cli.h"
 
+#include "input.h"
 #include "lanes.h"
 #include "timeline.h"
 
@@ -43,13 +44,7 @@
       g_clear_error (&error);
       cli_answer_clear (&answer);
     }
-  if (findings_count (&findings))
-    {
-      char *text = findings_text (&findings);
-
-      fputs (text, stderr);
-      g_free (text);
-    }
+  input_report (&findings, stderr);
   findings_clear (&findings);
   timeline_merge (entries);
   return reached;
--- a/src/client.c
+++ b/src/client.c
@@ -211,32 +211,20 @@
   add_header (call, "Expect", "");
 }
 
-static void
-set_callbacks (Call *call)
-{
-  CURL *easy = call->easy;
-
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
-  curl_loop_send_once (easy, &call->transfers);
-  curl_loop_set_user_timeout (easy, &user_timeout_ms);
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
-}
-
 static void
 set_options (Call *call, ClockMs left)
 {
   CURL *easy = call->easy;
 
-  curl_easy_setopt (easy, CURLOPT_URL, call->url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)left);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)MIN (left, CONNECT_MS));
+  curl_loop_prepare (easy,
+                     &(CurlLoopCall) { .url = call->url,
+                                       .on_body = on_answer,
+                                       .on_header = on_header,
+                                       .owner = call,
+                                       .sendings = &call->transfers,
+                                       .user_timeout_ms = &user_timeout_ms,
+                                       .timeout = left,
+                                       .connect_timeout = CONNECT_MS });
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE, (long)KEEP_IDLE_S);
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, (long)KEEP_INTERVAL_S);
@@ -252,26 +240,13 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
-static CURL *
-take_handle (Client *c)
-{
-  CURL *easy;
-
-  if (c->idle->len == 0)
-    return curl_easy_init ();
-  easy = g_ptr_array_steal_index_fast (c->idle, c->idle->len - 1);
-  curl_easy_reset (easy);
-  return easy;
-}
-
 static void
 begin (Call *call, ClockMs left)
 {
   call->target->open++;
   io_count (call->client->io, SHELL_CALLS_OPEN, 1);
-  call->easy = take_handle (call->client);
+  call->easy = curl_loop_take_handle (call->client->idle);
   call->answer = g_byte_array_new ();
-  set_callbacks (call);
   set_options (call, left);
   curl_multi_add_handle (call->client->curl.multi, call->easy);
 }
--- a/src/curl_loop.c
+++ b/src/curl_loop.c
@@ -133,8 +133,8 @@
    and outlives the transfer.  libcurl would send it again when a connection
    that it used before closes without an answer, although the first one may
    have been executed. */
-void
-curl_loop_send_once (CURL *easy, guint *sendings)
+static void
+send_once (CURL *easy, guint *sendings)
 {
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_sending);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, sendings);
@@ -153,9 +153,43 @@
 
 /* Has EASY's connections given up when what was sent is not acknowledged for
    TIMEOUT_MS, which outlives the transfer. */
-void
-curl_loop_set_user_timeout (CURL *easy, const int *timeout_ms)
+static void
+set_user_timeout (CURL *easy, const int *timeout_ms)
 {
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, (void *)timeout_ms);
 }
+
+/* Returns a handle with libcurl's defaults: one of IDLE, which holds CURL
+   handles for reuse, or a new one. */
+CURL *
+curl_loop_take_handle (GPtrArray *idle)
+{
+  CURL *easy;
+
+  if (idle->len == 0)
+    return curl_easy_init ();
+  easy = g_ptr_array_steal_index_fast (idle, idle->len - 1);
+  curl_easy_reset (easy);
+  return easy;
+}
+
+/* Sets EASY, which has libcurl's defaults, up for CALL. */
+void
+curl_loop_prepare (CURL *easy, const CurlLoopCall *call)
+{
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, call->on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call->owner);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, call->on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call->owner);
+  send_once (easy, call->sendings);
+  set_user_timeout (easy, call->user_timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call->owner);
+  curl_easy_setopt (easy, CURLOPT_URL, call->url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)MIN (call->timeout, call->connect_timeout));
+}
--- a/src/curl_loop.h
+++ b/src/curl_loop.h
@@ -16,10 +16,31 @@
 /* Called with each transfer that has ended. */
 typedef void (*CurlLoopEnd) (void *owner, CURL *easy, CURLcode code);
 
+/* Called with N * SIZE bytes of a transfer's answer; returns how many it
+   took, and fewer break the transfer off. */
+typedef size_t (*CurlLoopReceive) (char *data,
+                                   size_t size,
+                                   size_t n,
+                                   void *owner);
+
+/* What every transfer needs.  All but the spans and URL, which is copied,
+   outlives the transfer. */
+typedef struct CurlLoopCall
+{
+  const char *url;
+  CurlLoopReceive on_body;
+  CurlLoopReceive on_header;
+  void *owner;
+  guint *sendings;            /* counts how often it was sent; 0 before */
+  const int *user_timeout_ms; /* see TCP_USER_TIMEOUT */
+  ClockMs timeout;
+  ClockMs connect_timeout; /* if it is the shorter one */
+} CurlLoopCall;
+
 void curl_loop_init (CurlLoop *c, Loop *loop, long idle_connections);
 void curl_loop_clear (CurlLoop *c);
-void curl_loop_send_once (CURL *easy, guint *sendings);
-void curl_loop_set_user_timeout (CURL *easy, const int *timeout_ms);
+CURL *curl_loop_take_handle (GPtrArray *idle);
+void curl_loop_prepare (CURL *easy, const CurlLoopCall *call);
 void curl_loop_run (CurlLoop *c, CurlLoopEnd end, void *owner);
 
 #endif
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -112,33 +112,21 @@
 }
 
 static void
-set_callbacks (Transfer *t)
+set_options (Transfer *t, const FetchCall *call)
 {
   CURL *easy = t->easy;
 
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, t);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, t);
-  curl_loop_send_once (easy, &t->sendings);
-  curl_loop_set_user_timeout (easy, &user_timeout_ms);
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, t);
-}
-
-static void
-set_limits (Transfer *t, const FetchCall *call)
-{
-  CURL *easy = t->easy;
-
-  curl_easy_setopt (easy, CURLOPT_URL, call->url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_loop_prepare (easy,
+                     &(CurlLoopCall) { .url = call->url,
+                                       .on_body = on_answer,
+                                       .on_header = on_header,
+                                       .owner = t,
+                                       .sendings = &t->sendings,
+                                       .user_timeout_ms = &user_timeout_ms,
+                                       .timeout = call->timeout,
+                                       .connect_timeout = CONNECT_MS });
   curl_easy_setopt (easy, CURLOPT_BUFFERSIZE,
                     (long)(call->buffer ? call->buffer : RECEIVE_BUFFER));
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)MIN (call->timeout, CONNECT_MS));
   if (call->most_idle_s)
     curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)call->most_idle_s);
   if (call->close_after)
@@ -147,18 +135,6 @@
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
 }
 
-static CURL *
-take_handle (Fetch *f)
-{
-  CURL *easy;
-
-  if (f->idle->len == 0)
-    return curl_easy_init ();
-  easy = g_ptr_array_steal_index_fast (f->idle, f->idle->len - 1);
-  curl_easy_reset (easy);
-  return easy;
-}
-
 /* Returns the lane of URL's address, made if need be. */
 static CurlLoop *
 lane_of (Fetch *f, const char *url)
@@ -187,7 +163,7 @@
 
   t->fetch = f;
   t->lane = lane_of (f, call->url);
-  t->easy = take_handle (f);
+  t->easy = curl_loop_take_handle (f->idle);
   t->answer = g_byte_array_new ();
   t->sent = loop_now (f->loop);
   t->traffic = call->traffic;
@@ -196,8 +172,7 @@
   t->tag = call->tag;
   t->traffic->calls++;
   APR_RING_INSERT_TAIL (&f->transfers, t, Transfer, link);
-  set_callbacks (t);
-  set_limits (t, call);
+  set_options (t, call);
   set_body (t, call);
   set_headers (t, call);
   curl_multi_add_handle (t->lane->multi, t->easy);
--- a/src/job.c
+++ b/src/job.c
@@ -360,17 +360,11 @@
          g_bytes_equal (j->writing, item->value);
 }
 
-static const StoreItem *
-first_item (const StoreReply *r)
-{
-  return r->items.n ? rec_list_at (store_item_desc (), &r->items, 0) : NULL;
-}
-
 static void
 on_read_back (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
   Job *j = owner;
-  const StoreItem *item = first_item (r);
+  const StoreItem *item = store_first_item (r);
 
   (void)arg;
   j->store_call = 0;
@@ -402,7 +396,7 @@
 on_put (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
   Job *j = owner;
-  const StoreItem *item = first_item (r);
+  const StoreItem *item = store_first_item (r);
 
   (void)arg;
   j->store_call = 0;
--- a/src/sched.c
+++ b/src/sched.c
@@ -325,8 +325,7 @@
 static void
 on_key_found (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
-  const StoreItem *item =
-      r->items.n ? rec_list_at (store_item_desc (), &r->items, 0) : NULL;
+  const StoreItem *item = store_first_item (r);
   StoreCall call = { .op = STORE_DELETE };
 
   (void)owner;
--- a/src/settings.c
+++ b/src/settings.c
@@ -1,5 +1,6 @@
 #include "settings.h"
 
+#include "input.h"
 #include "log.h"
 
 #include <json-c/json.h>
@@ -337,17 +338,12 @@
 Settings *
 settings_load (const char *file, Findings *findings)
 {
-  GError *error = NULL;
   Settings *s = NULL;
   char *text;
   gsize n;
 
-  if (!g_file_get_contents (file, &text, &n, &error))
-    {
-      findings_add (findings, file, "%s", error->message);
-      g_error_free (error);
-      return NULL;
-    }
+  if (!input_read (file, &text, &n, findings))
+    return NULL;
   if (n > SETTINGS_MAX_BYTES)
     findings_add (findings, file, "%" G_GSIZE_FORMAT " bytes exceed %d", n,
                   SETTINGS_MAX_BYTES);
--- a/src/store.c
+++ b/src/store.c
@@ -458,6 +458,13 @@
   g_hash_table_remove (c->store->pending, &call);
 }
 
+/* Returns the first item of R, or NULL if it has none. */
+const StoreItem *
+store_first_item (const StoreReply *r)
+{
+  return r->items.n ? rec_list_at (store_item_desc (), &r->items, 0) : NULL;
+}
+
 /* Tells whether the store is taken to answer. */
 gboolean
 store_is_up (const Core *c)
@@ -523,7 +530,7 @@
 on_watch_done (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
   StoreWatch *w = owner;
-  const StoreItem *item = r->items.n ? r->items.items : NULL;
+  const StoreItem *item = store_first_item (r);
   gboolean failed = r->status != STORE_OK && r->status != STORE_MISSING;
 
   (void)arg;
--- a/src/store.h
+++ b/src/store.h
@@ -61,6 +61,7 @@
 void store_forget (Core *c, gint64 call);
 void store_watch_start (Core *c, StoreWatch *w);
 void store_watch_from (Core *c, StoreWatch *w, gint64 revision);
+const StoreItem *store_first_item (const StoreReply *r);
 gboolean store_is_up (const Core *c);
 ClockMs store_answered_at (const Core *c);
 void store_on_reply (Core *c, const Event *e);
--- a/src/submit.c
+++ b/src/submit.c
@@ -349,17 +349,11 @@
     job_record_free (found);
 }
 
-static const StoreItem *
-first_item (const StoreReply *r)
-{
-  return r->items.n ? rec_list_at (store_item_desc (), &r->items, 0) : NULL;
-}
-
 static void
 on_created (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
   Submit *s = owner;
-  const StoreItem *item = first_item (r);
+  const StoreItem *item = store_first_item (r);
 
   (void)arg;
   job_count_write (c, r);
@@ -392,7 +386,7 @@
 on_claimed (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
   Submit *s = owner;
-  const StoreItem *item = first_item (r);
+  const StoreItem *item = store_first_item (r);
   gsize n;
 
   (void)arg;
@@ -776,7 +770,7 @@
 
   (void)arg;
   if (r->status == STORE_OK && r->items.n)
-    ask_found (c, a, first_item (r));
+    ask_found (c, a, store_first_item (r));
   else if (r->status == STORE_OK || r->status == STORE_MISSING)
     {
       g_ptr_array_remove_index (a->domains, 0);
--- a/src/table.c
+++ b/src/table.c
@@ -439,16 +439,10 @@
   rec_free (table_value_desc (), v);
 }
 
-static const StoreItem *
-first_item (const StoreReply *r)
-{
-  return r->items.n ? r->items.items : NULL;
-}
-
 static void
 on_polled (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
-  const StoreItem *item = first_item (r);
+  const StoreItem *item = store_first_item (r);
   TableValue *v;
 
   (void)owner;
@@ -518,7 +512,7 @@
 on_offer_read (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
   Table *t = c->table;
-  const StoreItem *item = first_item (r);
+  const StoreItem *item = store_first_item (r);
   TableValue *v = NULL;
 
   (void)owner;
@@ -765,7 +759,7 @@
 on_edit_written (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
   Edit *d = owner;
-  const StoreItem *item = first_item (r);
+  const StoreItem *item = store_first_item (r);
   TableValue *v;
 
   (void)arg;
@@ -813,7 +807,7 @@
 on_edit_read (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
 {
   Edit *d = owner;
-  const StoreItem *item = first_item (r);
+  const StoreItem *item = store_first_item (r);
   gint64 revision = item ? item->revision : 0;
   TableValue *v = NULL;
 
