Scheduler, callers' side: three modules in place of one file of 938 lines

submit.c takes new jobs and makes the replies about jobs; hint.c brings news of jobs to the scheduler; ask.c handles questions and cancellations. sched_state.h lists the scheduler's modules.

--- a/src/role.c
+++ b/src/role.c
@@ -567,7 +567,7 @@
   r->heard = c->now;
   copy_full (r, &b->full);
   if (b->term > r->hinted)
-    submit_hint_again (c);
+    hint_send_again (c);
   r->hinted = b->term;
 }
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -667,7 +667,7 @@
 
   make_plan (c);
   s->taken_at = c->now;
-  submit_hint_again (c);
+  hint_send_again (c);
   s->ready = s->records_known = FALSE;
   s->reports_due = s->workers->len;
   for (i = 0; i < s->workers->len; i++)
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -12,8 +12,17 @@
 #include "sched.h"
 #include "store.h"
 
-/* What the parts of the scheduler share.  For sched.c, submit.c, role.c,
-   gang.c, lease.c, adopt.c and job.c only. */
+/* What the modules of the scheduler share.  For these alone:
+   sched.c        the domain's jobs and workers, while the role is held
+   role.c         the scheduler's role: the store's lease and a term
+   job.c          records of jobs in the store
+   gang.c         one run of a job, all parts or none
+   lease.c        renewals of workers' leases, and their reports
+   adopt.c        what a new scheduler finds
+   sched_status.c the state as operators see it
+   submit.c       callers' new jobs, and the replies about jobs
+   hint.c         news of jobs to the scheduler
+   ask.c          callers' questions and cancellations */
 
 /* Where a gang stands on this host. */
 #define JOB_PHASES(X)                                                          \
@@ -200,9 +209,29 @@
 
 void submit_new (Sched *s);
 void submit_free (Sched *s);
-void submit_hint_again (Core *c);
 gboolean submit_busy (const Core *c);
 void submit_reply (Core *c, gint64 conn, int status, const JobRecord *r);
+void submit_reply_json (Core *c,
+                        gint64 conn,
+                        int status,
+                        const char *id,
+                        char *json);
+void submit_fail (Core *c,
+                  gint64 conn,
+                  Outcome outcome,
+                  int status,
+                  const char *id,
+                  const char *reason);
 void submit_refuse (Core *c, gint64 conn, int status, const char *reason);
 
+const char *hint_host (Core *c, const char *domain);
+void hint_start (Core *c, const JobRecord *rec, GBytes *value, gint64 revision);
+void hint_send_again (Core *c);
+void hint_tell_origin (Core *c, Job *j);
+void hint_free (gpointer p);
+
+void ask_add_asker (Job *j, gint64 conn, const char *peer);
+void ask_cancel_answered (Core *c, const SchedKnown *m);
+void ask_free (gpointer p);
+
 #endif
