Names that needed explaining: requests, plan, sheet, HTTP bodies

A request's patience is its step_delay, so_far its known_outcome, holds and held_at has_slot and slot_since; what is watched for silence is no longer called fresh, and a workspace's Tenant is its RateBucket. Work that must_hold needs a guarantee, retag is set_in_guarantee, PlanOver is PlanMemoryAction. A sheet knows the column_at of a cell, and a second row of one name is a duplicate. No name that leaves the process changes.

--- a/src/claim.c
+++ b/src/claim.c
@@ -25,7 +25,7 @@
   ClaimValue *value;
   gint64 expect;
   gint64 call;
-  ClockMs patience;
+  ClockMs retry_delay;
   Timer again;
 } ClaimWrite;
 
@@ -215,7 +215,7 @@
                 "idempotency key was used with another body", NULL);
   else if (v->state == CLAIM_NOT_RUN && !r->digest[0])
     req_finish (c, r, OUTCOME_NOT_RUN, 404, "did not run", NULL);
-  else if (v->state == CLAIM_NOT_RUN && r->holds)
+  else if (v->state == CLAIM_NOT_RUN && r->has_slot)
     claim_take (c, r);
   else if (v->state == CLAIM_NOT_RUN)
     req_wait_for_store (c, r);
@@ -448,8 +448,8 @@
 static void
 write_later (Core *c, ClaimWrite *w)
 {
-  w->patience = req_grow (w->patience, RETRY_MAX_MS);
-  core_arm (c, &w->again, c->now + core_jitter (c, w->patience));
+  w->retry_delay = req_back_off (w->retry_delay, RETRY_MAX_MS);
+  core_arm (c, &w->again, c->now + core_jitter (c, w->retry_delay));
 }
 
 static void
@@ -522,7 +522,7 @@
   w->value->status = status;
   set_body (w->value, body);
   w->expect = r->claim_revision;
-  w->patience = RETRY_MIN_MS;
+  w->retry_delay = RETRY_MIN_MS;
   w->again = (Timer) { .fire = on_write_again, .owner = w };
   w->serial = ++k->serial;
   g_hash_table_insert (k->writes, &w->serial, w);
--- a/src/client.c
+++ b/src/client.c
@@ -59,9 +59,9 @@
   CURL *easy;
   struct curl_slist *headers;
   GByteArray *answer;
-  guint transfers; /* how often sending began */
-  gboolean whole;  /* an answer came, and all of it */
-  gboolean sized;  /* the answer says where it ends */
+  guint sendings; /* how often sending began */
+  gboolean whole; /* an answer came, and all of it */
+  gboolean sized; /* the answer says where it ends */
   gboolean leaving;
   gboolean not_run;
   gboolean cut; /* the answer exceeds max_answer_bytes */
@@ -221,7 +221,7 @@
                                        .on_body = on_answer,
                                        .on_header = on_header,
                                        .owner = call,
-                                       .sendings = &call->transfers,
+                                       .sendings = &call->sendings,
                                        .user_timeout_ms = &user_timeout_ms,
                                        .timeout = left,
                                        .connect_timeout = CONNECT_MS });
@@ -257,7 +257,7 @@
 {
   Client *c = call->client;
 
-  if (call->transfers == 0)
+  if (call->sendings == 0)
     io_count (c->io, SHELL_CALLS_UNSENT, 1);
   else if (!call->whole)
     io_count (c->io, SHELL_CALLS_LOST, 1);
@@ -404,7 +404,7 @@
   StoreReply failure = { .call = s->call, .op = s->op };
   StoreReply *reply = NULL;
 
-  failure.status = call->transfers ? STORE_LOST : STORE_UNSENT;
+  failure.status = call->sendings ? STORE_LOST : STORE_UNSENT;
   if (call->whole &&
       (call->status == HTTP_TOO_MANY || call->status == HTTP_UNAVAILABLE))
     failure.status = STORE_REFUSED;
@@ -435,7 +435,7 @@
   WorkerReply failure = { .call = w->call, .worker = w->worker, .op = w->op };
   WorkerReply *reply = NULL;
 
-  failure.status = call->transfers ? WORKER_LOST : WORKER_UNSENT;
+  failure.status = call->sendings ? WORKER_LOST : WORKER_UNSENT;
   if (call->whole && call->status == HTTP_OK)
     reply = read_json_answer (call, worker_reply_desc ());
   if (reply &&
@@ -512,7 +512,7 @@
                           .request = s->request,
                           .attempt = s->attempt };
 
-  if (call->transfers == 0)
+  if (call->sendings == 0)
     reply.result = UPSTREAM_UNSENT;
   else if (!call->whole)
     reply.result = UPSTREAM_LOST;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -431,7 +431,7 @@
 /* Counts J, which is placed, as inside its guarantee or as borrowing, by the
    slots that its parts have by now. */
 void
-fleet_retag (Fleet *f, FleetJob *j, gboolean in_guarantee)
+fleet_set_in_guarantee (Fleet *f, FleetJob *j, gboolean in_guarantee)
 {
   guint i;
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -150,7 +150,7 @@
 void fleet_claim (Fleet *f, FleetJob *j);
 gboolean fleet_claim_is_free (const Fleet *f, const FleetJob *j);
 void fleet_release (Fleet *f, FleetJob *j);
-void fleet_retag (Fleet *f, FleetJob *j, gboolean in_guarantee);
+void fleet_set_in_guarantee (Fleet *f, FleetJob *j, gboolean in_guarantee);
 gboolean fleet_can_stop (const FleetJob *j);
 gint64 fleet_stop_cost (const FleetJob *j, ClockMs now);
 double fleet_fragmentation (const Fleet *f, guint accelerators);
--- a/src/gang.c
+++ b/src/gang.c
@@ -666,18 +666,18 @@
 check_memory (Core *c, Part *p, gint64 used_mb)
 {
   Job *j = p->job;
-  PlanOver over;
+  PlanMemoryAction over;
 
   p->used_mb = used_mb;
   if (j->phase != PHASE_RUN || p->state != PART_RUNNING || used_mb == 0)
     return TRUE;
   over = plan_used_memory (c->sched->plan, &j->fleet, used_mb);
-  if (over == PLAN_OVER_STOP)
+  if (over == PLAN_MEMORY_STOP)
     {
       stop_oversized (c, j, p);
       return FALSE;
     }
-  if (over == PLAN_OVER_THROTTLE && !p->throttled && !p->call)
+  if (over == PLAN_MEMORY_THROTTLE && !p->throttled && !p->call)
     {
       p->throttled = TRUE;
       part_call (c, p, WORKER_THROTTLE);
--- a/src/http.c
+++ b/src/http.c
@@ -115,13 +115,13 @@
   Http *h = call->listener->http;
   gsize most = (gsize)io_settings (h->io)->max_bodies_bytes;
 
-  if (call->overflow || call->crowded)
+  if (call->overflow || call->over_total)
     return;
   if (!call->body)
     call->body = g_byte_array_new ();
   call->overflow = call->body->len + n > call->max_body;
-  call->crowded = h->body_bytes + n > most;
-  if (call->overflow || call->crowded)
+  call->over_total = h->body_bytes + n > most;
+  if (call->overflow || call->over_total)
     {
       drop_body (call);
       return;
@@ -160,7 +160,7 @@
   http_conn_unlink (call->conn);
   if (call->overflow)
     refuse_body (call);
-  else if (call->crowded)
+  else if (call->over_total)
     http_refuse (call, STATUS_UNAVAILABLE,
                  "too many bodies are being received");
   else
--- a/src/http_state.h
+++ b/src/http_state.h
@@ -73,8 +73,8 @@
   gint64 number;
   GByteArray *body;
   gsize max_body;
-  gboolean overflow; /* the body exceeds max_body */
-  gboolean crowded;  /* all bodies together exceed max_bodies_bytes */
+  gboolean overflow;   /* the body exceeds max_body */
+  gboolean over_total; /* all bodies together exceed max_bodies_bytes */
   gboolean pending;
   gboolean gone;
   LoopWatch *hangup;
--- a/src/plan.c
+++ b/src/plan.c
@@ -12,7 +12,7 @@
 static void
 row_free (gpointer p)
 {
-  PlanRow *row = p;
+  PlanWorkspace *row = p;
 
   g_free (row->name);
   g_free (row);
@@ -94,7 +94,7 @@
 
   if (i == p->rows->len)
     {
-      PlanRow *row = g_new0 (PlanRow, 1);
+      PlanWorkspace *row = g_new0 (PlanWorkspace, 1);
 
       row->name = g_strdup (name);
       row->max_queued = -1;
@@ -130,7 +130,7 @@
 {
   order_set_capacity (&p->order, p->fleet.n_accelerators,
                       (double)p->fleet.cores, (double)p->fleet.memory_mb);
-  p->is_unfit = TRUE;
+  p->must_refit = TRUE;
   changed (p);
 }
 
@@ -210,10 +210,10 @@
 set_row (Plan *p, const Workspace *row, const GArray *sizes, ClockMs now)
 {
   guint i = plan_workspace (p, row->name);
-  PlanRow *mine = g_ptr_array_index (p->rows, i);
+  PlanWorkspace *mine = g_ptr_array_index (p->rows, i);
   OrderWorkspace *w = order_workspace (&p->order, i);
 
-  mine->listed = TRUE;
+  mine->in_table = TRUE;
   mine->max_queued = row->max_queued;
   w->weight = (double)MAX (row->weight, 1);
   w->max_accelerators = row->max_accelerators;
@@ -232,14 +232,14 @@
 
   p->quota.unplaced = quota_split (&p->inventory, rows, n, p->domain, runs);
   for (i = 0; i < p->rows->len; i++)
-    ((PlanRow *)g_ptr_array_index (p->rows, i))->listed = FALSE;
+    ((PlanWorkspace *)g_ptr_array_index (p->rows, i))->in_table = FALSE;
   for (i = 0; i < n; i++)
     {
       set_row (p, rows[i], runs[i], now);
       g_array_unref (runs[i]);
     }
   for (i = 0; i < p->rows->len; i++)
-    if (!((PlanRow *)g_ptr_array_index (p->rows, i))->listed)
+    if (!((PlanWorkspace *)g_ptr_array_index (p->rows, i))->in_table)
       plan_charge_anew (p, i, NULL, now);
   g_free (runs);
   quota_fit_to_fleet (&p->quota, &p->fleet);
@@ -275,7 +275,7 @@
 {
   const OrderWorkspace *w =
       g_ptr_array_index (p->order.workspaces, j->workspace);
-  const PlanRow *row = g_ptr_array_index (p->rows, j->workspace);
+  const PlanWorkspace *row = g_ptr_array_index (p->rows, j->workspace);
   gint64 wanted = (gint64)j->parts * j->accelerators;
 
   if (!place_is_feasible_when_empty (&p->fleet, j))
@@ -289,7 +289,7 @@
                  "%" G_GINT64_FORMAT " accelerators are more than the limit "
                  "of %" G_GINT64_FORMAT " of workspace \"%s\"",
                  wanted, w->max_accelerators, row->name);
-  else if (plan_must_hold (j) &&
+  else if (plan_needs_guarantee (j) &&
            !quota_fits_when_empty (&p->quota, j->workspace, j->parts,
                                    j->accelerators))
     g_set_error (error, PLAN_ERROR, PLAN_ERROR_LIMIT,
@@ -345,10 +345,10 @@
   if (!j->started)
     j->started = now;
   order_take (&p->order, j, now);
-  if (plan_must_hold (j))
-    plan_retag (p, j, TRUE, now);
+  if (plan_needs_guarantee (j))
+    plan_set_in_guarantee (p, j, TRUE, now);
   j->wait = PLAN_WAIT_NONE;
-  p->has_adopted = p->is_unfit = TRUE;
+  p->has_adopted = p->must_refit = TRUE;
   changed (p);
   return TRUE;
 }
@@ -475,11 +475,11 @@
     if (quota_short (&p->quota, k) > 0 && i-- == 0)
       break;
   g_assert (k < p->rows->len);
-  return (PlanShort) { .workspace =
-                           ((PlanRow *)g_ptr_array_index (p->rows, k))->name,
-                       .accelerators =
-                           quota_workspace (&p->quota, k)->accelerators,
-                       .short_of = quota_short (&p->quota, k) };
+  return (PlanShort) {
+    .workspace = ((PlanWorkspace *)g_ptr_array_index (p->rows, k))->name,
+    .accelerators = quota_workspace (&p->quota, k)->accelerators,
+    .short_of = quota_short (&p->quota, k)
+  };
 }
 
 /* Returns how many guaranteed accelerators no domain could ever hold. */
@@ -536,14 +536,15 @@
 
 /* Notes that a part of J was seen to use USED_MB, and returns what to do:
    beyond its memory it is throttled, and stopped when far beyond. */
-PlanOver
+PlanMemoryAction
 plan_used_memory (Plan *p, const FleetJob *j, gint64 used_mb)
 {
   learn_memory (&p->learn, j, used_mb);
   if (j->memory_mb == 0 || used_mb <= j->memory_mb)
-    return PLAN_OVER_NONE;
-  return used_mb * 100 > j->memory_mb * PLAN_STOP_PERCENT ? PLAN_OVER_STOP
-                                                          : PLAN_OVER_THROTTLE;
+    return PLAN_MEMORY_ALLOW;
+  return used_mb * 100 > j->memory_mb * PLAN_STOP_PERCENT
+             ? PLAN_MEMORY_STOP
+             : PLAN_MEMORY_THROTTLE;
 }
 
 /* Notes that J failed on WORKER at NOW.  The caller then requeues J or, on
@@ -589,6 +590,6 @@
 
   while (learn_next_probe (&p->learn, now, &i))
     apply_usable (p, i, now);
-  p->is_unfit = TRUE;
+  p->must_refit = TRUE;
   changed (p);
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -142,14 +142,14 @@
 } PlanBlame;
 
 /* What to do about a part that uses more memory than it may. */
-typedef enum PlanOver
+typedef enum PlanMemoryAction
 {
-  PLAN_OVER_NONE,
-  PLAN_OVER_THROTTLE,
-  PLAN_OVER_STOP
-} PlanOver;
+  PLAN_MEMORY_ALLOW,
+  PLAN_MEMORY_THROTTLE,
+  PLAN_MEMORY_STOP
+} PlanMemoryAction;
 
-PlanOver plan_used_memory (Plan *p, const FleetJob *j, gint64 used_mb);
+PlanMemoryAction plan_used_memory (Plan *p, const FleetJob *j, gint64 used_mb);
 PlanBlame plan_failed (Plan *p, FleetJob *j, const char *worker, ClockMs now);
 void plan_succeeded (Plan *p, FleetJob *j, ClockMs now);
 void plan_tick (Plan *p, ClockMs now); /* ends quarantines; once a second */
--- a/src/plan_charge.c
+++ b/src/plan_charge.c
@@ -8,10 +8,10 @@
 /* Moves J, which is placed, into its guarantee or out of it, by the slots
    that its parts have. */
 void
-plan_retag (Plan *p, FleetJob *j, gboolean in_guarantee, ClockMs now)
+plan_set_in_guarantee (Plan *p, FleetJob *j, gboolean in_guarantee, ClockMs now)
 {
   order_free (&p->order, j, now);
-  fleet_retag (&p->fleet, j, in_guarantee);
+  fleet_set_in_guarantee (&p->fleet, j, in_guarantee);
   order_take (&p->order, j, now);
 }
 
@@ -22,18 +22,18 @@
 {
   if (!quota_charge_at (&p->quota, &p->fleet, j))
     return FALSE;
-  plan_retag (p, j, TRUE, now);
+  plan_set_in_guarantee (p, j, TRUE, now);
   if (fleet_job_is_sound (&p->fleet, j))
     return TRUE;
   quota_discharge (&p->quota, &p->fleet, j);
-  plan_retag (p, j, FALSE, now);
+  plan_set_in_guarantee (p, j, FALSE, now);
   return FALSE;
 }
 
 /* Tells whether J can be neither resumed nor repeated, so that it is never
    taken back once it runs. */
 gboolean
-plan_must_hold (const FleetJob *j)
+plan_needs_guarantee (const FleetJob *j)
 {
   return j->accelerators > 0 && !j->checkpointable && !j->repeatable;
 }
@@ -46,8 +46,8 @@
   const FleetJob *x = *(FleetJob *const *)a;
   const FleetJob *y = *(FleetJob *const *)b;
 
-  if (plan_must_hold (x) != plan_must_hold (y))
-    return plan_must_hold (x) ? -1 : 1;
+  if (plan_needs_guarantee (x) != plan_needs_guarantee (y))
+    return plan_needs_guarantee (x) ? -1 : 1;
   if (x->work_class != y->work_class)
     return x->work_class < y->work_class ? -1 : 1;
   return x->id < y->id ? -1 : x->id > y->id;
@@ -91,9 +91,9 @@
 charge_again (Plan *p, FleetJob *j, ClockMs now)
 {
   if (j->in_guarantee)
-    plan_retag (p, j, FALSE, now);
-  if (!charge_placed (p, j, now) && plan_must_hold (j))
-    plan_retag (p, j, TRUE, now);
+    plan_set_in_guarantee (p, j, FALSE, now);
+  if (!charge_placed (p, j, now) && plan_needs_guarantee (j))
+    plan_set_in_guarantee (p, j, TRUE, now);
 }
 
 /* Gives WORKSPACE the guaranteed runs of SIZES (NULL: none), and charges its
@@ -117,7 +117,7 @@
       if (!j->in_guarantee)
         continue;
       quota_discharge (&p->quota, &p->fleet, j);
-      plan_retag (p, j, plan_must_hold (j), now);
+      plan_set_in_guarantee (p, j, plan_needs_guarantee (j), now);
       g_ptr_array_add (former, j);
     }
   quota_set_runs (&p->quota, workspace, sizes);
@@ -131,9 +131,10 @@
 static gboolean
 may_yield (const FleetJob *v, const FleetJob *j)
 {
-  return v->in_guarantee && v->state == FLEET_PLACED && !plan_must_hold (v) &&
-         (plan_must_hold (j) ? v->work_class >= j->work_class
-                             : v->work_class > j->work_class);
+  return v->in_guarantee && v->state == FLEET_PLACED &&
+         !plan_needs_guarantee (v) &&
+         (plan_needs_guarantee (j) ? v->work_class >= j->work_class
+                                   : v->work_class > j->work_class);
 }
 
 /* Undoes the discharge of V, whose SLOTS were kept. */
@@ -184,7 +185,7 @@
     }
   for (i = yielded->len; i > 0; i--)
     if (charged)
-      plan_retag (p, g_ptr_array_index (yielded, i - 1), FALSE, now);
+      plan_set_in_guarantee (p, g_ptr_array_index (yielded, i - 1), FALSE, now);
     else
       restore (p, g_ptr_array_index (yielded, i - 1),
                g_ptr_array_index (slots, i - 1));
@@ -201,7 +202,7 @@
   const QuotaWorkspace *w = quota_workspace (&p->quota, j->workspace);
 
   return w && w->accelerators >= j->parts * j->accelerators &&
-         (j->work_class == CLASS_INTERACTIVE || plan_must_hold (j));
+         (j->work_class == CLASS_INTERACTIVE || plan_needs_guarantee (j));
 }
 
 /* Assigns J to runs of its workspace's guarantee, in p->units, if those are
@@ -247,9 +248,9 @@
 {
   if (p->has_adopted)
     charge_adopted (p, now);
-  if (p->is_unfit)
+  if (p->must_refit)
     quota_fit_to_fleet (&p->quota, &p->fleet);
-  p->is_unfit = FALSE;
+  p->must_refit = FALSE;
 }
 
 /* Counts work of WORKSPACE that borrows as guaranteed where room for it has
@@ -273,7 +274,7 @@
           !charge_placed (p, j, now) || quota_holds (&p->quota, &p->fleet))
         continue;
       quota_discharge (&p->quota, &p->fleet, j);
-      plan_retag (p, j, FALSE, now);
+      plan_set_in_guarantee (p, j, FALSE, now);
     }
   g_ptr_array_unref (jobs);
 }
--- a/src/plan_drain.c
+++ b/src/plan_drain.c
@@ -115,7 +115,7 @@
 static gboolean
 may_drain (const FleetJob *j)
 {
-  return j->accelerators > 0 && !plan_must_hold (j);
+  return j->accelerators > 0 && !plan_needs_guarantee (j);
 }
 
 /* Sees to it that the oldest gang doesn't wait for ever: keeps workers free
@@ -189,12 +189,12 @@
   double cost;
 
   if (!j || now - j->arrived < PLAN_MOVE_AFTER_MS ||
-      now - p->moved < PLAN_MOVE_EVERY_MS)
+      now - p->last_move < PLAN_MOVE_EVERY_MS)
     return FALSE;
   width = (gint64)j->parts * j->accelerators;
   if (p->fleet.n_accelerators - p->fleet.n_used < width)
     return FALSE;
-  p->moved = now;
+  p->last_move = now;
   if (!plan_search (p, j, RECLAIM_MOVE, now, &cost) ||
       cost > (double)width * (double)(now - j->arrived) ||
       !victims_have_room (p, j))
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -29,12 +29,12 @@
 } PlanShape;
 
 /* What the plan keeps of a workspace besides Quota and Order. */
-typedef struct PlanRow
+typedef struct PlanWorkspace
 {
   char *name;
   gint64 max_queued; /* -1: no limit */
-  gboolean listed;   /* in the table in force */
-} PlanRow;
+  gboolean in_table; /* in the table in force */
+} PlanWorkspace;
 
 struct Plan
 {
@@ -58,16 +58,19 @@
   guint64 failed_at; /* releases when they failed */
   FleetJob *drain;   /* who the draining reservation is for */
   ClockMs drain_since;
-  ClockMs moved;    /* when a move was last tried */
-  gboolean is_idle; /* nothing changed since the last round found nothing */
+  ClockMs last_move; /* when a move was last tried */
+  gboolean is_idle;  /* nothing changed since the last round found nothing */
   gboolean has_adopted;
-  gboolean is_unfit; /* the guarantees have to be fitted again */
+  gboolean must_refit; /* the guarantees have to be fitted again */
 };
 
 void plan_prepare (FleetJob *j);
 
-gboolean plan_must_hold (const FleetJob *j);
-void plan_retag (Plan *p, FleetJob *j, gboolean in_guarantee, ClockMs now);
+gboolean plan_needs_guarantee (const FleetJob *j);
+void plan_set_in_guarantee (Plan *p,
+                            FleetJob *j,
+                            gboolean in_guarantee,
+                            ClockMs now);
 gboolean plan_charge (Plan *p, FleetJob *j, ClockMs now);
 void
 plan_charge_anew (Plan *p, guint workspace, const GArray *sizes, ClockMs now);
--- a/src/plan_step.c
+++ b/src/plan_step.c
@@ -97,7 +97,7 @@
 
 /* Tells whether what J took where it stands leaves all guarantees whole. */
 static gboolean
-keeps_promises (const Plan *p, const FleetJob *j)
+keeps_guarantees (const Plan *p, const FleetJob *j)
 {
   return fleet_job_is_sound (&p->fleet, j) &&
          quota_holds (&p->quota, &p->fleet);
@@ -106,12 +106,12 @@
 /* Puts J, which waits, where its parts say; FALSE if that is not free or
    breaks the invariant. */
 static gboolean
-settle (Plan *p, FleetJob *j, ClockMs now)
+take_room (Plan *p, FleetJob *j, ClockMs now)
 {
   if (!fleet_place (&p->fleet, j))
     return FALSE;
   quota_anchor (&p->quota, &p->fleet, j);
-  if (!fleet_can_stop (j) && !keeps_promises (p, j))
+  if (!fleet_can_stop (j) && !keeps_guarantees (p, j))
     {
       guint64 releases = p->fleet.releases;
 
@@ -214,7 +214,7 @@
 
   if (fits_runs (p, j) && plan_find_room (p, j, CLOCK_NEVER, FALSE))
     {
-      if (settle (p, j, now))
+      if (take_room (p, j, now))
         {
           give_start (p, j, now, step);
           return TRUE;
@@ -263,7 +263,7 @@
   ClockMs ends = run == CLOCK_NEVER ? CLOCK_NEVER : now + run;
   PlanShape shape = shape_of (p, j, ends);
 
-  if (plan_must_hold (j))
+  if (plan_needs_guarantee (j))
     {
       j->wait = PLAN_WAIT_GUARANTEE;
       return FALSE;
@@ -271,9 +271,9 @@
   j->wait = p->drain == j ? PLAN_WAIT_DRAIN : PLAN_WAIT_ROOM;
   if (p->drain != j && has_failed (p, &shape))
     return FALSE;
-  if ((plan_find_room (p, j, ends, FALSE) && settle (p, j, now)) ||
+  if ((plan_find_room (p, j, ends, FALSE) && take_room (p, j, now)) ||
       (!fleet_can_stop (j) && plan_find_room (p, j, ends, TRUE) &&
-       settle (p, j, now)))
+       take_room (p, j, now)))
     {
       give_start (p, j, now, step);
       return TRUE;
--- a/src/req.c
+++ b/src/req.c
@@ -43,7 +43,8 @@
   q->by_conn = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                       req_waiter_free);
   q->costs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  q->tenants = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  q->rate_buckets =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   q->ended =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, req_ended_free);
   g_queue_init (&q->ended_order);
@@ -52,7 +53,7 @@
   q->slots = slots_new (c);
   q->claims = claim_new (c);
   APR_RING_INIT (&q->placing, Request, link);
-  APR_RING_INIT (&q->fresh, Request, fresh);
+  APR_RING_INIT (&q->watched, Request, watched);
   q->silence = (Timer) { .fire = req_on_silence };
   q->retry_tokens = RETRY_TOKENS_FIRST;
   q->other_cost.ms = REQ_COST_FIRST_MS;
@@ -86,7 +87,7 @@
   g_hash_table_unref (q->by_conn);
   g_hash_table_unref (q->by_id);
   g_hash_table_unref (q->costs);
-  g_hash_table_unref (q->tenants);
+  g_hash_table_unref (q->rate_buckets);
   g_queue_clear (&q->ended_order);
   g_hash_table_unref (q->ended);
   fair_free (q->fair);
@@ -107,7 +108,7 @@
 
 /* Returns twice SPAN, at most MOST, both in milliseconds. */
 ClockMs
-req_grow (ClockMs span, ClockMs most)
+req_back_off (ClockMs span, ClockMs most)
 {
   return MIN (2 * span, most);
 }
@@ -211,7 +212,7 @@
   r->arrived = c->now;
   r->deadline = c->now + span;
   r->upstream = ROUTE_NONE;
-  r->so_far = OUTCOME_NOT_RUN;
+  r->known_outcome = OUTCOME_NOT_RUN;
   r->state = REQUEST_FOLLOWING;
   r->serial = ++c->req->serial;
   r->expiry = (Timer) { .fire = on_expiry, .owner = r };
@@ -335,8 +336,9 @@
   r->state = REQUEST_STORE_WAIT;
   r->claim_tries = 0;
   c->req->n_store_wait++;
-  r->patience = CLAMP (2 * r->patience, STORE_WAIT_MIN_MS, STORE_WAIT_MAX_MS);
-  core_arm (c, &r->step, c->now + core_jitter (c, r->patience));
+  r->step_delay =
+      CLAMP (2 * r->step_delay, STORE_WAIT_MIN_MS, STORE_WAIT_MAX_MS);
+  core_arm (c, &r->step, c->now + core_jitter (c, r->step_delay));
   req_pump (c);
 }
 
@@ -347,7 +349,8 @@
 {
   if (r->state == REQUEST_STORE_WAIT || r->state == REQUEST_CLAIMING)
     core_add (c, COUNT_REFUSED_STORE, 1);
-  req_finish (c, r, r->so_far, r->so_far == OUTCOME_FAILED ? 502 : 504,
+  req_finish (c, r, r->known_outcome,
+              r->known_outcome == OUTCOME_FAILED ? 502 : 504,
               "the deadline passed before it could run", NULL);
 }
 
@@ -393,7 +396,8 @@
     }
   else
     req_finish (c, r,
-                r->state == REQUEST_FOLLOWING ? OUTCOME_UNKNOWN : r->so_far,
+                r->state == REQUEST_FOLLOWING ? OUTCOME_UNKNOWN
+                                              : r->known_outcome,
                 409, "cancelled", NULL);
 }
 
@@ -536,7 +540,7 @@
           r->state == REQUEST_RUNNING || r->state == REQUEST_FOLLOWING;
 
       req_note (c, r, NOTE_REQUEST_CUT_OFF, req_state_name (r->state));
-      req_finish (c, r, ran ? OUTCOME_UNKNOWN : r->so_far, 503,
+      req_finish (c, r, ran ? OUTCOME_UNKNOWN : r->known_outcome, 503,
                   "this host had to shut down", NULL);
     }
   g_ptr_array_unref (list);
--- a/src/req_admit.c
+++ b/src/req_admit.c
@@ -9,13 +9,13 @@
   CLASS_QUEUE_PERCENT = 60 /* of the queue, for any one class */
 };
 
-/* Requests a second of one workspace. */
-typedef struct Tenant
+/* The token bucket of one workspace's requests_per_s. */
+typedef struct RateBucket
 {
   gint64 tokens; /* in permille of a request */
   ClockMs at;
   gboolean seen;
-} Tenant;
+} RateBucket;
 
 /* Returns the learnt cost of work of KIND of WORKSPACE; the entry lives as
    long as Q.  Kinds beyond COST_MAX_KINDS share one. */
@@ -68,7 +68,7 @@
   FairPlace p = place_of (c, r, table_find (c, r->workspace));
 
   r->state = REQUEST_QUEUED;
-  r->slot_ms = 0;
+  r->used_slot_ms = 0;
   r->fair.cost = r->cost->ms;
   r->fair.bytes = r->body ? (gint64)g_bytes_get_size (r->body) : 0;
   fair_push (c->req->fair, &r->fair, &p, c->now);
@@ -79,7 +79,7 @@
 static gboolean
 take_rate (Core *c, const Workspace *w)
 {
-  Tenant *t = g_hash_table_lookup (c->req->tenants, w->name);
+  RateBucket *t = g_hash_table_lookup (c->req->rate_buckets, w->name);
   gint64 n = slots_n_hosts (c);
   gint64 most = MAX (PERMILLE, w->requests_per_s * PERMILLE / n);
 
@@ -87,10 +87,10 @@
     return TRUE;
   if (!t)
     {
-      t = g_new0 (Tenant, 1);
+      t = g_new0 (RateBucket, 1);
       t->tokens = most;
       t->at = c->now;
-      g_hash_table_insert (c->req->tenants, g_strdup (w->name), t);
+      g_hash_table_insert (c->req->rate_buckets, g_strdup (w->name), t);
     }
   t->tokens = MIN (most, t->tokens + w->requests_per_s * (c->now - t->at) / n);
   t->at = c->now;
--- a/src/req_attempt.c
+++ b/src/req_attempt.c
@@ -15,19 +15,19 @@
 };
 
 static void
-leave_fresh (Request *r)
+stop_watching (Request *r)
 {
-  if (!r->is_fresh)
+  if (!r->is_watched)
     return;
-  APR_RING_REMOVE (r, fresh);
-  r->is_fresh = FALSE;
+  APR_RING_REMOVE (r, watched);
+  r->is_watched = FALSE;
 }
 
 /* Stops whatever R would do next by itself. */
 void
 req_stop_step (Core *c, Request *r)
 {
-  leave_fresh (r);
+  stop_watching (r);
   core_stop (c, &r->step);
 }
 
@@ -41,8 +41,8 @@
 
   if (!q->silence.slot)
     core_arm (c, &q->silence, c->now + c->cfg->silence_ms);
-  APR_RING_INSERT_TAIL (&q->fresh, r, Request, fresh);
-  r->is_fresh = TRUE;
+  APR_RING_INSERT_TAIL (&q->watched, r, Request, watched);
+  r->is_watched = TRUE;
 }
 
 /* Handles the timer of watched requests: asks after those whose upstream has
@@ -53,16 +53,16 @@
   Req *q = c->req;
   ClockMs span = c->cfg->silence_ms;
 
-  while (!APR_RING_EMPTY (&q->fresh, Request, fresh))
+  while (!APR_RING_EMPTY (&q->watched, Request, watched))
     {
-      Request *r = APR_RING_FIRST (&q->fresh);
+      Request *r = APR_RING_FIRST (&q->watched);
 
       if (r->sent + span > c->now)
         {
           core_arm (c, t, r->sent + span);
           return;
         }
-      leave_fresh (r);
+      stop_watching (r);
       req_ask_upstream (c, r);
     }
 }
@@ -121,7 +121,7 @@
 {
   UpstreamAsk ask = ask_of (c, r);
 
-  if (r->holds)
+  if (r->has_slot)
     core_emit (c, FX_UPSTREAM_DROP, NULL, &ask);
 }
 
@@ -147,7 +147,7 @@
   if (r->claim && !r->claim_sent)
     claim_settle (c, r, answered ? CLAIM_ANSWERED : CLAIM_FAILED, status,
                   u->body);
-  if (r->holds && !route_is_own (c->req->route, r->upstream) && u->body)
+  if (r->has_slot && !route_is_own (c->req->route, r->upstream) && u->body)
     c->req->spill_bytes -= (gint64)g_bytes_get_size (u->body);
   req_finish (c, r, answered ? OUTCOME_ANSWERED : OUTCOME_FAILED, status,
               answered ? NULL : "the upstream ran it and failed", u->body);
@@ -186,7 +186,7 @@
     req_learn_result (c, r, UPSTREAM_FAILED);
   if (u->asked)
     drop_connection (c, r);
-  r->so_far = OUTCOME_FAILED;
+  r->known_outcome = OUTCOME_FAILED;
   if (!retry (c, r))
     end_with (c, r, u);
 }
@@ -207,9 +207,9 @@
       replace (c, r);
       break;
     default:
-      r->so_far = OUTCOME_UNKNOWN;
+      r->known_outcome = OUTCOME_UNKNOWN;
       r->lost = TRUE;
-      r->patience = ASK_LOST_MS / 2;
+      r->step_delay = ASK_LOST_MS / 2;
       req_ask_upstream (c, r);
       break;
     }
@@ -232,7 +232,7 @@
       ask_later (c, r, ASK_AGAIN_MS);
       return;
     }
-  r->so_far = OUTCOME_UNKNOWN;
+  r->known_outcome = OUTCOME_UNKNOWN;
   drop_connection (c, r);
   if (r->state == REQUEST_RUNNING && retry (c, r))
     return;
@@ -251,10 +251,10 @@
       break;
     case UPSTREAM_RUNNING:
       r->ask_failures = 0;
-      r->patience = req_grow (r->patience, ASK_MAX_MS);
+      r->step_delay = req_back_off (r->step_delay, ASK_MAX_MS);
       if (!r->lost) /* its answer may still come by itself */
-        r->patience = MAX (r->patience, 2 * (ClockMs)ASK_AGAIN_MS);
-      ask_later (c, r, r->patience);
+        r->step_delay = MAX (r->step_delay, 2 * (ClockMs)ASK_AGAIN_MS);
+      ask_later (c, r, r->step_delay);
       break;
     case UPSTREAM_LOST:
     case UPSTREAM_UNSENT:
--- a/src/req_explain.c
+++ b/src/req_explain.c
@@ -8,7 +8,7 @@
 };
 
 /* A request that has ended, for explanations. */
-typedef struct Ended
+typedef struct EndedRequest
 {
   char *id;
   Outcome outcome;
@@ -16,7 +16,7 @@
   char *upstream;
   gint64 attempts;
   ClockMs took;
-} Ended;
+} EndedRequest;
 
 #define REQUEST_STATE_NAME(kind, name) name,
 static const char *const state_names[] = {
@@ -34,7 +34,7 @@
 void
 req_ended_free (gpointer p)
 {
-  Ended *x = p;
+  EndedRequest *x = p;
 
   g_free (x->id);
   g_free (x->why);
@@ -68,14 +68,14 @@
 req_remember (Core *c, const Request *r, Outcome outcome, const char *why)
 {
   Req *q = c->req;
-  Ended *x = g_new (Ended, 1);
-
-  *x = (Ended) { .id = g_strdup (r->id),
-                 .outcome = outcome,
-                 .why = g_strdup (why),
-                 .upstream = g_strdup (req_upstream_name (c, r)),
-                 .attempts = r->attempt,
-                 .took = c->now - r->arrived };
+  EndedRequest *x = g_new (EndedRequest, 1);
+
+  *x = (EndedRequest) { .id = g_strdup (r->id),
+                        .outcome = outcome,
+                        .why = g_strdup (why),
+                        .upstream = g_strdup (req_upstream_name (c, r)),
+                        .attempts = r->attempt,
+                        .took = c->now - r->arrived };
   if (g_hash_table_lookup (q->ended, x->id))
     {
       g_hash_table_replace (q->ended, x->id, x);
@@ -146,7 +146,7 @@
 req_explain (Core *c, const char *id)
 {
   const Request *r = g_hash_table_lookup (c->req->by_id, id);
-  const Ended *x = g_hash_table_lookup (c->req->ended, id);
+  const EndedRequest *x = g_hash_table_lookup (c->req->ended, id);
   json_object *o;
   char *text;
 
--- a/src/req_place.c
+++ b/src/req_place.c
@@ -25,10 +25,10 @@
 static void
 free_slot (Core *c, Request *r)
 {
-  if (!r->holds)
+  if (!r->has_slot)
     return;
-  r->holds = FALSE;
-  r->slot_ms += c->now - r->held_at;
+  r->has_slot = FALSE;
+  r->used_slot_ms += c->now - r->slot_since;
   route_end (c->req->route, r->upstream);
   if (!route_is_own (c->req->route, r->upstream))
     c->req->n_spilled--;
@@ -45,7 +45,7 @@
   if (r->fair.state == FAIR_WAITING)
     fair_cancel (c->req->fair, &r->fair);
   else if (r->fair.state == FAIR_RUNNING)
-    fair_finish (c->req->fair, &r->fair, r->slot_ms);
+    fair_finish (c->req->fair, &r->fair, r->used_slot_ms);
   r->state = REQUEST_FOLLOWING;
 }
 
@@ -101,8 +101,8 @@
   Req *q = c->req;
 
   r->upstream = u;
-  r->holds = TRUE;
-  r->held_at = c->now;
+  r->has_slot = TRUE;
+  r->slot_since = c->now;
   route_begin (q->route, u);
   if (route_is_own (q->route, u))
     return;
@@ -120,7 +120,7 @@
   r->sent = c->now;
   r->ask_failures = 0;
   r->lost = FALSE;
-  r->patience = c->cfg->silence_ms;
+  r->step_delay = c->cfg->silence_ms;
   req_watch_silence (c, r);
   req_note (c, r, NOTE_REQUEST_SENT, NULL);
   core_emit (c, FX_UPSTREAM_SEND, NULL,
--- a/src/req_state.h
+++ b/src/req_state.h
@@ -64,9 +64,9 @@
 struct Request
 {
   FairItem fair;
-  APR_RING_ENTRY (Request) link;  /* in PLACING */
-  APR_RING_ENTRY (Request) fresh; /* sent, and not yet asked after */
-  gboolean is_fresh;
+  APR_RING_ENTRY (Request) link;    /* in PLACING */
+  APR_RING_ENTRY (Request) watched; /* for its upstream's silence */
+  gboolean is_watched;
   RequestState state;
   const char *id;
   const char *workspace;
@@ -84,20 +84,20 @@
   ClockMs arrived;
   ClockMs deadline;
   ClockMs sent;
-  ClockMs held_at; /* since when it holds its slot */
-  gint64 slot_ms;  /* slot time used up by earlier attempts */
+  ClockMs slot_since;  /* since when it holds its slot */
+  gint64 used_slot_ms; /* slot time used up by earlier attempts */
   Timer expiry;
-  Timer step;       /* what to do next: ask, claim again, look again */
-  ClockMs patience; /* span to the next step */
+  Timer step;         /* what to do next: ask, claim again, look again */
+  ClockMs step_delay; /* how long until STEP */
   gint64 attempt;
   guint retries;
-  int upstream;   /* of the present attempt */
-  gboolean holds; /* a slot of UPSTREAM */
+  int upstream;      /* of the present attempt, ROUTE_NONE: none */
+  gboolean has_slot; /* a slot of UPSTREAM */
   guint n_tried;
   int tried[ROUTE_MAX_TRIED];
   guint ask_failures;
   gboolean lost;         /* the present attempt's connection broke */
-  Outcome so_far;        /* what is true when no more comes */
+  Outcome known_outcome; /* if no more is heard of it */
   ClaimValue *claim;     /* the newest that is known */
   gint64 claim_revision; /* 0: none is known */
   gint64 claim_call;     /* the store call under way */
@@ -116,15 +116,15 @@
   GHashTable *by_conn; /* to Waiter */
   GHashTable *costs;   /* "WORKSPACE KIND" to its CostEntry */
   CostEntry other_cost;
-  GHashTable *tenants; /* workspace to its rate */
-  GHashTable *ended;   /* id to the explanation of its end */
+  GHashTable *rate_buckets; /* workspace to RateBucket */
+  GHashTable *ended;        /* id to the explanation of its end */
   GQueue ended_order;
   Fair *fair;
   Route *route;
   Slots *slots;
   Claims *claims;
   struct RequestRing placing;
-  struct RequestRing fresh;
+  struct RequestRing watched;
   Timer silence;
   guint n_placing;
   guint n_store_wait;
@@ -146,7 +146,7 @@
                  const char *reason,
                  GBytes *body);
 void req_wait_for_store (Core *c, Request *r);
-ClockMs req_grow (ClockMs span, ClockMs most);
+ClockMs req_back_off (ClockMs span, ClockMs most);
 
 void req_attach (Core *c, Request *r, gint64 conn);
 void req_waiter_free (gpointer p);
--- a/src/sheet.c
+++ b/src/sheet.c
@@ -57,7 +57,7 @@
   s->rows = g_ptr_array_new ();
   s->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   for (i = 0; i < N_SHEET_COLUMNS; i++)
-    s->place_of[i] = -1;
+    s->column_at[i] = -1;
   return s;
 }
 
@@ -115,7 +115,7 @@
 const char *
 sheet_cell_of (const Sheet *s, const SheetLine *l, SheetColumn column)
 {
-  int at = s->place_of[column];
+  int at = s->column_at[column];
 
   if (at < 0 || (guint)at >= l->cells->len)
     return "";
--- a/src/sheet_check.c
+++ b/src/sheet_check.c
@@ -9,7 +9,7 @@
 
 /* Takes SIZE accelerators of the worker that they leave the least on. */
 static gboolean
-gang_packed (Packing *k, gint64 size)
+pack_gang (Packing *k, gint64 size)
 {
   gint64 best = -1;
   guint i;
@@ -96,7 +96,7 @@
       const Shape *shape = &g_array_index (all, Shape, i);
       gint64 fit = 0;
 
-      while (fit < shape->count && gang_packed (k, shape->size))
+      while (fit < shape->count && pack_gang (k, shape->size))
         fit++;
       if (fit == shape->count)
         continue;
--- a/src/sheet_merge.c
+++ b/src/sheet_merge.c
@@ -50,19 +50,19 @@
 }
 
 static guint
-place_for (Sheet *s, SheetColumn column)
+column_for (Sheet *s, SheetColumn column)
 {
-  if (s->place_of[column] < 0)
+  if (s->column_at[column] < 0)
     {
-      s->place_of[column] = (int)s->header->cells->len;
+      s->column_at[column] = (int)s->header->cells->len;
       set_cell (s->header, s->header->cells->len, sheet_column_name (column));
     }
-  return (guint)s->place_of[column];
+  return (guint)s->column_at[column];
 }
 
 /* Gives the last line an ending, so that another can follow. */
 static const char *
-end_last_line (Sheet *s)
+terminate_last_line (Sheet *s)
 {
   SheetLine *last = g_ptr_array_index (s->lines, s->lines->len - 1);
 
@@ -74,13 +74,13 @@
 static SheetLine *
 append_row (Sheet *s, const char *name)
 {
-  SheetLine *l = sheet_line_new ("", 0, end_last_line (s));
+  SheetLine *l = sheet_line_new ("", 0, terminate_last_line (s));
 
   l->kind = LINE_ROW;
   l->cells = g_ptr_array_new_with_free_func (g_free);
   l->row = g_new0 (Workspace, 1);
   l->row->name = g_strdup (name);
-  set_cell (l, (guint)s->place_of[SHEET_WORKSPACE], name);
+  set_cell (l, (guint)s->column_at[SHEET_WORKSPACE], name);
   g_ptr_array_add (s->lines, l);
   g_ptr_array_add (s->rows, l);
   g_hash_table_insert (s->by_name, (gpointer)l->row->name, l);
@@ -183,7 +183,7 @@
       (!theirs || strcmp (theirs, c->before) != 0))
     add_conflict (m, c->workspace, c->column, c->after, theirs);
   else
-    set_cell (l, place_for (m->out, c->column), c->after);
+    set_cell (l, column_for (m->out, c->column), c->after);
 }
 
 static SheetLine *
@@ -246,7 +246,8 @@
       if (l->kind != LINE_COMMENT || find_comment (m->base, l->raw) ||
           find_comment (m->out, l->raw))
         continue;
-      added = sheet_line_new (l->raw, strlen (l->raw), end_last_line (m->out));
+      added = sheet_line_new (l->raw, strlen (l->raw),
+                              terminate_last_line (m->out));
       added->kind = LINE_COMMENT;
       g_ptr_array_insert (m->out->lines,
                           (gint)comment_place (m->out, m->mine, i), added);
--- a/src/sheet_parse.c
+++ b/src/sheet_parse.c
@@ -132,12 +132,12 @@
 
       if (column < 0)
         add_column_finding (p, name, "there is no such column");
-      else if (s->place_of[column] >= 0)
+      else if (s->column_at[column] >= 0)
         add_column_finding (p, name, "stands twice");
       else
-        s->place_of[column] = (int)i;
+        s->column_at[column] = (int)i;
     }
-  if (s->place_of[SHEET_WORKSPACE] < 0)
+  if (s->column_at[SHEET_WORKSPACE] < 0)
     add_column_finding (p, sheet_column_name (SHEET_WORKSPACE), "is missing");
 }
 
@@ -270,9 +270,9 @@
 }
 
 static void
-add_twin_finding (const SheetParse *p, const SheetLine *twin)
+add_duplicate_finding (const SheetParse *p, const SheetLine *duplicate)
 {
-  char *why = g_strdup_printf ("already stands in line %u", twin->number);
+  char *why = g_strdup_printf ("already stands in line %u", duplicate->number);
 
   add_cell_finding (p, SHEET_WORKSPACE, why);
   g_free (why);
@@ -282,14 +282,14 @@
 read_name (const SheetParse *p, Workspace *w)
 {
   const char *name = sheet_cell_of (p->sheet, p->line, SHEET_WORKSPACE);
-  const SheetLine *twin = sheet_row (p->sheet, name);
+  const SheetLine *duplicate = sheet_row (p->sheet, name);
 
   w->name = g_strdup (name);
   if (!util_is_name (name))
     add_cell_finding (p, SHEET_WORKSPACE,
                       "is not a name of 1 to 64 letters, digits and \"._-\"");
-  else if (twin)
-    add_twin_finding (p, twin);
+  else if (duplicate)
+    add_duplicate_finding (p, duplicate);
   else
     g_hash_table_insert (p->sheet->by_name, (gpointer)w->name, p->line);
 }
@@ -303,7 +303,8 @@
 
   p->line->kind = LINE_ROW;
   check_width (p);
-  if (findings_count (p->findings) > before || s->place_of[SHEET_WORKSPACE] < 0)
+  if (findings_count (p->findings) > before ||
+      s->column_at[SHEET_WORKSPACE] < 0)
     return;
   w = g_new0 (Workspace, 1);
   p->line->row = w;
--- a/src/sheet_state.h
+++ b/src/sheet_state.h
@@ -33,7 +33,7 @@
   GPtrArray *lines;  /* of SheetLine, all of the file */
   GPtrArray *rows;   /* of SheetLine, the rows only */
   GHashTable *by_name;
-  int place_of[N_SHEET_COLUMNS]; /* in a row; -1: no such column */
+  int column_at[N_SHEET_COLUMNS]; /* in a row; -1: no such column */
   SheetLine *header;
 };
 
