What stood twice stands once: JSON replies, room of a list

core_reply_json answers for requests, jobs and operators, which had a copy each; list_copy uses room_for. A token bucket loses a field that nobody read.

--- a/src/ask.c
+++ b/src/ask.c
@@ -334,6 +334,6 @@
 
   if (!a || !a->cancel || a->marking || !a->rec || strcmp (a->id, m->id) != 0)
     return;
-  submit_reply_json (c, a->conn, 200, a->id, g_strndup (text, n));
+  core_reply_json (c, a->conn, 200, a->id, g_strndup (text, n));
   ask_end (c, a);
 }
--- a/src/core.c
+++ b/src/core.c
@@ -8,6 +8,8 @@
 #include "store.h"
 #include "table.h"
 
+#include <string.h>
+
 typedef void (*EventHandler) (Core *c, const Event *e);
 
 static void core_on_tick (Core *c, const Event *e);
@@ -150,6 +152,22 @@
   g_queue_push_tail (&c->effects, event_new (kind, c->now, peer, (void *)body));
 }
 
+/* Answers CONN with STATUS and TEXT, JSON that is freed here, about the
+   request or job ID. */
+void
+core_reply_json (Core *c, gint64 conn, int status, const char *id, char *text)
+{
+  GBytes *body = g_bytes_new_take (text, strlen (text));
+
+  core_emit (c, FX_REPLY, NULL,
+             &(CallerReply) { .conn = conn,
+                              .outcome = OUTCOME_ANSWERED,
+                              .status = status,
+                              .id = id,
+                              .body = body });
+  g_bytes_unref (body);
+}
+
 /* Arms T for AT, in milliseconds. */
 void
 core_arm (Core *c, Timer *t, ClockMs at)
--- a/src/core_state.h
+++ b/src/core_state.h
@@ -34,6 +34,8 @@
 };
 
 void core_emit (Core *c, EventKind kind, const char *peer, const void *body);
+void
+core_reply_json (Core *c, gint64 conn, int status, const char *id, char *text);
 void core_arm (Core *c, Timer *t, ClockMs at);
 void core_stop (Core *c, Timer *t);
 void core_add (Core *c, Counter n, gint64 by);
--- a/src/oper.c
+++ b/src/oper.c
@@ -48,17 +48,9 @@
 static void
 answer (Core *c, gint64 conn, int status, json_object *o)
 {
-  size_t n;
-  const char *text =
-      json_object_to_json_string_length (o, JSON_C_TO_STRING_PLAIN, &n);
-  GBytes *body = g_bytes_new (text, n);
+  const char *text = json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN);
 
-  core_emit (c, FX_REPLY, NULL,
-             &(CallerReply) { .conn = conn,
-                              .outcome = OUTCOME_ANSWERED,
-                              .status = status,
-                              .body = body });
-  g_bytes_unref (body);
+  core_reply_json (c, conn, status, NULL, g_strdup (text));
   json_object_put (o);
 }
 
--- a/src/rec.c
+++ b/src/rec.c
@@ -136,15 +136,12 @@
 static void
 list_copy (const RecDesc *d, RecList *to, const RecList *from)
 {
-  guint room = 1;
   guint i;
 
   *to = (RecList) { .n = from->n };
   if (from->n == 0)
     return;
-  while (room < from->n)
-    room *= 2;
-  to->items = g_malloc_n (room, d->size);
+  to->items = g_malloc_n (room_for (from->n), d->size);
   for (i = 0; i < from->n; i++)
     rec_copy_into (d, rec_list_at (d, to, i), rec_list_at (d, from, i));
 }
--- a/src/req.c
+++ b/src/req.c
@@ -454,7 +454,7 @@
     req_reply (c, q->conn, NULL, OUTCOME_UNKNOWN, 403,
                "no such workspace for this token", NULL);
   else if (r && (r->repeatable || r->digest[0]))
-    req_reply_json (c, q->conn, r->id, 202, req_explain (c, r->id));
+    core_reply_json (c, q->conn, 202, r->id, req_explain (c, r->id));
   else if (r)
     req_attach (c, r, q->conn);
   else
@@ -484,7 +484,7 @@
                  "no such request at this host", NULL);
       return;
     }
-  req_reply_json (c, q->conn, r->id, 200, req_explain (c, r->id));
+  core_reply_json (c, q->conn, 200, r->id, req_explain (c, r->id));
   cancel (c, r);
 }
 
--- a/src/req_admit.c
+++ b/src/req_admit.c
@@ -13,8 +13,7 @@
 typedef struct RateBucket
 {
   gint64 tokens; /* in permille of a request */
-  ClockMs at;
-  gboolean seen;
+  ClockMs at;    /* when TOKENS were last added */
 } RateBucket;
 
 /* Returns the learnt cost of work of KIND of WORKSPACE; the entry lives as
--- a/src/req_reply.c
+++ b/src/req_reply.c
@@ -1,7 +1,5 @@
 #include "req_state.h"
 
-#include <string.h>
-
 enum
 {
   RETRY_AFTER_MS = 1000
@@ -98,18 +96,3 @@
   core_add (c, COUNT_NOT_RUN, 1);
   req_reply (c, conn, NULL, OUTCOME_NOT_RUN, status, reason, NULL);
 }
-
-/* Replies to CONN with TEXT, JSON that is freed here, about request ID. */
-void
-req_reply_json (Core *c, gint64 conn, const char *id, int status, char *text)
-{
-  GBytes *body = g_bytes_new_take (text, strlen (text));
-
-  core_emit (c, FX_REPLY, NULL,
-             &(CallerReply) { .conn = conn,
-                              .outcome = OUTCOME_ANSWERED,
-                              .status = status,
-                              .id = id,
-                              .body = body });
-  g_bytes_unref (body);
-}
--- a/src/req_state.h
+++ b/src/req_state.h
@@ -163,8 +163,6 @@
                     int status,
                     const char *reason,
                     GBytes *body);
-void
-req_reply_json (Core *c, gint64 conn, const char *id, int status, char *text);
 void req_refuse (Core *c, gint64 conn, int status, const char *reason);
 
 CostEntry *req_cost (Req *q, const char *workspace, const char *kind);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -211,11 +211,6 @@
 void submit_free (Sched *s);
 gboolean submit_busy (const Core *c);
 void submit_reply (Core *c, gint64 conn, int status, const JobRecord *r);
-void submit_reply_json (Core *c,
-                        gint64 conn,
-                        int status,
-                        const char *id,
-                        char *json);
 void submit_fail (Core *c,
                   gint64 conn,
                   Outcome outcome,
--- a/src/submit.c
+++ b/src/submit.c
@@ -62,25 +62,11 @@
          g_hash_table_size (c->sched->asks) > 0;
 }
 
-/* Replies to CONN with JSON, which is freed here, about job ID. */
-void
-submit_reply_json (Core *c, gint64 conn, int status, const char *id, char *json)
-{
-  CallerReply r = { .conn = conn,
-                    .outcome = OUTCOME_ANSWERED,
-                    .status = status,
-                    .id = id,
-                    .body = g_bytes_new_take (json, strlen (json)) };
-
-  core_emit (c, FX_REPLY, NULL, &r);
-  g_bytes_unref (r.body);
-}
-
 /* Replies to CONN with the public state of job R. */
 void
 submit_reply (Core *c, gint64 conn, int status, const JobRecord *r)
 {
-  submit_reply_json (c, conn, status, r->id, job_to_json (r));
+  core_reply_json (c, conn, status, r->id, job_to_json (r));
 }
 
 /* Replies to CONN that what it asked for was not done: REASON says why, and
