Table: operators' edits have a module of their own

table.c keeps the table in force, from the store and to and from peers; table_edit.c checks, merges and writes edits; table_state.h declares what they share.

--- a/src/quota.c
+++ b/src/quota.c
@@ -655,8 +655,8 @@
       charge_part (q, f, run_at (w, (guint)j->part[i].slot), &j->part[i]);
 }
 
-/* Undoes quota_anchor; J has left its place in F, or is moved out
-   of its guarantee next. */
+/* Undoes quota_anchor; J has left its place in F, or is moved out of its
+   guarantee next. */
 void
 quota_discharge (Quota *q, Fleet *f, FleetJob *j)
 {
--- a/src/table.c
+++ b/src/table.c
@@ -1,6 +1,4 @@
-#include "table.h"
-
-#include "store.h"
+#include "table_state.h"
 
 #include <string.h>
 
@@ -14,52 +12,11 @@
   WANT_AFTER_MS = 250, /* leaves the watch the time to be first */
   WANT_AGAIN_MS = 400, /* between two hosts asked */
   OFFER_WITHIN_MS = 1000,
-  EDIT_MS = 5000, /* from an edit to its verdict */
-  EDIT_RETRY_MS = 150,
-  FORK_MS = 3600000, /* to apply again what a fork left out */
   FINDING_BYTES = 200
 };
 
 static const char table_key[] = "table";
 
-/* A table that is or was in force. */
-typedef struct Held
-{
-  TableValue *value;
-  Sheet *sheet;
-} Held;
-
-/* An edit on its way into the store: read, merge, write, again. */
-typedef struct Edit
-{
-  char *edit_id;
-  gint64 base_revision;
-  Sheet *base; /* NULL: take it from what was in force */
-  Sheet *mine;
-  GBytes *csv;
-  TableDone done;
-  guint64 arg;
-  ClockMs deadline;
-  gboolean unsettled; /* a write may still have taken, or take, effect */
-  gboolean merged;
-  gint64 expect;      /* the store's revision that the last write expected */
-  TableValue *wanted; /* what the last write wrote */
-  Timer retry;
-} Edit;
-
-struct Table
-{
-  Held now;    /* an empty value and no sheet before the first table */
-  GQueue past; /* of Held, the newest first */
-  ClockMs checked_at;
-  gboolean offering;
-  StoreWatch watch;
-  Timer poll;
-  Timer want;
-  Timer offer;
-  GQueue edits; /* of Edit */
-};
-
 #define VERDICT_NAME(kind, name) name,
 static const char *const verdict_names[] = { TABLE_VERDICTS (VERDICT_NAME) };
 
@@ -85,19 +42,6 @@
   g_free (h);
 }
 
-static void
-edit_free (gpointer p)
-{
-  Edit *d = p;
-
-  g_free (d->edit_id);
-  sheet_free (d->base);
-  sheet_free (d->mine);
-  g_bytes_unref (d->csv);
-  rec_free (table_value_desc (), d->wanted);
-  g_free (d);
-}
-
 /* Returns the empty table of node C. */
 Table *
 table_new (Core *c)
@@ -130,7 +74,7 @@
   rec_free (table_value_desc (), t->now.value);
   sheet_free (t->now.sheet);
   g_queue_clear_full (&t->past, held_free);
-  g_queue_clear_full (&t->edits, edit_free);
+  g_queue_clear_full (&t->edits, table_edit_free);
   g_free (t);
 }
 
@@ -245,8 +189,9 @@
   return a->revision == 0 ? 0 : strcmp (a->edit_id, b->edit_id);
 }
 
-static void
-write_note (Core *c, NoteKind kind, const TableValue *v, const char *why)
+/* Writes a note of KIND about V, and WHY (may be NULL), to the time line. */
+void
+table_note (Core *c, NoteKind kind, const TableValue *v, const char *why)
 {
   char *text = g_strdup_printf ("revision %" G_GINT64_FORMAT " edit %s%s%.*s",
                                 v->revision, v->edit_id, why ? ": " : "",
@@ -256,8 +201,9 @@
   g_free (text);
 }
 
-static Sheet *
-parse (GBytes *csv, const char *place, Findings *findings)
+/* Reads CSV, called PLACE in FINDINGS, as sheet_parse does. */
+Sheet *
+table_parse (GBytes *csv, const char *place, Findings *findings)
 {
   gsize n = 0;
   const char *data = csv ? g_bytes_get_data (csv, &n) : NULL;
@@ -285,7 +231,7 @@
   t->now.sheet = sheet;
   core_set (c, COUNT_TABLE_REVISION, v->revision);
   core_add (c, COUNT_TABLE_CHANGES, 1);
-  write_note (c, NOTE_TABLE_IN_FORCE, v, NULL);
+  table_note (c, NOTE_TABLE_IN_FORCE, v, NULL);
   member_announce (c);
 }
 
@@ -308,8 +254,8 @@
 }
 
 /* Returns the revision that edit EDIT_ID made, if V holds it, else 0. */
-static gint64
-find_edit (const TableValue *v, const char *edit_id)
+gint64
+table_find_edit (const TableValue *v, const char *edit_id)
 {
   guint i;
 
@@ -332,11 +278,9 @@
   const char *id = edit_of (v, loser->revision);
 
   return loser->revision > 0 && id && strcmp (id, loser->edit_id) != 0 &&
-         find_edit (v, loser->edit_id) == 0;
+         table_find_edit (v, loser->edit_id) == 0;
 }
 
-static void apply_again (Core *c, const TableValue *loser);
-
 /* Brings V into force when it is above what is; nothing is ever taken
    back.  Returns TRUE when it has come into force. */
 static gboolean
@@ -351,21 +295,21 @@
   if (compare (v, now) <= 0)
     return FALSE;
   findings_init (&findings);
-  sheet = parse (v->csv, "table", &findings);
+  sheet = table_parse (v->csv, "table", &findings);
   if (sheet)
     {
       if (is_fork (v, now))
         loser = rec_copy (table_value_desc (), now);
       put_in_force (c, v, sheet);
       if (loser)
-        apply_again (c, loser);
+        table_apply_again (c, loser);
       rec_free (table_value_desc (), loser);
     }
   else
     {
       why = findings_text (&findings);
       core_add (c, COUNT_TABLE_REFUSED, 1);
-      write_note (c, NOTE_TABLE_REFUSED, v, why);
+      table_note (c, NOTE_TABLE_REFUSED, v, why);
       g_free (why);
     }
   findings_clear (&findings);
@@ -374,8 +318,8 @@
 
 /* Reads the store's value.  Returns an empty one for no item, NULL for one
    that is no table. */
-static TableValue *
-read_item (Core *c, const StoreItem *item)
+TableValue *
+table_read_item (Core *c, const StoreItem *item)
 {
   TableValue *v = rec_new (table_value_desc ());
   Findings findings;
@@ -390,7 +334,7 @@
   if (!data || !rec_unpack (table_value_desc (), v, data, n, &findings))
     {
       core_add (c, COUNT_TABLE_REFUSED, 1);
-      write_note (c, NOTE_TABLE_REFUSED, v, "the value is not a table");
+      table_note (c, NOTE_TABLE_REFUSED, v, "the value is not a table");
       ok = FALSE;
     }
   findings_clear (&findings);
@@ -402,8 +346,8 @@
 
 /* Learns that the store holds V at the store's REVISION.  A lower table than
    was in force when the store was asked, SINCE, shows that it went back. */
-static void
-store_holds (Core *c, const TableValue *v, gint64 revision, gint64 since)
+void
+table_store_holds (Core *c, const TableValue *v, gint64 revision, gint64 since)
 {
   Table *t = c->table;
 
@@ -418,12 +362,12 @@
   else if (v->revision < since && t->offer.slot == 0 && !t->offering)
     {
       core_add (c, COUNT_TABLE_ROLLBACKS, 1);
-      write_note (c, NOTE_TABLE_ROLLED_BACK, v, NULL);
+      table_note (c, NOTE_TABLE_ROLLED_BACK, v, NULL);
       core_arm (c, &t->offer, c->now + core_random (c, OFFER_WITHIN_MS));
     }
   else if (v->revision == table_revision (c) && t->offer.slot == 0)
     {
-      apply_again (c, v);
+      table_apply_again (c, v);
       core_arm (c, &t->offer, c->now + core_random (c, OFFER_WITHIN_MS));
     }
 }
@@ -431,11 +375,11 @@
 static void
 on_changed (Core *c, StoreWatch *w, const StoreItem *item)
 {
-  TableValue *v = read_item (c, item);
+  TableValue *v = table_read_item (c, item);
 
   /* A watch waited for something new: what it brings cannot be old. */
   if (v)
-    store_holds (c, v, w->revision, 0);
+    table_store_holds (c, v, w->revision, 0);
   rec_free (table_value_desc (), v);
 }
 
@@ -448,14 +392,16 @@
   (void)owner;
   if (r->status != STORE_OK && r->status != STORE_MISSING)
     return;
-  v = read_item (c, item);
+  v = table_read_item (c, item);
   if (v)
-    store_holds (c, v, item ? item->revision : 0, (gint64)arg);
+    table_store_holds (c, v, item ? item->revision : 0, (gint64)arg);
   rec_free (table_value_desc (), v);
 }
 
-static void
-read_store (Core *c, StoreDone done, gpointer owner)
+/* Reads the store's table; DONE is called with OWNER and the revision in force
+   now. */
+void
+table_read_store (Core *c, StoreDone done, gpointer owner)
 {
   StoreCall get = { .op = STORE_GET, .key = table_key };
 
@@ -468,16 +414,18 @@
 static void
 on_poll (Core *c, Timer *t)
 {
-  read_store (c, on_polled, NULL);
+  table_read_store (c, on_polled, NULL);
   core_arm (c, t, c->now + core_jitter (c, c->cfg->table_poll_ms));
 }
 
-static gint64
-write_store (Core *c,
-             const TableValue *v,
-             gint64 expect,
-             StoreDone done,
-             gpointer owner)
+/* Writes V to the store if it is at revision EXPECT there; DONE is called with
+   OWNER.  Returns the call. */
+gint64
+table_write_store (Core *c,
+                   const TableValue *v,
+                   gint64 expect,
+                   StoreDone done,
+                   gpointer owner)
 {
   GBytes *packed = rec_pack (table_value_desc (), v);
   StoreCall put = { .op = STORE_PUT,
@@ -502,7 +450,7 @@
   if (r->status == STORE_OK)
     {
       core_add (c, COUNT_TABLE_OFFERS, 1);
-      write_note (c, NOTE_TABLE_OFFERED, t->now.value, NULL);
+      table_note (c, NOTE_TABLE_OFFERED, t->now.value, NULL);
     }
   core_arm (c, &t->poll, c->now + core_jitter (c, OFFER_WITHIN_MS));
 }
@@ -518,15 +466,15 @@
   (void)owner;
   t->offering = FALSE;
   if (r->status == STORE_OK || r->status == STORE_MISSING)
-    v = read_item (c, item);
+    v = table_read_item (c, item);
   if (v && compare (v, t->now.value) < 0 && v->revision <= (gint64)arg)
     {
       t->offering = TRUE;
-      write_store (c, t->now.value, item ? item->revision : 0, on_offered,
-                   NULL);
+      table_write_store (c, t->now.value, item ? item->revision : 0, on_offered,
+                         NULL);
     }
   else if (v)
-    store_holds (c, v, item ? item->revision : 0, 0);
+    table_store_holds (c, v, item ? item->revision : 0, 0);
   rec_free (table_value_desc (), v);
 }
 
@@ -537,7 +485,7 @@
 {
   (void)t;
   c->table->offering = TRUE;
-  read_store (c, on_offer_read, NULL);
+  table_read_store (c, on_offer_read, NULL);
 }
 
 /* Learns that host H has a table revision; a higher one than here is asked
@@ -582,347 +530,3 @@
   if (w->revision < table_revision (c))
     core_emit (c, MSG_TABLE, e->peer, c->table->now.value);
 }
-
-static void
-end_edit (Core *c,
-          Edit *d,
-          TableVerdict verdict,
-          gint64 revision,
-          const Findings *findings)
-{
-  core_stop (c, &d->retry);
-  g_queue_remove (&c->table->edits, d);
-  if (verdict == TABLE_ACCEPTED)
-    core_add (c, COUNT_TABLE_EDITS_DONE, 1);
-  if (verdict == TABLE_ACCEPTED && d->merged)
-    core_add (c, COUNT_TABLE_EDITS_MERGED, 1);
-  if (verdict == TABLE_CONFLICT)
-    core_add (c, COUNT_TABLE_CONFLICTS, 1);
-  d->done (c, d->arg, verdict, revision, d->merged, findings);
-  edit_free (d);
-}
-
-static void
-end_edit_with (Core *c, Edit *d, TableVerdict verdict, const char *why)
-{
-  Findings findings;
-
-  findings_init (&findings);
-  findings_add (&findings, "table", "%s", why);
-  end_edit (c, d, verdict, table_revision (c), &findings);
-  findings_clear (&findings);
-}
-
-static const Sheet *
-find_base (const Core *c, const Edit *d)
-{
-  const Table *t = c->table;
-  const GList *i;
-
-  if (t->now.sheet && d->base_revision == t->now.value->revision)
-    return t->now.sheet;
-  for (i = t->past.head; i; i = i->next)
-    {
-      const Held *h = i->data;
-
-      if (h->value->revision == d->base_revision)
-        return h->sheet;
-    }
-  return d->base;
-}
-
-static void
-check_fleet (const Core *c, const Sheet *s, Findings *findings)
-{
-  guint n = c->cfg->workers.n;
-  SheetWorker *workers = g_new0 (SheetWorker, n + 1);
-  guint i;
-
-  for (i = 0; i < n; i++)
-    {
-      const ConfigWorker *w = config_worker (c->cfg, i);
-
-      workers[i] = (SheetWorker) { .domain = w->domain,
-                                   .rack = w->rack,
-                                   .accelerators = w->accelerators };
-    }
-  sheet_check_fleet (s, workers, n, "table", findings);
-  g_free (workers);
-}
-
-/* Returns the text of D over the table in force; or ends D, and returns
-   NULL, when it cannot be had. */
-static GBytes *
-merge_edit (Core *c, Edit *d)
-{
-  const Sheet *theirs = c->table->now.sheet;
-  const Sheet *base = find_base (c, d);
-  Findings findings;
-  GBytes *text = NULL;
-  TableVerdict verdict = TABLE_CONFLICT;
-  GString *merged;
-  Sheet *s;
-
-  if (!theirs || base == theirs)
-    return g_bytes_ref (d->csv);
-  if (!base)
-    {
-      end_edit_with (c, d, TABLE_BASE_UNKNOWN,
-                     "the revision that the edit was made from is no longer "
-                     "known here: send its text too, or start from the table "
-                     "in force");
-      return NULL;
-    }
-  findings_init (&findings);
-  merged = sheet_merge (base, d->mine, theirs, &findings);
-  if (merged)
-    {
-      verdict = TABLE_INVALID;
-      s = sheet_parse (merged->str, merged->len, "merged", &findings);
-      if (s)
-        {
-          check_fleet (c, s, &findings);
-          text = g_bytes_new (merged->str, merged->len);
-          d->merged = TRUE;
-        }
-      sheet_free (s);
-      g_string_free (merged, TRUE);
-    }
-  if (findings_count (&findings))
-    {
-      g_clear_pointer (&text, g_bytes_unref);
-      end_edit (c, d, verdict, table_revision (c), &findings);
-    }
-  findings_clear (&findings);
-  return text;
-}
-
-static void
-list_edit (TableValue *v, const char *edit_id, gint64 revision)
-{
-  TableEdit *r = rec_list_add (table_edit_desc (), &v->recent);
-
-  rec_set_str (&r->edit_id, edit_id);
-  r->revision = revision;
-}
-
-static TableValue *
-next_value (Core *c, const Edit *d, GBytes *text)
-{
-  const TableValue *now = c->table->now.value;
-  TableValue *v = rec_new (table_value_desc ());
-  guint i;
-
-  v->revision = now->revision + 1;
-  rec_set_str (&v->edit_id, d->edit_id);
-  v->csv = g_bytes_ref (text);
-  list_edit (v, d->edit_id, v->revision);
-  for (i = 0; i < now->recent.n && v->recent.n < TABLE_RECENT_EDITS; i++)
-    {
-      const TableEdit *r = rec_list_at (table_edit_desc (), &now->recent, i);
-
-      list_edit (v, r->edit_id, r->revision);
-    }
-  return v;
-}
-
-static void edit_read (Core *c, Edit *d);
-
-static void
-on_edit_retry (Core *c, Timer *t)
-{
-  edit_read (c, t->owner);
-}
-
-static void
-edit_again (Core *c, Edit *d)
-{
-  if (c->now < d->deadline)
-    core_arm (c, &d->retry, c->now + core_jitter (c, EDIT_RETRY_MS));
-  else if (d->unsettled)
-    end_edit_with (c, d, TABLE_UNSETTLED,
-                   "the store did not say whether it took the edit: ask "
-                   "again with the same edit id");
-  else
-    end_edit_with (c, d, TABLE_NOT_WRITTEN,
-                   "the store does not answer; nothing was written");
-}
-
-static void
-accept_edit (Core *c, Edit *d, const TableValue *v)
-{
-  write_note (c, NOTE_TABLE_EDITED, v, NULL);
-  end_edit (c, d, TABLE_ACCEPTED, find_edit (v, d->edit_id), NULL);
-}
-
-static void
-on_edit_written (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
-{
-  Edit *d = owner;
-  const StoreItem *item = store_first_item (r);
-  TableValue *v;
-
-  (void)arg;
-  if (r->status == STORE_OK)
-    {
-      v = g_steal_pointer (&d->wanted);
-      d->unsettled = FALSE;
-      store_holds (c, v, item ? item->revision : r->revision, 0);
-      rec_free (table_value_desc (), v);
-      if (find_edit (c->table->now.value, d->edit_id))
-        accept_edit (c, d, c->table->now.value);
-      else
-        edit_again (c, d); /* a fork: another table of this revision wins */
-      return;
-    }
-  if (r->status == STORE_LOST)
-    d->unsettled = TRUE;
-  edit_again (c, d);
-}
-
-/* Writes D over the store's value at REVISION.  A write whose answer was
-   lost may still be on its way; writing again what expects the same
-   revision is safe, since only one of the two can succeed. */
-static void
-edit_write (Core *c, Edit *d, gint64 revision)
-{
-  GBytes *text;
-
-  if (d->unsettled && revision != d->expect)
-    d->unsettled = FALSE;
-  if (!d->unsettled || !d->wanted || d->wanted->revision <= table_revision (c))
-    {
-      text = merge_edit (c, d);
-      if (!text)
-        return;
-      rec_free (table_value_desc (), d->wanted);
-      d->wanted = next_value (c, d, text);
-      g_bytes_unref (text);
-    }
-  d->expect = revision;
-  write_store (c, d->wanted, revision, on_edit_written, d);
-}
-
-static void
-on_edit_read (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
-{
-  Edit *d = owner;
-  const StoreItem *item = store_first_item (r);
-  gint64 revision = item ? item->revision : 0;
-  TableValue *v = NULL;
-
-  if (r->status == STORE_OK || r->status == STORE_MISSING)
-    v = read_item (c, item);
-  if (v)
-    store_holds (c, v, revision, (gint64)arg);
-  /* When a host has more than the store, that is learnt first. */
-  if (v && find_edit (c->table->now.value, d->edit_id))
-    accept_edit (c, d, c->table->now.value);
-  else if (!v || member_with_table (c, table_revision (c)))
-    edit_again (c, d);
-  else
-    edit_write (c, d, revision);
-  rec_free (table_value_desc (), v);
-}
-
-static void
-edit_read (Core *c, Edit *d)
-{
-  read_store (c, on_edit_read, d);
-}
-
-static Edit *
-edit_new (Core *c,
-          const char *edit_id,
-          gint64 base_revision,
-          GBytes *csv,
-          ClockMs span)
-{
-  Edit *d = g_new0 (Edit, 1);
-
-  *d = (Edit) { .edit_id = g_strdup (edit_id),
-                .base_revision = base_revision,
-                .csv = g_bytes_ref (csv),
-                .deadline = c->now + span,
-                .retry = { .fire = on_edit_retry, .owner = d } };
-  g_queue_push_tail (&c->table->edits, d);
-  return d;
-}
-
-/* An edit that conflicts with the one that won can't be kept; the time
-   line says so. */
-static void
-on_applied_again (Core *c,
-                  guint64 arg,
-                  TableVerdict verdict,
-                  gint64 revision,
-                  gboolean merged,
-                  const Findings *findings)
-{
-  char *why;
-
-  (void)arg;
-  (void)revision;
-  (void)merged;
-  if (verdict != TABLE_CONFLICT)
-    return;
-  why = findings_text (findings);
-  write_note (c, NOTE_TABLE_CONFLICT, c->table->now.value, why);
-  g_free (why);
-}
-
-/* Applies the edit that made LOSER, which a fork left out, to the table in
-   force.  Every host that sees the fork does so; the edit's id makes it one
-   edit. */
-static void
-apply_again (Core *c, const TableValue *loser)
-{
-  const GList *i;
-  Findings findings;
-  Edit *d;
-
-  core_add (c, COUNT_TABLE_FORKS, 1);
-  write_note (c, NOTE_TABLE_FORK, loser, NULL);
-  for (i = c->table->edits.head; i; i = i->next)
-    if (strcmp (((const Edit *)i->data)->edit_id, loser->edit_id) == 0)
-      return;
-  if (!loser->csv)
-    return;
-  findings_init (&findings);
-  d = edit_new (c, loser->edit_id, loser->revision - 1, loser->csv, FORK_MS);
-  d->done = on_applied_again;
-  d->mine = parse (loser->csv, "table", &findings);
-  if (d->mine)
-    edit_read (c, d);
-  else
-    end_edit (c, d, TABLE_INVALID, table_revision (c), &findings);
-  findings_clear (&findings);
-}
-
-/* Applies CHANGE to the table: it is checked, merged with what has come
-   into force since its base, and written by compare-and-swap.  DONE is
-   called once, with ARG, maybe before this returns. */
-void
-table_edit (Core *c, const TableChange *change, TableDone done, guint64 arg)
-{
-  Edit *d = edit_new (c, change->edit_id, change->base_revision, change->csv,
-                      EDIT_MS);
-  Findings findings;
-
-  core_add (c, COUNT_TABLE_EDITS, 1);
-  d->done = done;
-  d->arg = arg;
-  findings_init (&findings);
-  d->mine = parse (change->csv, "table", &findings);
-  if (d->mine)
-    check_fleet (c, d->mine, &findings);
-  if (change->base)
-    d->base = parse (change->base, "base", &findings);
-  if (findings_count (&findings))
-    end_edit (c, d, TABLE_INVALID, table_revision (c), &findings);
-  else if (find_edit (c->table->now.value, d->edit_id))
-    accept_edit (c, d, c->table->now.value);
-  else
-    edit_read (c, d);
-  findings_clear (&findings);
-}
