--- a/src/client.c
+++ b/src/client.c
@@ -59,9 +59,9 @@
   CURL *easy;
   struct curl_slist *headers;
   GByteArray *answer;
-  guint transfers; /* how often sending began */
-  gboolean whole;  /* an answer came, and all of it */
-  gboolean sized;  /* the answer says where it ends */
+  guint sendings; /* how often sending began */
+  gboolean whole; /* an answer came, and all of it */
+  gboolean sized; /* the answer says where it ends */
   gboolean leaving;
   gboolean not_run;
   gboolean cut; /* the answer exceeds max_answer_bytes */
@@ -211,32 +211,20 @@
   add_header (call, "Expect", "");
 }
 
-static void
-set_callbacks (Call *call)
-{
-  CURL *easy = call->easy;
-
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
-  curl_loop_send_once (easy, &call->transfers);
-  curl_loop_set_user_timeout (easy, &user_timeout_ms);
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
-}
-
 static void
 set_options (Call *call, ClockMs left)
 {
   CURL *easy = call->easy;
 
-  curl_easy_setopt (easy, CURLOPT_URL, call->url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)left);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)MIN (left, CONNECT_MS));
+  curl_loop_prepare (easy,
+                     &(CurlLoopCall) { .url = call->url,
+                                       .on_body = on_answer,
+                                       .on_header = on_header,
+                                       .owner = call,
+                                       .sendings = &call->sendings,
+                                       .user_timeout_ms = &user_timeout_ms,
+                                       .timeout = left,
+                                       .connect_timeout = CONNECT_MS });
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPIDLE, (long)KEEP_IDLE_S);
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, (long)KEEP_INTERVAL_S);
@@ -252,26 +240,13 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
-static CURL *
-take_handle (Client *c)
-{
-  CURL *easy;
-
-  if (c->idle->len == 0)
-    return curl_easy_init ();
-  easy = g_ptr_array_steal_index_fast (c->idle, c->idle->len - 1);
-  curl_easy_reset (easy);
-  return easy;
-}
-
 static void
 begin (Call *call, ClockMs left)
 {
   call->target->open++;
   io_count (call->client->io, SHELL_CALLS_OPEN, 1);
-  call->easy = take_handle (call->client);
+  call->easy = curl_loop_take_handle (call->client->idle);
   call->answer = g_byte_array_new ();
-  set_callbacks (call);
   set_options (call, left);
   curl_multi_add_handle (call->client->curl.multi, call->easy);
 }
@@ -282,7 +257,7 @@
 {
   Client *c = call->client;
 
-  if (call->transfers == 0)
+  if (call->sendings == 0)
     io_count (c->io, SHELL_CALLS_UNSENT, 1);
   else if (!call->whole)
     io_count (c->io, SHELL_CALLS_LOST, 1);
@@ -429,7 +404,7 @@
   StoreReply failure = { .call = s->call, .op = s->op };
   StoreReply *reply = NULL;
 
-  failure.status = call->transfers ? STORE_LOST : STORE_UNSENT;
+  failure.status = call->sendings ? STORE_LOST : STORE_UNSENT;
   if (call->whole &&
       (call->status == HTTP_TOO_MANY || call->status == HTTP_UNAVAILABLE))
     failure.status = STORE_REFUSED;
@@ -460,7 +435,7 @@
   WorkerReply failure = { .call = w->call, .worker = w->worker, .op = w->op };
   WorkerReply *reply = NULL;
 
-  failure.status = call->transfers ? WORKER_LOST : WORKER_UNSENT;
+  failure.status = call->sendings ? WORKER_LOST : WORKER_UNSENT;
   if (call->whole && call->status == HTTP_OK)
     reply = read_json_answer (call, worker_reply_desc ());
   if (reply &&
@@ -537,7 +512,7 @@
                           .request = s->request,
                           .attempt = s->attempt };
 
-  if (call->transfers == 0)
+  if (call->sendings == 0)
     reply.result = UPSTREAM_UNSENT;
   else if (!call->whole)
     reply.result = UPSTREAM_LOST;
