--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -141,6 +141,7 @@
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPlacement *placement);
 gint64 runs_lease_deadline (Dispatch *d, PoolWorker *w);
 void runs_stop_incomplete_gangs (Dispatch *d);
+extern const ClockMs runs_max_lease;
 
 /* due.c */
 void due_init (Dispatch *d);
