--- a/standin/platform.c
+++ b/standin/platform.c
@@ -1,5 +1,5 @@
 #include "json.h"
-#include "server.h"
+#include "runner.h"
 #include "standin.h"
 
 #include <stdio.h>
@@ -16,16 +16,11 @@
 enum
 {
   LOOK_MS = 10,
-  CPU_MILLI = 64000,
-  MEM_MB = 256000,
-  ACCELERATORS = 8,
   RUNNERS_PER_RACK = 4,
-  DEFAULT_TASK_MS = 300,
-  STOP_MS = 50,
+  ENTRY_MS = 4500, /* three heartbeats of a runner */
   HTTP_OK = 200,
   HTTP_BAD_REQUEST = 400,
   HTTP_NOT_FOUND = 404,
-  HTTP_CONFLICT = 409,
   HTTP_PRECONDITION = 412
 };
 
@@ -45,41 +40,10 @@
   ClockMs until;
 } Lease;
 
-typedef struct Run
-{
-  char *task;
-  gint64 run;
-  ClockMs begun;
-  ClockMs ends;
-  gboolean stopping;
-  int gang; /* members that must be present; 0 for none */
-} Run;
-
-typedef struct End
-{
-  gint64 number;
-  char *task;
-  gint64 run;
-  const char *how;
-} End;
-
-typedef struct Runner
-{
-  struct Platform *platform;
-  int index;
-  gint64 fence;
-  gint64 n_ends;
-  ClockMs deadline; /* of its lease; 0 while there is none */
-  GPtrArray *runs;  /* of Run */
-  GPtrArray *ends;  /* of End */
-  GHashTable *over; /* task to the highest run that ended or was stopped */
-} Runner;
-
-/* An answer that waits for something to happen. */
+/* A watch that waits for something to happen. */
 typedef struct Waiter
 {
   Exchange *x;
-  Runner *runner; /* NULL for a watch */
   char *prefix;
   gint64 after;
   ClockMs until;
@@ -94,28 +58,12 @@
   GPtrArray *items; /* of Item, by key */
   GPtrArray *leases;
   GPtrArray *waiters;
-  Runner *runners;
+  Runner **runners;
   gint64 revision;
   gint64 last_lease;
   Timer look;
 } Platform;
 
-static void
-reply (Exchange *x, unsigned status, json_object *o)
-{
-  char *text = json_serialize_free (o);
-
-  exchange_reply (x, 0, status, "Content-Type: application/json", text,
-                  strlen (text));
-  g_free (text);
-}
-
-static json_object *
-body_of (const Exchange *x, Findings *findings)
-{
-  return json_parse ((const char *)x->body->data, x->body->len, findings);
-}
-
 static const char *
 query (const Exchange *x, const char *name)
 {
@@ -232,12 +180,12 @@
 
   if (!item || item->deleted)
     {
-      reply (x, HTTP_NOT_FOUND, json_object_new_object ());
+      standin_reply (x, HTTP_NOT_FOUND, json_object_new_object ());
       return;
     }
   o = item_json (item);
   json_put_int (o, "storeRevision", p->revision);
-  reply (x, HTTP_OK, o);
+  standin_reply (x, HTTP_OK, o);
 }
 
 static void
@@ -249,19 +197,18 @@
                           items_json (p, query (x, "prefix"), 0, FALSE));
   json_object_object_add (o, "hasMore", json_object_new_boolean (0));
   json_put_int (o, "storeRevision", p->revision);
-  reply (x, HTTP_OK, o);
+  standin_reply (x, HTTP_OK, o);
 }
 
 static void
-add_waiter (Platform *p, Exchange *x, Runner *runner, ClockMs wait)
+add_waiter (Platform *p, Exchange *x)
 {
   Waiter *w = g_new0 (Waiter, 1);
 
   w->x = x;
-  w->runner = runner;
   w->prefix = g_strdup (query (x, "prefix"));
   w->after = g_ascii_strtoll (query (x, "after"), NULL, 10);
-  w->until = server_now () + wait;
+  w->until = server_now () + g_ascii_strtoll (query (x, "waitMs"), NULL, 10);
   exchange_hang (x);
   g_ptr_array_add (p->waiters, w);
 }
@@ -318,19 +265,18 @@
   if (!conditions_hold (p, json_array (o, "precondition", f), found, f))
     {
       json_object_object_add (answer, "items", found);
-      reply (x, HTTP_PRECONDITION, answer);
+      standin_reply (x, HTTP_PRECONDITION, answer);
       return;
     }
   json_object_put (found);
   apply_writes (p, o, f);
   json_put_int (answer, "revision", p->revision);
-  reply (x, HTTP_OK, answer);
+  standin_reply (x, HTTP_OK, answer);
 }
 
 static Lease *
-find_lease (const Platform *p, const char *id)
+find_lease (const Platform *p, gint64 number)
 {
-  gint64 number = g_ascii_strtoll (id, NULL, 10);
   guint i;
 
   for (i = 0; i < p->leases->len; i++)
@@ -349,30 +295,66 @@
   return o;
 }
 
-static void
-handle_lease (Platform *p, Exchange *x, json_object *o, Findings *f)
+static Lease *
+add_lease (Platform *p, ClockMs ttl)
 {
   Lease *lease = g_new0 (Lease, 1);
 
   lease->id = ++p->last_lease;
-  lease->ttl = json_int (o, "ttlMs", 0, &json_range_duration, f);
-  lease->until = server_now () + lease->ttl;
+  lease->ttl = ttl;
+  lease->until = server_now () + ttl;
   g_ptr_array_add (p->leases, lease);
-  reply (x, HTTP_OK, lease_json (lease));
+  return lease;
+}
+
+static void
+handle_lease (Platform *p, Exchange *x, json_object *o, Findings *f)
+{
+  ClockMs ttl = json_int (o, "ttlMs", 0, &json_range_duration, f);
+
+  standin_reply (x, HTTP_OK, lease_json (add_lease (p, ttl)));
+}
+
+/* Keeps what a runner says of itself, O, or removes its entry when that is
+   NULL.  A heartbeat that says nothing new only keeps the entry. */
+static void
+handle_entry (Platform *p, Exchange *x, json_object *o)
+{
+  char *key = g_strdup_printf ("servers/%s", strrchr (x->path, '/') + 1);
+  const char *text =
+      o ? json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN) : "";
+  char *value =
+      o ? g_base64_encode ((const guchar *)text, strlen (text)) : NULL;
+  const Item *item = find_item (p, key);
+  Lease *lease = item ? find_lease (p, item->lease) : NULL;
+
+  if (!lease && o)
+    lease = add_lease (p, ENTRY_MS);
+  if (lease)
+    lease->until = server_now () + ENTRY_MS;
+  if (!item || g_strcmp0 (item->value, value) != 0)
+    {
+      p->revision++;
+      put (p, key, value, o ? lease->id : 0);
+    }
+  standin_reply (x, HTTP_OK, json_object_new_object ());
+  g_free (value);
+  g_free (key);
 }
 
 static void
 handle_keep (Platform *p, Exchange *x, gboolean end)
 {
-  Lease *lease = find_lease (p, strrchr (x->path, '/') + 1);
+  gint64 number = g_ascii_strtoll (strrchr (x->path, '/') + 1, NULL, 10);
+  Lease *lease = find_lease (p, number);
 
   if (!lease)
     {
-      reply (x, HTTP_NOT_FOUND, json_object_new_object ());
+      standin_reply (x, HTTP_NOT_FOUND, json_object_new_object ());
       return;
     }
   lease->until = end ? 0 : server_now () + lease->ttl;
-  reply (x, HTTP_OK, lease_json (lease));
+  standin_reply (x, HTTP_OK, lease_json (lease));
 }
 
 static void
@@ -413,23 +395,25 @@
   json_object *o;
 
   findings_init (&f);
-  o = body_of (x, &f);
+  o = standin_body (x, &f);
   if (!o)
-    reply (x, HTTP_BAD_REQUEST, json_object_new_object ());
+    standin_reply (x, HTTP_BAD_REQUEST, json_object_new_object ());
   else if (strcmp (x->path, "/api/kv-txn") == 0)
     handle_txn (p, x, o, &f);
   else if (strcmp (x->path, "/api/kv-lease") == 0)
     handle_lease (p, x, o, &f);
   else if (g_str_has_prefix (x->path, "/api/kv-keep/"))
     handle_keep (p, x, FALSE);
+  else if (g_str_has_prefix (x->path, "/standin/entry/"))
+    handle_entry (p, x, o);
   else if (strcmp (x->path, "/standin/config") == 0)
     {
       put_text (p, "op/config",
                 json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
-      reply (x, HTTP_OK, json_object_new_object ());
+      standin_reply (x, HTTP_OK, json_object_new_object ());
     }
   else
-    reply (x, HTTP_NOT_FOUND, json_object_new_object ());
+    standin_reply (x, HTTP_NOT_FOUND, json_object_new_object ());
   if (o)
     json_object_put (o);
   findings_clear (&f);
@@ -442,6 +426,8 @@
 
   if (strcmp (x->method, "POST") == 0)
     handle_post (p, x);
+  else if (g_str_has_prefix (x->path, "/standin/entry/"))
+    handle_entry (p, x, NULL);
   else if (strcmp (x->method, "DELETE") == 0)
     handle_keep (p, x, TRUE);
   else if (strcmp (x->path, "/api/kv-key") == 0)
@@ -449,252 +435,9 @@
   else if (strcmp (x->path, "/api/kv-range") == 0)
     handle_range (p, x);
   else if (strcmp (x->path, "/api/kv-watch") == 0)
-    add_waiter (p, x, NULL, g_ascii_strtoll (query (x, "waitMs"), NULL, 10));
+    add_waiter (p, x);
   else
-    reply (x, HTTP_NOT_FOUND, json_object_new_object ());
-}
-
-/* The runners. */
-
-static Run *
-find_run (const Runner *r, const char *task)
-{
-  guint i;
-
-  for (i = 0; i < r->runs->len; i++)
-    if (strcmp (((Run *)g_ptr_array_index (r->runs, i))->task, task) == 0)
-      return g_ptr_array_index (r->runs, i);
-  return NULL;
-}
-
-static gint64
-last_over (const Runner *r, const char *task)
-{
-  const gint64 *run = g_hash_table_lookup (r->over, task);
-
-  return run ? *run : 0;
-}
-
-/* Has every start of TASK up to RUN refused from now on. */
-static void
-set_over (Runner *r, const char *task, gint64 run)
-{
-  if (run > last_over (r, task))
-    g_hash_table_insert (r->over, g_strdup (task),
-                         g_memdup2 (&run, sizeof run));
-}
-
-static void
-end_run (Runner *r, Run *run, const char *how)
-{
-  End *e = g_new0 (End, 1);
-
-  e->number = ++r->n_ends;
-  e->task = g_strdup (run->task);
-  e->run = run->run;
-  e->how = how;
-  g_ptr_array_add (r->ends, e);
-  printf ("%" CLOCK_MS_FORMAT " end %s run %" G_GINT64_FORMAT " on w%d %s\n",
-          server_now (), run->task, run->run, r->index, how);
-  fflush (stdout);
-  set_over (r, run->task, run->run);
-  g_ptr_array_remove (r->runs, run);
-}
-
-static int
-number_in (const char *text, const char *name, int missing)
-{
-  const char *at = strstr (text, name);
-
-  return at ? (int)strtol (at + strlen (name), NULL, 10) : missing;
-}
-
-/* Starts what O asks for, unless it is there.  Returns FALSE when as high a
-   run is over here. */
-static gboolean
-start_run (Runner *r, json_object *o, Findings *f)
-{
-  const char *task = json_string (o, "task", "", f);
-  const char *text = json_string (o, "spec", "", f);
-  gint64 number = json_int (o, "run", 0, &json_range_id, f);
-  Run *run = find_run (r, task);
-
-  if (run && run->run == number)
-    return TRUE;
-  if (run || number <= last_over (r, task))
-    return FALSE;
-  run = g_new0 (Run, 1);
-  run->task = g_strdup (task);
-  run->run = number;
-  run->begun = server_now ();
-  run->ends = run->begun + number_in (text, "ms=", DEFAULT_TASK_MS);
-  run->gang = number_in (text, "gang=", 0);
-  g_ptr_array_add (r->runs, run);
-  printf ("%" CLOCK_MS_FORMAT " start %s run %" G_GINT64_FORMAT " on w%d\n",
-          server_now (), task, run->run, r->index);
-  fflush (stdout);
-  return TRUE;
-}
-
-static void
-stop_run (Runner *r, json_object *o, Findings *f)
-{
-  const char *task = json_string (o, "task", "", f);
-  gint64 number = json_int (o, "run", 0, &json_range_id, f);
-  Run *run = find_run (r, task);
-
-  set_over (r, task, number);
-  if (!run || run->run > number)
-    return;
-  run->stopping = TRUE;
-  run->ends = server_now () + STOP_MS;
-}
-
-static json_object *
-runner_json (const Runner *r)
-{
-  json_object *o = json_object_new_object ();
-
-  json_put_int (o, "clockMs", server_now ());
-  json_put_int (o, "born", 1 + r->index);
-  return o;
-}
-
-static json_object *
-row_json (const Run *run)
-{
-  json_object *row = json_object_new_array ();
-
-  json_object_array_add (row, json_object_new_string (run->task));
-  json_object_array_add (row, json_object_new_int64 (run->run));
-  json_object_array_add (row, json_object_new_string (""));
-  json_object_array_add (
-      row, json_object_new_int64 (100 * (server_now () - run->begun) /
-                                  MAX (run->ends - run->begun, 1)));
-  return row;
-}
-
-static json_object *
-end_json (const End *e)
-{
-  json_object *row = json_object_new_array ();
-
-  json_object_array_add (row, json_object_new_int64 (e->number));
-  json_object_array_add (row, json_object_new_string (e->task));
-  json_object_array_add (row, json_object_new_int64 (e->run));
-  json_object_array_add (row, json_object_new_string (e->how));
-  json_object_array_add (row, json_object_new_string (""));
-  return row;
-}
-
-static void
-reply_lists (const Runner *r, Exchange *x)
-{
-  json_object *o = runner_json (r);
-  json_object *running = json_object_new_array ();
-  json_object *ended = json_object_new_array ();
-  guint i;
-
-  for (i = 0; i < r->runs->len; i++)
-    json_object_array_add (running, row_json (g_ptr_array_index (r->runs, i)));
-  for (i = 0; i < r->ends->len; i++)
-    json_object_array_add (ended, end_json (g_ptr_array_index (r->ends, i)));
-  json_object_object_add (o, "running", running);
-  json_object_object_add (o, "ended", ended);
-  reply (x, HTTP_OK, o);
-}
-
-static void
-take_hold (Runner *r, Exchange *x, json_object *o, Findings *f)
-{
-  gint64 ack = json_int (o, "ackCursor", 0, &json_range_id, f);
-  gint64 wait = json_int (o, "waitMs", 0, &json_range_duration, f);
-
-  while (r->ends->len && ((End *)g_ptr_array_index (r->ends, 0))->number <= ack)
-    g_ptr_array_remove_index (r->ends, 0);
-  if (wait && r->ends->len == 0)
-    add_waiter (r->platform, x, r, wait);
-  else
-    reply_lists (r, x);
-}
-
-/* A lease is never shortened. */
-static void
-renew (Runner *r, json_object *o, Findings *f)
-{
-  r->deadline =
-      MAX (r->deadline, json_int (o, "deadlineMs", 0, &json_range_time, f));
-}
-
-static void
-refuse (const Runner *r, Exchange *x, const char *reason)
-{
-  json_object *o = runner_json (r);
-
-  json_put_string (o, "reason", reason);
-  reply (x, HTTP_CONFLICT, o);
-}
-
-static void
-on_runner (Exchange *x, void *data)
-{
-  Runner *r = data;
-  Findings f;
-  json_object *o;
-
-  findings_init (&f);
-  o = body_of (x, &f);
-  if (!o)
-    reply (x, HTTP_BAD_REQUEST, json_object_new_object ());
-  else if (json_int (o, "fence", 0, &json_range_id, &f) < r->fence)
-    refuse (r, x, "fence");
-  else
-    {
-      r->fence = json_int (o, "fence", 0, &json_range_id, &f);
-      renew (r, o, &f);
-      if (strcmp (x->path, "/api/hold") == 0)
-        take_hold (r, x, o, &f);
-      else if (strcmp (x->path, "/api/run-start") == 0 && !start_run (r, o, &f))
-        refuse (r, x, "old");
-      else
-        {
-          if (strcmp (x->path, "/api/run-stop") == 0)
-            stop_run (r, o, &f);
-          reply (x, HTTP_OK, runner_json (r));
-        }
-    }
-  if (o)
-    json_object_put (o);
-  findings_clear (&f);
-}
-
-/* Ends the lease once it is over.  Returns whether that is now. */
-static gboolean
-lapse (Runner *r)
-{
-  if (!r->deadline || r->deadline >= server_now ())
-    return FALSE;
-  r->deadline = 0;
-  printf ("%" CLOCK_MS_FORMAT " lapse on w%d\n", server_now (), r->index);
-  fflush (stdout);
-  return TRUE;
-}
-
-static void
-end_due_runs (Runner *r)
-{
-  gboolean lapsed = lapse (r);
-  guint i = r->runs->len;
-
-  while (i--)
-    {
-      Run *run = g_ptr_array_index (r->runs, i);
-
-      if (lapsed)
-        end_run (r, run, "lapsed");
-      else if (run->ends <= server_now ())
-        end_run (r, run, run->stopping ? "stopped" : "done");
-    }
+    standin_reply (x, HTTP_NOT_FOUND, json_object_new_object ());
 }
 
 static gboolean
@@ -705,8 +448,6 @@
 
   if (server_now () >= w->until)
     return TRUE;
-  if (w->runner)
-    return w->runner->ends->len > 0;
   events = items_json (p, w->prefix, w->after, TRUE);
   due = json_object_array_length (events) > 0;
   json_object_put (events);
@@ -716,18 +457,12 @@
 static void
 answer_waiter (const Platform *p, const Waiter *w)
 {
-  json_object *o;
+  json_object *o = json_object_new_object ();
 
-  if (w->runner)
-    {
-      reply_lists (w->runner, w->x);
-      return;
-    }
-  o = json_object_new_object ();
   json_object_object_add (o, "events",
                           items_json (p, w->prefix, w->after, TRUE));
   json_put_int (o, "storeRevision", p->revision);
-  reply (w->x, HTTP_OK, o);
+  standin_reply (w->x, HTTP_OK, o);
 }
 
 static void
@@ -739,7 +474,7 @@
   (void)unused;
   expire_leases (p);
   for (i = 0; i < (guint)p->n_runners; i++)
-    end_due_runs (&p->runners[i]);
+    runner_look (p->runners[i]);
   i = p->waiters->len;
   while (i--)
     {
@@ -762,42 +497,21 @@
   g_free (w);
 }
 
-static void
-run_free (gpointer data)
-{
-  Run *run = data;
-
-  g_free (run->task);
-  g_free (run);
-}
-
-static void
-end_free (gpointer data)
-{
-  End *e = data;
-
-  g_free (e->task);
-  g_free (e);
-}
-
 static void
 add_runner (Platform *p, int i)
 {
-  Runner *r = &p->runners[i];
-  char *key = g_strdup_printf ("servers/w%d", i);
-  char *text = g_strdup_printf (
-      "{\"service\":\"render\",\"address\":\"%s:%d\",\"zone\":\"z\","
-      "\"state\":\"ready\",\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":%d},"
-      "\"labels\":[\"a\",\"r%d\"],\"born\":%d}",
-      p->place.address ? p->place.address : "127.0.0.1",
-      (p->advertised ? p->advertised : p->place.port + 1) + i, CPU_MILLI,
-      MEM_MB, ACCELERATORS, i / RUNNERS_PER_RACK, 1 + i);
-
-  r->platform = p;
-  r->index = i;
-  r->runs = g_ptr_array_new_with_free_func (run_free);
-  r->ends = g_ptr_array_new_with_free_func (end_free);
-  r->over = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  char *id = g_strdup_printf ("w%d", i); /* the runner's from now on */
+  char *key = g_strdup_printf ("servers/%s", id);
+  const RunnerLife life = { .id = id, .born = 1 + i };
+  const RunnerEntry entry = {
+    .address = p->place.address,
+    .port = (p->advertised ? p->advertised : p->place.port + 1) + i,
+    .rack = i / RUNNERS_PER_RACK,
+    .born = life.born,
+  };
+  char *text = runner_entry_text (&entry);
+
+  p->runners[i] = runner_new (&life);
   put_text (p, key, text);
   g_free (key);
   g_free (text);
@@ -813,8 +527,8 @@
   for (i = 0; i < p->n_runners; i++)
     {
       add_runner (p, i);
-      if (!standin_listen (p->server, &p->place, 1 + i, on_runner,
-                           &p->runners[i], error))
+      if (!standin_listen (p->server, &p->place, 1 + i, runner_on_request,
+                           p->runners[i], error))
         return FALSE;
     }
   return TRUE;
@@ -840,7 +554,7 @@
   p.items = g_ptr_array_new ();
   p.leases = g_ptr_array_new_with_free_func (g_free);
   p.waiters = g_ptr_array_new_with_free_func (waiter_free);
-  p.runners = g_new0 (Runner, p.n_runners);
+  p.runners = g_new0 (Runner *, p.n_runners);
   p.look = (Timer) { .fire = on_look, .owner = &p };
   if (!listen_all (&p, error))
     return EXIT_FAILURE;
--- a/standin/server.c
+++ b/standin/server.c
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 static const gsize max_body_bytes = 64 << 20;
 static const unsigned idle_timeout_s = 600;
@@ -231,6 +232,22 @@
     }
 }
 
+/* Takes no more connections at any port; those that are open go on. */
+void
+server_stop_listening (Server *s)
+{
+  guint i;
+
+  for (i = 0; i < s->ports->len; i++)
+    {
+      Port *p = g_ptr_array_index (s->ports, i);
+      MHD_socket fd = MHD_quiesce_daemon (p->daemon);
+
+      if (fd != MHD_INVALID_SOCKET)
+        close (fd);
+    }
+}
+
 /* Closes all ports; no connection may be suspended. */
 void
 server_free (Server *s)
--- a/standin/server.h
+++ b/standin/server.h
@@ -39,6 +39,7 @@
                         void *data);
 void server_arm (Server *s, Timer *t, ClockMs at);
 void server_run (Server *s, ClockMs end);
+void server_stop_listening (Server *s);
 void server_free (Server *s);
 ClockMs server_now (void);
 
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -13,6 +13,7 @@
   X (upstream, "one or more upstreams, a port each")                           \
   X (workers, "workers with accelerators, one port for all")                   \
   X (platform, "the users' platform: its store and its runners")               \
+  X (runner, "one of the users' runners, a process of its own")                \
   X (load, "a bounded load of requests, and a table of completion times")
 
 #define STANDIN_DECLARE(name, help)                                            \
--- /dev/null
+++ b/tools/soak/checks.py
@@ -0,0 +1,111 @@
+"""What the runners ran, read from their logs, against the promises."""
+import collections
+import re
+
+LINE = re.compile(r"(\d+) (start|end|ack) (\S+) run (\d+) on (\S+) ?(\w*)")
+LIFE = re.compile(r"(\d+) (lapse|gone) on (\S+)")
+NEVER = 1 << 60
+TICK_MS = 20  # by which stamps of different processes may differ
+
+
+class Run:
+    """One run of a task on one life of a runner.  Times in milliseconds of
+    the clock that all processes share."""
+
+    def __init__(self, task, number, runner, start):
+        self.task, self.number, self.runner, self.start = task, number, runner, start
+        self.end, self.how, self.acked = NEVER, "runs", None
+        self.lapsed = False  # its lease, between its end and the acknowledgement
+
+    def __str__(self):
+        return "%s run %s on %s from %d to %s %s" % (
+            self.task, self.number, self.runner, self.start,
+            self.end if self.end < NEVER else "now", self.how)
+
+
+def read_life(name, path, killed_at):
+    """Returns the runs of one life.  They end when its process is gone, by
+    the log or at the time of its kill."""
+    runs, lapses, gone = {}, [], killed_at or NEVER
+    with open(path, encoding="utf-8") as f:
+        for line in f:
+            m = LINE.match(line)
+            if m:
+                read_line(runs, name, m)
+                continue
+            m = LIFE.match(line)
+            if m and m.group(2) == "lapse":
+                lapses.append(int(m.group(1)))
+            elif m:
+                gone = min(gone, int(m.group(1)))
+    for run in runs.values():
+        if run.end > gone:
+            run.end, run.how = max(gone, run.start), "gone"
+        run.lapsed = run.acked is not None and any(run.end <= at <= run.acked for at in lapses)
+    return list(runs.values())
+
+
+def read_line(runs, runner, m):
+    at, what, key = int(m.group(1)), m.group(2), (m.group(3), m.group(4))
+    if what == "start":
+        runs[key] = Run(key[0], key[1], runner, at)
+    elif what == "end":
+        runs[key].end, runs[key].how = at, m.group(6)
+    else:
+        runs[key].acked = at
+
+
+def compare(a, b):
+    """Returns what is wrong with B, which started after A, and whether that
+    is certain.  A success counts from its end on if it was acknowledged and
+    its runner held its lease until then: only a lease that is over or a life
+    that ended lets the task be given to another meanwhile."""
+    if b.start < a.end:
+        return "TWICE at once, for %d ms" % (min(a.end, b.end) - b.start), True
+    if a.how == "done":
+        return "TWICE after done", a.acked is not None and not a.lapsed
+    return None, False
+
+
+def check_twice(runs):
+    """Returns what is broken and what is in doubt."""
+    by_task = collections.defaultdict(list)
+    broken, doubts = [], []
+    for run in runs:
+        by_task[run.task].append(run)
+    for same in by_task.values():
+        same.sort(key=lambda run: run.start)
+        for i, b in enumerate(same):
+            for a in same[:i]:
+                what, certain = compare(a, b)
+                if what:
+                    (broken if certain else doubts).append("%s: %s; %s" % (what, a, b))
+    return broken, doubts
+
+
+def check_asked(runs, jobs):
+    """No task that nobody asked for, none whose every attempt was refused."""
+    broken = []
+    for task in sorted({run.task for run in runs}):
+        job = jobs.get(task.split(".")[0])
+        if job is None:
+            broken.append("UNASKED %s" % task)
+        elif job["answers"] and all(a in (429, 503, 404, 401) for a in job["answers"]):
+            broken.append("REFUSED %s" % task)
+    return broken
+
+
+def find_freed(runs, host_logs, offset):
+    """Returns the lines by which a host freed all runs of a runner while some
+    of them went on: tasks may start twice after it, or were lucky.  OFFSET is
+    the hosts' clock less the runners'."""
+    found = []
+    for path in host_logs:
+        with open(path, encoding="utf-8", errors="replace") as f:
+            for m in re.finditer(r"^ts=(\d+) (.*event=worker_void worker=(\S+) .*)$", f.read(), re.M):
+                at = int(m.group(1)) - offset
+                ends = [run.end - at for run in runs if run.runner == m.group(3)
+                        and run.start < at - TICK_MS and run.end > at + TICK_MS]
+                if ends:
+                    found.append("%d %s: %d went on for %d ms" % (at, m.group(2), len(ends), max(ends)))
+    return found
--- /dev/null
+++ b/tools/soak/processes.py
@@ -0,0 +1,180 @@
+"""The soak's processes: started, signalled and ended by their own ids."""
+import asyncio
+import json
+import os
+import signal
+import socket
+import time
+
+from proxy import Link
+
+BUILD = os.environ.get("BUILD", "build")
+HOST_PORTS = 10
+
+
+def now_ms():
+    """The clock of the runners' logs, common to all processes."""
+    return int(time.monotonic() * 1000)
+
+
+class Process:
+    """A program of ours."""
+
+    def __init__(self, name, argv, log):
+        self.name, self.argv, self.log = name, argv, log
+        self.process = None
+        self.stopped = False
+
+    async def start(self):
+        with open(self.log, "ab") as out:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.argv, stdout=out, stderr=out)
+        self.stopped = False
+
+    def alive(self):
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number):
+        if self.alive():
+            self.process.send_signal(number)
+            self.stopped = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(number, self.stopped)
+
+    def go_on(self):
+        if self.stopped:
+            self.signal(signal.SIGCONT)
+
+    async def revive(self):
+        self.go_on()
+        if not self.alive():
+            await self.start()
+
+    async def end(self):
+        self.signal(signal.SIGKILL)
+        if self.process:
+            await self.process.wait()
+
+
+class Runner(Process):
+    """A runner's machine: one life after the other, each with its own log.
+    Hosts reach it by one link, it reaches the store by another."""
+
+    def __init__(self, ports, index, work):
+        self.ports, self.index, self.work = ports, index, work
+        self.link = Link(ports.runner_link(index), ports.runner(index))
+        self.store_link = Link(ports.runner_store(index), ports.store)
+        self.lives = []  # [id, log, time of its kill or None]
+        self.drained_at = 0.0
+        self.drain_ms = self.linger_ms = 0
+        super().__init__("w%d" % index, [], "")
+
+    async def begin(self, rng, new_id=False):
+        """Starts the next life, under the id before unless NEW_ID."""
+        if new_id:
+            self.name = "w%d-%d" % (self.index, len(self.lives))
+        self.log = "%s/%s.life%d.log" % (self.work, self.name, len(self.lives))
+        self.lives.append([self.name, self.log, None])
+        self.drain_ms, self.linger_ms = rng.randint(3000, 10000), rng.randint(100, 1200)
+        self.argv = [BUILD + "/wagtailpass-standin", "runner", "--id", self.name,
+                     "--port", str(self.ports.runner(self.index)),
+                     "--advertise", str(self.link.port), "--rack", str(self.index // 4),
+                     "--store", "127.0.0.1:%d" % self.store_link.port,
+                     "--slow", str(rng.choice([0, 0, 10, 20])), "--drain", str(self.drain_ms),
+                     "--linger", str(self.linger_ms), "--seconds", "600"]
+        await self.start()
+        await self.link.set_down(False)
+
+    async def crash(self):
+        """What runs there ends when the signal is sent, at the latest."""
+        self.lives[-1][2] = now_ms()
+        await self.end()
+        await self.link.set_down(True)
+
+    def drain(self):
+        self.drained_at = time.monotonic()
+        self.signal(signal.SIGUSR1)
+
+    async def leave(self):
+        """Waits until the process is gone; its port is closed first."""
+        self.signal(signal.SIGTERM)
+        await self.link.set_down(True)
+        await self.process.wait()
+
+    async def cut(self, kind):
+        await self.link.cut_off(kind)
+        await self.store_link.cut_off(kind)
+
+    async def heal(self):
+        await self.link.heal()
+        await self.store_link.heal()
+
+    def busy(self):
+        """Tells whether anything runs here, by the log."""
+        with open(self.log, encoding="utf-8") as f:
+            text = f.read()
+        return text.count(" start ") > text.count(" end ")
+
+
+class Ports:
+    """Where everything listens: the store, runners, links, hosts."""
+
+    def __init__(self, first, hosts, runners):
+        self.store, self.runners = first, runners
+        self.hosts = first + 1 + 3 * runners
+        self.n = 1 + 3 * runners + HOST_PORTS * hosts
+
+    def runner(self, i):
+        return self.store + 1 + i
+
+    def runner_link(self, i):
+        return self.store + 1 + self.runners + i
+
+    def runner_store(self, i):
+        return self.store + 1 + 2 * self.runners + i
+
+    def host(self, i, k=0):
+        return self.hosts + i * HOST_PORTS + k
+
+    def are_free(self):
+        return all(is_free(self.store + i) for i in range(self.n))
+
+
+def is_free(port):
+    with socket.socket() as s:
+        try:
+            s.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def free_ports(hosts, runners):
+    """Returns ports that no program listens on.  Soaks that run side by side
+    begin to look at different ones."""
+    step = Ports(0, hosts, runners).n
+    bases = list(range(18000, 30000 - step, step))
+    first = os.getpid() % len(bases)
+    for base in bases[first:] + bases[:first]:
+        ports = Ports(base, hosts, runners)
+        if ports.are_free():
+            return ports
+    raise RuntimeError("no free ports")
+
+
+def make_host(ports, i, work):
+    settings = {"node": "h%d" % i, "zone": "z", "ip": "127.0.0.1",
+                "listen": {"front": "127.0.0.1:%d" % ports.host(i),
+                           "readiness": "127.0.0.1:%d" % ports.host(i, 1)},
+                "portRange": [ports.host(i, 2), ports.host(i, 8)],
+                "limits": {"cpuShare": 0.25},
+                "platform": {"address": "127.0.0.1:%d" % ports.host(i, 9)}}
+    path = "%s/h%d.json" % (work, i)
+    with open(path, "w", encoding="utf-8") as f:
+        json.dump(settings, f)
+    return Process("h%d" % i, [BUILD + "/wagtailpass-node", "--settings", path],
+                   "%s/h%d.log" % (work, i))
+
+
+def make_platform(ports, work, seconds):
+    return Process("platform", [BUILD + "/wagtailpass-standin", "platform", "--port",
+                                str(ports.store), "--runners", "0", "--seconds", str(seconds)],
+                   work + "/platform.log")
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -1,5 +1,6 @@
 """A loopback proxy whose links can be delayed, reset, cut one way or both."""
 import asyncio
+import socket
 
 
 class Link:
@@ -12,34 +13,76 @@
         self.delay = 0.0  # seconds, each way
         self.silent_out = False  # bytes to the target are swallowed
         self.silent_in = False  # bytes from the target are swallowed
-        self.refuse = False
+        self.cut = None  # "silent" or "refuse": what becomes of connections
+        self.down = False  # nobody listens at the target
         self.writers = set()
         self.server = None
+        self.hole = []  # sockets that keep a full queue, so that calls to it hang
+        self.lock = asyncio.Lock()
 
     async def start(self):
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", self.port)
 
     async def stop(self):
-        self.server.close()
+        await self.listen_as("refuse")
         self.reset()
 
-    def heal(self):
+    async def set_down(self, down):
+        """Follows a target that has closed its port, or opened it again."""
+        self.down = down
+        await self.listen_as(self.cut or ("refuse" if down else None))
+
+    async def cut_off(self, kind):
+        """Cuts both ways: "silent", "refuse" (at once), or "one_way": what
+        the target says is lost."""
+        self.silent_in = kind in ("silent", "one_way")
+        self.silent_out = kind == "silent"
+        self.cut = None if kind == "one_way" else kind
+        await self.set_down(self.down)
+        if kind == "refuse":
+            self.reset()
+
+    async def heal(self):
         """Ends every fault.  Connections that lost bytes are reset."""
         lost = self.silent_out or self.silent_in
         self.delay = 0.0
-        self.silent_out = self.silent_in = self.refuse = False
+        self.silent_out = self.silent_in = False
+        self.cut = None
+        await self.set_down(self.down)
         if lost:
             self.reset()
 
+    async def listen_as(self, cut):
+        async with self.lock:
+            if self.server:
+                self.server.close()
+            for s in self.hole:
+                s.close()
+            self.server, self.hole = None, []
+            if cut == "silent":
+                self.dig_hole()
+            elif cut is None:
+                await self.start()
+
+    def dig_hole(self):
+        """Listens with a queue that is full: calls get no answer at all."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(0)
+        self.hole = [listener]
+        for _ in range(2):
+            caller = socket.socket()
+            caller.setblocking(False)
+            caller.connect_ex(("127.0.0.1", self.port))
+            self.hole.append(caller)
+
     def reset(self):
         for writer in list(self.writers):
             writer.transport.abort()
         self.writers.clear()
 
     async def accept(self, reader, writer):
-        if self.refuse:
-            writer.transport.abort()
-            return
         try:
             far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
