--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,7 +10,8 @@
 
 HOST_SERIES = ["host_down", "host_pause", "host_stall", "link_trouble"]
 RUNNER_SERIES = ["drain", "restart", "cut", "stall", "drain_cut", "restart_cut", "cut_restart",
-                 "drain_kill", "cut_kill", "cut_stall", "drain_cut_kill", "restart_stall"]
+                 "drain_kill", "cut_kill", "cut_stall", "drain_cut_kill", "restart_stall",
+                 "stutter_cut"]
 HOST_SHARE = 0.35
 
 
@@ -27,7 +28,7 @@
 
     async def run(self, seconds):
         """Begins series for so long, then has all of them end soon, but for
-        runners that drain: they stay as long as they have announced."""
+        runners that drain or are cut off: that takes its time."""
         asyncio.get_running_loop().call_later(seconds, self.enough.set)
         pace = max(1.0, len(self.soak.runners) / 8)
         while not self.enough.is_set():
@@ -143,7 +144,7 @@
         kind = rng.choice(["silent", "silent", "refuse", "refuse", "one_way"])
         self.soak.note("cut %s %s" % (kind, runner.name))
         await runner.cut(kind)
-        await self.wait(rng.uniform(least, most))
+        await asyncio.sleep(rng.uniform(least, most))
         await runner.heal()
         self.soak.note("healed %s" % runner.name)
 
@@ -155,7 +156,7 @@
 
     async def drain_cut(self, rng, runner):
         runner.drain()
-        await self.wait(rng.uniform(0, 2))
+        await self.wait(rng.uniform(0, 1.2))
         await self.cut_for(rng, runner, 3, 8)
         await self.leave(rng, runner)
 
@@ -193,3 +194,19 @@
         host = await self.soak.scheduler()
         if host:
             await asyncio.gather(self.cut_restart(rng, runner), self.stall_series(rng, host, 4))
+
+    async def stutter_cut(self, rng, runner):
+        """The scheduler stands still twice, the second time just when it has
+        begun to work off what it missed; then a runner falls silent."""
+        host = await self.soak.scheduler()
+        if not host:
+            return
+        host.signal(signal.SIGSTOP)
+        await self.wait(rng.uniform(0.2, 0.6))
+        host.go_on()
+        time.sleep(rng.uniform(0.0002, 0.003))  # asyncio's sleep is coarser
+        host.signal(signal.SIGSTOP)
+        await self.wait(rng.uniform(0.45, 0.7))
+        host.go_on()
+        await self.wait(rng.uniform(0, 0.3))
+        await self.cut_for(rng, runner, 6, 9)
--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -73,7 +73,7 @@
             self.name = "w%d-%d" % (self.index, len(self.lives))
         self.log = "%s/%s.life%d.log" % (self.work, self.name, len(self.lives))
         self.lives.append([self.name, self.log, None])
-        self.drain_ms, self.linger_ms = rng.randint(3000, 10000), rng.randint(100, 1200)
+        self.drain_ms, self.linger_ms = rng.randint(4000, 10000), rng.randint(100, 1200)
         self.argv = [BUILD + "/wagtailpass-standin", "runner", "--id", self.name,
                      "--port", str(self.ports.runner(self.index)),
                      "--advertise", str(self.link.port), "--rack", str(self.index // 4),
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -108,7 +108,7 @@
         job = "%016x" % (len(self.jobs) + 1)
         gang = self.rng.random() < 0.3
         count = self.rng.randint(1, 4)
-        length = self.rng.randint(*(LONG_MS if self.rng.random() < 0.35 else SHORT_MS))
+        length = self.rng.randint(*(LONG_MS if self.rng.random() < 0.45 else SHORT_MS))
         step = {"count": count, "cpu": 8000, "gpu": 1, "estimateMs": length}
         text = "ms=%d" % length
         if gang:
@@ -146,12 +146,12 @@
                 return host
         return None
 
-    async def calm(self):
-        for link in self.links():
-            await link.heal()
+    async def calm(self, faults):
         for host in self.hosts:
             await host.revive()
-        await asyncio.sleep(8)  # processes that were told to stop are gone
+        await asyncio.gather(asyncio.sleep(8), faults.finish())  # who was told to stop is gone
+        for link in self.links():
+            await link.heal()
         for host in self.hosts:
             await host.revive()
 
@@ -193,8 +193,7 @@
             faults = Faults(self, self.o.seed, self.o.only and self.o.only.split(","))
             await asyncio.gather(self.traffic(end), faults.run(self.o.seconds))
             self.note("calm")
-            await self.calm()
-            await faults.finish()
+            await self.calm(faults)
             broken = await self.check_ends()
             return broken + self.check_runs()
         finally:
