--- a/queue/pool.c
+++ b/queue/pool.c
@@ -33,9 +33,10 @@
 }
 
 static void
-late_start_free (PoolLateStart *start)
+late_start_free (gpointer p)
 {
-  APR_RING_REMOVE (start, link);
+  PoolLateStart *start = p;
+
   g_free (start->task);
   g_free (start);
 }
@@ -50,31 +51,31 @@
   start->task = task;
   start->run = run;
   start->expires = expires;
-  APR_RING_INSERT_TAIL (&w->late_starts, start, PoolLateStart, link);
+  g_ptr_array_add (w->late_starts, start);
+}
+
+/* Returns the I-th late start of W. */
+PoolLateStart *
+pool_late_start_at (const PoolWorker *w, guint i)
+{
+  return g_ptr_array_index (w->late_starts, i);
 }
 
 static void
-expire (struct PoolLateStartRing *starts, ClockMs now)
+expire (GPtrArray *starts, ClockMs now)
 {
-  PoolLateStart *start, *next;
+  guint i = starts->len;
 
-  APR_RING_FOREACH_SAFE (start, next, starts, PoolLateStart, link)
-    if (start->expires <= now)
-      late_start_free (start);
+  while (i--)
+    if (((const PoolLateStart *)g_ptr_array_index (starts, i))->expires <= now)
+      g_ptr_array_remove_index (starts, i);
 }
 
 /* Removes the late starts of W that have expired by NOW. */
 void
 pool_expire_late_starts (PoolWorker *w, ClockMs now)
 {
-  expire (&w->late_starts, now);
-}
-
-static void
-departed_free (gpointer starts)
-{
-  expire (starts, CLOCK_NEVER);
-  g_free (starts);
+  expire (w->late_starts, now);
 }
 
 static gboolean
@@ -82,24 +83,18 @@
 {
   (void)id;
   expire (starts, *(const ClockMs *)now);
-  return APR_RING_EMPTY ((struct PoolLateStartRing *)starts, PoolLateStart,
-                         link);
+  return ((const GPtrArray *)starts)->len == 0;
 }
 
 /* Keeps the late starts of W, which is removed from P at NOW. */
 static void
 keep_late_starts (Pool *p, PoolWorker *w, ClockMs now)
 {
-  struct PoolLateStartRing *starts;
-
   g_hash_table_foreach_remove (p->departed, has_expired, &now);
   pool_expire_late_starts (w, now);
-  if (APR_RING_EMPTY (&w->late_starts, PoolLateStart, link))
-    return;
-  starts = g_new (struct PoolLateStartRing, 1);
-  APR_RING_INIT (starts, PoolLateStart, link);
-  APR_RING_CONCAT (starts, &w->late_starts, PoolLateStart, link);
-  g_hash_table_insert (p->departed, g_strdup (w->entry->id), starts);
+  if (w->late_starts->len > 0)
+    g_hash_table_insert (p->departed, g_strdup (w->entry->id),
+                         g_ptr_array_ref (w->late_starts));
 }
 
 /* Gives W, which is new in P, the late starts that it had before.  Its process
@@ -107,15 +102,15 @@
 static void
 take_late_starts (Pool *p, PoolWorker *w)
 {
-  struct PoolLateStartRing *starts =
-      g_hash_table_lookup (p->departed, w->entry->id);
-  PoolLateStart *start;
+  GPtrArray *starts = g_hash_table_lookup (p->departed, w->entry->id);
+  guint i;
 
   if (!starts)
     return;
-  APR_RING_CONCAT (&w->late_starts, starts, PoolLateStart, link);
-  APR_RING_FOREACH (start, &w->late_starts, PoolLateStart, link)
-    start->unwanted = TRUE;
+  g_ptr_array_unref (w->late_starts);
+  w->late_starts = g_ptr_array_ref (starts);
+  for (i = 0; i < w->late_starts->len; i++)
+    pool_late_start_at (w, i)->unwanted = TRUE;
   g_hash_table_remove (p->departed, w->entry->id);
 }
 
@@ -124,11 +119,15 @@
 void
 pool_late_start_refused (PoolWorker *w, const char *task, gint64 run)
 {
-  PoolLateStart *start;
+  guint i;
 
-  APR_RING_FOREACH (start, &w->late_starts, PoolLateStart, link)
-    if (start->run == run && strcmp (start->task, task) == 0)
-      start->unwanted = FALSE;
+  for (i = 0; i < w->late_starts->len; i++)
+    {
+      PoolLateStart *start = pool_late_start_at (w, i);
+
+      if (start->run == run && strcmp (start->task, task) == 0)
+        start->unwanted = FALSE;
+    }
 }
 
 /* Tells whether W, which has restarted, has not confirmed yet that it refuses
@@ -136,10 +135,10 @@
 gboolean
 pool_has_unwanted_late_start (const PoolWorker *w)
 {
-  const PoolLateStart *start;
+  guint i;
 
-  APR_RING_FOREACH (start, &w->late_starts, PoolLateStart, link)
-    if (start->unwanted)
+  for (i = 0; i < w->late_starts->len; i++)
+    if (pool_late_start_at (w, i)->unwanted)
       return TRUE;
   return FALSE;
 }
@@ -149,7 +148,7 @@
 {
   PoolWorker *w = p;
 
-  pool_expire_late_starts (w, CLOCK_NEVER);
+  g_ptr_array_unref (w->late_starts);
   pool_entry_free (w->entry);
   g_free (w);
 }
@@ -160,8 +159,8 @@
 {
   p->workers =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, worker_free);
-  p->departed =
-      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, departed_free);
+  p->departed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                       (GDestroyNotify)g_ptr_array_unref);
   p->by_rack = g_ptr_array_new ();
   p->least_calls = G_MAXUINT;
 }
@@ -259,7 +258,7 @@
       w = g_new0 (PoolWorker, 1);
       call_limit_init (&w->calls);
       APR_RING_INIT (&w->placements, WorkPlacement, on_worker);
-      APR_RING_INIT (&w->late_starts, PoolLateStart, link);
+      w->late_starts = g_ptr_array_new_with_free_func (late_start_free);
     }
   w->entry = entry;
   w->registered = TRUE;
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -41,15 +41,12 @@
    it. */
 typedef struct PoolLateStart
 {
-  APR_RING_ENTRY (PoolLateStart) link;
   char *task; /* its name */
   gint64 run;
   ClockMs expires;   /* the order can't be executed after this */
   gboolean unwanted; /* its worker has restarted and may not refuse it yet */
 } PoolLateStart;
 
-APR_RING_HEAD (PoolLateStartRing, PoolLateStart);
-
 /* How a worker's pace compares to the average. */
 typedef enum PaceClass
 {
@@ -84,7 +81,7 @@
   PoolResources reserved; /* by placements that wait for free capacity */
   struct WorkPlacementRing placements;
   guint n_placements;
-  struct PoolLateStartRing late_starts;
+  GPtrArray *late_starts;  /* of PoolLateStart */
   gint64 worker_clock;     /* last reading of the worker's own clock */
   ClockMs worker_clock_at; /* latest time at which that was read */
   CallLimit calls;         /* in flight */
@@ -131,8 +128,8 @@
 typedef struct Pool
 {
   GHashTable *workers; /* id to PoolWorker, which it owns */
-  /* Id of a worker that was removed to its late starts, PoolLateStartRing: it
-     may come back before they have expired. */
+  /* Id of a worker that was removed to its late starts, a GPtrArray: it may
+     come back before they have expired. */
   GHashTable *departed;
   GPtrArray *by_rack; /* of PoolWorker, sorted by rack, then id */
   guint least_calls;  /* least CallLimit.max after a refusal */
@@ -148,6 +145,7 @@
 void pool_remove (Pool *p, PoolWorker *w, ClockMs now);
 void
 pool_add_late_start (PoolWorker *w, char *task, gint64 run, ClockMs expires);
+PoolLateStart *pool_late_start_at (const PoolWorker *w, guint i);
 void pool_expire_late_starts (PoolWorker *w, ClockMs now);
 void pool_late_start_refused (PoolWorker *w, const char *task, gint64 run);
 gboolean pool_has_unwanted_late_start (const PoolWorker *w);
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -423,10 +423,10 @@
 void
 runs_cancel_late_starts (Dispatch *d, PoolWorker *w)
 {
-  PoolLateStart *late;
+  guint i;
 
-  APR_RING_FOREACH (late, &w->late_starts, PoolLateStart, link)
-    late->unwanted = TRUE;
+  for (i = 0; i < w->late_starts->len; i++)
+    pool_late_start_at (w, i)->unwanted = TRUE;
   runs_refuse_late_starts (d, w);
 }
 
@@ -435,12 +435,16 @@
 void
 runs_refuse_late_starts (Dispatch *d, PoolWorker *w)
 {
-  const PoolLateStart *late;
+  guint i;
 
   pool_expire_late_starts (w, d->now);
-  APR_RING_FOREACH (late, &w->late_starts, PoolLateStart, link)
-    if (late->unwanted)
-      send_orphan_stop (d, w, late->task, late->run);
+  for (i = 0; i < w->late_starts->len; i++)
+    {
+      const PoolLateStart *late = pool_late_start_at (w, i);
+
+      if (late->unwanted)
+        send_orphan_stop (d, w, late->task, late->run);
+    }
 }
 
 /* Frees PLACEMENT, whose run has ended, or never began, with the result HOW.
