A job that the former scheduler may still start is not started beside it

What callers saw: tasks ran on two workers at once.

Cause: jobs that came under the new term were started 2 s after its begin, though not all workers had been heard. The former scheduler, whose renewals fail but which still hears of jobs, starts them in its own last 2 s, on a worker that the new one can't reach.

Why it works: a job that was known before the former scheduler's grace was over waits, like the older ones, until all workers have been heard or their leases are over.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -464,15 +464,15 @@
   return step->n_done + step->n_placements < step->spec->count;
 }
 
-/* Tells whether a previous leader may have started JOB on a worker that has
-   not reported its runs to this one yet. */
+/* Tells whether a previous leader, which may send orders until its grace is
+   over, may have started JOB on a worker that has not reported its runs to this
+   one yet. */
 static gboolean
 may_have_unreported_run (const Dispatch *d, const WorkJob *job)
 {
   if (d->all_runs_known)
     return FALSE;
-  return job->entry->job_revision < d->term.role_revision ||
-         d->now < d->started_at + term_order_grace;
+  return job->known_since < d->started_at + term_order_grace;
 }
 
 /* Records STEP's need as urgent demand, once per step, if it is urgent. */
--- a/queue/work.c
+++ b/queue/work.c
@@ -92,6 +92,7 @@
   guint i;
 
   job->entry = entry;
+  job->known_since = now;
   APR_RING_INIT (&job->steps, WorkStep, link);
   job->state = entry->progress ? (JobState)entry->progress->state : JOB_QUEUED;
   job->accepted_at =
--- a/queue/work.h
+++ b/queue/work.h
@@ -97,6 +97,7 @@
   gboolean saving;     /* a write of its progress is in flight */
   gboolean save_again; /* it changed during that write */
   gboolean guaranteed; /* urgent and within its workspace's guarantee */
+  ClockMs known_since; /* to this scheduler */
   ClockMs accepted_at; /* on the scheduler's clock */
   ClockMs objective;   /* target time from acceptance to completion */
 };
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -265,6 +265,7 @@
       n_cut++;
       o.unreachable_until = w.now () + 30000;
       w.workers[1].draining = false;
+      w.workers[1].drain_started_at = CLOCK_NEVER;
       w.put_worker (1);
       w.run (15000);
       w.expect_no_violations ();
@@ -335,3 +336,32 @@
   w.run (30000);
   w.expect_no_violations ();
 }
+
+TEST (QueueUnreachable, JobOfTheNewTermThatTheOldSchedulerStartsRunsOnce)
+{
+  for (int late = 0; late < 20 && !HasFailure (); late++)
+    {
+      QueueWorld w (2, 2);
+      const std::string id = "0000000000000421", task = id + ".0.0.0";
+
+      SCOPED_TRACE (late);
+      w.run (5000);
+      int old = w.scheduler ();
+
+      w.drain_worker (1);
+      w.run (300);
+      w.workers[0].cut_from_host = 1 - old;
+      w.hosts[old].role_silent_until = w.now () + 8000;
+      for (int i = 0; i < 4000 && !node_is_scheduler (w.hosts[1 - old].node);
+           i++)
+        w.run (1);
+      w.run (late * 50);
+      w.submit (1 - old, one_task (id, "ms=9000"));
+      w.run (400);
+      w.workers[1].draining = false;
+      w.workers[1].drain_started_at = CLOCK_NEVER;
+      w.put_worker (1);
+      w.run (20000);
+      w.expect_no_violations ();
+    }
+}
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -84,6 +84,7 @@
   double progress_factor = 1.0;  /* reported / true progress */
   ClockMs reply_delay = 0;       /* added to the normal latency */
   ClockMs unreachable_until = 0; /* its network is cut off */
+  int cut_from_host = -1;        /* this host's calls to it are lost */
   /* While it is cut off, connections to it fail instead of hanging. */
   bool cut_refuses_connections = false;
   double late_call_rate = 0; /* calls executed late, without a reply */
@@ -110,7 +111,9 @@
   bool frozen = false;
   ClockMs store_refuses_until = 0; /* the store rejects its calls */
   ClockMs store_silent_until = 0;  /* its calls to the store are lost */
-  ClockMs wall_offset = 0;         /* error of its wall clock */
+  /* Its renewals, and watches of the scheduler's keys, are lost. */
+  ClockMs role_silent_until = 0;
+  ClockMs wall_offset = 0; /* error of its wall clock */
   int incarnation = 0;
   double link_free_at = 0; /* when its queued bytes are sent */
   int n_store_calls = 0;
--- a/tests/queue_world_store.cc
+++ b/tests/queue_world_store.cc
@@ -244,7 +244,11 @@
   if (link_.bytes_per_s)
     reply_kv (host, incarnation, id, new_reply (sent, KV_OUTCOME_UNKNOWN),
               timeout);
-  if (store_drops_calls (host))
+  if (store_drops_calls (host) ||
+      (now_ < hosts[host].role_silent_until &&
+       (raw->op == KV_LEASE_RENEW ||
+        (raw->op == KV_WATCH &&
+         std::string (raw->key).rfind ("wagtailpass/scheduler", 0) == 0))))
     {
       reply_kv (host, incarnation, id, new_reply (sent, KV_OUTCOME_UNKNOWN),
                 timeout);
@@ -321,7 +325,9 @@
     {
       auto reply = new_reply (w.sent_at);
 
-      if (store_drops_calls (w.host))
+      if (store_drops_calls (w.host) ||
+          (now_ < hosts[w.host].role_silent_until &&
+           w.prefix.rfind ("wagtailpass/scheduler", 0) == 0))
         {
           if (now_ < w.deadline + watch_grace_ms)
             continue;
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -349,7 +349,7 @@
   if (link_.bytes_per_s)
     reply_run (host, incarnation, new_run_reply (raw->id, RUN_LOST),
                raw->timeout);
-  if (!is_reachable (w))
+  if (!is_reachable (w) || w.cut_from_host == host)
     {
       bool refused = (!w.alive && w.unreachable_until <= now_) ||
                      w.cut_refuses_connections;
