An odd entry is no longer taken for a worker

Callers saw: with one entry of another writer under servers/ (port 65536, no port, a name or a path in place of IP:PORT, text for a number, bytes that are not UTF-8) every change of scheduler took up to 7.5 s, and the address was called again and again. An empty, overlong or non-UTF-8 address was worse: it got into the roster, and the next scheduler could read nothing of its shard.

Cause: the address was any text, fields that this program does not use were not looked at, and text was cut at a zero byte.

InvalidWorkerEntryIsRejected has sound addresses now, so that it still fails for the reasons that it names. The simulated workers answer at their own id and address only.

--- a/src/util.c
+++ b/src/util.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 static const gsize max_name_bytes = 64;
+static const guint64 max_port = 65535;
 
 static void
 finding_free (gpointer p)
@@ -102,3 +103,44 @@
       return FALSE;
   return TRUE;
 }
+
+/* Returns the number of the IP address in the first N bytes of TEXT, without
+   the brackets of an IPv6 address, or NULL; the caller frees it. */
+static char *
+parse_ip (const char *text, gsize n)
+{
+  gboolean in_brackets = n >= 2 && text[0] == '[' && text[n - 1] == ']';
+  char *ip = in_brackets ? g_strndup (text + 1, n - 2) : g_strndup (text, n);
+
+  if (g_hostname_is_ip_address (ip) &&
+      in_brackets == (strchr (ip, ':') != NULL))
+    return ip;
+  g_free (ip);
+  return NULL;
+}
+
+/* Parses TEXT, "IP:PORT" with the number of an IP address, an IPv6 one in
+   brackets, and a port from 1 to 65535.  Sets IP, which the caller frees, and
+   PORT, unless they are NULL.  Returns FALSE and sets neither if TEXT is
+   anything else. */
+gboolean
+util_parse_address (const char *text, char **ip, guint *port)
+{
+  const char *colon = strrchr (text, ':');
+  guint64 number;
+  char *parsed_ip;
+
+  if (!colon ||
+      !g_ascii_string_to_unsigned (colon + 1, 10, 1, max_port, &number, NULL))
+    return FALSE;
+  parsed_ip = parse_ip (text, (gsize)(colon - text));
+  if (!parsed_ip)
+    return FALSE;
+  if (port)
+    *port = (guint)number;
+  if (ip)
+    *ip = parsed_ip;
+  else
+    g_free (parsed_ip);
+  return TRUE;
+}
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -6,6 +6,7 @@
 {
 #include "boot.h"
 #include "codec.h"
+#include "json.h"
 #include "run_client.h"
 #include "kv_client.h"
 }
@@ -135,9 +136,11 @@
 {
   for (const char *text :
        { "\x01\x02", "{}", "{\"service\":3}",
-         "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":"
+         "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"zone\":\"z\","
+         "\"state\":"
          "\"resting\",\"capacity\":{},\"labels\":[]}",
-         "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"state\":"
+         "{\"service\":\"s\",\"address\":\"10.0.0.9:1\",\"zone\":\"z\","
+         "\"state\":"
          "\"ready\",\"capacity\":{\"cpu\":\"many\"},\"labels\":[]}" })
     {
       GBytes *value = make_bytes (text);
@@ -148,6 +151,114 @@
     }
 }
 
+/* Returns the worker's entry above with the value of FIELD, which may be new,
+   replaced by VALUE, or without FIELD if VALUE is empty. */
+static std::string
+entry_with (const std::string &field, const std::string &value)
+{
+  json_object *o = json_tokener_parse (worker_entry_json);
+  std::string text;
+
+  json_object_object_del (o, field.c_str ());
+  text = take_string (json_serialize_free (o));
+  if (!value.empty ())
+    text.insert (1, "\"" + field + "\":" + value + ",");
+  return text;
+}
+
+/* Each of these was taken for a worker, or must not become one: fields that are
+   missing, of another type or out of range, and deep nesting anywhere. */
+TEST_F (PlatformCodec, WorkerEntryWithOneOddFieldIsRejected)
+{
+  std::string deep = std::string (50000, '[') + std::string (50000, ']');
+  std::string deep_objects;
+  std::vector<std::pair<std::string, std::string> > odd;
+
+  for (int i = 0; i < 50000; i++)
+    deep_objects += "{\"a\":";
+  deep_objects += "1" + std::string (50000, '}');
+  for (const char *field :
+       { "service", "address", "zone", "state", "capacity", "labels" })
+    for (const char *value : { "", "null", "7", "true", "[[1]]" })
+      odd.push_back ({ field, value });
+  for (const char *field : { "labels", "capacity", "more", "service", "seq" })
+    for (const std::string &value :
+         { deep, deep_objects, deep.substr (50000), deep.substr (0, 50000) })
+      odd.push_back ({ field, value });
+  for (const char *field : { "born", "drainRemainingMs" })
+    for (const char *value : { "-1", "1.5", "1e400", "-1e400", "\"1\"", "{}",
+                               "9223372036854775808", "18446744073709551616" })
+      odd.push_back ({ field, value });
+  for (const char *field : { "seq", "slots", "coldRemainingMs" })
+    for (const char *value :
+         { "1e400", "-1e400", "1e300", "\"1\"", "[]", "18446744073709551616" })
+      odd.push_back ({ field, value });
+  for (const char *field : { "cpu", "memMb", "gpu" })
+    for (const char *value : { "-1", "2147483648", "18446744073709551616",
+                               "1e400", "1.5", "\"1\"", "[]", "{}" })
+      odd.push_back ({ "capacity",
+                       std::string ("{\"") + field + "\":" + value + "}" });
+  for (const char *value : { "[1]", "[null]", "[\"a\",[]]" })
+    odd.push_back ({ "labels", value });
+  for (const char *value : { "\"\"",
+                             "\":\"",
+                             "\"10.0.0.9\"",
+                             "\"10.0.0.9:\"",
+                             "\"10.0.0.9:0\"",
+                             "\"10.0.0.9:65536\"",
+                             "\"10.0.0.9:-1\"",
+                             "\"10.0.0.9:+1\"",
+                             "\"10.0.0.9:1 \"",
+                             "\"10.0.0.9:99999999999999999999\"",
+                             "\"10.0.0.9:1\\u0000\"",
+                             "\"10.0.0.9:1\\n\"",
+                             "\"a@10.0.0.9:1\"",
+                             "\"http://10.0.0.9:1\"",
+                             "\"10.0.0.9:1/p\"",
+                             "\"runner:1\"",
+                             "\"10.0.0:1\"",
+                             "\"::1:1\"",
+                             "\"[::1]\"",
+                             "\"[10.0.0.9]:1\"",
+                             "\"[::1:1\"" })
+    odd.push_back ({ "address", value });
+  odd.push_back ({ "state", "\"ready\\u0000\"" });
+  odd.push_back ({ "service", "\"s\\u0000\"" });
+  odd.push_back ({ "version", "\"\xff\"" });
+  odd.push_back ({ "version", std::string ("\"\0\"", 3) });
+  odd.push_back ({ "version", "\"" + std::string (1 << 20, 'x') });
+
+  for (auto &o : odd)
+    {
+      GBytes *value = make_bytes (entry_with (o.first, o.second));
+      PoolEntry *e = platform_codec.decode_worker ("i-1", value, &findings);
+
+      EXPECT_FALSE (e) << o.first << " " << o.second.substr (0, 40);
+      pool_entry_free (e);
+      EXPECT_GT (findings_count (&findings), 0u);
+      findings_clear (&findings);
+      findings_init (&findings);
+      g_bytes_unref (value);
+    }
+}
+
+TEST_F (PlatformCodec, WorkerEntryMayHaveUnknownFieldsAndLackUnusedOnes)
+{
+  for (const std::string &text :
+       { entry_with ("more", "[[[1e400]]]"), entry_with ("seq", ""),
+         entry_with ("seq", "4.5"), entry_with ("coldRemainingMs", "-0.5"),
+         entry_with ("address", "\"[fd00::9]:65535\""),
+         entry_with ("more", "\"" + std::string (1 << 20, 'x') + "\"") })
+    {
+      GBytes *value = make_bytes (text);
+      PoolEntry *e = platform_codec.decode_worker ("i-1", value, &findings);
+
+      EXPECT_TRUE (e) << text.substr (0, 80);
+      pool_entry_free (e);
+      g_bytes_unref (value);
+    }
+}
+
 TEST_F (PlatformCodec, JobWithStepsIsDecoded)
 {
   GBytes *body = make_bytes (
--- /dev/null
+++ b/tests/queue_worker_list_test.cc
@@ -0,0 +1,140 @@
+#include "queue_world.h"
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "roster.h"
+}
+
+/* Entries that another writer has left among those of the workers. */
+
+static const char odd_id[] = "w77";
+
+static WorldJob
+job (int n, int count, const std::string &text)
+{
+  return { "q1/" + std::to_string (1000 + n),
+           world_body (world_step (count, 8000, 1), text) };
+}
+
+/* Returns a worker's entry with this address and, in front, these fields. */
+static std::string
+entry (const std::string &address, const std::string &fields = "")
+{
+  return "{" + fields + "\"service\":\"render\",\"address\":\"" + address +
+         "\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{\"cpu\":64000,"
+         "\"memMb\":256000,\"gpu\":8},\"labels\":[\"a\",\"r0\"]}";
+}
+
+static std::string
+nested (const std::string &field)
+{
+  std::string deep (50000, '[');
+
+  return entry ("10.0.0.77:1",
+                "\"" + field + "\":" + deep + std::string (50000, ']') + ",");
+}
+
+/* Entries that name no worker, by what is wrong with them. */
+static std::map<std::string, std::string>
+odd_entries ()
+{
+  std::map<std::string, std::string> odd = {
+    { "empty", "" },
+    { "cut", "{\"service\":\"render\"" },
+    { "bytes", std::string (300, '\xff') },
+    { "zero bytes", std::string (300, '\0') },
+    { "long", "{\"state\":\"" + std::string (1000000, 'x') + "\"}" },
+    { "not UTF-8", entry ("10.0.0.77:1", "\"version\":\"\xff\",") },
+    { "nested labels", nested ("labels") },
+    { "nested capacity", nested ("capacity") },
+    { "nested elsewhere", nested ("more") },
+    { "born 1e400", entry ("10.0.0.77:1", "\"born\":1e400,") },
+    { "born 2^64", entry ("10.0.0.77:1", "\"born\":18446744073709551616,") },
+    { "seq 1e400", entry ("10.0.0.77:1", "\"seq\":1e400,") },
+    { "seq 2^64", entry ("10.0.0.77:1", "\"seq\":18446744073709551616,") },
+    { "slots text", entry ("10.0.0.77:1", "\"slots\":\"many\",") },
+  };
+
+  for (const char *address : { "",
+                               ":",
+                               "10.0.0.77",
+                               "10.0.0.77:",
+                               "10.0.0.77:0",
+                               "10.0.0.77:-1",
+                               "10.0.0.77:65536",
+                               "10.0.0.77:18446744073709551617",
+                               "10.0.0.77:x",
+                               "10.0.0.77:1/path",
+                               "user@10.0.0.77:1",
+                               "10.0.0.77:1 ",
+                               " 10.0.0.77:1",
+                               "10.0.0.77 :1",
+                               "10.0.0.256:1",
+                               "10.0.0.77.1:1",
+                               "runner.example:1",
+                               "http://10.0.0.77:1",
+                               "10.0.0.77:1\\u0000",
+                               "10.0.0.77:1\\r\\nX: y",
+                               "::1:1" })
+    odd[std::string ("address ") + address] = entry (address);
+  return odd;
+}
+
+/* An odd entry was taken for a worker that does not answer, and a new
+   scheduler waited for its runs. */
+TEST (QueueWorkerList, OddEntryIsNotCalledAndDelaysNoTakeover)
+{
+  for (auto &odd : odd_entries ())
+    {
+      QueueWorld w (3, 4);
+
+      w.run (3000);
+      w.submit (0, job (1, 4, "ms=3000"));
+      w.run (500);
+      w.forge_record (std::string ("servers/") + odd_id, odd.second);
+      w.run (500);
+      w.kill_host (w.scheduler ());
+      w.run (4000);
+      EXPECT_EQ (w.count_lines ("event=workers_known"), 2) << odd.first;
+      EXPECT_EQ (w.n_stray_calls, 0) << odd.first;
+      EXPECT_GE (w.count_lines ("event=worker_unreadable worker=w77"), 1)
+          << odd.first;
+      w.run (3000);
+      EXPECT_EQ (w.state_of ("1001"), "completed") << odd.first;
+      w.expect_no_violations ();
+    }
+}
+
+/* Such a worker was in the roster, which its successor could then not read: it
+   started what ran on a worker that it no longer knew. */
+TEST (QueueWorkerList, OddEntryHidesNoOtherWorkerFromTheNextScheduler)
+{
+  for (const std::string &address :
+       { std::string (), std::string (300, '1') + ":1",
+         std::string ("\xff:1") })
+    {
+      QueueWorld w (3, 6);
+      std::string id;
+
+      for (int i = 100; id.empty (); i++)
+        if (roster_shard_of (("w" + std::to_string (i)).c_str ()) ==
+            roster_shard_of ("w1"))
+          id = "w" + std::to_string (i);
+      w.run (3000);
+      w.submit (0, job (1, 40, "ms=6000"));
+      w.forge_record ("servers/" + id, entry (address));
+      w.run (1000);
+      ASSERT_FALSE (w.workers[1].runs.empty ());
+      w.workers[1].unreachable_until = w.now () + 3500;
+      w.drop_worker_entry (1);
+      w.kill_host (w.scheduler ());
+      w.run (20000);
+      w.put_worker (1);
+      w.run (10000);
+      EXPECT_EQ (w.count_lines ("event=roster_unreadable"), 0) << address;
+      EXPECT_EQ (w.state_of ("1001"), "completed") << address;
+      w.expect_no_violations ();
+    }
+}
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -178,6 +178,7 @@
   int scheduler () const;
   int starts (const std::string &task) const;
   int n_polls = 0;
+  int n_stray_calls = 0; /* to an address where no worker is */
   /* Most polls with a wait of 0 that were pending at once. */
   size_t peak_immediate_polls = 0;
   int
@@ -284,6 +285,7 @@
                  gint64 id,
                  std::shared_ptr<KvReply> reply,
                  ClockMs delay);
+  int find_worker (const RunCall *call) const;
   void run_call (int host, const RunCall *call);
   bool open_connection (int host, WorldWorker &w, const RunCall &call);
   void release_connection (int host, int incarnation, gint64 call);
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -301,12 +301,31 @@
   return reorder_calls ? g_rand_int_range (rng_, 0, 3) : worker_latency_ms;
 }
 
+/* Returns the index of the worker that CALL reaches, -1 for none. */
+int
+QueueWorld::find_worker (const RunCall *call) const
+{
+  for (size_t i = 0; i < workers.size (); i++)
+    if (workers[i].id == call->worker &&
+        "10.0.0." + std::to_string (i) + ":1" == call->address)
+      return (int)i;
+  return -1;
+}
+
 void
 QueueWorld::run_call (int host, const RunCall *raw)
 {
   int incarnation = hosts[host].incarnation;
   auto call = copy_run (raw);
-  int n = atoi (raw->worker + 1);
+  int n = find_worker (raw);
+
+  if (n < 0)
+    {
+      n_stray_calls++;
+      reply_run (host, incarnation, new_run_reply (raw->id, RUN_UNSENT),
+                 worker_latency_ms);
+      return;
+    }
   WorldWorker &w = workers[n];
   ClockMs queued = reserve_link (host, link_run_call_bytes (raw));
 
