An entry's id has to be printable

Callers saw: a key such as "servers/w\r\nX-Y: z" was taken for a worker. Its id went as it was into a header of calls and into log lines, which it broke in two; the empty id was a worker, too.

Ids are not held to letters and digits, as nothing says what runners call themselves.

--- a/queue/node.c
+++ b/queue/node.c
@@ -141,10 +141,12 @@
   entry = n->codec->decode_worker (id, item->value, &findings);
   if (!entry)
     {
+      char *name = g_uri_escape_string (id, NULL, FALSE);
       char *text = findings_line (&findings);
 
       effects_log (&n->fx, "event=worker_unreadable worker=%s reason=\"%s\"",
-                   id, text);
+                   name, text);
+      g_free (name);
       g_free (text);
     }
   else
--- a/src/util.c
+++ b/src/util.c
@@ -104,6 +104,19 @@
   return TRUE;
 }
 
+/* Tells whether S may stand in a header and, unquoted, in a log line: ASCII
+   without spaces, quotes and backslashes, and not empty. */
+gboolean
+util_is_printable (const char *s)
+{
+  const char *p;
+
+  for (p = s; *p; p++)
+    if (!g_ascii_isgraph (*p) || strchr ("\"\\", *p))
+      return FALSE;
+  return p > s;
+}
+
 /* Returns the number of the IP address in the first N bytes of TEXT, without
    the brackets of an IPv6 address, or NULL; the caller frees it. */
 static char *
--- a/src/util.h
+++ b/src/util.h
@@ -27,6 +27,7 @@
 
 const char *util_str (const char *s);
 gboolean util_is_name (const char *s);
+gboolean util_is_printable (const char *s);
 gboolean util_parse_address (const char *text, char **ip, guint *port);
 
 #endif
--- a/tests/queue_worker_list_test.cc
+++ b/tests/queue_worker_list_test.cc
@@ -107,6 +107,27 @@
     }
 }
 
+/* What names an entry may have: the id goes into the header of a call and into
+   log lines. */
+TEST (QueueWorkerList, OddIdIsNotCalledAndDelaysNoTakeover)
+{
+  for (const char *id :
+       { "", "w77 ", "w\r\nX-Y: z", "w\"77", "w\xff", "w\\77" })
+    {
+      QueueWorld w (3, 4);
+
+      w.run (3000);
+      w.forge_record (std::string ("servers/") + id, entry ("10.0.0.77:1"));
+      w.run (500);
+      w.kill_host (w.scheduler ());
+      w.run (4000);
+      EXPECT_EQ (w.count_lines ("event=workers_known"), 2) << id;
+      EXPECT_EQ (w.n_stray_calls, 0) << id;
+      EXPECT_EQ (w.count_lines ("\n") + w.count_lines ("\r"), 0) << id;
+      EXPECT_GE (w.count_lines ("event=worker_unreadable worker="), 1) << id;
+    }
+}
+
 /* Such a worker was in the roster, which its successor could then not read: it
    started what ran on a worker that it no longer knew. */
 TEST (QueueWorkerList, OddEntryHidesNoOtherWorkerFromTheNextScheduler)
