A key with a zero byte hides no other item

Callers saw: the key "servers/w1\u0000x" was read as "servers/w1", and what lay there was taken for the entry of w1.

Evidence, before: PlatformKvClient.KeyWithAZeroByteHidesNoOtherItem reply.items->len Which is: 3, expected 2

That an odd value spoils no other item of its page could not happen here, since values are base64 text; OddValueSpoilsNoOtherItemOfItsPage shows it.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -382,6 +382,51 @@
     }
 }
 
+/* A key with a zero byte was cut there, and so another writer's item was taken
+   for that of the key in front of it. */
+TEST (PlatformKvClient, KeyWithAZeroByteHidesNoOtherItem)
+{
+  KvReply reply = decode_kv_reply (
+      FETCH_ANSWERED, 200,
+      "{\"items\":[{\"key\":\"a\",\"value\":\"\",\"revision\":4},"
+      "{\"key\":\"a\\u0000b\",\"value\":\"\",\"revision\":5},"
+      "{\"key\":\"c\",\"value\":\"\",\"revision\":6}],\"storeRevision\":9}");
+
+  EXPECT_EQ (reply.status, KV_OK);
+  ASSERT_EQ (reply.items->len, 2u);
+  EXPECT_EQ (kv_reply_find (&reply, "a")->revision, 4);
+  EXPECT_TRUE (kv_reply_find (&reply, "c"));
+  kv_reply_clear (&reply);
+}
+
+/* What an entry holds reaches the reader as base64 text, so that neither
+   nesting nor bytes in it can spoil the others of its page. */
+TEST (PlatformKvClient, OddValueSpoilsNoOtherItemOfItsPage)
+{
+  const std::string values[] = { "", std::string (50000, '['),
+                                 std::string (1 << 20, '\xff'),
+                                 std::string (3, '\0') };
+
+  for (const std::string &value : values)
+    {
+      std::string text =
+          take_string (g_base64_encode ((const guchar *)value.data (),
+                                        value.size ()));
+      KvReply reply = decode_kv_reply (
+          FETCH_ANSWERED, 200,
+          "{\"items\":[{\"key\":\"\xff\",\"value\":\"" + text +
+              "\",\"revision\":4},{\"key\":\"c\",\"value\":\"\","
+              "\"revision\":6}],\"storeRevision\":9}");
+
+      EXPECT_EQ (reply.status, KV_OK);
+      ASSERT_EQ (reply.items->len, 2u);
+      EXPECT_EQ (g_bytes_get_size (kv_reply_find (&reply, "\xff")->value),
+                 value.size ());
+      EXPECT_TRUE (kv_reply_find (&reply, "c"));
+      kv_reply_clear (&reply);
+    }
+}
+
 TEST (PlatformKvClient, EventsAndSingleKeysAreDecoded)
 {
   KvReply reply = decode_kv_reply (
