An odd entry is logged once, and briefly

Callers saw: a line at each change of an odd entry, so one each heartbeat, with all that it holds: 134 KB a line, after which the host's other lines were left out for seconds (40 KB/s are written).

Evidence, before: QueueWorkerList.OddEntryIsLoggedOnceAndBriefly w.count_lines ("event=worker_unreadable worker=w77") Which is: 20, expected 1 line.size () actual: 134068, expected < 1000

--- a/queue/node.c
+++ b/queue/node.c
@@ -32,6 +32,8 @@
   Feed roster_feed; /* listed once at the start of a term */
   RosterRecords roster;
   GHashTable *worker_values; /* worker id to its encoded entry, GBytes */
+  /* Ids of entries that can't be read, which have been logged. */
+  GHashTable *unreadable_workers;
   JobCache *job_cache;
   Waiting waiting;
   StoreHealth store_health;
@@ -122,6 +124,23 @@
     dispatch_on_job_entry (n->dispatch, entry);
 }
 
+/* Logs the first of the unreadable entries of worker ID in a row: its writer
+   may change it again and again. */
+static void
+log_unreadable_worker (Node *n, const char *id, const Findings *findings)
+{
+  char *name, *text;
+
+  if (!g_hash_table_add (n->unreadable_workers, g_strdup (id)))
+    return;
+  name = g_uri_escape_string (id, NULL, FALSE);
+  text = findings_line (findings);
+  effects_log (&n->fx, "event=worker_unreadable worker=%s reason=\"%s\"", name,
+               text);
+  g_free (name);
+  g_free (text);
+}
+
 static void
 on_worker_item (void *owner, const KvItem *item)
 {
@@ -132,6 +151,7 @@
 
   if (item->deleted)
     {
+      g_hash_table_remove (n->unreadable_workers, id);
       g_hash_table_remove (n->worker_values, id);
       if (n->dispatch)
         dispatch_on_worker_gone (n->dispatch, id);
@@ -140,17 +160,10 @@
   findings_init (&findings);
   entry = n->codec->decode_worker (id, item->value, &findings);
   if (!entry)
-    {
-      char *name = g_uri_escape_string (id, NULL, FALSE);
-      char *text = findings_line (&findings);
-
-      effects_log (&n->fx, "event=worker_unreadable worker=%s reason=\"%s\"",
-                   name, text);
-      g_free (name);
-      g_free (text);
-    }
+    log_unreadable_worker (n, id, &findings);
   else
     {
+      g_hash_table_remove (n->unreadable_workers, id);
       g_hash_table_insert (n->worker_values, g_strdup (id),
                            g_bytes_ref (item->value));
       if (n->dispatch)
@@ -199,6 +212,8 @@
   feed_init (&n->roster_feed, roster_prefix, on_roster_item, n, 0);
   n->worker_values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             (GDestroyNotify)g_bytes_unref);
+  n->unreadable_workers =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   n->job_cache = job_cache_new (on_job_cache_changed, n);
   term_init (&n->term, s->holder_name, s->min_store_lease);
   waiting_init (&n->waiting);
@@ -226,6 +241,7 @@
   feed_clear (&n->roster_feed);
   roster_records_clear (&n->roster);
   g_hash_table_unref (n->worker_values);
+  g_hash_table_unref (n->unreadable_workers);
   conf_unref (n->conf);
   g_rand_free (n->rng);
   effects_clear (&n->fx);
--- a/src/util.c
+++ b/src/util.c
@@ -4,6 +4,8 @@
 
 static const gsize max_name_bytes = 64;
 static const guint64 max_port = 65535;
+static const gsize max_line_bytes = 500; /* of findings_line */
+static const char line_cut[] = " ...";
 
 static void
 finding_free (gpointer p)
@@ -73,12 +75,22 @@
   return g_string_free (s, FALSE);
 }
 
-/* Returns all findings as one line that may stand in quotes; the caller
+/* Returns all findings as one line that may stand in quotes, cut after
+   max_line_bytes, since they may quote what another program wrote; the caller
    frees it. */
 char *
 findings_line (const Findings *f)
 {
-  return g_strdelimit (findings_text (f), "\n\"", ' ');
+  char *text = findings_text (f);
+  char *p;
+
+  if (strlen (text) > max_line_bytes)
+    memcpy (text + max_line_bytes - strlen (line_cut), line_cut,
+            sizeof line_cut);
+  for (p = text; *p; p++)
+    if (!g_ascii_isprint (*p) || *p == '"')
+      *p = ' ';
+  return text;
 }
 
 /* Returns S, or the empty string for NULL. */
--- a/tests/queue_worker_list_test.cc
+++ b/tests/queue_worker_list_test.cc
@@ -11,6 +11,8 @@
 
 static const char odd_id[] = "w77";
 
+static const ClockMs heartbeat_ms = 1000;
+
 static WorldJob
 job (int n, int count, const std::string &text)
 {
@@ -159,3 +161,32 @@
       w.expect_no_violations ();
     }
 }
+
+/* Each change of an odd entry was logged, however often it was rewritten, and
+   with all that it holds. */
+TEST (QueueWorkerList, OddEntryIsLoggedOnceAndBriefly)
+{
+  QueueWorld w (2, 2);
+  std::string labels = "\"labels\":[1";
+
+  for (int i = 0; i < 1000; i++)
+    labels += ",1";
+  w.run (3000);
+  for (int seq = 1; seq <= 20; seq++)
+    {
+      w.forge_record (std::string ("servers/") + odd_id,
+                      "{" + labels + "],\"state\":\"" +
+                          std::string (100000, '\n') +
+                          "\",\"seq\":" + std::to_string (seq) + "}");
+      w.run (heartbeat_ms);
+    }
+  EXPECT_EQ (w.count_lines ("event=worker_unreadable worker=w77"), 1);
+  for (const std::string &line : w.lines)
+    EXPECT_LT (line.size (), 1000u) << line.substr (0, 100);
+  w.put_worker (1);
+  w.forge_record (std::string ("servers/") + odd_id, entry ("10.0.0.77:1"));
+  w.run (heartbeat_ms);
+  w.forge_record (std::string ("servers/") + odd_id, "{}");
+  w.run (heartbeat_ms);
+  EXPECT_EQ (w.count_lines ("event=worker_unreadable worker=w77"), 2);
+}
