An entry overwritten by an odd one names no worker

Callers saw: a worker whose own entry another writer had overwritten was called at the odd address, its tasks were given up and run again (8 of 16 here); where the entry could not be read at all, it got new tasks from the running scheduler, while another host would not have known it.

The protocol: "It names no runner to use; the others hold."

Evidence, before: QueueWorkerList.OverwrittenWorkerKeepsItsTasksAndGetsNoNewOnes w.workers[1].runs.size () Which is: 0, expected 8 w.n_starts () Which is: 28, expected 20 QueueWorkerList.OverwrittenWorkerKeepsItsTasksOverATakeover w.n_starts () Which is: 24, expected 16

Change: such an entry counts as one that is gone. What runs there goes on under its lease, nothing new starts, and the worker's next sound entry brings it back.

--- a/queue/node.c
+++ b/queue/node.c
@@ -141,6 +141,14 @@
   g_free (text);
 }
 
+static void
+forget_worker (Node *n, const char *id)
+{
+  g_hash_table_remove (n->worker_values, id);
+  if (n->dispatch)
+    dispatch_on_worker_gone (n->dispatch, id);
+}
+
 static void
 on_worker_item (void *owner, const KvItem *item)
 {
@@ -152,15 +160,17 @@
   if (item->deleted)
     {
       g_hash_table_remove (n->unreadable_workers, id);
-      g_hash_table_remove (n->worker_values, id);
-      if (n->dispatch)
-        dispatch_on_worker_gone (n->dispatch, id);
+      forget_worker (n, id);
       return;
     }
   findings_init (&findings);
   entry = n->codec->decode_worker (id, item->value, &findings);
   if (!entry)
-    log_unreadable_worker (n, id, &findings);
+    {
+      /* It names no worker to use, whatever the one before it said. */
+      log_unreadable_worker (n, id, &findings);
+      forget_worker (n, id);
+    }
   else
     {
       g_hash_table_remove (n->unreadable_workers, id);
--- a/tests/queue_worker_list_test.cc
+++ b/tests/queue_worker_list_test.cc
@@ -162,6 +162,59 @@
     }
 }
 
+/* A worker's own entry was overwritten: its tasks were given up, as its calls
+   went to the other address, or new ones were still started there. */
+TEST (QueueWorkerList, OverwrittenWorkerKeepsItsTasksAndGetsNoNewOnes)
+{
+  for (auto &odd : odd_entries ())
+    {
+      QueueWorld w (2, 2);
+
+      w.run (3000);
+      w.submit (0, job (1, 16, "ms=12000"));
+      w.run (1000);
+      ASSERT_FALSE (w.workers[1].runs.empty ()) << odd.first;
+      size_t n_running = w.workers[1].runs.size ();
+      w.forge_record ("servers/w1", odd.second);
+      w.run (500);
+      w.submit (0, job (2, 4, "ms=500"));
+      w.run (8500);
+      EXPECT_EQ (w.workers[1].runs.size (), n_running) << odd.first;
+      w.run (3000);
+      EXPECT_EQ (w.state_of ("1001"), "completed") << odd.first;
+      EXPECT_EQ (w.n_starts (), 20) << odd.first;
+      w.submit (0, job (3, 16, "ms=4000"));
+      w.run (1000);
+      EXPECT_TRUE (w.workers[1].runs.empty ()) << odd.first;
+      w.put_worker (1);
+      w.run (1000);
+      EXPECT_FALSE (w.workers[1].runs.empty ()) << odd.first;
+      w.expect_no_violations ();
+    }
+}
+
+TEST (QueueWorkerList, OverwrittenWorkerKeepsItsTasksOverATakeover)
+{
+  for (auto &odd : odd_entries ())
+    {
+      QueueWorld w (2, 2);
+
+      w.run (3000);
+      w.submit (0, job (1, 16, "ms=12000"));
+      w.run (1000);
+      w.forge_record ("servers/w1", odd.second);
+      w.run (500);
+      w.kill_host (w.scheduler ());
+      w.run (6000);
+      EXPECT_EQ (w.workers[1].runs.size (), 8u) << odd.first;
+      w.put_worker (1);
+      w.run (7000);
+      EXPECT_EQ (w.state_of ("1001"), "completed") << odd.first;
+      EXPECT_EQ (w.n_starts (), 16) << odd.first;
+      w.expect_no_violations ();
+    }
+}
+
 /* Each change of an odd entry was logged, however often it was rewritten, and
    with all that it holds. */
 TEST (QueueWorkerList, OddEntryIsLoggedOnceAndBriefly)
