A recorded worker with an odd address is not waited for

Callers saw: the roster of an older version may name a worker with an odd address, and the first scheduler after an update waits up to 7.5 s for its runs.

Evidence, before: QueueWorkerList.OddAddressInTheRosterIsNotCalledAndDelaysNoTakeover w.count_lines ("event=workers_known") Which is: 1, expected 2 w.n_stray_calls Which is: 7, expected 0

Change: it is left out; without an IP number and a port it was never reached.

--- a/queue/roster.c
+++ b/queue/roster.c
@@ -87,11 +87,16 @@
   *r = (RosterRecords) { 0 };
 }
 
+/* Adds a recorded worker to D's.  One that has no address, as older versions
+   recorded it, was never reached and runs nothing. */
 static void
 adopt_listed_worker (Dispatch *d, const RosterWorker *recorded_worker)
 {
-  PoolEntry *entry = pool_entry_new (recorded_worker->id);
+  PoolEntry *entry;
 
+  if (!util_parse_address (recorded_worker->address, NULL, NULL))
+    return;
+  entry = pool_entry_new (recorded_worker->id);
   entry->address = g_strdup (recorded_worker->address);
   entry->service = g_strdup ("");
   entry->draining = recorded_worker->draining != 0;
--- a/tests/queue_worker_list_test.cc
+++ b/tests/queue_worker_list_test.cc
@@ -243,3 +243,31 @@
   w.run (heartbeat_ms);
   EXPECT_EQ (w.count_lines ("event=worker_unreadable worker=w77"), 2);
 }
+
+/* The roster of an older version names a worker with an odd address. */
+TEST (QueueWorkerList, OddAddressInTheRosterIsNotCalledAndDelaysNoTakeover)
+{
+  for (const char *address : { "10.0.0.77:65536", "10.0.0.77", ":1", "x:1" })
+    {
+      QueueWorld w (2, 2);
+      Roster *roster = (Roster *)rec_new (roster_desc ());
+      auto *r = (RosterWorker *)rec_list_add (roster_worker_desc (),
+                                              &roster->workers);
+
+      rec_set_str (&r->id, odd_id);
+      rec_set_str (&r->address, address);
+      GBytes *packed = rec_pack (roster_desc (), roster);
+      gsize n;
+      const char *data = (const char *)g_bytes_get_data (packed, &n);
+      char *key = roster_key (roster_shard_of (odd_id));
+      w.run (3000);
+      w.kill_host (w.scheduler ());
+      w.forge_record (key, std::string (data, n));
+      w.run (4000);
+      EXPECT_EQ (w.count_lines ("event=workers_known"), 2) << address;
+      EXPECT_EQ (w.n_stray_calls, 0) << address;
+      g_free (key);
+      g_bytes_unref (packed);
+      rec_free (roster_desc (), roster);
+    }
+}
