A takeover waits only for workers that may have been used

Callers saw: a well-formed entry at whose address nobody answers, or another worker does, held up each change of scheduler until all leases of the one before had ended (7.5 s).

Cause: every listed worker was waited for, and every listed worker got into the roster, although a worker gets its first run only after the roster names it.

Evidence, before: QueueWorkerList.WorkerThatNeverAnsweredDelaysNoTakeover w.count_lines ("event=workers_known") Which is: 1, expected 2

Change: the roster names a worker once it has answered, and a new scheduler waits for those that the roster names, and for all of a shard that it can't read (QueueWorkerList.UnreadableRosterHidesNoRuns, 48 starts in place of 24 without that). Workers that answer within 10 ms share a write, and shards that nobody recorded are not written at the start of a term, so that a first start needs no more writes than before.

Weighed: leaving out workers whose service no configuration names; a job of a withdrawn route may still need them.

Left: a worker that never answers is still asked once a second while its entry stays.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -126,7 +126,7 @@
     {
       w->lease_expiry = d->prev_leases_expire_at;
       w->next_poll = d->now;
-      roster_mark_dirty (d, entry->id);
+      w->recorded = roster_may_name (d, entry->id);
     }
   else if (w->incarnation && entry->incarnation &&
            entry->incarnation > w->incarnation)
@@ -310,8 +310,10 @@
 
   if (d->all_runs_known)
     return;
+  /* A former scheduler has recorded each worker before it used it. */
   for (i = 0; i < pool_size (&d->pool); i++)
-    if (!holds_runs_are_known (pool_at (&d->pool, i)))
+    if (pool_at (&d->pool, i)->recorded &&
+        !holds_runs_are_known (pool_at (&d->pool, i)))
       return;
   d->all_runs_known = TRUE;
   d->replan = TRUE;
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -42,9 +42,11 @@
   gboolean dirty[ROSTER_SHARDS];     /* needs to be written */
   gboolean in_flight[ROSTER_SHARDS]; /* written by the call in flight */
   gint64 revisions[ROSTER_SHARDS];   /* in the store; 0: key is absent */
-  gint64 call_id;                    /* id of the call in flight; 0: none */
-  GPtrArray *in_flight_ids;          /* char *, worker ids in that call */
-  ClockMs next_at;                   /* earliest time of the next call */
+  /* What a former scheduler recorded there can't be read. */
+  gboolean unreadable[ROSTER_SHARDS];
+  gint64 call_id;           /* id of the call in flight; 0: none */
+  GPtrArray *in_flight_ids; /* char *, worker ids in that call */
+  ClockMs next_at;          /* earliest time of the next call */
 } RosterSave;
 
 /* Writes of the number of waiting jobs; see waiting.c. */
@@ -169,6 +171,8 @@
 /* roster.c */
 void roster_load (Dispatch *d, const RosterRecords *records);
 void roster_mark_dirty (Dispatch *d, const char *worker);
+gboolean roster_may_name (const Dispatch *d, const char *worker);
+void roster_update_worker (Dispatch *d, PoolWorker *w);
 void roster_tick (Dispatch *d);
 gboolean roster_on_reply (Dispatch *d, const KvReply *reply);
 ClockMs roster_next (const Dispatch *d);
--- a/queue/due.c
+++ b/queue/due.c
@@ -87,6 +87,7 @@
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     runs_retry_order (d, placement);
   timer_heap_stop (&d->worker_timers, &w->timer);
+  roster_update_worker (d, w);
   if (may_remove (w))
     {
       if (w->dirty)
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -73,6 +73,8 @@
 {
   PoolEntry *entry;
   gboolean registered; /* its entry is in the store */
+  gboolean recorded;   /* a former scheduler may have used it */
+  gboolean listed;     /* in the last roster that was written or is due */
   gboolean in_roster;  /* the roster in the store contains it */
   gboolean runs_known; /* it has listed its runs to this scheduler */
   /* All runs on it have ended, because their lease expired or its process left
--- a/queue/roster.c
+++ b/queue/roster.c
@@ -8,7 +8,8 @@
 
 enum
 {
-  MIN_INTERVAL_MS = 100, /* batches workers that join at the same time */
+  MIN_INTERVAL_MS = 100,
+  JOIN_BATCH_MS = 10, /* workers that join at the same time share a write */
   CALL_TIMEOUT_MS = 900,
   RETRY_MS = 200
 };
@@ -93,6 +94,7 @@
 adopt_listed_worker (Dispatch *d, const RosterWorker *recorded_worker)
 {
   PoolEntry *entry;
+  PoolWorker *w;
 
   if (!util_parse_address (recorded_worker->address, NULL, NULL))
     return;
@@ -101,7 +103,9 @@
   entry->service = g_strdup ("");
   entry->draining = recorded_worker->draining != 0;
   dispatch_on_worker (d, entry);
-  pool_find (&d->pool, recorded_worker->id)->registered = FALSE;
+  w = pool_find (&d->pool, recorded_worker->id);
+  w->registered = FALSE;
+  w->recorded = TRUE;
 }
 
 /* Loads the workers that a previous leader recorded, so that D polls them for
@@ -118,18 +122,20 @@
       const Roster *roster = records->shards[i].workers;
 
       s->revisions[i] = records->shards[i].revision;
-      s->dirty[i] = TRUE;
+      s->dirty[i] = s->revisions[i] > 0;
+      s->unreadable[i] = s->revisions[i] > 0 && !roster;
       for (k = 0; roster && k < roster->workers.n; k++)
         adopt_listed_worker (d, rec_list_at (roster_worker_desc (),
                                              &roster->workers, k));
     }
 }
 
-/* Marks the shard of the worker with id WORKER as needing a write. */
-void
-roster_mark_dirty (Dispatch *d, const char *worker)
+/* Tells whether a former scheduler may have recorded the worker with id WORKER
+   where it can't be read. */
+gboolean
+roster_may_name (const Dispatch *d, const char *worker)
 {
-  d->roster.dirty[roster_shard_of (worker)] = TRUE;
+  return d->roster.unreadable[roster_shard_of (worker)];
 }
 
 static gboolean
@@ -143,6 +149,33 @@
   return FALSE;
 }
 
+/* Tells whether runs may be on W: it has answered this scheduler, which may
+   have used it since, or a former one may have used it. */
+static gboolean
+may_have_runs (const PoolWorker *w)
+{
+  return w->worker_clock_at || (w->recorded && !w->lease_expired);
+}
+
+/* Marks the shard of the worker with id WORKER as needing a write. */
+void
+roster_mark_dirty (Dispatch *d, const char *worker)
+{
+  d->roster.dirty[roster_shard_of (worker)] = TRUE;
+}
+
+/* Marks W's shard as needing a write if W has to be added or taken out. */
+void
+roster_update_worker (Dispatch *d, PoolWorker *w)
+{
+  if (may_have_runs (w) == w->listed)
+    return;
+  w->listed = may_have_runs (w);
+  if (!has_dirty_shard (&d->roster))
+    d->roster.next_at = MAX (d->roster.next_at, d->now + JOIN_BATCH_MS);
+  roster_mark_dirty (d, w->entry->id);
+}
+
 static GBytes *
 encode_shard (Dispatch *d, guint shard)
 {
@@ -152,11 +185,15 @@
 
   for (i = 0; i < pool_size (&d->pool); i++)
     {
-      const PoolWorker *w = pool_at (&d->pool, i);
+      PoolWorker *w = pool_at (&d->pool, i);
       RosterWorker *r;
 
       if (roster_shard_of (w->entry->id) != shard)
         continue;
+      w->listed = may_have_runs (w);
+      w->in_roster = w->in_roster && w->listed;
+      if (!w->listed)
+        continue;
       r = rec_list_add (roster_worker_desc (), &roster->workers);
       rec_set_str (&r->id, w->entry->id);
       rec_set_str (&r->address, w->entry->address);
--- a/tests/queue_worker_list_test.cc
+++ b/tests/queue_worker_list_test.cc
@@ -271,3 +271,46 @@
       rec_free (roster_desc (), roster);
     }
 }
+
+/* A scheduler that could not read a part of the roster took the workers there
+   for new ones, and started anew what ran on them. */
+TEST (QueueWorkerList, UnreadableRosterHidesNoRuns)
+{
+  QueueWorld w (2, 6);
+
+  w.run (3000);
+  w.submit (0, job (1, 24, "ms=9000"));
+  w.run (1000);
+  for (WorldWorker &worker : w.workers)
+    worker.unreachable_until = w.now () + 3000;
+  w.kill_host (w.scheduler ());
+  for (guint shard = 0; shard < ROSTER_SHARDS; shard++)
+    {
+      char *key = roster_key (shard);
+
+      w.forge_record (key, "\xff");
+      g_free (key);
+    }
+  for (int i = 0; i < 3; i++)
+    w.workers[i].unreachable_until = w.now ();
+  w.run (20000);
+  EXPECT_EQ (w.state_of ("1001"), "completed");
+  EXPECT_EQ (w.n_starts (), 24);
+  w.expect_no_violations ();
+}
+
+/* An entry that is well-formed, but names an address where nobody answers, or
+   where another worker does: no scheduler can have started anything there. */
+TEST (QueueWorkerList, WorkerThatNeverAnsweredDelaysNoTakeover)
+{
+  QueueWorld w (3, 4);
+
+  w.run (3000);
+  w.forge_record (std::string ("servers/") + odd_id, entry ("10.0.0.77:1"));
+  w.submit (0, job (1, 4, "ms=3000"));
+  w.run (10000);
+  w.kill_host (w.scheduler ());
+  w.run (4000);
+  EXPECT_EQ (w.count_lines ("event=workers_known"), 2);
+  w.expect_no_violations ();
+}
