--- a/queue/runs.c
+++ b/queue/runs.c
@@ -568,7 +568,7 @@
 runs_end_all_on_worker (Dispatch *d, PoolWorker *w, const char *reason)
 {
   runs_forget_orphans (d, w);
-  if (w->n_placements)
+  if (w->n_placements || !w->runs_known)
     effects_log (d->fx,
                  "event=worker_void worker=%s parts=%u reason=%s draining=%d "
                  "listed=%d lease_left_ms=%" CLOCK_MS_FORMAT,
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -186,6 +186,7 @@
   int scheduler () const;
   int starts (const std::string &task) const;
   int n_polls = 0;
+  int n_stray_calls = 0; /* to an address where no worker is */
   /* Most polls with a wait of 0 that were pending at once. */
   size_t peak_immediate_polls = 0;
   int
@@ -292,6 +293,7 @@
                  gint64 id,
                  std::shared_ptr<KvReply> reply,
                  ClockMs delay);
+  int find_worker (const RunCall *call) const;
   void run_call (int host, const RunCall *call);
   const WorldWorker *worker_at (int address) const;
   bool open_connection (int host, WorldWorker &w, const RunCall &call);
