--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -44,9 +44,11 @@
   gboolean dirty[ROSTER_SHARDS];     /* needs to be written */
   gboolean in_flight[ROSTER_SHARDS]; /* written by the call in flight */
   gint64 revisions[ROSTER_SHARDS];   /* in the store; 0: key is absent */
-  gint64 call_id;                    /* id of the call in flight; 0: none */
-  GPtrArray *in_flight_ids;          /* char *, worker ids in that call */
-  ClockMs next_at;                   /* earliest time of the next call */
+  /* What a former scheduler recorded there can't be read. */
+  gboolean unreadable[ROSTER_SHARDS];
+  gint64 call_id;           /* id of the call in flight; 0: none */
+  GPtrArray *in_flight_ids; /* char *, worker ids in that call */
+  ClockMs next_at;          /* earliest time of the next call */
 } RosterSave;
 
 /* Writes of the number of waiting jobs; see waiting.c. */
@@ -141,6 +143,7 @@
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPlacement *placement);
 gint64 runs_lease_deadline (Dispatch *d, PoolWorker *w);
 void runs_stop_incomplete_gangs (Dispatch *d);
+extern const ClockMs runs_max_lease;
 
 /* due.c */
 void due_init (Dispatch *d);
@@ -176,6 +179,8 @@
 /* roster.c */
 void roster_load (Dispatch *d, const RosterRecords *records);
 void roster_mark_dirty (Dispatch *d, const char *worker);
+gboolean roster_may_name (const Dispatch *d, const char *worker);
+void roster_update_worker (Dispatch *d, PoolWorker *w);
 void roster_tick (Dispatch *d);
 gboolean roster_on_reply (Dispatch *d, const KvReply *reply);
 ClockMs roster_next (const Dispatch *d);
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -35,7 +35,7 @@
 static const ClockMs reply_delay_margin = 150;
 
 /* Workers limit a lease to this many milliseconds. */
-static const ClockMs max_lease = 10000;
+const ClockMs runs_max_lease = 10000;
 
 /* Returns the latest time by the scheduler's clock at which SPAN milliseconds
    of W's clock, which began at FROM, are over. */
@@ -423,10 +423,10 @@
 void
 runs_cancel_late_starts (Dispatch *d, PoolWorker *w)
 {
-  PoolLateStart *late;
+  guint i;
 
-  APR_RING_FOREACH (late, &w->late_starts, PoolLateStart, link)
-    late->unwanted = TRUE;
+  for (i = 0; i < w->late_starts->len; i++)
+    pool_late_start_at (w, i)->unwanted = TRUE;
   runs_refuse_late_starts (d, w);
 }
 
@@ -435,12 +435,16 @@
 void
 runs_refuse_late_starts (Dispatch *d, PoolWorker *w)
 {
-  const PoolLateStart *late;
+  guint i;
 
   pool_expire_late_starts (w, d->now);
-  APR_RING_FOREACH (late, &w->late_starts, PoolLateStart, link)
-    if (late->unwanted)
-      send_orphan_stop (d, w, late->task, late->run);
+  for (i = 0; i < w->late_starts->len; i++)
+    {
+      const PoolLateStart *late = pool_late_start_at (w, i);
+
+      if (late->unwanted)
+        send_orphan_stop (d, w, late->task, late->run);
+    }
 }
 
 /* Frees PLACEMENT, whose run has ended, or never began, with the result HOW.
@@ -564,7 +568,7 @@
 runs_end_all_on_worker (Dispatch *d, PoolWorker *w, const char *reason)
 {
   runs_forget_orphans (d, w);
-  if (w->n_placements)
+  if (w->n_placements || !w->runs_known)
     effects_log (d->fx,
                  "event=worker_void worker=%s parts=%u reason=%s draining=%d "
                  "listed=%d lease_left_ms=%" CLOCK_MS_FORMAT,
@@ -601,7 +605,7 @@
   runs_cancel_late_starts (d, w);
   w->process_known_at = d->now;
   w->lease_expiry =
-      latest_end (w, MAX (d->now, w->late_grant_until), max_lease);
+      latest_end (w, MAX (d->now, w->late_grant_until), runs_max_lease);
   /* A late acknowledgement of the former process's ends would make the new one
      forget ends that it has not reported yet. */
   w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
@@ -627,7 +631,8 @@
       reply->worker_clock + reply_delay_margin >= w->worker_clock)
     return;
   effects_log (d->fx, "event=worker_clock_back worker=%s", w->entry->id);
-  w->lease_expiry = MAX (w->lease_expiry, latest_end (w, d->now, max_lease));
+  w->lease_expiry =
+      MAX (w->lease_expiry, latest_end (w, d->now, runs_max_lease));
   w->poll_immediately = TRUE;
 }
 
@@ -642,8 +647,8 @@
   w->late_grant_until =
       MAX (w->late_grant_until, call->sent_at + holds_late_order_window);
   if (call->sent_at < w->process_known_at)
-    w->lease_expiry =
-        MAX (w->lease_expiry, latest_end (w, w->late_grant_until, max_lease));
+    w->lease_expiry = MAX (w->lease_expiry,
+                           latest_end (w, w->late_grant_until, runs_max_lease));
 }
 
 /* Stops RUN of a task on W that has no placement in this scheduler.  W gets no
--- a/src/claim.c
+++ b/src/claim.c
@@ -25,7 +25,7 @@
   ClaimValue *value;
   gint64 expect;
   gint64 call;
-  ClockMs patience;
+  ClockMs retry_delay;
   Timer again;
 } ClaimWrite;
 
@@ -123,13 +123,6 @@
          strcmp (v->host, c->cfg->host) == 0;
 }
 
-static const StoreItem *
-first_item (const StoreReply *reply)
-{
-  return reply->items.n ? rec_list_at (store_item_desc (), &reply->items, 0)
-                        : NULL;
-}
-
 /* Returns the claim in ITEM, or NULL when it can't be read. */
 static ClaimValue *
 parse (const StoreItem *item)
@@ -222,7 +215,7 @@
                 "idempotency key was used with another body", NULL);
   else if (v->state == CLAIM_NOT_RUN && !r->digest[0])
     req_finish (c, r, OUTCOME_NOT_RUN, 404, "did not run", NULL);
-  else if (v->state == CLAIM_NOT_RUN && r->holds)
+  else if (v->state == CLAIM_NOT_RUN && r->has_slot)
     claim_take (c, r);
   else if (v->state == CLAIM_NOT_RUN)
     req_wait_for_store (c, r);
@@ -282,7 +275,7 @@
 on_claimed (Core *c, const StoreReply *reply, gpointer owner, guint64 arg)
 {
   Request *r = owner;
-  const StoreItem *item = first_item (reply);
+  const StoreItem *item = store_first_item (reply);
 
   (void)arg;
   r->claim_call = 0;
@@ -363,7 +356,7 @@
 on_watched (Core *c, const StoreReply *reply, gpointer owner, guint64 arg)
 {
   Request *r = owner;
-  const StoreItem *item = first_item (reply);
+  const StoreItem *item = store_first_item (reply);
 
   (void)arg;
   r->claim_call = 0;
@@ -399,7 +392,7 @@
 on_found (Core *c, const StoreReply *reply, gpointer owner, guint64 arg)
 {
   Request *r = owner;
-  const StoreItem *item = first_item (reply);
+  const StoreItem *item = store_first_item (reply);
 
   (void)arg;
   r->claim_call = 0;
@@ -455,8 +448,8 @@
 static void
 write_later (Core *c, ClaimWrite *w)
 {
-  w->patience = req_grow (w->patience, RETRY_MAX_MS);
-  core_arm (c, &w->again, c->now + core_jitter (c, w->patience));
+  w->retry_delay = req_back_off (w->retry_delay, RETRY_MAX_MS);
+  core_arm (c, &w->again, c->now + core_jitter (c, w->retry_delay));
 }
 
 static void
@@ -477,7 +470,7 @@
   else if (reply->status == STORE_OK)
     write_end (c, w);
   else if (reply->status == STORE_CONFLICT)
-    write_conflict (c, w, first_item (reply));
+    write_conflict (c, w, store_first_item (reply));
   else
     {
       if (reply->status == STORE_MISSING)
@@ -529,7 +522,7 @@
   w->value->status = status;
   set_body (w->value, body);
   w->expect = r->claim_revision;
-  w->patience = RETRY_MIN_MS;
+  w->retry_delay = RETRY_MIN_MS;
   w->again = (Timer) { .fire = on_write_again, .owner = w };
   w->serial = ++k->serial;
   g_hash_table_insert (k->writes, &w->serial, w);
--- a/src/util.c
+++ b/src/util.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 static const gsize max_name_bytes = 64;
+static const guint64 max_port = 65535;
+static const gsize max_line_bytes = 500; /* of findings_line */
+static const char line_cut[] = " ...";
 
 static void
 finding_free (gpointer p)
@@ -72,12 +75,22 @@
   return g_string_free (s, FALSE);
 }
 
-/* Returns all findings as one line that may stand in quotes; the caller
+/* Returns all findings as one line that may stand in quotes, cut after
+   max_line_bytes, since they may quote what another program wrote; the caller
    frees it. */
 char *
 findings_line (const Findings *f)
 {
-  return g_strdelimit (findings_text (f), "\n\"", ' ');
+  char *text = findings_text (f);
+  char *p;
+
+  if (strlen (text) > max_line_bytes)
+    memcpy (text + max_line_bytes - strlen (line_cut), line_cut,
+            sizeof line_cut);
+  for (p = text; *p; p++)
+    if (!g_ascii_isprint (*p) || *p == '"')
+      *p = ' ';
+  return text;
 }
 
 /* Returns S, or the empty string for NULL. */
@@ -102,3 +115,57 @@
       return FALSE;
   return TRUE;
 }
+
+/* Tells whether S may stand in a header and, unquoted, in a log line: ASCII
+   without spaces, quotes and backslashes, and not empty. */
+gboolean
+util_is_printable (const char *s)
+{
+  const char *p;
+
+  for (p = s; *p; p++)
+    if (!g_ascii_isgraph (*p) || strchr ("\"\\", *p))
+      return FALSE;
+  return p > s;
+}
+
+/* Returns the number of the IP address in the first N bytes of TEXT, without
+   the brackets of an IPv6 address, or NULL; the caller frees it. */
+static char *
+parse_ip (const char *text, gsize n)
+{
+  gboolean in_brackets = n >= 2 && text[0] == '[' && text[n - 1] == ']';
+  char *ip = in_brackets ? g_strndup (text + 1, n - 2) : g_strndup (text, n);
+
+  if (g_hostname_is_ip_address (ip) &&
+      in_brackets == (strchr (ip, ':') != NULL))
+    return ip;
+  g_free (ip);
+  return NULL;
+}
+
+/* Parses TEXT, "IP:PORT" with the number of an IP address, an IPv6 one in
+   brackets, and a port from 1 to 65535.  Sets IP, which the caller frees, and
+   PORT, unless they are NULL.  Returns FALSE and sets neither if TEXT is
+   anything else. */
+gboolean
+util_parse_address (const char *text, char **ip, guint *port)
+{
+  const char *colon = strrchr (text, ':');
+  guint64 number;
+  char *parsed_ip;
+
+  if (!colon ||
+      !g_ascii_string_to_unsigned (colon + 1, 10, 1, max_port, &number, NULL))
+    return FALSE;
+  parsed_ip = parse_ip (text, (gsize)(colon - text));
+  if (!parsed_ip)
+    return FALSE;
+  if (port)
+    *port = (guint)number;
+  if (ip)
+    *ip = parsed_ip;
+  else
+    g_free (parsed_ip);
+  return TRUE;
+}
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -317,12 +317,30 @@
   return nullptr;
 }
 
+/* Returns the index of the worker that CALL is meant for, -1 for none. */
+int
+QueueWorld::find_worker (const RunCall *call) const
+{
+  for (size_t i = 0; i < workers.size (); i++)
+    if (workers[i].id == call->worker)
+      return (int)i;
+  return -1;
+}
+
 void
 QueueWorld::run_call (int host, const RunCall *raw)
 {
   int incarnation = hosts[host].incarnation;
   auto call = copy_run (raw);
-  int n = atoi (raw->worker + 1);
+  int n = find_worker (raw);
+
+  if (n < 0)
+    {
+      n_stray_calls++;
+      reply_run (host, incarnation, new_run_reply (raw->id, RUN_UNSENT),
+                 worker_latency_ms);
+      return;
+    }
   WorldWorker &w = workers[n];
   ClockMs queued = reserve_link (host, link_run_call_bytes (raw));
 
@@ -349,7 +367,7 @@
   if (link_.bytes_per_s)
     reply_run (host, incarnation, new_run_reply (raw->id, RUN_LOST),
                raw->timeout);
-  if (!is_reachable (w))
+  if (!is_reachable (w) || w.cut_from_host == host)
     {
       bool refused = (!w.alive && w.unreachable_until <= now_) ||
                      w.cut_refuses_connections;
@@ -385,6 +403,7 @@
       {
         const WorldWorker *other = worker_at (address);
 
+        n_stray_calls += !other;
         reply->status = other ? RUN_OTHER_INCARNATION : RUN_UNSENT;
         reply_run (host, incarnation, reply,
                    worker_delay () + (other ? other->reply_delay : 0));
