--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -138,7 +138,7 @@
       holds_ignore_reply (d, w);
       w->next_poll = d->now;
       w->poll_immediately = TRUE;
-      runs_cancel_late_starts (d, w);
+      grant_cancel_late_starts (d, w);
     }
   due_mark (d, w);
   d->replan = TRUE;
@@ -283,7 +283,7 @@
       due_mark (d, w);
       count_reply (d, w, o, reply);
       if (reply->status == RUN_LOST)
-        runs_note_lost (w, o);
+        grant_note_lost (w, o);
     }
   if (o->op != RUN_POLL)
     runs_on_reply (d, o, reply);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -126,24 +126,33 @@
                RunEnd how,
                const char *checkpoint);
 void runs_end_all_on_worker (Dispatch *d, PoolWorker *w, const char *reason);
-void runs_on_restart (Dispatch *d, PoolWorker *w);
-void runs_note_lost (PoolWorker *w, const PendingCall *call);
 void runs_on_other_worker (Dispatch *d, PoolWorker *w, const PendingCall *call);
 gboolean runs_has_orphans (const Dispatch *d, const PoolWorker *w);
 void runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply);
-void runs_cancel_late_starts (Dispatch *d, PoolWorker *w);
-void runs_refuse_late_starts (Dispatch *d, PoolWorker *w);
 void
 runs_stop_orphan (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
+void runs_send_orphan_stop (Dispatch *d,
+                            PoolWorker *w,
+                            const char *task,
+                            gint64 run);
+void runs_stop_unconfirmed_start (Dispatch *d, WorkPlacement *placement);
 void runs_forget_orphans (Dispatch *d, PoolWorker *w);
 void runs_retry_order (Dispatch *d, WorkPlacement *placement);
 void runs_send_queued (Dispatch *d, PoolWorker *w);
 void runs_stop_stalled (Dispatch *d, WorkPlacement *placement);
 void runs_apply_end (Dispatch *d, WorkTask *task, gint64 run, RunEnd how);
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPlacement *placement);
-gint64 runs_lease_deadline (Dispatch *d, PoolWorker *w);
 void runs_stop_incomplete_gangs (Dispatch *d);
-extern const ClockMs runs_max_lease;
+
+/* grant.c */
+void grant_note_late_start (const Dispatch *d, const WorkPlacement *placement);
+void grant_check_clock (Dispatch *d, PoolWorker *w, const RunReply *reply);
+void grant_on_restart (Dispatch *d, PoolWorker *w);
+void grant_note_lost (PoolWorker *w, const PendingCall *call);
+void grant_cancel_late_starts (Dispatch *d, PoolWorker *w);
+void grant_refuse_late_starts (Dispatch *d, PoolWorker *w);
+gint64 grant_lease_deadline (Dispatch *d, PoolWorker *w);
+extern const ClockMs grant_max_lease;
 
 /* due.c */
 void due_init (Dispatch *d);
--- /dev/null
+++ b/queue/grant.c
@@ -0,0 +1,148 @@
+#include "dispatch_state.h"
+
+/* What a worker has been granted or sent and may still act on: its lease, and
+   orders without an answer that the platform may execute late, perhaps by a new
+   process of the worker. */
+
+/* A worker's clock may run slow by up to this many permille of the time. */
+static const ClockMs max_clock_lag_permille = 30;
+
+/* Least margin for the time that a worker's reply takes to arrive, in
+   milliseconds.  Added to the lease expiry, as a reply sent before it may
+   arrive later. */
+static const ClockMs reply_delay_margin = 150;
+
+/* Workers limit a lease to this many milliseconds. */
+const ClockMs grant_max_lease = 10000;
+
+/* Returns the latest time by the scheduler's clock at which SPAN milliseconds
+   of W's clock, which began at FROM, are over. */
+static ClockMs
+latest_end (const PoolWorker *w, ClockMs from, ClockMs span)
+{
+  return from + span + span * max_clock_lag_permille / 1000 +
+         MAX (reply_delay_margin, rtt_bound (&w->rtt));
+}
+
+/* Returns the deadline of a lease of W that begins now, by W's clock: at most
+   the lease's duration ahead, however slow that clock may be.  Updates W's
+   lease expiry, the latest time at which the lease ends by the scheduler's
+   clock. */
+gint64
+grant_lease_deadline (Dispatch *d, PoolWorker *w)
+{
+  ClockMs elapsed = d->now - w->worker_clock_at;
+  /* A slow clock has moved on by less since its reading. */
+  ClockMs span = elapsed - elapsed * max_clock_lag_permille / 1000 +
+                 holds_lease_duration (d, w);
+
+  w->lease_expiry =
+      MAX (w->lease_expiry, latest_end (w, w->worker_clock_at, span));
+  return w->worker_clock + span;
+}
+
+/* Records on its worker that PLACEMENT, which is about to be freed, has an
+   unconfirmed start order that may still be executed. */
+void
+grant_note_late_start (const Dispatch *d, const WorkPlacement *placement)
+{
+  PoolWorker *w = placement->worker;
+
+  pool_expire_late_starts (w, d->now);
+  if (placement->start_unconfirmed)
+    pool_add_late_start (w, work_task_name (placement->task), placement->run,
+                         placement->last_order_at + holds_late_order_window);
+}
+
+/* Has W, which has restarted and has no record of its former process's runs,
+   refuse the late starts; see grant_refuse_late_starts. */
+void
+grant_cancel_late_starts (Dispatch *d, PoolWorker *w)
+{
+  guint i;
+
+  for (i = 0; i < w->late_starts->len; i++)
+    pool_late_start_at (w, i)->unwanted = TRUE;
+  grant_refuse_late_starts (d, w);
+}
+
+/* Sends stop orders for the unwanted late starts of W.  Called until W has
+   confirmed each, as a stop may be lost too. */
+void
+grant_refuse_late_starts (Dispatch *d, PoolWorker *w)
+{
+  guint i;
+
+  pool_expire_late_starts (w, d->now);
+  for (i = 0; i < w->late_starts->len; i++)
+    {
+      const PoolLateStart *late = pool_late_start_at (w, i);
+
+      if (late->unwanted)
+        runs_send_orphan_stop (d, w, late->task, late->run);
+    }
+}
+
+/* Returns whether a start order of PLACEMENT may still be executed. */
+static gboolean
+may_still_start (const WorkPlacement *placement)
+{
+  return placement->start_unconfirmed ||
+         (placement->state == PLACEMENT_STARTING && placement->call_id);
+}
+
+/* Handles that W's process was found to be a new one.  Stops the placements
+   whose start order the new process may still execute.  What else became of
+   the placements is told by its lists: each ends once a list that was asked
+   for after its last answered order does not show it.  Deadlines by the clock
+   of the process before mean nothing to the new one, whose clock began anew:
+   they may have granted it the longest lease. */
+void
+grant_on_restart (Dispatch *d, PoolWorker *w)
+{
+  WorkPlacement *placement;
+
+  if (w->n_placements)
+    effects_log (d->fx, "event=worker_restarted worker=%s parts=%u",
+                 w->entry->id, w->n_placements);
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    if (may_still_start (placement))
+      runs_stop_unconfirmed_start (d, placement);
+  grant_cancel_late_starts (d, w);
+  w->process_known_at = d->now;
+  w->lease_expiry =
+      latest_end (w, MAX (d->now, w->late_grant_until), grant_max_lease);
+  /* A late acknowledgement of the former process's ends would make the new one
+     forget ends that it has not reported yet. */
+  w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
+}
+
+/* Compares the clock in REPLY, an answer of W to an order, with W's last list.
+   A clock that has gone back is that of a new process, which may have got the
+   longest lease by the deadline of the order. */
+void
+grant_check_clock (Dispatch *d, PoolWorker *w, const RunReply *reply)
+{
+  if (reply->status != RUN_OK || !reply->worker_clock ||
+      reply->worker_clock + reply_delay_margin >= w->worker_clock)
+    return;
+  effects_log (d->fx, "event=worker_clock_back worker=%s", w->entry->id);
+  w->lease_expiry =
+      MAX (w->lease_expiry, latest_end (w, d->now, grant_max_lease));
+  w->poll_immediately = TRUE;
+}
+
+/* Records that CALL to W got no answer: it may be executed late.  One that was
+   sent to the former process would then grant the present one the longest
+   lease. */
+void
+grant_note_lost (PoolWorker *w, const PendingCall *call)
+{
+  if (!call->grants_lease)
+    return;
+  w->late_grant_until =
+      MAX (w->late_grant_until, call->sent_at + holds_late_order_window);
+  if (call->sent_at < w->process_known_at)
+    w->lease_expiry = MAX (w->lease_expiry, latest_end (w, w->late_grant_until,
+                                                        grant_max_lease));
+}
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -75,7 +75,7 @@
 
 /* The expiry of a previous leader's leases is computed with a margin of 1/20
    (5%), more than the 2% by which workers' clocks may be slow.  For leases of
-   this leader see max_clock_lag_permille in runs.c. */
+   this leader see max_clock_lag_permille in grant.c. */
 static const ClockMs clock_skew_divisor = 20;
 
 static gboolean
@@ -113,8 +113,8 @@
 {
   if (d->term.fence <= FIRST_FENCE)
     return d->started_at;
-  return d->started_at + term_order_grace + runs_max_lease +
-         runs_max_lease / clock_skew_divisor;
+  return d->started_at + term_order_grace + grant_max_lease +
+         grant_max_lease / clock_skew_divisor;
 }
 
 /* Tells whether it is certain which runs are active on W: W has listed them, or
@@ -299,7 +299,7 @@
   /* The lease of an unresponsive worker is not renewed, so that it expires at a
      known time. */
   if (w->runs_known && !w->polls_unanswered && d->may_send_orders)
-    call->lease_deadline = runs_lease_deadline (d, w);
+    call->lease_deadline = grant_lease_deadline (d, w);
   call->ack = ack_to_send (w, unsaved);
   w->ends_ack_sent = call->ack;
   call->max_wait = hold_wait (d, w, unsaved);
@@ -599,7 +599,7 @@
   if (!reply->incarnation || reply->incarnation == w->incarnation)
     return;
   if (w->incarnation)
-    runs_on_restart (d, w);
+    grant_on_restart (d, w);
   w->incarnation = reply->incarnation;
   if (w->pace.incarnation != w->incarnation)
     w->pace = (PoolPace) { .incarnation = w->incarnation };
@@ -658,7 +658,7 @@
   guint i;
 
   detect_restart (d, w, reply);
-  runs_refuse_late_starts (d, w);
+  grant_refuse_late_starts (d, w);
   w->worker_clock = reply->worker_clock;
   w->worker_clock_at = d->now;
   w->polls_unanswered = 0;
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -26,43 +26,6 @@
   QUARANTINE_MAX_MS = 16000
 };
 
-/* A worker's clock may run slow by up to this many permille of the time. */
-static const ClockMs max_clock_lag_permille = 30;
-
-/* Least margin for the time that a worker's reply takes to arrive, in
-   milliseconds.  Added to the lease expiry, as a reply sent before it may
-   arrive later. */
-static const ClockMs reply_delay_margin = 150;
-
-/* Workers limit a lease to this many milliseconds. */
-const ClockMs runs_max_lease = 10000;
-
-/* Returns the latest time by the scheduler's clock at which SPAN milliseconds
-   of W's clock, which began at FROM, are over. */
-static ClockMs
-latest_end (const PoolWorker *w, ClockMs from, ClockMs span)
-{
-  return from + span + span * max_clock_lag_permille / 1000 +
-         MAX (reply_delay_margin, rtt_bound (&w->rtt));
-}
-
-/* Returns the deadline of a lease of W that begins now, by W's clock: at most
-   the lease's duration ahead, however slow that clock may be.  Updates W's
-   lease expiry, the latest time at which the lease ends by the scheduler's
-   clock. */
-gint64
-runs_lease_deadline (Dispatch *d, PoolWorker *w)
-{
-  ClockMs elapsed = d->now - w->worker_clock_at;
-  /* A slow clock has moved on by less since its reading. */
-  ClockMs span = elapsed - elapsed * max_clock_lag_permille / 1000 +
-                 holds_lease_duration (d, w);
-
-  w->lease_expiry =
-      MAX (w->lease_expiry, latest_end (w, w->worker_clock_at, span));
-  return w->worker_clock + span;
-}
-
 static void
 pending_call_free (gpointer p)
 {
@@ -176,7 +139,7 @@
   call->text = g_strdup (placement->task->step->job->entry->job->text);
   call->checkpoint = g_strdup (checkpoint_of (placement->task));
   placement->from_zero = !call->checkpoint;
-  call->lease_deadline = runs_lease_deadline (d, placement->worker);
+  call->lease_deadline = grant_lease_deadline (d, placement->worker);
   placement->start_sent = TRUE;
   placement->order_attempts++;
   placement->last_order_at = d->now;
@@ -391,8 +354,8 @@
 
 /* Tells W to stop RUN of the task with the name TASK, or to refuse its start
    if that arrives later. */
-static void
-send_orphan_stop (Dispatch *d, PoolWorker *w, const char *task, gint64 run)
+void
+runs_send_orphan_stop (Dispatch *d, PoolWorker *w, const char *task, gint64 run)
 {
   RunCall *call;
 
@@ -405,48 +368,6 @@
   runs_send (d, call, NULL);
 }
 
-/* Records on its worker that PLACEMENT, which is about to be freed, has an
-   unconfirmed start order that may still be executed. */
-static void
-note_late_start (const Dispatch *d, const WorkPlacement *placement)
-{
-  PoolWorker *w = placement->worker;
-
-  pool_expire_late_starts (w, d->now);
-  if (placement->start_unconfirmed)
-    pool_add_late_start (w, work_task_name (placement->task), placement->run,
-                         placement->last_order_at + holds_late_order_window);
-}
-
-/* Has W, which has restarted and has no record of its former process's runs,
-   refuse the late starts; see runs_refuse_late_starts. */
-void
-runs_cancel_late_starts (Dispatch *d, PoolWorker *w)
-{
-  guint i;
-
-  for (i = 0; i < w->late_starts->len; i++)
-    pool_late_start_at (w, i)->unwanted = TRUE;
-  runs_refuse_late_starts (d, w);
-}
-
-/* Sends stop orders for the unwanted late starts of W.  Called until W has
-   confirmed each, as a stop may be lost too. */
-void
-runs_refuse_late_starts (Dispatch *d, PoolWorker *w)
-{
-  guint i;
-
-  pool_expire_late_starts (w, d->now);
-  for (i = 0; i < w->late_starts->len; i++)
-    {
-      const PoolLateStart *late = pool_late_start_at (w, i);
-
-      if (late->unwanted)
-        send_orphan_stop (d, w, late->task, late->run);
-    }
-}
-
 /* Frees PLACEMENT, whose run has ended, or never began, with the result HOW.
    Records the result for its worker and, by runs_apply_end, for its task and
    job, and updates its gang.  CHECKPOINT is where the next run continues; NULL
@@ -463,7 +384,7 @@
   gint64 run = placement->run;
 
   detach_order (d, placement);
-  note_late_start (d, placement);
+  grant_note_late_start (d, placement);
   due_mark (d, w);
   work_task_set_checkpoint (task, checkpoint);
   if (how == RUN_FAILED || how == RUN_DONE)
@@ -485,22 +406,14 @@
 
 /* Stops PLACEMENT, whose start order may still reach its restarted worker, so
    that the worker refuses it. */
-static void
-stop_unconfirmed_start (Dispatch *d, WorkPlacement *placement)
+void
+runs_stop_unconfirmed_start (Dispatch *d, WorkPlacement *placement)
 {
   placement->state = PLACEMENT_STOPPING;
   placement->stop_acked = FALSE;
   send_stop (d, placement);
 }
 
-/* Returns whether a start order of PLACEMENT may still be executed. */
-static gboolean
-may_still_start (const WorkPlacement *placement)
-{
-  return placement->start_unconfirmed ||
-         (placement->state == PLACEMENT_STARTING && placement->call_id);
-}
-
 static gboolean
 is_on_worker (gpointer task, gpointer id, gpointer w)
 {
@@ -585,32 +498,6 @@
   w->lease_expired = TRUE;
 }
 
-/* Handles that W's process was found to be a new one.  Stops the placements
-   whose start order the new process may still execute.  What else became of
-   the placements is told by its lists: each ends once a list that was asked
-   for after its last answered order does not show it.  Deadlines by the clock
-   of the process before mean nothing to the new one, whose clock began anew:
-   they may have granted it the longest lease. */
-void
-runs_on_restart (Dispatch *d, PoolWorker *w)
-{
-  WorkPlacement *placement;
-
-  if (w->n_placements)
-    effects_log (d->fx, "event=worker_restarted worker=%s parts=%u",
-                 w->entry->id, w->n_placements);
-  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    if (may_still_start (placement))
-      stop_unconfirmed_start (d, placement);
-  runs_cancel_late_starts (d, w);
-  w->process_known_at = d->now;
-  w->lease_expiry =
-      latest_end (w, MAX (d->now, w->late_grant_until), runs_max_lease);
-  /* A late acknowledgement of the former process's ends would make the new one
-     forget ends that it has not reported yet. */
-  w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
-}
-
 /* Handles that another worker answered CALL: if it has the address that W has
    now, W's process has ended. */
 void
@@ -621,42 +508,12 @@
     runs_end_all_on_worker (d, w, "other_life");
 }
 
-/* Compares the clock in REPLY, an answer of W to an order, with W's last list.
-   A clock that has gone back is that of a new process, which may have got the
-   longest lease by the deadline of the order. */
-static void
-check_worker_clock (Dispatch *d, PoolWorker *w, const RunReply *reply)
-{
-  if (reply->status != RUN_OK || !reply->worker_clock ||
-      reply->worker_clock + reply_delay_margin >= w->worker_clock)
-    return;
-  effects_log (d->fx, "event=worker_clock_back worker=%s", w->entry->id);
-  w->lease_expiry =
-      MAX (w->lease_expiry, latest_end (w, d->now, runs_max_lease));
-  w->poll_immediately = TRUE;
-}
-
-/* Records that CALL to W got no answer: it may be executed late.  One that was
-   sent to the former process would then grant the present one the longest
-   lease. */
-void
-runs_note_lost (PoolWorker *w, const PendingCall *call)
-{
-  if (!call->grants_lease)
-    return;
-  w->late_grant_until =
-      MAX (w->late_grant_until, call->sent_at + holds_late_order_window);
-  if (call->sent_at < w->process_known_at)
-    w->lease_expiry = MAX (w->lease_expiry,
-                           latest_end (w, w->late_grant_until, runs_max_lease));
-}
-
 /* Stops RUN of a task on W that has no placement in this scheduler.  W gets no
    new placements for EXCLUSION_MS. */
 void
 runs_stop_orphan (Dispatch *d, PoolWorker *w, const char *task, gint64 run)
 {
-  send_orphan_stop (d, w, task, run);
+  runs_send_orphan_stop (d, w, task, run);
   exclude_worker (d, w, EXCLUSION_MS);
 }
 
@@ -890,7 +747,7 @@
       return;
     }
   if (w)
-    check_worker_clock (d, w, reply);
+    grant_check_clock (d, w, reply);
   if (!placement && w && o->op == RUN_STOP && reply->status == RUN_OK)
     pool_late_start_refused (w, o->task, o->run);
   if (!placement)
