A renewal whose answer is lost counts as a renewal

Cause: the answer to a renewal lists only leases that changed, so a part's lease end stayed where its start or the last full report had put it; the first call without an answer after that took the part for lapsed.

Evidence: SchedRenewal, before: 5 of 6 cases failed (live leases 0 in place of 1; 2 starts in place of 1); after: 6 of 6 pass, and all 711 tests of Sched* do.

Why it works: an answered renewal moves the ends of all parts that run, and one without an answer moves them too, since it may have been executed; a silent worker is then asked for its leases and not renewed, so that they end at a known time.

--- a/src/lease.c
+++ b/src/lease.c
@@ -242,6 +242,28 @@
   return NULL;
 }
 
+/* Notes that all leases on W may have been renewed until now. */
+static void
+note_renewal (Core *c, Worker *w)
+{
+  Part *p = NULL;
+
+  APR_RING_FOREACH (p, &w->parts, Part, link)
+    {
+      if (p->state == PART_RUNNING)
+        p->lease_end = MAX (p->lease_end, c->now + c->cfg->worker_lease_ms);
+    }
+}
+
+/* Tells whether the call that W has not answered is a renewal. */
+static gboolean
+is_renewing (const Core *c, const Worker *w)
+{
+  const WorkerPending *p = g_hash_table_lookup (c->sched->pending, &w->call);
+
+  return p && p->op == WORKER_RENEW;
+}
+
 static void
 worker_silent (Core *c, Worker *w)
 {
@@ -263,8 +285,9 @@
                                           c->cfg->worker_lease_ms / 4)));
 }
 
-/* Renews all leases on a worker; one that has not reported to this term is
-   asked for its leases first. */
+/* Renews all leases on a worker.  One that has not reported to this term, or
+   does not answer, is asked for its leases first, so that these end at a known
+   time. */
 void
 lease_tick (Core *c, Timer *t)
 {
@@ -275,12 +298,15 @@
     {
       if (c->now - w->asked < c->cfg->worker_timeout_ms + LEASE_ANSWER_GRACE_MS)
         return;
+      if (is_renewing (c, w))
+        note_renewal (c, w);
       g_hash_table_remove (c->sched->pending, &w->call);
       w->call = 0;
       worker_silent (c, w);
       return;
     }
-  if (!w->reported || c->now - w->renewed > c->cfg->worker_lease_ms ||
+  if (!w->reported || w->silent ||
+      c->now - w->renewed > c->cfg->worker_lease_ms ||
       (w->occupied && c->now - w->listed_at >= LEASE_OCCUPIED_MS) ||
       c->now - w->listed_at > c->cfg->worker_lease_ms * LEASE_REPORT_LEASES)
     {
@@ -341,6 +367,8 @@
       lease_report (c, w);
       return;
     }
+  if (op == WORKER_RENEW)
+    note_renewal (c, w);
   if (op == WORKER_REPORT)
     {
       check_missing (c, w, r);
