Clocks of idle workers are not all read at once

What operators would see: once a minute a scheduler with many idle workers asks all of them in one moment, and urgent starts wait behind.

Cause: workers that were first heard together were due together.

Why it works: each is read up to 30 s earlier, by its id.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -47,10 +47,15 @@
   FIRST_FENCE = 1,        /* of the first term ever */
   UNSAVED_DELAY_MS = 300, /* least time between holds while ends are unsaved */
   /* Between readings of an idle worker's clock.  A lease reckoned from an older
-     reading would be too short for a worker whose clock is right. */
-  CLOCK_READING_MS = 60000
+     reading would be too short for a worker whose clock is right.  Up to the
+     spread earlier, so that workers heard at one moment are not read at one. */
+  CLOCK_READING_MS = 60000,
+  CLOCK_READING_SPREAD_MS = 30000
 };
 
+/* Spreads the hashes of ids that hardly differ: 2^32 by the golden ratio. */
+static const guint32 hash_multiplier = 2654435769U;
+
 static const double full_percent = 100.0;
 static const gint64 ms_per_s = 1000;
 
@@ -130,7 +135,11 @@
 static ClockMs
 next_clock_reading (const PoolWorker *w)
 {
-  return w->registered ? w->worker_clock_at + CLOCK_READING_MS : CLOCK_NEVER;
+  guint32 mixed = g_str_hash (w->entry->id) * hash_multiplier;
+  ClockMs early = mixed % CLOCK_READING_SPREAD_MS;
+
+  return w->registered ? w->worker_clock_at + CLOCK_READING_MS - early
+                       : CLOCK_NEVER;
 }
 
 static gboolean
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -365,3 +365,21 @@
       w.expect_no_violations ();
     }
 }
+
+TEST (QueueUnreachable, ClocksOfIdleWorkersAreNotAllReadAtOnce)
+{
+  QueueWorld w (1, 200);
+
+  w.run (5000);
+  int before = w.n_polls;
+  int peak = 0;
+  for (int i = 0; i < 70; i++)
+    {
+      int sent = w.n_polls;
+
+      w.run (1000);
+      peak = std::max (peak, w.n_polls - sent);
+    }
+  EXPECT_GE (w.n_polls - before, 200);
+  EXPECT_LE (peak, 20);
+}
