A successor waits for normal leases again

Cause: entries of 250 of 350 workers had expired with the store when the scheduler changed, and the successor waited 12.5 s for all that its predecessor may have granted (workers_known span_ms=12501) in place of 7.8 s.

The first scheduler ever still waits for none.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -152,7 +152,6 @@
 void grant_cancel_late_starts (Dispatch *d, PoolWorker *w);
 void grant_refuse_late_starts (Dispatch *d, PoolWorker *w);
 gint64 grant_lease_deadline (Dispatch *d, PoolWorker *w);
-extern const ClockMs grant_max_lease;
 
 /* due.c */
 void due_init (Dispatch *d);
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -13,7 +13,7 @@
 static const ClockMs reply_delay_margin = 150;
 
 /* Workers limit a lease to this many milliseconds. */
-const ClockMs grant_max_lease = 10000;
+static const ClockMs max_lease = 10000;
 
 /* Returns the latest time by the scheduler's clock at which SPAN milliseconds
    of W's clock, which began at FROM, are over. */
@@ -111,7 +111,7 @@
   grant_cancel_late_starts (d, w);
   w->process_known_at = d->now;
   w->lease_expiry =
-      latest_end (w, MAX (d->now, w->late_grant_until), grant_max_lease);
+      latest_end (w, MAX (d->now, w->late_grant_until), max_lease);
   /* A late acknowledgement of the former process's ends would make the new one
      forget ends that it has not reported yet. */
   w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
@@ -127,8 +127,7 @@
       reply->worker_clock + reply_delay_margin >= w->worker_clock)
     return;
   effects_log (d->fx, "event=worker_clock_back worker=%s", w->entry->id);
-  w->lease_expiry =
-      MAX (w->lease_expiry, latest_end (w, d->now, grant_max_lease));
+  w->lease_expiry = MAX (w->lease_expiry, latest_end (w, d->now, max_lease));
   w->poll_immediately = TRUE;
 }
 
@@ -143,6 +142,6 @@
   w->late_grant_until =
       MAX (w->late_grant_until, call->sent_at + holds_late_order_window);
   if (call->sent_at < w->process_known_at)
-    w->lease_expiry = MAX (w->lease_expiry, latest_end (w, w->late_grant_until,
-                                                        grant_max_lease));
+    w->lease_expiry =
+        MAX (w->lease_expiry, latest_end (w, w->late_grant_until, max_lease));
 }
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -111,15 +111,46 @@
   return uses_long_lease (d, w) ? long_lease : normal_lease;
 }
 
-/* Returns the latest time at which a lease that a previous leader granted
-   expires.  It may be the longest one if its worker had restarted. */
+static gboolean
+has_long_step (const SpecJob *job)
+{
+  guint i;
+
+  for (i = 0; i < job->steps.n; i++)
+    if (is_long_step (spec_job_step (job, i)))
+      return TRUE;
+  return FALSE;
+}
+
+static ClockMs
+longest_lease (const Dispatch *d)
+{
+  GHashTableIter i;
+  gpointer p;
+
+  g_hash_table_iter_init (&i, job_cache_entries (d->job_cache));
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    {
+      const JobEntry *e = p;
+
+      if (e->job && has_long_step (e->job))
+        return long_lease;
+    }
+  return normal_lease;
+}
+
+/* Returns the latest time at which a lease that a previous leader granted for
+   any of the recorded jobs expires.
+   XXX: a worker that had restarted unnoticed may hold the longest lease. */
 ClockMs
 holds_prev_leases_expire_at (const Dispatch *d)
 {
+  ClockMs longest = longest_lease (d);
+
   if (d->term.fence <= FIRST_FENCE)
     return d->started_at;
-  return d->started_at + term_order_grace + grant_max_lease +
-         grant_max_lease / clock_skew_divisor;
+  return d->started_at + term_order_grace + longest +
+         longest / clock_skew_divisor;
 }
 
 /* Tells whether it is certain which runs are active on W: W has listed them, or
