--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import time
+import zlib
 
 from http11 import Server
 
@@ -218,7 +219,8 @@
 
     def _save(self, run):
         self.n_checkpoints += 1
-        text = "%016x" % (self.born * 1000 + self.n_checkpoints)
+        life = zlib.crc32(("%s %d" % (self.name, self.born)).encode())
+        text = "%08x%08x" % (life, self.n_checkpoints)
         run.checkpoint = (text * (self.checkpoint_size // 16 + 1))[:self.checkpoint_size]
         run.saved = run.worked
         self.world.checkpoints[run.checkpoint] = run.worked
