--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,66 +1,50 @@
-"""A host is stopped while the store is slow: what does it answer to requests whose
-write is under way when it ends?"""
+"""A runner starts again while it is cut off from the store, is given a task, and is then
+cut off from all machines: is the task started elsewhere while it still runs?"""
 import asyncio
-import signal
 
 import world
-from http11 import Connection
 
-CLIENTS = 16          # connections that are open when the host is stopped
-SLOW_FACTOR = 60.0    # platform_slow, as in the site file
-SLOW_S = 4.5
-FIRST_S = 2.3         # after the signal: the first of the requests
-GAP_S = 0.2           # between two requests
-LAST_S = 5.4
-WAIT_S = 10.0         # for the jobs to start, if they do
+ROOM = {"cpu": 64000, "memMb": 262144, "gpu": 8}
+RUNNERS = 8           # one of them is cut off: a share of 0.125
+QUIET_S = 4.0         # nothing runs before
+STORE_CUT_S = 5.0     # srv_cut reborn
+DOWN_S = 1.0          # from the crash to the next start
+SILENT_S = 5.5        # node_cut servers
 
 
 async def play(w):
-    room = {"cpu": 64000, "memMb": 262144, "gpu": 8}
-    await w.start([("w%d" % i, room, ["a", "r0"], "render") for i in range(8)], 3,
-                  [{"name": "nest", "service": "render", "priority": 2, "attempts": 4}])
-    leader = await w.leader()
-    host = next(h for h in w.hosts if h is not leader)
-    connections = []
-    for _ in range(CLIENTS):
-        c = Connection(host.front)
-        status, _, _ = await c.call("GET", "/nest/", {
-            "Host": world.HOST, "Authorization": "Bearer " + world.KEY})
-        if status != 200:
-            raise world.CannotRun("the host does not answer")
-        connections.append(c)
-
-    if w.trouble:
-        host.signal(signal.SIGTERM)
-    await asyncio.sleep(1.2)
+    await w.start([("w%d" % i, ROOM, ["b" if i < 2 else "a", "r0"], "render")
+                   for i in range(RUNNERS)], 3,
+                  [{"name": "proof", "service": "render", "priority": 1, "attempts": 3}])
+    victim = w.runners[0]
+    await asyncio.sleep(QUIET_S)
     if w.trouble:
-        w.log("the store is slow")
-        w.store.slow_factor = SLOW_FACTOR
-        asyncio.get_running_loop().call_later(SLOW_S, setattr, w.store, "slow_factor", 1.0)
-    await asyncio.sleep(FIRST_S - 1.2)
-
-    jobs, tasks = [], []
-    for i in range(int((LAST_S - FIRST_S) / GAP_S)):
-        job = w.job(i + 1, "nest", [{"count": 2, "cpu": 5600, "memMb": 29000, "gpu": 1,
-                                     "estimateMs": 800}], {"ms": 800})
-        jobs.append(job)
-        tasks.append(asyncio.ensure_future(
-            w.submit(host, job, connection=connections[i])))
-        await asyncio.sleep(GAP_S)
-    await asyncio.gather(*tasks)
+        w.log("%s is cut off from the store" % victim.name)
+        victim.registers = False
+        await asyncio.sleep(0.3)
+        await victim.crash()
+        await asyncio.sleep(DOWN_S)
+        await victim.start()
+        await asyncio.sleep(1.0)
+    job = w.job(1, "proof", [{"count": 1, "cpu": 26000, "memMb": 50000, "gpu": 8,
+                              "estimateMs": 11000, "requiredLabel": "b"}], {"ms": 11000})
+    if await w.submit(w.hosts[0], job) != 200:
+        raise world.CannotRun("the job was not accepted")
+    await w.until(3, lambda: job.starts, "the job does not start")
+    if job.starts[0][3] is not victim:
+        raise world.CannotRun("another runner was chosen")
     if w.trouble:
-        await host.ended(3)
-        await host.start()
-    await asyncio.sleep(WAIT_S)
-
-    accepted = [j for j in jobs if j.answers == [200]]
-    w.log("%d of %d accepted" % (len(accepted), len(jobs)))
-    if not accepted:
-        raise world.CannotRun("no job was accepted")
-    for job in jobs:
-        if job.starts and all(status in (429, 503) for status in job.answers):
-            w.broken("REFUSED: job %s was answered %s only, and has started %d tasks"
-                     % (job.id, job.answers, len(job.starts)))
+        await asyncio.sleep(0.4)
+        w.log("%s is cut off from all machines" % victim.name)
+        victim.silent = True
+        await asyncio.sleep(STORE_CUT_S - 2.3 - 0.4)
+        victim.registers = True
+        await asyncio.sleep(SILENT_S - (STORE_CUT_S - 2.3 - 0.4))
+        victim.silent = False
+        victim.report()
+        w.log("%s reaches all machines" % victim.name)
+    await asyncio.sleep(14.0)
+    w.log("state %s" % await w.state(w.hosts[1], job))
 
 
 world.main(__file__, play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,46 +1,66 @@
-"""Only one runner has the label that a job requires, and the job's first run there
-fails: is the task started again?"""
+"""A host is stopped while the store is slow: what does it answer to requests whose
+write is under way when it ends?"""
 import asyncio
-import time
+import signal
 
 import world
+from http11 import Connection
 
-RUNNERS = 12          # one of them fails what it starts: a share of 0.083
-GREY_S = 5.0          # srv_grey errors
-FINISH_S = 14.0       # finish_s
-IDLE_S = 3.0          # how long a job may have nothing running
-ROOM = {"cpu": 64000, "memMb": 262144, "gpu": 8}
+CLIENTS = 16          # connections that are open when the host is stopped
+SLOW_FACTOR = 60.0    # platform_slow, as in the site file
+SLOW_S = 4.5
+FIRST_S = 2.3         # after the signal: the first of the requests
+GAP_S = 0.2           # between two requests
+LAST_S = 5.4
+WAIT_S = 10.0         # for the jobs to start, if they do
 
 
 async def play(w):
-    await w.start([("w%d" % i, ROOM, ["b" if i == 0 else "a", "r0"], "render")
-                   for i in range(RUNNERS)], 2,
-                  [{"name": "proof", "service": "render", "priority": 1, "attempts": 3}])
-    only = w.runners[0]
+    room = {"cpu": 64000, "memMb": 262144, "gpu": 8}
+    await w.start([("w%d" % i, room, ["a", "r0"], "render") for i in range(8)], 3,
+                  [{"name": "nest", "service": "render", "priority": 2, "attempts": 4}])
+    leader = await w.leader()
+    host = next(h for h in w.hosts if h is not leader)
+    connections = []
+    for _ in range(CLIENTS):
+        c = Connection(host.front)
+        status, _, _ = await c.call("GET", "/nest/", {
+            "Host": world.HOST, "Authorization": "Bearer " + world.KEY})
+        if status != 200:
+            raise world.CannotRun("the host does not answer")
+        connections.append(c)
+
+    if w.trouble:
+        host.signal(signal.SIGTERM)
+    await asyncio.sleep(1.2)
     if w.trouble:
-        w.log("%s fails what it starts" % only.name)
-        only.grey_until = time.monotonic() + GREY_S
-    job = w.job(1, "proof", [{"count": 1, "cpu": 5600, "memMb": 29000, "gpu": 1,
-                              "estimateMs": 2500, "requiredLabel": "b"}], {"ms": 2500})
-    if await w.submit(w.hosts[0], job) != 200:
-        raise world.CannotRun("the job was not accepted")
-    await w.until(5, lambda: job.starts, "the job does not start")
-    # The traffic has ended.
-    await asyncio.sleep(FINISH_S)
-    before = len(job.starts)
-    idle = not only.runs
-    states = [await w.state(w.hosts[0], job)]
-    for _ in range(int((IDLE_S + 1.0) / 0.1)):
-        idle = idle and not any(r.runs for r in w.runners) and len(job.starts) == before
-        await asyncio.sleep(0.1)
-    states.append(await w.state(w.hosts[0], job))
-    failed = [e for e in job.ends if e[4] == "failed"]
-    w.log("states %s, %d runs, %d failed of 3 attempts" % (states, len(job.starts),
-                                                           len(failed)))
-    if idle and all(s in ("queued", "running") for s in states) and len(failed) < 3:
-        w.broken("LOST: job %s has had nothing running for over %.0f s, %.0f s after the end"
-                 " of the traffic, after %d of 3 attempts, on an idle service"
-                 % (job.id, IDLE_S, FINISH_S, len(failed)))
+        w.log("the store is slow")
+        w.store.slow_factor = SLOW_FACTOR
+        asyncio.get_running_loop().call_later(SLOW_S, setattr, w.store, "slow_factor", 1.0)
+    await asyncio.sleep(FIRST_S - 1.2)
+
+    jobs, tasks = [], []
+    for i in range(int((LAST_S - FIRST_S) / GAP_S)):
+        job = w.job(i + 1, "nest", [{"count": 2, "cpu": 5600, "memMb": 29000, "gpu": 1,
+                                     "estimateMs": 800}], {"ms": 800})
+        jobs.append(job)
+        tasks.append(asyncio.ensure_future(
+            w.submit(host, job, connection=connections[i])))
+        await asyncio.sleep(GAP_S)
+    await asyncio.gather(*tasks)
+    if w.trouble:
+        await host.ended(3)
+        await host.start()
+    await asyncio.sleep(WAIT_S)
+
+    accepted = [j for j in jobs if j.answers == [200]]
+    w.log("%d of %d accepted" % (len(accepted), len(jobs)))
+    if not accepted:
+        raise world.CannotRun("no job was accepted")
+    for job in jobs:
+        if job.starts and all(status in (429, 503) for status in job.answers):
+            w.broken("REFUSED: job %s was answered %s only, and has started %d tasks"
+                     % (job.id, job.answers, len(job.starts)))
 
 
 world.main(__file__, play)
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -57,6 +57,7 @@
         self.grey_until = 0.0   # until then each run fails soon after its start
         self.checkpoint_size = 16
         self.late_s = 0.0       # the next start is carried out so much later
+        self.silent = False     # cut off from all machines: nothing comes or goes
 
     # Lives.
 
@@ -105,7 +106,7 @@
 
     def report(self):
         key = "servers/" + self.name
-        if self.registers and self.world.store.value_of(key) != json.dumps(
+        if self.registers and not self.silent and self.world.store.value_of(key) != json.dumps(
                 self.entry()).encode():
             self.world.store.put(key, self.entry())
 
@@ -126,6 +127,10 @@
     # Calls.
 
     async def serve(self, request):
+        answer = None if self.silent else await self._answer(request)
+        return None if self.silent else answer
+
+    async def _answer(self, request):
         if request.path == "/healthz":
             return 200, {}
         if request.headers.get("expect-instance", self.name) != self.name:
@@ -153,7 +158,7 @@
         self.late_s = 0.0
 
     def _carry_out(self, body):
-        if not self.up:
+        if not self.up or self.silent:
             return
         if body.get("fence", 0) < self.fence:
             answer = 409, {"reason": "fence"}
@@ -164,7 +169,7 @@
             body["task"], body["run"], self.name, answer))
 
     def _said(self, value):
-        return dict(value, clockMs=self.clock(), born=self.born)
+        return dict(value, clockMs=self.clock())
 
     def _renew(self, body):
         asked = min(body.get("deadlineMs", 0), self.clock() + HOLD_MAX_MS)
@@ -185,7 +190,8 @@
                 pass
         running = [[r.task, r.number, r.checkpoint, r.percent(), 0]
                    for r in self.runs.values()]
-        return 200, self._said({"running": running, "ended": self.ends[:500]})
+        return 200, self._said({"running": running, "ended": self.ends[:500],
+                                "born": self.born})
 
     def _start(self, body):
         task, number = body["task"], body["run"]
