--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,11 +6,11 @@
 import world
 from http11 import Connection
 
-CLIENTS = 16          # connections that are open when the host is stopped
+CLIENTS = 20          # connections that are open when the host is stopped
 SLOW_FACTOR = 60.0    # platform_slow, as in the site file
 SLOW_S = 4.5
 FIRST_S = 2.3         # after the signal: the first of the requests
-GAP_S = 0.2           # between two requests
+GAP_S = 0.16          # between two requests
 LAST_S = 5.4
 WAIT_S = 10.0         # for the jobs to start, if they do
 
