--- a/review/3/case.py
+++ b/review/3/case.py
@@ -48,6 +48,8 @@
             w.submit(host, job, connection=connections[i])))
         await asyncio.sleep(GAP_S)
     await asyncio.gather(*tasks)
+    for c in connections:
+        c.close()
     if w.trouble:
         await host.ended(3)
         await host.start()
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -307,6 +307,8 @@
             if r.up:
                 await r.crash()
         self.store.stop()
+        await self.store.server.crash()
+        await asyncio.sleep(0.05)   # the transports close
         for h in self.hosts:
             path = os.path.join(self.folder, h.name + ".log")
             if os.path.exists(path):
