--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -95,6 +95,7 @@
             "target/wagtailpass-node", cwd=ROOT, env=environment, stdout=log, stderr=log,
             stdin=asyncio.subprocess.DEVNULL)
         log.close()
+        self.world.processes.append(self.process)
         self.world.log("host %s started, process %d" % (self.name, self.process.pid))
 
     def signal(self, number):
@@ -140,6 +141,7 @@
         self.store = Store(self)
         self.runners = []
         self.hosts = []
+        self.processes = []   # of hosts, all that were started
         self.jobs = {}
         self.checkpoints = {}
         self.faults = []      # broken rules, as text
@@ -299,10 +301,10 @@
     # The end.
 
     async def close(self):
-        for h in self.hosts:
-            if h.process and h.process.returncode is None:
-                h.process.kill()
-                await h.process.wait()
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         for r in self.runners:
             if r.up:
                 await r.crash()
