Scheduler: a start is reckoned by a recent reading of its worker's clock

What callers saw: TWICE.

Cause: a start's deadline is on the worker's own clock, reckoned from the last reading, up to 60 s old for an idle worker. By a new process's clock, which begins anew, the deadline is far ahead, so that the lease is the longest, 10 s, where 5.5 s were reckoned with. The check of the clock in answers compared it with the old reading as it was, not as it must be by now. Class: a deadline reckoned by a clock that may belong to a process since replaced.

Fix: a start waits for a hold that reads the clock when the last reading is over 1 s old; an unanswered one ends the start unsent. Each answer's clock bounds the lease by the greatest deadline sent. A hold that only reads grants no lease. Starts that wait are charged to the host's link at once, or more would be placed than it carries (QueueLink.ThroughputGrowsWithTheLinkRate failed without).

Why it works: a new process is told by the hold's start time before any start carries a deadline, so that nothing is granted by the former clock; that also covers a scheduler that dies at once, whose successor can't know.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -139,6 +139,7 @@
 void runs_forget_orphans (Dispatch *d, PoolWorker *w);
 void runs_retry_order (Dispatch *d, WorkPlacement *placement);
 void runs_send_queued (Dispatch *d, PoolWorker *w);
+void runs_drop_unsent (Dispatch *d, PoolWorker *w);
 void runs_stop_stalled (Dispatch *d, WorkPlacement *placement);
 void runs_apply_end (Dispatch *d, WorkTask *task, gint64 run, RunEnd how);
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPlacement *placement);
@@ -146,6 +147,7 @@
 
 /* grant.c */
 void grant_note_late_start (const Dispatch *d, const WorkPlacement *placement);
+gboolean grant_clock_is_recent (const Dispatch *d, const PoolWorker *w);
 void grant_check_clock (Dispatch *d, PoolWorker *w, const RunReply *reply);
 void grant_on_restart (Dispatch *d, PoolWorker *w);
 void grant_note_lost (PoolWorker *w, const PendingCall *call);
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -15,6 +15,11 @@
 /* Workers limit a lease to this many milliseconds. */
 static const ClockMs max_lease = 10000;
 
+/* Greatest age in milliseconds of the reading of a worker's clock that a start
+   is reckoned from: its process may have been replaced since.  As old as the
+   holds of a busy worker let it become. */
+static const ClockMs max_reading_age = 1000;
+
 /* Returns the latest time by the scheduler's clock at which SPAN milliseconds
    of W's clock, which began at FROM, are over. */
 static ClockMs
@@ -24,6 +29,17 @@
          MAX (reply_delay_margin, rtt_bound (&w->rtt));
 }
 
+/* Tells whether W's clock was read so recently that a deadline by it is safe
+   for a start.  A hold that was sent just after the reading, and has not
+   failed, is still with the process that was read. */
+gboolean
+grant_clock_is_recent (const Dispatch *d, const PoolWorker *w)
+{
+  ClockMs seen_until = w->poll_id ? w->poll_sent_at : d->now;
+
+  return seen_until - w->worker_clock_at <= max_reading_age;
+}
+
 /* Returns the deadline of a lease of W that begins now, by W's clock: at most
    the lease's duration ahead, however slow that clock may be.  Updates W's
    lease expiry, the latest time at which the lease ends by the scheduler's
@@ -38,6 +54,7 @@
 
   w->lease_expiry =
       MAX (w->lease_expiry, latest_end (w, w->worker_clock_at, span));
+  w->lease_deadline = MAX (w->lease_deadline, w->worker_clock + span);
   return w->worker_clock + span;
 }
 
@@ -110,6 +127,7 @@
       runs_stop_unconfirmed_start (d, placement);
   grant_cancel_late_starts (d, w);
   w->process_known_at = d->now;
+  w->lease_deadline = 0;
   w->lease_expiry =
       latest_end (w, MAX (d->now, w->late_grant_until), max_lease);
   /* A late acknowledgement of the former process's ends would make the new one
@@ -117,17 +135,21 @@
   w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
 }
 
-/* Compares the clock in REPLY, an answer of W to an order, with W's last list.
-   A clock that has gone back is that of a new process, which may have got the
-   longest lease by the deadline of the order. */
+/* Compares what the clock in REPLY, an answer of W to an order, leaves of the
+   greatest deadline that W was sent with the lease that was reckoned with.  A
+   clock that leaves more is that of a new process. */
 void
 grant_check_clock (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
-  if (reply->status != RUN_OK || !reply->worker_clock ||
-      reply->worker_clock + reply_delay_margin >= w->worker_clock)
+  ClockMs left = CLAMP (w->lease_deadline - reply->worker_clock, 0, max_lease);
+  ClockMs lease_end = d->now + left + left * max_clock_lag_permille / 1000;
+
+  if (!reply->worker_clock || lease_end <= w->lease_expiry)
     return;
-  effects_log (d->fx, "event=worker_clock_back worker=%s", w->entry->id);
-  w->lease_expiry = MAX (w->lease_expiry, latest_end (w, d->now, max_lease));
+  effects_log (d->fx,
+               "event=worker_clock_back worker=%s longer_ms=%" CLOCK_MS_FORMAT,
+               w->entry->id, lease_end - w->lease_expiry);
+  w->lease_expiry = lease_end;
   w->poll_immediately = TRUE;
 }
 
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -141,7 +141,8 @@
 
 /* Returns the latest time at which a lease that a previous leader granted for
    any of the recorded jobs expires.
-   XXX: a worker that had restarted unnoticed may hold the longest lease. */
+   XXX: a worker that restarted while a hold was under way, which then failed to
+   tell, may hold the longest lease. */
 ClockMs
 holds_prev_leases_expire_at (const Dispatch *d)
 {
@@ -236,12 +237,20 @@
                 POLL_MAX_MS);
 }
 
+/* Tells whether W's next hold must read its clock without delay, as starts may
+   come that need it.  Few come to a worker with a long pause. */
+static gboolean
+must_read_clock (const Dispatch *d, const PoolWorker *w)
+{
+  return !grant_clock_is_recent (d, w) && !uses_long_lease (d, w);
+}
+
 /* Returns how long the next hold of W may wait for a run to end. */
 static ClockMs
 hold_wait (const Dispatch *d, const PoolWorker *w, gboolean unsaved)
 {
   if (!w->runs_known || w->n_placements == 0 || w->poll_immediately ||
-      unsaved || w->polls_unanswered)
+      unsaved || w->polls_unanswered || must_read_clock (d, w))
     return 0;
   if (call_limit_is_single (&w->calls))
     return SHARED_POLL_MS;
@@ -330,6 +339,21 @@
   return w->ends_applied;
 }
 
+/* Tells whether W needs a lease: for its runs, or for ends whose
+   acknowledgement counts only before the lease has expired. */
+static gboolean
+needs_lease (const PoolWorker *w)
+{
+  const WorkPlacement *placement;
+
+  if (w->ends_applied > w->ends_acked)
+    return TRUE;
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    if (placement->start_sent)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 send_hold (Dispatch *d, PoolWorker *w)
 {
@@ -338,7 +362,8 @@
 
   /* The lease of an unresponsive worker is not renewed, so that it expires at a
      known time. */
-  if (w->runs_known && !w->polls_unanswered && d->may_send_orders)
+  if (w->runs_known && !w->polls_unanswered && d->may_send_orders &&
+      needs_lease (w))
     call->lease_deadline = grant_lease_deadline (d, w);
   call->ack = ack_to_send (w, unsaved);
   w->ends_ack_sent = call->ack;
@@ -727,6 +752,7 @@
 {
   w->polls_unanswered++;
   w->last_disruption = d->now;
+  runs_drop_unsent (d, w);
   w->next_poll = d->now + MIN ((ClockMs)RETRY_MS * w->polls_unanswered,
                                (ClockMs)(w->lease_expired ? RETRY_LAPSED_MS
                                                           : RETRY_MAX_MS));
@@ -768,6 +794,7 @@
     {
       /* The worker takes no more connections, but serves others. */
       w->next_poll = d->now + RETRY_MS;
+      runs_drop_unsent (d, w);
     }
   else
     {
--- a/queue/link.c
+++ b/queue/link.c
@@ -49,6 +49,17 @@
   l->updated_at = MAX (now, l->updated_at);
 }
 
+/* Takes BYTES, which were added for a call that is sent only now, from the
+   backlog again. */
+void
+link_remove_bytes (Link *l, ClockMs now, gsize bytes)
+{
+  if (!l->bytes_per_s)
+    return;
+  l->backlog_bytes = MAX (backlog_at (l, now) - (double)bytes, 0.0);
+  l->updated_at = MAX (now, l->updated_at);
+}
+
 /* Returns how many milliseconds it takes to drain L's backlog. */
 ClockMs
 link_delay (const Link *l, ClockMs now)
@@ -100,15 +111,18 @@
   return bytes;
 }
 
+/* Returns the approximate size on the link of an order that carries TEXT and
+   CHECKPOINT; either may be NULL. */
+gsize
+link_order_bytes (const char *text, const char *checkpoint)
+{
+  return CALL_OVERHEAD_BYTES + (text ? strlen (text) : 0) +
+         (checkpoint ? strlen (checkpoint) : 0);
+}
+
 /* Returns the approximate size of CALL on the link. */
 gsize
 link_run_call_bytes (const RunCall *call)
 {
-  gsize bytes = CALL_OVERHEAD_BYTES;
-
-  if (call->text)
-    bytes += strlen (call->text);
-  if (call->checkpoint)
-    bytes += strlen (call->checkpoint);
-  return bytes;
+  return link_order_bytes (call->text, call->checkpoint);
 }
--- a/queue/link.h
+++ b/queue/link.h
@@ -15,11 +15,13 @@
 
 void link_init (Link *l, gint64 bytes_per_s);
 void link_add_bytes (Link *l, ClockMs now, gsize bytes);
+void link_remove_bytes (Link *l, ClockMs now, gsize bytes);
 ClockMs link_delay (const Link *l, ClockMs now);
 gboolean link_has_capacity (const Link *l, ClockMs now);
 ClockMs link_interval (const Link *l, ClockMs now, ClockMs usual, ClockMs slow);
 ClockMs link_capacity_at (const Link *l, ClockMs now);
 gsize link_kv_call_bytes (const KvCall *call);
+gsize link_order_bytes (const char *text, const char *checkpoint);
 gsize link_run_call_bytes (const RunCall *call);
 
 #endif
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -89,6 +89,8 @@
   CallLimit calls;         /* in flight */
   RttEstimate rtt;
   ClockMs lease_expiry; /* latest end of its runs without a renewal */
+  /* Greatest that its present process was sent, by the worker's clock. */
+  gint64 lease_deadline;
   /* Until then a call without an answer may be executed and grant a lease. */
   ClockMs late_grant_until;
   ClockMs process_known_at; /* first list of its present process */
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -128,13 +128,55 @@
   return FALSE;
 }
 
+/* Tells whether PLACEMENT's worker's clock has to be read before its start is
+   sent. */
+static gboolean
+needs_clock_reading (const Dispatch *d, const WorkPlacement *placement)
+{
+  return placement->state == PLACEMENT_STARTING &&
+         !grant_clock_is_recent (d, placement->worker);
+}
+
+/* Returns the size of PLACEMENT's start on the link. */
+static gsize
+start_bytes (const WorkPlacement *placement)
+{
+  return link_order_bytes (placement->task->step->job->entry->job->text,
+                           checkpoint_of (placement->task));
+}
+
+/* Queues PLACEMENT's start until its worker has told its clock.  The link is
+   charged at once, so that no more is placed than it carries. */
+static void
+await_clock_reading (Dispatch *d, WorkPlacement *placement)
+{
+  PoolWorker *w = placement->worker;
+
+  if (!placement->awaits_reading)
+    link_add_bytes (&d->fx->link, d->now, start_bytes (placement));
+  placement->awaits_reading = TRUE;
+  placement->order_queued = TRUE;
+  placement->retry_at = CLOCK_NEVER;
+  w->poll_immediately = TRUE;
+  w->next_poll = d->now;
+  due_mark (d, w);
+}
+
 static void
 send_start (Dispatch *d, WorkPlacement *placement)
 {
   RunCall *call;
 
+  if (needs_clock_reading (d, placement))
+    {
+      await_clock_reading (d, placement);
+      return;
+    }
   if (!can_send_order (placement))
     return;
+  if (placement->awaits_reading)
+    link_remove_bytes (&d->fx->link, d->now, start_bytes (placement));
+  placement->awaits_reading = FALSE;
   call = placement_call (RUN_START, placement);
   call->text = g_strdup (placement->task->step->job->entry->job->text);
   call->checkpoint = g_strdup (checkpoint_of (placement->task));
@@ -690,17 +732,17 @@
 }
 
 /* Returns the queued order of W to send first: stops free room, so they come
-   before starts, of which the most urgent job's comes first.  NULL if none is
-   queued. */
+   before starts, of which the most urgent job's comes first.  NULL if none can
+   be sent. */
 static WorkPlacement *
-first_queued_order (PoolWorker *w)
+first_queued_order (const Dispatch *d, PoolWorker *w)
 {
   WorkPlacement *best = NULL;
   WorkPlacement *placement;
 
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     {
-      if (!placement->order_queued)
+      if (!placement->order_queued || needs_clock_reading (d, placement))
         continue;
       if (placement->state == PLACEMENT_STOPPING)
         return placement;
@@ -717,7 +759,8 @@
 {
   WorkPlacement *placement;
 
-  while (call_limit_allows (&w->calls) && (placement = first_queued_order (w)))
+  while (call_limit_allows (&w->calls) &&
+         (placement = first_queued_order (d, w)))
     {
       placement->order_queued = FALSE;
       placement->retry_at = d->now;
@@ -725,6 +768,31 @@
     }
 }
 
+static WorkPlacement *
+find_unsent (PoolWorker *w)
+{
+  WorkPlacement *placement;
+
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    if (placement->state == PLACEMENT_STARTING && !placement->start_sent)
+      return placement;
+  return NULL;
+}
+
+/* Gives up the starts that wait for a reading of W's clock, which W has not
+   answered: nothing was sent, so that their tasks can start elsewhere. */
+void
+runs_drop_unsent (Dispatch *d, PoolWorker *w)
+{
+  WorkPlacement *placement;
+
+  while ((placement = find_unsent (w)))
+    {
+      exclude_worker (d, w, EXCLUSION_MS);
+      runs_end (d, placement, RUN_STOPPED, NULL);
+    }
+}
+
 /* Handles REPLY to the pending start or stop order O. */
 void
 runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply)
--- a/queue/work.h
+++ b/queue/work.h
@@ -35,6 +35,8 @@
   gint64 confirmed_call; /* highest call id when its order was answered */
   ClockMs retry_at;      /* when to send the order again */
   gboolean order_queued; /* the order waits for another one to the worker */
+  /* The start waits for a reading of the worker's clock. */
+  gboolean awaits_reading;
   guint order_attempts;
   ClockMs started_at;
   double percent;          /* progress that the worker last reported */
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -208,6 +208,39 @@
   w.expect_no_violations ();
 }
 
+/* The clock of the new process is past the one reading of the former's. */
+TEST (QueueUnreachable, LeaseByAReadingEarlyInTheLifeBeforeIsWaitedFor)
+{
+  QueueWorld w (1, 2);
+  const std::string id = "0000000000000411";
+
+  w.run (4000);
+  for (int i = 0; i < 2; i++)
+    restart_unnoticed (w, i);
+  w.run (2500);
+  w.submit (0, one_task (id, "ms=9500"));
+  int worker = run_until_started (w, id + ".0.0.0");
+  ASSERT_GE (worker, 0);
+  w.workers[worker].unreachable_until = w.now () + 30000;
+  w.run (30000);
+  EXPECT_EQ (w.starts (id + ".0.0.0"), 2);
+  w.expect_no_violations ();
+}
+
+TEST (QueueUnreachable, StartsOfAWorkerThatTellsNoClockGoElsewhereAtOnce)
+{
+  QueueWorld w (1, 2);
+  const std::string id = "0000000000000414";
+
+  w.run (20000);
+  w.workers[0].unreachable_until = w.now () + 60000;
+  w.workers[1].unreachable_until = w.now () + 2000;
+  w.submit (0, one_task (id, "ms=1000"));
+  w.run (4500);
+  EXPECT_EQ (w.state_of (id), "completed");
+  w.expect_no_violations ();
+}
+
 TEST (QueueUnreachable, LateStartOfAWorkerThatLeftThePoolIsRefused)
 {
   for (unsigned seed = 1; seed <= 40 && !HasFailure (); seed++)
