Intake: a host that stops tells an unknown outcome from a refusal

What callers saw: REFUSED.

Cause: at the end of a drain the HTTP server answered all requests under way with 503 by itself, also one whose write the store had carried out or still would.

Fix: the node, which knows what it has sent, answers what is pending before the process ends: 504 for a write in flight, 503 only if nothing was sent.

--- a/queue/intake.c
+++ b/queue/intake.c
@@ -739,6 +739,23 @@
     }
 }
 
+/* Answers all pending requests, as the process is about to end.  A write in
+   flight may have been executed, or still be. */
+void
+intake_stop (Intake *in)
+{
+  Pending *p, *next;
+
+  APR_RING_FOREACH_SAFE (p, next, &in->pending, Pending, link)
+    {
+      if (answer_from_job_cache (in, p))
+        continue;
+      if (p->call_id && p->stage != STAGE_READ)
+        p->outcome_unknown = TRUE;
+      answer_store_failure (in, p);
+    }
+}
+
 /* Returns when intake_tick is due, or CLOCK_NEVER. */
 ClockMs
 intake_next_deadline (const Intake *in)
--- a/queue/intake.h
+++ b/queue/intake.h
@@ -51,6 +51,7 @@
 void intake_on_disconnect (Intake *in, gint64 request);
 gboolean intake_on_kv_reply (Intake *in, const KvReply *reply);
 void intake_tick (Intake *in);
+void intake_stop (Intake *in);
 ClockMs intake_next_deadline (const Intake *in);
 guint intake_n_pending (const Intake *in);
 void intake_append_metrics (const Intake *in, GString *text);
--- a/queue/node.c
+++ b/queue/node.c
@@ -461,6 +461,14 @@
   term_set_eligible (&n->term, FALSE);
 }
 
+/* Answers all pending requests, as the process is about to end.  Calls to the
+   store and to workers that are queued from now on need not be made. */
+void
+node_stop (Node *n)
+{
+  intake_stop (n->intake);
+}
+
 /* Removes and returns the oldest queued effect, which the caller frees, or
    NULL. */
 Effect *
--- a/tests/queue_operations_test.cc
+++ b/tests/queue_operations_test.cc
@@ -150,6 +150,33 @@
   w.expect_no_violations ();
 }
 
+/* What a stopping host answers to a write that the store has carried out, or
+   still may. */
+TEST (QueueOperations, StoppingHostDoesNotRefuseAWriteThatWasSent)
+{
+  for (int wait = 0; wait < 12 && !HasFailure (); wait++)
+    {
+      QueueWorld w (2, 2, (unsigned)wait + 1);
+      const std::string id = job_id (47000, wait);
+
+      SCOPED_TRACE (wait);
+      w.run (3000);
+      int host = 1 - w.scheduler ();
+
+      w.store_reply_loss_rate = 1;
+      int submitted =
+          w.submit (host, { "q1/" + id, world_body (world_step (2, 1000, 1)) });
+      w.run (wait * 50);
+      w.stop_host (host);
+      w.store_reply_loss_rate = 0;
+      ASSERT_TRUE (w.answer (submitted));
+      EXPECT_EQ (w.answer (submitted)->status, 504);
+      w.run (5000);
+      EXPECT_EQ (w.state_of (id), "completed");
+      w.expect_no_violations ();
+    }
+}
+
 /* Two rolling restarts of all hosts while jobs are submitted. */
 TEST (QueueOperations, RollingRestartLosesNoJob)
 {
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -196,6 +196,15 @@
   node_drain (hosts[i].node);
 }
 
+/* Ends a host's process as at the end of a drain. */
+void
+QueueWorld::stop_host (int i)
+{
+  node_stop (hosts[i].node);
+  pump (i);
+  kill_host (i);
+}
+
 /* Stops a worker with all its state; its entry in the store stays if LISTED. */
 void
 QueueWorld::crash_worker (int i, bool listed)
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -165,6 +165,7 @@
   void kill_host (int host, bool power_loss = false);
   void start_host (int host);
   void drain_host (int host);
+  void stop_host (int host);
   void crash_worker (int worker, bool listed);
   void restart_worker (int worker);
   void drain_worker (int worker);
