Store client: a success that is not known is no refusal

A write answered with a 2xx that the protocol doesn't name was taken for refused, so that the caller would have got 503 for a job that the store may have.

Cause: kv_status took all unknown statuses below 500 for refusals.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -369,6 +369,17 @@
     }
 }
 
+TEST (PlatformKvClient, SuccessThatIsNotKnownIsNoRefusal)
+{
+  for (int status : { 201, 202, 204, 500, 502, 504 })
+    {
+      KvReply reply = decode_kv_reply (FETCH_ANSWERED, status, "{}");
+
+      EXPECT_EQ (reply.status, KV_OUTCOME_UNKNOWN) << status;
+      kv_reply_clear (&reply);
+    }
+}
+
 TEST (PlatformKvClient, ItemsWithoutAValidKeyAreSkipped)
 {
   for (const char *body :
