Placement: no worker is left out for good after a failure

What callers saw: LOST.

Cause: the worker on which a task failed or stalled last was left out at every level of trust, without an end.

Fix: a task is kept from that worker for 6 s, or for 2 s if no other can ever run it and it has attempts to spare. Tasks and gangs that no other worker can ever run may use workers in quarantine.

Why it works: eligibility is asked of the fleet as if it were idle, so that a worker is left out only while another can come to run the task, and then only for a bounded time.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -17,6 +17,9 @@
   /* Wait of a last attempt for a proven worker: as long as most failure spikes
      last. */
   PROVEN_WORKER_WAIT_MS = 6000,
+  /* How long a task is kept from the worker on which it failed, if no other
+     can ever take it; else for PROVEN_WORKER_WAIT_MS. */
+  ONLY_WORKER_WAIT_MS = 2000,
   EVICT_RETRY_MS = 300,       /* between evictions for the same step */
   MAX_EVICTIONS_PER_PASS = 3, /* bounds the duration of a pass */
   FEASIBILITY_TTL_MS = 1000   /* of the result of is_feasible_when_empty */
@@ -30,10 +33,11 @@
   guint n_candidates;
   PoolResources min_need; /* least amount of each resource that a task needs */
   guint evictions;
-  gboolean link_full;      /* the pass stopped short and must be repeated */
-  PoolResources largest;   /* largest amount of each resource on any worker */
-  double free_workers;     /* free room of usable workers, in workers */
-  double reserved_workers; /* of it, the part kept for urgent work */
+  gboolean has_quarantined; /* some usable worker is in quarantine */
+  gboolean link_full;       /* the pass stopped short and must be repeated */
+  PoolResources largest;    /* largest amount of each resource on any worker */
+  double free_workers;      /* free room of usable workers, in workers */
+  double reserved_workers;  /* of it, the part kept for urgent work */
 } Pass;
 
 /* Tells whether N_TASKS of STEP may be placed without using room that is
@@ -77,6 +81,12 @@
          w->excluded_until <= d->now;
 }
 
+static gboolean
+is_quarantined (const Dispatch *d, const PoolWorker *w)
+{
+  return w->quarantined_until > d->now;
+}
+
 /* Raises each resource of MAX to at least that of ROOM. */
 static void
 raise_to_max (PoolResources *max, const PoolResources *room)
@@ -104,8 +114,13 @@
 
       if (!assign_is_usable (p->d, w))
         continue;
-      n_usable++;
-      p->free_workers += reserve_free_fraction (&room, &p->largest);
+      if (is_quarantined (p->d, w))
+        p->has_quarantined = TRUE;
+      else
+        {
+          n_usable++;
+          p->free_workers += reserve_free_fraction (&room, &p->largest);
+        }
       if (pool_resources_fit (&room, &p->min_need))
         p->candidates[p->n_candidates++] =
             (FitWorker) { .worker = w, .room = room };
@@ -136,25 +151,33 @@
     refresh_free_room (p);
 }
 
-/* Tells whether STEP would fit if all usable workers were idle.  That changes
-   only as workers come and go, so the result is kept for a while. */
+/* Tells whether RQ would fit if all usable workers were idle. */
 static gboolean
-is_feasible_when_empty (Pass *p, WorkStep *step, const FitRequest *rq)
+is_feasible (const Pass *p, const FitRequest *rq)
 {
   const Pool *pool = &p->d->pool;
-  FitWorker *usable;
+  FitWorker *usable = g_new0 (FitWorker, pool_size (pool) + 1);
+  gboolean feasible;
   guint n = 0;
   guint i;
 
-  if (step->fits_empty_fleet_until > p->d->now)
-    return step->fits_empty_fleet;
-  usable = g_new0 (FitWorker, pool_size (pool) + 1);
   for (i = 0; i < pool_size (pool); i++)
     if (assign_is_usable (p->d, pool_at (pool, i)))
       usable[n++].worker = pool_at (pool, i);
-  step->fits_empty_fleet = fit_feasible_when_empty (rq, usable, n);
-  step->fits_empty_fleet_until = p->d->now + FEASIBILITY_TTL_MS;
+  feasible = fit_feasible_when_empty (rq, usable, n);
   g_free (usable);
+  return feasible;
+}
+
+/* Returns what is_feasible says of RQ, a request for STEP.  That changes only
+   as workers come and go, so the result is kept for a while. */
+static gboolean
+is_feasible_when_empty (Pass *p, WorkStep *step, const FitRequest *rq)
+{
+  if (step->fits_empty_fleet_until > p->d->now)
+    return step->fits_empty_fleet;
+  step->fits_empty_fleet = is_feasible (p, rq);
+  step->fits_empty_fleet_until = p->d->now + FEASIBILITY_TTL_MS;
   return step->fits_empty_fleet;
 }
 
@@ -345,6 +368,21 @@
          fit_place (&rq, p->candidates, p->n_candidates, chosen);
 }
 
+/* Chooses workers for STEP, a gang, also among those in quarantine if the
+   others could not hold it even when idle. */
+static gboolean
+choose_with_quarantined (Pass *p, WorkStep *step, PoolWorker **chosen)
+{
+  FitRequest rq = assign_request (p->d, step, (guint)step->spec->count);
+
+  rq.ignore_racks = TRUE;
+  if (!p->has_quarantined || is_feasible (p, &rq))
+    return FALSE;
+  rq.allow_quarantined = TRUE;
+  reset_placed (p);
+  return fit_place (&rq, p->candidates, p->n_candidates, chosen);
+}
+
 static void
 place_gang (Pass *p, WorkStep *step)
 {
@@ -354,7 +392,8 @@
       !fits_outside_reserve (p, step, (guint)step->spec->count))
     return;
   chosen = g_new0 (PoolWorker *, step->spec->count);
-  if (choose_gang_workers (p, step, chosen))
+  if (choose_gang_workers (p, step, chosen) ||
+      choose_with_quarantined (p, step, chosen))
     {
       start_gang (p->d, step, chosen);
       subtract_free (p, step, (guint)step->spec->count);
@@ -364,20 +403,86 @@
   g_free (chosen);
 }
 
+/* Returns for how long TASK may be kept from the worker on which it failed. */
+static ClockMs
+failed_worker_wait (const WorkTask *task, gboolean has_other_worker)
+{
+  gint64 attempts_left =
+      task->step->job->entry->job->attempts - (gint64)work_task_attempts (task);
+
+  return has_other_worker || attempts_left == 1 ? PROVEN_WORKER_WAIT_MS
+                                                : ONLY_WORKER_WAIT_MS;
+}
+
 static gboolean
-place_task (Pass *p, WorkTask *task, FitTrust min_trust)
+failed_within (const Pass *p, const WorkTask *task, ClockMs span)
+{
+  return task->failed_on && p->d->now < task->last_failure_at + span;
+}
+
+/* Tells whether some worker that RQ does not exclude could run its task when
+   idle. */
+static gboolean
+has_other_worker (const Pass *p, const FitRequest *rq)
+{
+  const Pool *pool = &p->d->pool;
+  FitRequest any = *rq;
+  guint i;
+
+  any.trust = FIT_ANY;
+  for (i = 0; i < pool_size (pool); i++)
+    {
+      const PoolWorker *w = pool_at (pool, i);
+
+      if (assign_is_usable (p->d, w) && fit_is_eligible (&any, w) &&
+          pool_resources_fit (&w->entry->capacity, &rq->need))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Lets RQ, a request for TASK, use the workers that it excludes if no other can
+   ever run it.  Returns whether that changed RQ. */
+static gboolean
+admit_only_worker (const Pass *p, const WorkTask *task, FitRequest *rq)
+{
+  if ((!rq->excluded_worker && !p->has_quarantined) ||
+      has_other_worker (p, rq) ||
+      failed_within (p, task, failed_worker_wait (task, FALSE)))
+    return FALSE;
+  rq->excluded_worker = NULL;
+  rq->allow_quarantined = TRUE;
+  return TRUE;
+}
+
+/* Chooses a worker for TASK, of at least MIN_TRUST: another one than that on
+   which it failed lately, unless no other can ever run it. */
+static gboolean
+choose_worker (Pass *p, WorkTask *task, FitTrust min_trust, PoolWorker **chosen)
 {
   WorkStep *step = task->step;
   FitRequest rq = assign_request (p->d, step, 1);
-  PoolWorker *chosen;
   ClockMs age_ms = p->d->now - step->job->accepted_at;
-  gint64 run;
 
-  rq.excluded_worker = task->failed_on;
+  if (failed_within (p, task, failed_worker_wait (task, TRUE)))
+    rq.excluded_worker = task->failed_on;
   rq.trust = task->last_failure_at ? FIT_PROVEN_SINCE : FIT_ANY;
   rq.ignore_racks =
       *rq.data_rack && age_ms > RACK_WAIT_MS + step->spec->estimate_ms;
-  if (!place_by_trust (p, &rq, min_trust, &chosen))
+  if (place_by_trust (p, &rq, min_trust, chosen))
+    return TRUE;
+  rq.trust = min_trust;
+  return admit_only_worker (p, task, &rq) &&
+         fit_place (&rq, p->candidates, p->n_candidates, chosen);
+}
+
+static gboolean
+place_task (Pass *p, WorkTask *task, FitTrust min_trust)
+{
+  PoolWorker *chosen;
+  gint64 run;
+
+  if (!choose_worker (p, task, min_trust, &chosen))
     return FALSE;
   run = MAX (task->last_run + 1, p->d->term.first_run);
   runs_start (p->d, work_placement_new (task, chosen, run, PLACEMENT_STARTING));
@@ -409,7 +514,8 @@
           n++;
           run = MAX (run, task->last_run);
         }
-      else if (min_trust == FIT_ANY)
+      else if (min_trust == FIT_ANY &&
+               !failed_within (p, task, failed_worker_wait (task, TRUE)))
         has_room = FALSE;
     }
   if (n)
@@ -554,7 +660,8 @@
 claim_is_invalid (const Dispatch *d, const WorkPlacement *placement)
 {
   return d->now - placement->started_at > CLAIM_TIMEOUT_MS ||
-         !assign_is_usable (d, placement->worker);
+         !assign_is_usable (d, placement->worker) ||
+         is_quarantined (d, placement->worker);
 }
 
 /* Starts the claims of STEP whose room is free, a gang only as a whole, and
--- a/queue/fit.c
+++ b/queue/fit.c
@@ -24,6 +24,7 @@
 fit_is_eligible (const FitRequest *rq, const PoolWorker *w)
 {
   return meets_trust (rq, w) && w != rq->excluded_worker &&
+         (rq->allow_quarantined || w->quarantined_until <= rq->now) &&
          strcmp (w->entry->service, rq->service) == 0 &&
          pool_has_label (w, rq->label);
 }
--- a/queue/fit.h
+++ b/queue/fit.h
@@ -43,6 +43,7 @@
   ClockMs now;
   gboolean ignore_racks;             /* disregard DATA_RACK and SAME_RACK */
   const PoolWorker *excluded_worker; /* NULL: none */
+  gboolean allow_quarantined;        /* workers in quarantine may be used */
 } FitRequest;
 
 gboolean fit_place (const FitRequest *rq,
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -117,7 +117,9 @@
   /* Start of the latest run that succeeded, or made progress and lasted at
      least HEALTHY_RUN_MS (holds.c); 0: none. */
   ClockMs last_success_start;
-  ClockMs excluded_until;  /* gets no new placements before */
+  ClockMs excluded_until; /* gets no new placements before */
+  /* Until then it gets only tasks that no other worker can ever take. */
+  ClockMs quarantined_until;
   ClockMs quarantine_span; /* of the last quarantine; 0: none */
   ClockMs slow_until;      /* considered slow before */
   PoolPace pace;
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -320,7 +320,7 @@
     return;
   w->quarantine_span =
       CLAMP (w->quarantine_span * 2, QUARANTINE_MS, QUARANTINE_MAX_MS);
-  exclude_worker (d, w, w->quarantine_span);
+  w->quarantined_until = d->now + w->quarantine_span;
   effects_log (
       d->fx, "event=quarantine worker=%s failures=%u span_ms=%" CLOCK_MS_FORMAT,
       w->entry->id, w->consecutive_failures, w->quarantine_span);
