Takeover: a successor waits no longer for former leases than it must

Cause: a new scheduler starts no job that it knew at its start until it knows of each recorded worker what runs there. Class: a bound by the worst case, where what narrows it was known but not recorded.

Fix: with the roster each scheduler records the workers that have not answered it, with the last term that may have given them a lease, and those that may hold a long one. Hosts note when terms began. A lease that the record denies is given only once the record is changed; without the immediate predecessor's record the wait is as before, so that hosts of both versions can follow one another.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -43,7 +43,7 @@
       g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   g_queue_init (&d->save.dirty);
   g_queue_init (&d->first_hold_queue);
-  d->prev_leases_expire_at = holds_prev_leases_expire_at (d);
+  d->prev_leases_expire_at = former_leases_end (d);
   d->orphans = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   roster_load (d, roster);
   pace_save_load (d, roster);
--- a/queue/dispatch.h
+++ b/queue/dispatch.h
@@ -6,6 +6,7 @@
 #include "effects.h"
 #include "pool.h"
 #include "roster.h"
+#include "term.h"
 
 /* The scheduler; exists only on the leader, the host that holds the scheduler
    role.  It learns from the workers what runs, starts and stops tasks, and
@@ -18,6 +19,7 @@
   gint64 fence;         /* fencing token sent with every order */
   gint64 first_run;     /* lowest run number of this term */
   gint64 role_revision; /* of the role key; precondition of every write */
+  TermHistory history;  /* of the terms before */
 } DispatchTerm;
 
 Dispatch *dispatch_new (Effects *fx,
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -100,6 +100,7 @@
   guint n_first_holds;      /* first holds in flight; their number is limited */
   /* Each worker has listed its runs, or their lease has expired. */
   gboolean all_runs_known;
+  gboolean silent_marked;   /* see former_mark_silent */
   gboolean may_send_orders; /* leadership is certain; else only listen */
   gboolean replan;          /* assignments have to be recomputed */
   gboolean reap_pending;    /* a finished job may be ready to be freed */
@@ -175,8 +176,24 @@
 gboolean holds_runs_are_known (const PoolWorker *w);
 ClockMs holds_evacuate_at (const PoolWorker *w);
 ClockMs holds_lease_duration (const Dispatch *d, const PoolWorker *w);
-ClockMs holds_prev_leases_expire_at (const Dispatch *d);
+gboolean holds_is_long_step (const SpecStep *spec);
+gboolean holds_wants_long_lease (const Dispatch *d, const PoolWorker *w);
 extern const ClockMs holds_late_order_window;
+extern const ClockMs holds_normal_lease;
+extern const ClockMs holds_long_lease;
+
+/* former.c */
+ClockMs former_leases_end (const Dispatch *d);
+void
+former_load_worker (Dispatch *d, PoolWorker *w, const RosterRecords *records);
+gboolean former_is_silent (const Dispatch *d, const PoolWorker *w);
+gboolean former_may_give_lease (const PoolWorker *w);
+gboolean former_needs_write (const Dispatch *d, PoolWorker *w);
+void former_mark_silent (Dispatch *d);
+ClockMs former_next (const Dispatch *d);
+void former_on_write (Dispatch *d, PoolWorker *w);
+void former_on_stored (Dispatch *d);
+GBytes *former_record (const Dispatch *d);
 
 /* save.c */
 void save_mark_dirty (Dispatch *d, WorkJob *job);
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -55,6 +55,8 @@
   w->lease_expiry =
       MAX (w->lease_expiry, latest_end (w, w->worker_clock_at, span));
   w->lease_deadline = MAX (w->lease_deadline, w->worker_clock + span);
+  if (holds_lease_duration (d, w) > holds_normal_lease)
+    w->long_lease_until = w->lease_expiry;
   return w->worker_clock + span;
 }
 
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -44,7 +44,6 @@
      poll.  If it sent more polls at once than it can process replies for within
      the time-out, the excess would time out. */
   MAX_FIRST_HOLDS = 200,
-  FIRST_FENCE = 1,        /* of the first term ever */
   UNSAVED_DELAY_MS = 300, /* least time between holds while ends are unsaved */
   /* Between readings of an idle worker's clock.  A lease reckoned from an older
      reading would be too short for a worker whose clock is right.  Up to the
@@ -62,12 +61,12 @@
 /* Lease of a worker's runs in milliseconds: how long they continue without a
    renewal.  Long enough for a change of leader.  A task of a partitioned worker
    is restarted elsewhere only after this time. */
-static const ClockMs normal_lease = 5500;
+const ClockMs holds_normal_lease = 5500;
 
 /* Workers that run only tasks of at least long_task are polled less often and
    get a longer lease: the delay that this adds is a small share of such a task.
    The platform limits a lease to 10 s. */
-static const ClockMs long_lease = 9000;
+const ClockMs holds_long_lease = 9000;
 static const ClockMs long_lease_pause = 3000;
 static const ClockMs long_task = 60000;
 
@@ -78,19 +77,17 @@
    worker does not get the long lease and pause. */
 const ClockMs holds_late_order_window = 13000;
 
-/* The expiry of a previous leader's leases is computed with a margin of 1/20
-   (5%), more than the 2% by which workers' clocks may be slow.  For leases of
-   this leader see max_clock_lag_permille in grant.c. */
-static const ClockMs clock_skew_divisor = 20;
-
-static gboolean
-is_long_step (const SpecStep *spec)
+/* Tells whether the tasks of SPEC last so long that their workers may get the
+   long lease. */
+gboolean
+holds_is_long_step (const SpecStep *spec)
 {
   return spec->estimate_ms >= long_task && !spec->perpetual;
 }
 
-static gboolean
-uses_long_lease (const Dispatch *d, const PoolWorker *w)
+/* Tells whether W should get the long lease. */
+gboolean
+holds_wants_long_lease (const Dispatch *d, const PoolWorker *w)
 {
   const WorkPlacement *placement;
 
@@ -99,59 +96,22 @@
     return FALSE;
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     if (placement->state != PLACEMENT_RUNNING ||
-        !is_long_step (placement->task->step->spec))
+        !holds_is_long_step (placement->task->step->spec))
       return FALSE;
   return TRUE;
 }
 
-/* Returns the duration in milliseconds of W's next lease. */
-ClockMs
-holds_lease_duration (const Dispatch *d, const PoolWorker *w)
-{
-  return uses_long_lease (d, w) ? long_lease : normal_lease;
-}
-
 static gboolean
-has_long_step (const SpecJob *job)
-{
-  guint i;
-
-  for (i = 0; i < job->steps.n; i++)
-    if (is_long_step (spec_job_step (job, i)))
-      return TRUE;
-  return FALSE;
-}
-
-static ClockMs
-longest_lease (const Dispatch *d)
+uses_long_lease (const Dispatch *d, const PoolWorker *w)
 {
-  GHashTableIter i;
-  gpointer p;
-
-  g_hash_table_iter_init (&i, job_cache_entries (d->job_cache));
-  while (g_hash_table_iter_next (&i, NULL, &p))
-    {
-      const JobEntry *e = p;
-
-      if (e->job && has_long_step (e->job))
-        return long_lease;
-    }
-  return normal_lease;
+  return w->may_get_long_lease && holds_wants_long_lease (d, w);
 }
 
-/* Returns the latest time at which a lease that a previous leader granted for
-   any of the recorded jobs expires.
-   XXX: a worker that restarted while a hold was under way, which then failed to
-   tell, may hold the longest lease. */
+/* Returns the duration in milliseconds of W's next lease. */
 ClockMs
-holds_prev_leases_expire_at (const Dispatch *d)
+holds_lease_duration (const Dispatch *d, const PoolWorker *w)
 {
-  ClockMs longest = longest_lease (d);
-
-  if (d->term.fence <= FIRST_FENCE)
-    return d->started_at;
-  return d->started_at + term_order_grace + longest +
-         longest / clock_skew_divisor;
+  return uses_long_lease (d, w) ? holds_long_lease : holds_normal_lease;
 }
 
 /* Tells whether it is certain which runs are active on W: W has listed them, or
@@ -363,7 +323,7 @@
   /* The lease of an unresponsive worker is not renewed, so that it expires at a
      known time. */
   if (w->runs_known && !w->polls_unanswered && d->may_send_orders &&
-      needs_lease (w))
+      needs_lease (w) && former_may_give_lease (w))
     call->lease_deadline = grant_lease_deadline (d, w);
   call->ack = ack_to_send (w, unsaved);
   w->ends_ack_sent = call->ack;
--- a/queue/node.c
+++ b/queue/node.c
@@ -103,6 +103,8 @@
       n->role_key_listed = !item->deleted;
       term_on_role (&n->term, item, n->now, jittered_claim_delay (n));
     }
+  else if (strcmp (item->key, scheduler_epoch_key) == 0)
+    term_on_epoch (&n->term, item, n->now);
   else if (strcmp (item->key, waiting_key) == 0 &&
            !waiting_apply (&n->waiting, item))
     effects_log (&n->fx, "event=waiting_unreadable revision=%" G_GINT64_FORMAT,
@@ -322,7 +324,8 @@
 {
   DispatchTerm term = { .fence = term_fence (&n->term),
                         .first_run = term_first_run (&n->term),
-                        .role_revision = n->term.own_role_revision };
+                        .role_revision = n->term.own_role_revision,
+                        .history = n->term.history };
   GHashTableIter i;
   gpointer id, value;
 
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -74,7 +74,17 @@
   gboolean recorded;   /* a former scheduler may have used it */
   gboolean listed;     /* in the last roster that was written or is due */
   gboolean in_roster;  /* the roster in the store contains it */
-  gboolean runs_known; /* it has listed its runs to this scheduler */
+  /* While RECORDED and not heard: of the last scheduler that may have given it
+     a lease. */
+  gint64 former_fence;
+  /* The records that were written last, or are being written, say that this
+     scheduler has given it no lease. */
+  gboolean recorded_as_silent;
+  ClockMs long_lease_until;    /* it may hold a long lease until then */
+  gboolean wants_long_lease;   /* its runs last long */
+  gboolean recorded_as_long;   /* so say the records that were written last */
+  gboolean may_get_long_lease; /* so say the records in the store */
+  gboolean runs_known;         /* it has listed its runs to this scheduler */
   /* All runs on it have ended, because their lease expired or its process was
      replaced.  That it can't be reached proves nothing. */
   gboolean lease_expired;
--- a/queue/roster.c
+++ b/queue/roster.c
@@ -54,6 +54,16 @@
   return item->deleted || r->pace;
 }
 
+static gboolean
+apply_given_leases (RosterRecords *r, const KvItem *item)
+{
+  if (r->given_leases)
+    rec_free (given_leases_desc (), r->given_leases);
+  r->given_leases =
+      item->deleted ? NULL : spec_unpack (given_leases_desc (), item->value);
+  return item->deleted || r->given_leases;
+}
+
 /* Applies ITEM, an item under roster_prefix, to R.  Returns FALSE if its key or
    value cannot be decoded. */
 gboolean
@@ -64,6 +74,8 @@
 
   if (strcmp (item->key, pace_key) == 0)
     return apply_pace (r, item);
+  if (strcmp (item->key, former_key) == 0)
+    return apply_given_leases (r, item);
   if (!parse_shard_key (item->key, &shard))
     return FALSE;
   s = &r->shards[shard];
@@ -85,13 +97,17 @@
       rec_free (roster_desc (), r->shards[i].workers);
   if (r->pace)
     rec_free (pace_record_desc (), r->pace);
+  if (r->given_leases)
+    rec_free (given_leases_desc (), r->given_leases);
   *r = (RosterRecords) { 0 };
 }
 
 /* Adds a recorded worker to D's.  One that has no address, as older versions
    recorded it, was never reached and runs nothing. */
 static void
-adopt_listed_worker (Dispatch *d, const RosterWorker *recorded_worker)
+adopt_listed_worker (Dispatch *d,
+                     const RosterWorker *recorded_worker,
+                     const RosterRecords *records)
 {
   PoolEntry *entry;
   PoolWorker *w;
@@ -106,6 +122,7 @@
   w = pool_find (&d->pool, recorded_worker->id);
   w->registered = FALSE;
   w->recorded = TRUE;
+  former_load_worker (d, w, records);
 }
 
 /* Loads the workers that a previous leader recorded, so that D polls them for
@@ -125,8 +142,10 @@
       s->dirty[i] = s->revisions[i] > 0;
       s->unreadable[i] = s->revisions[i] > 0 && !roster;
       for (k = 0; roster && k < roster->workers.n; k++)
-        adopt_listed_worker (d, rec_list_at (roster_worker_desc (),
-                                             &roster->workers, k));
+        adopt_listed_worker (d,
+                             rec_list_at (roster_worker_desc (),
+                                          &roster->workers, k),
+                             records);
     }
 }
 
@@ -164,11 +183,12 @@
   d->roster.dirty[roster_shard_of (worker)] = TRUE;
 }
 
-/* Marks W's shard as needing a write if W has to be added or taken out. */
+/* Marks W's shard as needing a write if W has to be added or taken out, or if
+   what is recorded of its leases must change. */
 void
 roster_update_worker (Dispatch *d, PoolWorker *w)
 {
-  if (may_have_runs (w) == w->listed)
+  if (!former_needs_write (d, w) && may_have_runs (w) == w->listed)
     return;
   w->listed = may_have_runs (w);
   if (!has_dirty_shard (&d->roster))
@@ -198,7 +218,9 @@
       rec_set_str (&r->id, w->entry->id);
       rec_set_str (&r->address, w->entry->address);
       r->draining = w->entry->draining;
-      g_ptr_array_add (d->roster.in_flight_ids, g_strdup (w->entry->id));
+      former_on_write (d, w);
+      if (!w->recorded_as_silent)
+        g_ptr_array_add (d->roster.in_flight_ids, g_strdup (w->entry->id));
     }
   packed = rec_pack (roster_desc (), roster);
   rec_free (roster_desc (), roster);
@@ -217,7 +239,18 @@
   g_free (key);
 }
 
-/* Writes the shards that have changed, unless a write is in flight. */
+static void
+add_given_leases (Dispatch *d, KvCall *call)
+{
+  GBytes *value = former_record (d);
+
+  /* A late write is refused by the conditions on the shards. */
+  kv_call_add_write (call, former_key, value, 0);
+  g_bytes_unref (value);
+}
+
+/* Writes the shards that have changed, and with them the given leases, unless a
+   write is in flight. */
 void
 roster_tick (Dispatch *d)
 {
@@ -225,6 +258,7 @@
   KvCall *call;
   guint i;
 
+  former_mark_silent (d);
   if (s->call_id || s->next_at > d->now || !has_dirty_shard (s))
     return;
   s->next_at = d->now + MIN_INTERVAL_MS;
@@ -238,6 +272,7 @@
       if (s->in_flight[i])
         add_shard (d, call, i);
     }
+  add_given_leases (d, call);
   call->id = effects_next_id (d->fx);
   call->timeout = CALL_TIMEOUT_MS;
   s->call_id = call->id;
@@ -261,6 +296,7 @@
       if (w)
         w->in_roster = TRUE;
     }
+  former_on_stored (d);
   d->replan = TRUE;
 }
 
@@ -307,5 +343,7 @@
 {
   const RosterSave *s = &d->roster;
 
-  return !s->call_id && has_dirty_shard (s) ? s->next_at : CLOCK_NEVER;
+  if (s->call_id)
+    return CLOCK_NEVER;
+  return has_dirty_shard (s) ? s->next_at : former_next (d);
 }
--- a/queue/roster.h
+++ b/queue/roster.h
@@ -10,14 +10,15 @@
 
 enum
 {
-  /* One transaction contains the precondition on the role key, and a
-     precondition and a write for each shard: 31 entries of the 32 that the
-     store allows. */
+  /* One transaction contains the precondition on the role key, a precondition
+     and a write for each shard, and the write of the given leases: 32 entries,
+     all that the store allows. */
   ROSTER_SHARDS = 15
 };
 
 extern const char roster_prefix[];
 extern const char pace_key[];
+extern const char former_key[];
 
 typedef struct RosterShard
 {
@@ -28,7 +29,8 @@
 typedef struct RosterRecords
 {
   RosterShard shards[ROSTER_SHARDS];
-  PaceRecord *pace; /* NULL: no readable record */
+  GivenLeases *given_leases; /* NULL: no readable record */
+  PaceRecord *pace;          /* NULL: no readable record */
   gint64 pace_revision;
 } RosterRecords;
 
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -118,6 +118,25 @@
   LIST (workers, 0, SPEC_MAX_TASKS, roster_worker)
 REC_DECLARE (Roster, roster, ROSTER_FIELDS)
 
+/* A recorded worker that has not answered the present scheduler.  FENCE is that
+   of the last one that may have given it a lease. */
+#define SILENT_WORKER_FIELDS(INT, STR, BYTES, LIST)                            \
+  STR (id, 1, SPEC_MAX_NAME)                                                   \
+  INT (fence, 1, G_MAXINT64)
+REC_DECLARE (SilentWorker, silent_worker, SILENT_WORKER_FIELDS)
+
+/* A worker that may hold a long lease. */
+#define LONG_LEASE_FIELDS(INT, STR, BYTES, LIST) STR (id, 1, SPEC_MAX_NAME)
+REC_DECLARE (LongLease, long_lease, LONG_LEASE_FIELDS)
+
+/* The leases that the scheduler with FENCE may have given: normal ones to all
+   recorded workers but those listed. */
+#define GIVEN_LEASES_FIELDS(INT, STR, BYTES, LIST)                             \
+  INT (fence, 1, G_MAXINT64)                                                   \
+  LIST (silent, 0, SPEC_MAX_TASKS, silent_worker)                              \
+  LIST (longer, 0, SPEC_MAX_TASKS, long_lease)
+REC_DECLARE (GivenLeases, given_leases, GIVEN_LEASES_FIELDS)
+
 /* What was learned of a worker's pace: a logarithm in thousandths and its
    variance in millionths. */
 #define PACE_WORKER_RECORD_FIELDS(INT, STR, BYTES, LIST)                       \
--- a/queue/term.c
+++ b/queue/term.c
@@ -65,6 +65,48 @@
     term_step_down (t, now);
 }
 
+static gboolean
+parse_epoch (const KvItem *item, guint64 *epoch)
+{
+  gsize n;
+  const char *data = g_bytes_get_data (item->value, &n);
+  char *text = g_strndup (data ? data : "", n);
+  gboolean ok =
+      g_ascii_string_to_unsigned (text, 10, 1, G_MAXINT32, epoch, NULL);
+
+  g_free (text);
+  return ok;
+}
+
+/* Handles ITEM, the current state of the epoch key: notes when a term was first
+   seen, of the latest TERM_HISTORY. */
+void
+term_on_epoch (Term *t, const KvItem *item, ClockMs now)
+{
+  TermHistory *h = &t->history;
+  guint64 epoch;
+
+  if (item->deleted || !item->value || !parse_epoch (item, &epoch) ||
+      (h->n && h->seen[h->n - 1].epoch >= (gint64)epoch))
+    return;
+  if (h->n == TERM_HISTORY)
+    memmove (&h->seen[0], &h->seen[1], --h->n * sizeof h->seen[0]);
+  h->seen[h->n++] = (TermSeen) { (gint64)epoch, now };
+}
+
+/* Returns a time by which the term EPOCH had ended, as a later one had begun,
+   or CLOCK_NEVER if none was seen. */
+ClockMs
+term_ended_by (const TermHistory *history, gint64 epoch)
+{
+  guint i;
+
+  for (i = 0; i < history->n; i++)
+    if (history->seen[i].epoch > epoch)
+      return history->seen[i].at;
+  return CLOCK_NEVER;
+}
+
 /* Makes this host a follower.  Schedules the revocation of its lease, so that
    another host can take the role before the lease expires. */
 void
@@ -226,14 +268,10 @@
 static gint64
 epoch_after (const KvItem *item)
 {
-  gsize n;
-  const char *data = g_bytes_get_data (item->value, &n);
-  char *text = g_strndup (data ? data : "", n);
   guint64 epoch;
 
-  if (!g_ascii_string_to_unsigned (text, 10, 1, G_MAXINT32, &epoch, NULL))
+  if (!parse_epoch (item, &epoch))
     epoch = (guint64)item->revision;
-  g_free (text);
   return (gint64)epoch + 1;
 }
 
--- a/queue/term.h
+++ b/queue/term.h
@@ -16,6 +16,24 @@
   TERM_LEADER
 } TermState;
 
+/* When this host first saw that a term had begun, in the order of the terms. */
+typedef struct TermSeen
+{
+  gint64 epoch;
+  ClockMs at;
+} TermSeen;
+
+enum
+{
+  TERM_HISTORY = 8
+};
+
+typedef struct TermHistory
+{
+  TermSeen seen[TERM_HISTORY];
+  guint n;
+} TermHistory;
+
 typedef struct Term
 {
   char *holder_name; /* value of the role key: unique per process */
@@ -35,11 +53,14 @@
   ClockMs renewed_at;       /* when the last successful renewal was sent */
   gint64 own_role_revision; /* of the role key that this leader wrote */
   gboolean must_renew; /* send no orders before the next renewal succeeds */
+  TermHistory history;
 } Term;
 
 void term_init (Term *t, const char *holder_name, ClockMs min_lease_ttl);
 void term_clear (Term *t);
 void term_on_role (Term *t, const KvItem *item, ClockMs now, ClockMs jitter);
+void term_on_epoch (Term *t, const KvItem *item, ClockMs now);
+ClockMs term_ended_by (const TermHistory *history, gint64 epoch);
 void term_poll (Term *t, ClockMs now, Effects *fx);
 gboolean
 term_on_reply (Term *t, const KvReply *reply, ClockMs now, Effects *fx);
