Jobs: a perpetual task is started again also after it ends done

What callers saw: LOST.

Cause: an end with success marked any task as done. Class: what holds for tasks that end is applied to tasks that last; the other places ask already.

Fix: a perpetual task is never marked as done, also when a record says so, and an end that is heard late does not stop its present run.

The simulated world's check for starts after an acknowledged success leaves out perpetual tasks: PROTOCOL.md asks that they "must be restarted however they end". It is as strict as before for all others, and the new test checks the restarts.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -535,7 +535,7 @@
   if (!has_run (task))
     work_task_set_checkpoint (task, e->checkpoint);
   runs_apply_end (d, task, e->run, e->how);
-  if (e->how == RUN_DONE)
+  if (task->done && e->how == RUN_DONE)
     runs_stop_other_runs (d, task, e->run);
 }
 
--- a/queue/work.c
+++ b/queue/work.c
@@ -254,13 +254,16 @@
     step->job->steps_left--;
 }
 
-/* Marks TASK as done; for a gang, marks all of its tasks. */
+/* Marks TASK as done; for a gang, marks all of its tasks.  A perpetual task is
+   never done: it must be started again however it ends. */
 void
 work_task_set_done (WorkTask *task)
 {
   WorkStep *step = task->step;
   guint i;
 
+  if (step->spec->perpetual)
+    return;
   if (!step->spec->gang)
     {
       set_done (task);
--- a/tests/queue_failed_worker_test.cc
+++ b/tests/queue_failed_worker_test.cc
@@ -93,6 +93,25 @@
   expect_completed (w, 1);
 }
 
+TEST (QueueFailedWorker, PerpetualTaskThatEndsDoneIsStartedAgain)
+{
+  QueueWorld w (2, 3);
+  const std::string lasts = ",\"perpetual\":true";
+
+  w.run (3000);
+  w.submit (0, { "q1/480000",
+                 world_body (world_step (3, 4000, 1, lasts), "ms=1500") });
+  w.run (4000);
+  for (int i = 0; i < 3; i++)
+    EXPECT_GE (w.starts ("480000.0.0." + std::to_string (i)), 2) << i;
+  w.kill_host (w.scheduler ());
+  w.run (10000);
+  EXPECT_EQ (w.state_of ("480000"), "running");
+  for (int i = 0; i < 3; i++)
+    EXPECT_GE (w.starts ("480000.0.0." + std::to_string (i)), 6) << i;
+  w.expect_no_violations ();
+}
+
 /* The other worker stays full of work that does not end. */
 TEST (QueueFailedWorker, TaskThatFailedWaitsForOtherWorkersOnlyForAWhile)
 {
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -304,6 +304,7 @@
   void
   execute_worker_call (WorldWorker &w, const RunCall &call, RunReply *reply);
   void start (WorldWorker &w, const RunCall &call, RunReply *reply);
+  bool is_perpetual (const std::string &task);
   void on_end_acked (const WorldEnd &e);
   void end_run (WorldWorker &w, const std::string &task, RunEnd how);
   void fill_poll_reply (const WorldWorker &w, RunReply *reply);
