Runs: starts that wait for a connection are not dropped when a hold finds none

A hold whose connection a worker refused, while it served others, gave up all starts queued there, so that gangs were broken up and started again.

Cause: since starts wait for a reading of the clock, an unanswered hold drops the starts that were not sent, also those that wait for another reason.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -718,7 +718,7 @@
 {
   w->polls_unanswered++;
   w->last_disruption = d->now;
-  runs_drop_unsent (d, w);
+  runs_on_silent (d, w);
   w->next_poll = d->now + MIN ((ClockMs)RETRY_MS * w->polls_unanswered,
                                (ClockMs)(w->lease_expired ? RETRY_LAPSED_MS
                                                           : RETRY_MAX_MS));
@@ -760,7 +760,7 @@
     {
       /* The worker takes no more connections, but serves others. */
       w->next_poll = d->now + RETRY_MS;
-      runs_drop_unsent (d, w);
+      runs_on_hold_refused (d, w);
     }
   else
     {
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -13,8 +13,8 @@
   /* With short round trips, all attempts fit into the time that a gang waits
      for its members. */
   START_ATTEMPTS = 4,
-  /* How long a start is repeated that gets no connection: half of the time that
-     a gang waits for its members. */
+  /* How long a start is tried that gets no connection: half of the time that a
+     gang waits for its members. */
   CONNECTION_WAIT_MS = 1500,
   /* How long a worker gets no new placements after a failed order. */
   EXCLUSION_MS = 700,
@@ -769,31 +769,49 @@
     }
 }
 
+/* Returns a start that has waited for W's clock since SINCE or before, and was
+   never sent, or NULL. */
 static WorkPlacement *
-find_unsent (PoolWorker *w)
+find_unread (PoolWorker *w, ClockMs since)
 {
   WorkPlacement *placement;
 
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    if (placement->state == PLACEMENT_STARTING && !placement->start_sent)
+    if (placement->awaits_reading && !placement->start_sent &&
+        placement->started_at <= since)
       return placement;
   return NULL;
 }
 
-/* Gives up the starts that wait for a reading of W's clock, which W has not
-   answered: nothing was sent, so that their tasks can start elsewhere. */
-void
-runs_drop_unsent (Dispatch *d, PoolWorker *w)
+/* Gives up the starts that have waited for a reading of W's clock since SINCE:
+   W has not answered.  Nothing was sent, so that their tasks can start
+   elsewhere. */
+static void
+drop_unread (Dispatch *d, PoolWorker *w, ClockMs since)
 {
   WorkPlacement *placement;
 
-  while ((placement = find_unsent (w)))
+  while ((placement = find_unread (w, since)))
     {
       exclude_worker (d, w, EXCLUSION_MS);
       runs_end (d, placement, RUN_STOPPED, NULL);
     }
 }
 
+/* Handles that W did not answer the hold that was to read its clock. */
+void
+runs_on_silent (Dispatch *d, PoolWorker *w)
+{
+  drop_unread (d, w, d->now);
+}
+
+/* Handles that W, which serves others, took no connection for its hold. */
+void
+runs_on_hold_refused (Dispatch *d, PoolWorker *w)
+{
+  drop_unread (d, w, d->now - CONNECTION_WAIT_MS);
+}
+
 /* Handles REPLY to the pending start or stop order O. */
 void
 runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply)
