--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -299,6 +299,26 @@
     }
 }
 
+TEST (PlatformCodecJob, TextWithAZeroByteIsRejected)
+{
+  for (const std::string &text :
+       { std::string ("{\"spec\":\"a\\u0000b\",\"steps\":[{\"count\":1}]}"),
+         std::string ("{\"steps\":[{\"requiredLabel\":\"a\\u0000b\"}]}"),
+         std::string ("{\"steps\":[{\"affinity\":\"a\\u0000b\"}]}") })
+    {
+      GBytes *body = make_bytes (text);
+      SpecJob *job = (SpecJob *)rec_new (spec_job_desc ());
+      Findings found;
+
+      findings_init (&found);
+      EXPECT_FALSE (platform_codec.decode_job (body, job, &found)) << text;
+      EXPECT_EQ (findings_count (&found), 1U) << text;
+      findings_clear (&found);
+      rec_free (spec_job_desc (), job);
+      g_bytes_unref (body);
+    }
+}
+
 TEST (PlatformKvClient, TransactionIsEncoded)
 {
   KvCall *call = kv_call_new (KV_TXN, NULL);
@@ -576,6 +596,22 @@
   run_reply_clear (&reply);
 }
 
+TEST (PlatformRunClient, CheckpointWithAZeroByteIsNotPassedOn)
+{
+  std::string body =
+      "{\"clockMs\":1,\"running\":[[\"j.0.1.1\",2,\"0b\\u00001\",41]],"
+      "\"ended\":[[58,\"j.0.1.9\",1,\"stopped\",\"0b\\u00002\"]]}";
+  FetchReply fetched = { FETCH_ANSWERED, 200, body.data (), body.size (), 1 };
+  RunReply reply;
+
+  run_reply_init (&reply);
+  run_client_decode (&fetched, RUN_POLL, &reply);
+  ASSERT_EQ (reply.status, RUN_OK);
+  EXPECT_FALSE (g_array_index (reply.running, RunActive, 0).checkpoint);
+  EXPECT_FALSE (g_array_index (reply.ended, RunEnded, 0).checkpoint);
+  run_reply_clear (&reply);
+}
+
 /* A poll reply without lists must not be read as two empty lists: that would
    mean that the worker runs nothing. */
 TEST (PlatformRunClient, PollReplyWithoutListsIsLost)
