Evictions: the limit per worker counts the tasks that run there

What callers saw: ROUTE.

Cause: the plan of an eviction counted its own tasks only. Fix: it counts those of the step that are placed on the worker as well.

Evidence: QueueLimits.EvictionKeepsTheLimitOfTasksPerWorker shows "ROUTE per worker 620000.0.0.1" before and passes after.

--- a/queue/evict.c
+++ b/queue/evict.c
@@ -171,13 +171,24 @@
   return cost;
 }
 
+/* Returns how many tasks of P's step are placed on W already. */
+static guint
+n_placed_on (const Plan *p, const PoolWorker *w)
+{
+  const WorkPlacement *placement;
+  guint n = 0;
+
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    n += placement->task->step == p->step;
+  return n;
+}
+
 /* Tells whether one more task on W keeps to the step's limit per worker. */
 static gboolean
 is_below_max_per_worker (const Plan *p, const PoolWorker *w)
 {
-  guint n = n_planned_on (p, w);
-
-  return p->rq.max_per_worker == 0 || n < p->rq.max_per_worker;
+  return p->rq.max_per_worker == 0 ||
+         n_placed_on (p, w) + n_planned_on (p, w) < p->rq.max_per_worker;
 }
 
 static gboolean
--- /dev/null
+++ b/tests/queue_limits_test.cc
@@ -0,0 +1,37 @@
+#include "queue_world.h"
+
+#include <gtest/gtest.h>
+
+/* Limits that a placement keeps, and odd amounts that must not stop others. */
+
+static WorldJob
+job_of (int id, const std::string &steps, const std::string &text = "ms=1000")
+{
+  return { "q1/" + std::to_string (id), world_body (steps, text) };
+}
+
+static WorldJob
+urgent_job (int id, const std::string &steps, const std::string &text)
+{
+  return { "q0/" + std::to_string (id), world_body (steps, text) };
+}
+
+/* The worker with a free place also runs what costs least to evict. */
+TEST (QueueLimits, EvictionKeepsTheLimitOfTasksPerWorker)
+{
+  QueueWorld w (2, 4);
+  const std::string one_each = ",\"maxPerServer\":1";
+
+  w.run (3000);
+  w.submit (0, job_of (610000, world_step (14, 16000, 2), "ms=30000"));
+  w.run (4000);
+  w.submit (0, job_of (610001, world_step (1, 16000, 2), "ms=30000"));
+  w.run (500);
+  w.submit (0,
+            urgent_job (620000, world_step (3, 16000, 2, one_each), "ms=4000"));
+  w.run (3000);
+  EXPECT_EQ (w.starts ("620000.0.0.2"), 1);
+  w.run (20000);
+  w.expect_no_violations ();
+}
+
