Jobs: a long checkpoint does not make a job's progress unreadable

What callers saw: TWICE.

Fix: up to 1,000 bytes are stored, and a longer one is not kept, so that its task begins anew.

Evidence: QueueLimits.LongCheckpointsDoNotMakeProgressUnreadable shows "TWICE after done 630000.0.1.0" before and passes after.

--- a/queue/spec.h
+++ b/queue/spec.h
@@ -14,8 +14,9 @@
   SPEC_MAX_TASKS = 20000,
   SPEC_MAX_LOGARITHM = 100000, /* in thousandths */
   SPEC_MAX_OCCURRENCES = 100000,
-  SPEC_MAX_NAME = 200, /* bytes */
-  SPEC_MAX_TEXT = 4000 /* bytes */
+  SPEC_MAX_NAME = 200,        /* bytes */
+  SPEC_MAX_CHECKPOINT = 1000, /* bytes */
+  SPEC_MAX_TEXT = 4000        /* bytes */
 };
 
 /* A dependency: the index of an earlier step, from 0. */
@@ -92,7 +93,7 @@
   INT (occurrence, 0, SPEC_MAX_OCCURRENCES)                                    \
   INT (step, 0, SPEC_MAX_STEPS)                                                \
   INT (index, 0, SPEC_MAX_TASKS)                                               \
-  STR (checkpoint, 0, SPEC_MAX_NAME)                                           \
+  STR (checkpoint, 0, SPEC_MAX_CHECKPOINT)                                     \
   LIST (failed, 0, G_MAXINT32, progress_run)
 REC_DECLARE (ProgressTask, progress_task, PROGRESS_TASK_FIELDS)
 
--- a/queue/work.c
+++ b/queue/work.c
@@ -314,14 +314,15 @@
   task->last_failure_at = now;
 }
 
-/* Sets the checkpoint from which the next run of TASK continues.  Ignores NULL
-   and the empty string. */
+/* Sets the checkpoint from which the next run of TASK continues.  Ignores NULL,
+   the empty string and one that is too long to be stored. */
 void
 work_task_set_checkpoint (WorkTask *task, const char *checkpoint)
 {
   WorkTask *owner = shared_state_of (task);
 
   if (!checkpoint || !*checkpoint ||
+      strlen (checkpoint) > SPEC_MAX_CHECKPOINT ||
       g_strcmp0 (owner->checkpoint, checkpoint) == 0)
     return;
   g_free (owner->checkpoint);
--- a/tests/queue_limits_test.cc
+++ b/tests/queue_limits_test.cc
@@ -35,3 +35,29 @@
   w.expect_no_violations ();
 }
 
+/* A task ends while others of its job wait, evicted, with their checkpoints. */
+TEST (QueueLimits, LongCheckpointsDoNotMakeProgressUnreadable)
+{
+  QueueWorld w (2, 5);
+  const std::string first_rack = ",\"requiredLabel\":\"r0\"";
+  const std::string second_rack = ",\"requiredLabel\":\"r1\"";
+
+  for (WorldWorker &o : w.workers)
+    o.checkpoint = std::string (3000, 'c');
+  w.run (3000);
+  w.submit (0, job_of (630000,
+                       world_step (4, 60000, 8, first_rack) + "," +
+                           world_step (1, 1000, 0, second_rack),
+                       "ms=2500"));
+  w.run (1500);
+  w.submit (0, urgent_job (630001, world_step (4, 32000, 8, first_rack),
+                           "ms=6000"));
+  w.run (2500);
+  w.kill_host (w.scheduler ());
+  w.run (25000);
+  EXPECT_EQ (w.state_of ("630000"), "completed");
+  EXPECT_EQ (w.starts ("630000.0.1.0"), 1);
+  w.check_acked_ends ();
+  w.expect_no_violations ();
+}
+
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -82,6 +82,7 @@
   bool hangs = false;
   double slowdown = 1.0;         /* factor on the run time of its tasks */
   double progress_factor = 1.0;  /* reported / true progress */
+  std::string checkpoint;        /* that its runs report; empty: none */
   ClockMs reply_delay = 0;       /* added to the normal latency */
   ClockMs unreachable_until = 0; /* its network is cut off */
   int cut_from_host = -1;        /* this host's calls to it are lost */
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -137,7 +137,8 @@
   for (auto &r : w.runs)
     {
       RunActive row = {
-        g_strdup (r.first.c_str ()), r.second.run, nullptr,
+        g_strdup (r.first.c_str ()), r.second.run,
+        w.checkpoint.empty () ? nullptr : g_strdup (w.checkpoint.c_str ()),
         w.hangs ? 0.0
                 : std::min (100.0, w.progress_factor * 100.0 *
                                        r.second.own_work_done /
@@ -152,7 +153,9 @@
       if (reply->ended->len == max_ended_rows)
         break;
       RunEnded ended = { e.number, g_strdup (e.task.c_str ()), e.run, e.how,
-                         nullptr };
+                         w.checkpoint.empty ()
+                             ? nullptr
+                             : g_strdup (w.checkpoint.c_str ()) };
 
       g_array_append_val (reply->ended, ended);
     }
