Jobs: many overdue occurrences are begun a few at a time

Cause: all due occurrences were added at once, each pass goes over their steps, and a step was found by a search through all of them, so that a pass took quadratic time. Fix: a step is found by its number, and occurrences are added while less than 2,000 steps of the job are not done.

--- a/queue/work.c
+++ b/queue/work.c
@@ -4,7 +4,9 @@
 
 enum
 {
-  BITS_PER_BYTE = 8
+  BITS_PER_BYTE = 8,
+  /* Of a job, in the occurrences that were added: each pass goes over them. */
+  MAX_OPEN_STEPS = 2000
 };
 
 static const ClockMs milli_per_unit = 1000;
@@ -30,6 +32,7 @@
       step->tasks[i].index = i;
     }
   APR_RING_INSERT_TAIL (&job->steps, step, WorkStep, link);
+  g_ptr_array_add (job->steps_by_number, step);
   job->steps_left++;
   return step;
 }
@@ -94,6 +97,7 @@
   job->entry = entry;
   job->known_since = now;
   APR_RING_INIT (&job->steps, WorkStep, link);
+  job->steps_by_number = g_ptr_array_new ();
   job->state = entry->progress ? (JobState)entry->progress->state : JOB_QUEUED;
   job->accepted_at =
       now - CLAMP (wall - spec->accepted_ms, 0, (ClockMs)G_MAXINT32);
@@ -135,6 +139,7 @@
 
   APR_RING_FOREACH_SAFE (step, next, &job->steps, WorkStep, link)
     step_free (step);
+  g_ptr_array_unref (job->steps_by_number);
   g_free (job);
 }
 
@@ -162,14 +167,15 @@
   job->next_occurrence++;
 }
 
-/* Adds the steps of the occurrences that are due at WALL, in Unix
-   milliseconds.  Returns whether there were any. */
+/* Adds the steps of the occurrences that are due at WALL, in Unix milliseconds,
+   while less than MAX_OPEN_STEPS are not done.  Returns whether there were
+   any. */
 gboolean
 work_job_add_due (WorkJob *job, ClockMs wall)
 {
   gboolean any = FALSE;
 
-  while (work_job_next_due (job) <= wall)
+  while (work_job_next_due (job) <= wall && job->steps_left < MAX_OPEN_STEPS)
     {
       add_next_occurrence (job);
       any = TRUE;
@@ -192,12 +198,12 @@
 WorkStep *
 work_job_step (const WorkJob *job, guint occurrence, guint number)
 {
-  WorkStep *step;
+  guint n_steps = job->entry->job->steps.n;
+  guint64 i = (guint64)occurrence * n_steps + number;
 
-  APR_RING_FOREACH (step, &job->steps, WorkStep, link)
-    if (step->occurrence == occurrence && step->number == number)
-      return step;
-  return NULL;
+  return number < n_steps && i < job->steps_by_number->len
+             ? g_ptr_array_index (job->steps_by_number, i)
+             : NULL;
 }
 
 /* Returns whether every task of every occurrence of JOB has succeeded. */
--- a/queue/work.h
+++ b/queue/work.h
@@ -91,7 +91,8 @@
   APR_RING_ENTRY (WorkJob) link;
   JobEntry *entry;
   JobState state;
-  struct WorkStepRing steps; /* of the occurrences that are due */
+  struct WorkStepRing steps; /* of the occurrences that were added */
+  GPtrArray *steps_by_number; /* the same, by occurrence, then number */
   guint next_occurrence;
   guint steps_left; /* in STEPS, not done */
   guint n_placements;
--- a/tests/queue_limits_test.cc
+++ b/tests/queue_limits_test.cc
@@ -61,3 +61,27 @@
   w.expect_no_violations ();
 }
 
+TEST (QueueLimits, ManyOverdueOccurrencesDoNotHoldOtherJobs)
+{
+  QueueWorld w (2, 2);
+  const int n = 20000;
+  const std::string times = ",\"runCount\":" + std::to_string (n) +
+                            ",\"intervalMs\":100,\"firstRunMs\":" +
+                            std::to_string (w.wall () - 100 * n);
+  std::string body = world_body (world_step (1, 1000, 1) + "," +
+                                     world_step (1, 1000, 1, ",\"after\":[0]"),
+                                 "ms=50");
+  GTimer *timer = g_timer_new ();
+
+  body.insert (body.size () - 1, times);
+  w.run (3000);
+  w.submit (0, { "q1/660000", body });
+  w.run (500);
+  w.submit (0, urgent_job (670000, world_step (1, 1000, 1), "ms=300"));
+  w.run (1000);
+  EXPECT_EQ (w.state_of ("670000"), "completed");
+  EXPECT_LT (g_timer_elapsed (timer, NULL), 20.0);
+  g_timer_destroy (timer);
+  w.expect_no_violations ();
+}
+
