Placement: a rack that lasting tasks hold is no rack to wait for

What callers saw: LOST.

Cause: a gang is spread over racks only if no rack could hold it when idle, and racks counted as idle that tasks which last never leave. Fix: the room of lasting tasks that the gang's job may not evict counts as taken for good; the same for the question whether another worker can ever run a task that failed.

Evidence: QueueLimits.SameRackGangDoesNotWaitForRacksOfLastingTasks stays "queued" before and passes after.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -22,7 +22,7 @@
   ONLY_WORKER_WAIT_MS = 2000,
   EVICT_RETRY_MS = 300,       /* between evictions for the same step */
   MAX_EVICTIONS_PER_PASS = 3, /* bounds the duration of a pass */
-  FEASIBILITY_TTL_MS = 1000   /* of the result of is_feasible_when_empty */
+  FEASIBILITY_TTL_MS = 1000   /* of the result of is_feasible_when_idle */
 };
 
 /* State of one placement pass. */
@@ -151,9 +151,35 @@
     refresh_free_room (p);
 }
 
-/* Tells whether RQ would fit if all usable workers were idle. */
+/* Tells whether PLACEMENT's room never becomes free for a job of PRIORITY: it
+   lasts, and is not evicted for that job. */
 static gboolean
-is_feasible (const Pass *p, const FitRequest *rq)
+is_lasting (const WorkPlacement *placement, gint64 priority)
+{
+  const WorkStep *step = placement->task->step;
+
+  return step->spec->perpetual &&
+         (priority > 0 || step->job->entry->job->priority == 0);
+}
+
+/* Returns the room on W for a job of PRIORITY once all else that runs there has
+   ended. */
+static PoolResources
+room_when_idle (const PoolWorker *w, gint64 priority)
+{
+  PoolResources room = w->entry->capacity;
+  const WorkPlacement *placement;
+
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    if (is_lasting (placement, priority))
+      pool_resources_subtract (&room, &placement->task->step->need);
+  return room;
+}
+
+/* Tells whether RQ, of a job of PRIORITY, would fit once all that does not last
+   has ended. */
+static gboolean
+is_feasible (const Pass *p, const FitRequest *rq, gint64 priority)
 {
   const Pool *pool = &p->d->pool;
   FitWorker *usable = g_new0 (FitWorker, pool_size (pool) + 1);
@@ -163,8 +189,11 @@
 
   for (i = 0; i < pool_size (pool); i++)
     if (assign_is_usable (p->d, pool_at (pool, i)))
-      usable[n++].worker = pool_at (pool, i);
-  feasible = fit_feasible_when_empty (rq, usable, n);
+      usable[n++] = (FitWorker) {
+        .worker = pool_at (pool, i),
+        .room = room_when_idle (pool_at (pool, i), priority),
+      };
+  feasible = fit_feasible (rq, usable, n);
   g_free (usable);
   return feasible;
 }
@@ -172,13 +201,13 @@
 /* Returns what is_feasible says of RQ, a request for STEP.  That changes only
    as workers come and go, so the result is kept for a while. */
 static gboolean
-is_feasible_when_empty (Pass *p, WorkStep *step, const FitRequest *rq)
+is_feasible_when_idle (Pass *p, WorkStep *step, const FitRequest *rq)
 {
-  if (step->fits_empty_fleet_until > p->d->now)
-    return step->fits_empty_fleet;
-  step->fits_empty_fleet = is_feasible (p, rq);
-  step->fits_empty_fleet_until = p->d->now + FEASIBILITY_TTL_MS;
-  return step->fits_empty_fleet;
+  if (step->fits_idle_fleet_until > p->d->now)
+    return step->fits_idle_fleet;
+  step->fits_idle_fleet = is_feasible (p, rq, step->job->entry->job->priority);
+  step->fits_idle_fleet_until = p->d->now + FEASIBILITY_TTL_MS;
+  return step->fits_idle_fleet;
 }
 
 /* Returns the service that must run JOB: its route's, or else its own. */
@@ -342,7 +371,7 @@
    pace, so slow workers are avoided where possible.  One failed member ends the
    run of the whole gang, so a gang that has failed or stalled before, and any
    gang during a failure spike, prefers workers on which a run has succeeded.
-   A gang waits for room in one rack while some rack could hold it when idle;
+   A gang waits for room in one rack while some rack can come to hold it;
    if none could, it is spread over several racks even though that is slower.
    It waits for the rack of its data for RACK_WAIT_MS plus the estimate. */
 static gboolean
@@ -363,7 +392,7 @@
   rq.trust = FIT_ANY;
   rq.ignore_racks =
       (*rq.data_rack && age_ms > RACK_WAIT_MS + step->spec->estimate_ms) ||
-      !is_feasible_when_empty (p, step, &rq);
+      !is_feasible_when_idle (p, step, &rq);
   return rq.ignore_racks &&
          fit_place (&rq, p->candidates, p->n_candidates, chosen);
 }
@@ -376,7 +405,8 @@
   FitRequest rq = assign_request (p->d, step, (guint)step->spec->count);
 
   rq.ignore_racks = TRUE;
-  if (!p->has_quarantined || is_feasible (p, &rq))
+  if (!p->has_quarantined ||
+      is_feasible (p, &rq, step->job->entry->job->priority))
     return FALSE;
   rq.allow_quarantined = TRUE;
   reset_placed (p);
@@ -420,10 +450,10 @@
   return task->failed_on && p->d->now < task->last_failure_at + span;
 }
 
-/* Tells whether some worker that RQ does not exclude could run its task when
-   idle. */
+/* Tells whether some worker that RQ, of a job of PRIORITY, does not exclude
+   could run its task once all that does not last has ended. */
 static gboolean
-has_other_worker (const Pass *p, const FitRequest *rq)
+has_other_worker (const Pass *p, const FitRequest *rq, gint64 priority)
 {
   const Pool *pool = &p->d->pool;
   FitRequest any = *rq;
@@ -433,9 +463,10 @@
   for (i = 0; i < pool_size (pool); i++)
     {
       const PoolWorker *w = pool_at (pool, i);
+      PoolResources room = room_when_idle (w, priority);
 
       if (assign_is_usable (p->d, w) && fit_is_eligible (&any, w) &&
-          pool_resources_fit (&w->entry->capacity, &rq->need))
+          pool_resources_fit (&room, &rq->need))
         return TRUE;
     }
   return FALSE;
@@ -447,7 +478,7 @@
 admit_only_worker (const Pass *p, const WorkTask *task, FitRequest *rq)
 {
   if ((!rq->excluded_worker && !p->has_quarantined) ||
-      has_other_worker (p, rq) ||
+      has_other_worker (p, rq, task->step->job->entry->job->priority) ||
       failed_within (p, task, failed_worker_wait (task, FALSE)))
     return FALSE;
   rq->excluded_worker = NULL;
--- a/queue/fit.c
+++ b/queue/fit.c
@@ -251,24 +251,14 @@
   return TRUE;
 }
 
-/* Tells whether RQ would fit if WORKERS were idle.  Their ROOM is ignored;
-   each counts with its full size. */
+/* Tells whether RQ fits in the room of the N in WORKERS, which are sorted by
+   rack. */
 gboolean
-fit_feasible_when_empty (const FitRequest *rq,
-                         const FitWorker *workers,
-                         guint n)
+fit_feasible (const FitRequest *rq, const FitWorker *workers, guint n)
 {
-  FitWorker *empty = g_new (FitWorker, n);
   gboolean in_one_rack = !rq->ignore_racks && (rq->same_rack || *rq->data_rack);
   WorkerRange g = { 0, n };
-  gboolean possible;
-  guint i;
 
-  for (i = 0; i < n; i++)
-    empty[i] = (FitWorker) { .worker = workers[i].worker,
-                             .room = workers[i].worker->entry->capacity };
-  possible = in_one_rack ? best_fit_rack (rq, empty, n, &g)
-                         : range_slots (rq, empty, g) >= rq->count;
-  g_free (empty);
-  return possible;
+  return in_one_rack ? best_fit_rack (rq, workers, n, &g)
+                     : range_slots (rq, workers, g) >= rq->count;
 }
--- a/queue/fit.h
+++ b/queue/fit.h
@@ -50,9 +50,7 @@
                     FitWorker *workers,
                     guint n,
                     PoolWorker **chosen);
-gboolean fit_feasible_when_empty (const FitRequest *rq,
-                                  const FitWorker *workers,
-                                  guint n);
+gboolean fit_feasible (const FitRequest *rq, const FitWorker *workers, guint n);
 gboolean fit_is_eligible (const FitRequest *rq, const PoolWorker *w);
 
 #endif
--- a/queue/work.h
+++ b/queue/work.h
@@ -80,8 +80,8 @@
   gboolean demand_counted; /* already counted as arrived urgent work */
   PoolResources need;      /* for one task */
   ClockMs next_evict;      /* when to look for tasks to evict again */
-  ClockMs fits_empty_fleet_until; /* FITS_EMPTY_FLEET is valid before */
-  gboolean fits_empty_fleet;      /* would fit if all workers were idle */
+  ClockMs fits_idle_fleet_until; /* FITS_IDLE_FLEET is valid before */
+  gboolean fits_idle_fleet;      /* would fit once all that ends has ended */
 };
 
 APR_RING_HEAD (WorkStepRing, WorkStep);
@@ -91,7 +91,7 @@
   APR_RING_ENTRY (WorkJob) link;
   JobEntry *entry;
   JobState state;
-  struct WorkStepRing steps; /* of the occurrences that were added */
+  struct WorkStepRing steps;  /* of the occurrences that were added */
   GPtrArray *steps_by_number; /* the same, by occurrence, then number */
   guint next_occurrence;
   guint steps_left; /* in STEPS, not done */
--- a/tests/queue_limits_test.cc
+++ b/tests/queue_limits_test.cc
@@ -61,6 +61,27 @@
   w.expect_no_violations ();
 }
 
+TEST (QueueLimits, SameRackGangDoesNotWaitForRacksOfLastingTasks)
+{
+  QueueWorld w (2, 12);
+  const std::string lasts = ",\"perpetual\":true,\"maxPerServer\":1";
+  const std::string gang = ",\"gang\":true,\"sameRack\":true";
+
+  w.run (3000);
+  for (int rack = 0; rack < 3; rack++)
+    w.submit (0, job_of (640000 + rack,
+                         world_step (1, 64000, 8,
+                                     lasts + ",\"requiredLabel\":\"r" +
+                                         std::to_string (rack) + "\""),
+                         "ms=90000000"));
+  w.run (1500);
+  w.submit (0,
+            job_of (650000, world_step (4, 64000, 8, gang), "ms=1000 gang=4"));
+  w.run (5000);
+  EXPECT_EQ (w.state_of ("650000"), "completed");
+  w.expect_no_violations ();
+}
+
 TEST (QueueLimits, ManyOverdueOccurrencesDoNotHoldOtherJobs)
 {
   QueueWorld w (2, 2);
@@ -84,4 +105,3 @@
   g_timer_destroy (timer);
   w.expect_no_violations ();
 }
-
