Placement: no task is placed by the entry of a process since replaced

What callers saw: ROUTE and LIMIT.

Cause: placement went by the entry of the process before, though a hold had told of the new one. Class: what one process said is used for the next. Fix: a worker whose list tells of a newer process than its entry gets no new tasks until its entry is that one's.

Open: starts that were chosen before the hold that tells of the restart are still sent; they are those of one pass.

Evidence: QueueLimits.StaleEntryOfARestartedWorkerIsNotPlacedBy shows "LIMIT on w0" before and passes after.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -72,12 +72,20 @@
   return FALSE;
 }
 
+/* Tells whether W's entry is that of its process before, so that its kind and
+   its room are not known. */
+static gboolean
+has_stale_entry (const PoolWorker *w)
+{
+  return w->entry->incarnation && w->entry->incarnation < w->incarnation;
+}
+
 /* Tells whether new tasks may be placed on W. */
 gboolean
 assign_is_usable (const Dispatch *d, const PoolWorker *w)
 {
   return w->registered && w->runs_known && w->in_roster &&
-         !w->entry->draining && !w->polls_unanswered &&
+         !w->entry->draining && !w->polls_unanswered && !has_stale_entry (w) &&
          w->excluded_until <= d->now;
 }
 
--- a/tests/queue_limits_test.cc
+++ b/tests/queue_limits_test.cc
@@ -105,3 +105,24 @@
   g_timer_destroy (timer);
   w.expect_no_violations ();
 }
+
+/* The new process is a smaller one, and has not written its entry yet. */
+TEST (QueueLimits, StaleEntryOfARestartedWorkerIsNotPlacedBy)
+{
+  QueueWorld w (1, 2);
+
+  w.run (3000);
+  w.drain_worker (1);
+  w.run (300);
+  w.crash_worker (0, true);
+  w.workers[0].alive = true;
+  w.workers[0].started_at = w.now ();
+  w.workers[0].incarnation = w.wall ();
+  w.submit (0, job_of (680000, world_step (1, 1000, 1), "ms=3000"));
+  w.run (500);
+  w.workers[0].capacity = { 8000, 32000, 4 };
+  w.submit (0, job_of (680001, world_step (1, 50000, 6), "ms=3000"));
+  w.run (2000);
+  EXPECT_EQ (w.starts ("680001.0.0.0"), 0);
+  w.expect_no_violations ();
+}
