Placement: whether others could hold a gang is asked once a second

Suspected: while a worker was in quarantine, each pass asked for each waiting gang whether the others could ever hold it, over all workers and what runs there.

Fix: the answer that is kept for a second is asked first; a worker's room is reckoned only if the worker is eligible.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -412,9 +412,10 @@
 {
   FitRequest rq = assign_request (p->d, step, (guint)step->spec->count);
 
+  if (!p->has_quarantined || is_feasible_when_idle (p, step, &rq))
+    return FALSE;
   rq.ignore_racks = TRUE;
-  if (!p->has_quarantined ||
-      is_feasible (p, &rq, step->job->entry->job->priority))
+  if (is_feasible (p, &rq, step->job->entry->job->priority))
     return FALSE;
   rq.allow_quarantined = TRUE;
   reset_placed (p);
@@ -471,10 +472,12 @@
   for (i = 0; i < pool_size (pool); i++)
     {
       const PoolWorker *w = pool_at (pool, i);
-      PoolResources room = room_when_idle (w, priority);
+      PoolResources room;
 
-      if (assign_is_usable (p->d, w) && fit_is_eligible (&any, w) &&
-          pool_resources_fit (&room, &rq->need))
+      if (!assign_is_usable (p->d, w) || !fit_is_eligible (&any, w))
+        continue;
+      room = room_when_idle (w, priority);
+      if (pool_resources_fit (&room, &rq->need))
         return TRUE;
     }
   return FALSE;
