--- a/queue/assign.c
+++ b/queue/assign.c
@@ -322,6 +322,7 @@
 {
   WorkJob *job = step->job;
 
+  begin_on_chosen (d, job);
   effects_log (d->fx,
                "event=start job=%s step=%u.%u tasks=%u run=%" G_GINT64_FORMAT
                " priority=%" G_GINT64_FORMAT " age_ms=%" CLOCK_MS_FORMAT
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -259,6 +259,12 @@
   if (!reply->refused || !call_limit_serves_others (&w->calls, call->sent_at))
     return;
   call_limit_on_refusal (&w->calls, d->now);
+  if (w->calls.max < d->pool.least_calls)
+    effects_log (d->fx,
+                 "event=least_calls worker=%s max_calls=%u before=%u "
+                 "in_flight=%u answered_ms_ago=%" CLOCK_MS_FORMAT,
+                 w->entry->id, w->calls.max, d->pool.least_calls,
+                 w->calls.in_flight, d->now - w->calls.answered_at);
   d->pool.least_calls = MIN (d->pool.least_calls, w->calls.max);
   effects_log_detail (d->fx, "event=connection_refused worker=%s max_calls=%u",
                       w->entry->id, w->calls.max);
@@ -343,7 +349,8 @@
       d->replan = TRUE;
 }
 
-/* Runs all due work: polls workers, plans, and writes changes to the store. */
+/* Runs all due work but placement: polls workers and writes changes to the
+   store. */
 void
 dispatch_tick (Dispatch *d)
 {
@@ -352,14 +359,6 @@
   due_run (d);
   check_all_runs_known (d);
   add_due_occurrences (d);
-  if (d->conf && d->may_send_orders &&
-      ((d->replan && d->now >= d->next_plan) ||
-       d->now >= d->next_plan + PLAN_MAX_INTERVAL_MS))
-    {
-      d->replan = FALSE;
-      d->next_plan = d->now + PLAN_MIN_INTERVAL_MS;
-      assign_all (d);
-    }
   save_tick (d);
   roster_tick (d);
   waiting_tick (d);
@@ -368,7 +367,21 @@
   reap (d);
 }
 
-/* Returns when dispatch_tick has to be called next. */
+/* Runs a placement pass if one is due. */
+void
+dispatch_plan (Dispatch *d)
+{
+  if (d->lost_role || !d->conf || !d->may_send_orders)
+    return;
+  if ((!d->replan || d->now < d->next_plan) &&
+      d->now < d->next_plan + PLAN_MAX_INTERVAL_MS)
+    return;
+  d->replan = FALSE;
+  d->next_plan = d->now + PLAN_MIN_INTERVAL_MS;
+  assign_all (d);
+}
+
+/* Returns when dispatch_tick and dispatch_plan have to be called next. */
 ClockMs
 dispatch_next_deadline (const Dispatch *d)
 {
--- a/queue/dispatch.h
+++ b/queue/dispatch.h
@@ -40,6 +40,7 @@
 void dispatch_on_run_reply (Dispatch *d, const RunReply *reply);
 gboolean dispatch_on_kv_reply (Dispatch *d, const KvReply *reply);
 void dispatch_tick (Dispatch *d);
+void dispatch_plan (Dispatch *d);
 ClockMs dispatch_next_deadline (const Dispatch *d);
 gboolean dispatch_has_lost_role (const Dispatch *d);
 void dispatch_append_metrics (const Dispatch *d, GString *text);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -147,6 +147,11 @@
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPlacement *placement);
 void runs_stop_incomplete_gangs (Dispatch *d);
 
+/* begin.c */
+void begin_on_chosen (Dispatch *d, WorkJob *job);
+void begin_on_sent (Dispatch *d, WorkTask *task);
+void begin_on_confirmed (Dispatch *d, WorkTask *task);
+
 /* grant.c */
 void grant_note_late_start (const Dispatch *d, const WorkPlacement *placement);
 gboolean grant_clock_is_recent (const Dispatch *d, const PoolWorker *w);
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -497,6 +497,7 @@
   if (placement->state == PLACEMENT_STARTING)
     {
       placement->state = PLACEMENT_RUNNING;
+      begin_on_confirmed (d, placement->task);
       placement->retry_at = CLOCK_NEVER;
       placement->confirmed_call = d->fx->last_id;
     }
--- a/queue/node.c
+++ b/queue/node.c
@@ -263,7 +263,9 @@
 static void
 stop_dispatch (Node *n, const char *why)
 {
-  effects_log (&n->fx, "event=role_left reason=%s", why);
+  effects_log (&n->fx,
+               "event=role_left reason=%s renewed_ms_ago=%" CLOCK_MS_FORMAT,
+               why, n->now - n->term.renewed_at);
   dispatch_free (n->dispatch);
   n->dispatch = NULL;
   /* The next scheduler may need the connections that this one keeps open. */
@@ -455,6 +457,14 @@
     dispatch_tick (n->dispatch);
 }
 
+/* Places waiting tasks if that is due; to be called after node_tick. */
+void
+node_plan (Node *n)
+{
+  if (n->dispatch)
+    dispatch_plan (n->dispatch);
+}
+
 /* Begins the shutdown of N: gives up the role and reports not ready.  Requests
    are still served until the process ends. */
 void
@@ -480,7 +490,8 @@
   return effects_pop (&n->fx);
 }
 
-/* Returns when node_tick must be called next if nothing else happens. */
+/* Returns when node_tick and node_plan must be called next if nothing else
+   happens. */
 ClockMs
 node_next_deadline (const Node *n)
 {
--- a/queue/node.h
+++ b/queue/node.h
@@ -46,6 +46,7 @@
 void node_on_kv_reply (Node *n, const KvReply *reply);
 void node_on_run_reply (Node *n, const RunReply *reply);
 void node_tick (Node *n);
+void node_plan (Node *n);
 void node_drain (Node *n);
 void node_stop (Node *n);
 Effect *node_pop_effect (Node *n);
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -187,6 +187,7 @@
   placement->last_order_at = d->now;
   placement->retry_at = CLOCK_NEVER;
   placement->call_id = runs_send (d, call, placement);
+  begin_on_sent (d, placement->task);
 }
 
 /* Sends the first start order of PLACEMENT, whose worker has the capacity for
@@ -657,6 +658,7 @@
       placement->confirmed_call = d->fx->last_id;
       if (placement->state == PLACEMENT_STARTING)
         placement->state = PLACEMENT_RUNNING;
+      begin_on_confirmed (d, placement->task);
       return;
     case RUN_LOST:
       on_start_lost (d, placement);
--- a/queue/term.c
+++ b/queue/term.c
@@ -239,6 +239,7 @@
     }
   if (t->call_id || t->next_at > now)
     return;
+  t->call_late = now - t->next_at;
   call = next_call (t, fx);
   if (!call)
     return;
@@ -316,6 +317,20 @@
   t->next_at = now + RENEW_INTERVAL_MS;
 }
 
+/* Logs a renewal that came so late that the lease may have expired before. */
+static void
+log_late_renewal (const Term *t, const KvReply *reply, ClockMs now, Effects *fx)
+{
+  if (now - t->renewed_at <= t->lease_ttl)
+    return;
+  effects_log (fx,
+               "event=renewal_late status=%s sent_late_ms=%" CLOCK_MS_FORMAT
+               " answer_ms=%" CLOCK_MS_FORMAT " since_last_ms=%" CLOCK_MS_FORMAT
+               " lease_ms=%" CLOCK_MS_FORMAT,
+               kv_status_name (reply->status), t->call_late,
+               now - reply->call_started_at, now - t->renewed_at, t->lease_ttl);
+}
+
 static void
 on_renewal (Term *t, const KvReply *reply, ClockMs now)
 {
@@ -371,6 +386,7 @@
       on_claim (t, reply, now);
       break;
     case TERM_LEADER:
+      log_late_renewal (t, reply, now, fx);
       on_renewal (t, reply, now);
       break;
     case TERM_FOLLOWER:
--- a/queue/term.h
+++ b/queue/term.h
@@ -50,6 +50,7 @@
   gint64 call_id;           /* of the call in flight; 0: none */
   gint64 revoke_lease_id;   /* lease to end in the store; 0: none */
   ClockMs next_at;          /* when to make the next call */
+  ClockMs call_late;        /* how late the call in flight was sent */
   ClockMs renewed_at;       /* when the last successful renewal was sent */
   gint64 own_role_revision; /* of the role key that this leader wrote */
   gboolean must_renew; /* send no orders before the next renewal succeeds */
--- a/queue/work.h
+++ b/queue/work.h
@@ -58,6 +58,7 @@
   WorkStep *step;
   guint index;
   gboolean done;
+  gboolean confirmed;  /* its worker has confirmed a start of it */
   GArray *failed_runs; /* of gint64; for a gang, in its first task only */
   gint64 last_run;     /* highest run number so far */
   char *checkpoint;    /* NULL for none; for a gang, in its first task */
@@ -101,6 +102,9 @@
   gboolean save_again; /* it changed during that write */
   gboolean guaranteed; /* urgent and within its workspace's guarantee */
   ClockMs known_since; /* to this scheduler */
+  ClockMs chosen_at;   /* workers were chosen for its first tasks; 0: not yet */
+  ClockMs sent_at;     /* its last start order was sent */
+  guint n_confirmed;   /* of its tasks that are CONFIRMED */
   ClockMs accepted_at; /* on the scheduler's clock */
   ClockMs objective;   /* target time from acceptance to completion */
 };
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -228,10 +228,12 @@
 static gsize
 count_traffic (const Transfer *t)
 {
-  long request = 0, header = 0;
+  long request = 0, header = 0, made = 0;
 
   curl_easy_getinfo (t->easy, CURLINFO_REQUEST_SIZE, &request);
+  curl_easy_getinfo (t->easy, CURLINFO_NUM_CONNECTS, &made);
   curl_easy_getinfo (t->easy, CURLINFO_HEADER_SIZE, &header);
+  t->traffic->connections += made;
   t->traffic->sent += request;
   t->traffic->received += header + t->answer->len;
   return (gsize)header + t->answer->len;
--- a/src/loop.c
+++ b/src/loop.c
@@ -19,6 +19,7 @@
   LoopReady ready;
   void *owner;
   gboolean polled;
+  int ready_events; /* found by loop_wait */
   LoopWatch *next_free;
 };
 
@@ -90,33 +91,45 @@
   return l->now;
 }
 
-static void
-dispatch (Loop *l, const apr_pollfd_t *ready, int n)
+/* Waits LONGEST milliseconds at most for descriptors to become ready; their
+   owners are called by loop_dispatch. */
+void
+loop_wait (Loop *l, ClockMs longest)
 {
+  const apr_pollfd_t *ready = NULL;
+  apr_int32_t n = 0;
   int i;
 
+  if (apr_pollset_poll (l->pollset, longest * us_per_ms, &n, &ready) !=
+      APR_SUCCESS)
+    n = 0;
+  loop_read_clock (l);
   for (i = 0; i < n; i++)
-    l->due[i] = ready[i].client_data;
+    {
+      l->due[i] = ready[i].client_data;
+      l->due[i]->ready_events = ready[i].rtnevents;
+    }
   l->n_due = n;
-  for (i = 0; i < n; i++)
+}
+
+/* Calls the owners of the descriptors that loop_wait found ready. */
+void
+loop_dispatch (Loop *l)
+{
+  int i;
+
+  for (i = 0; i < l->n_due; i++)
     if (l->due[i])
-      l->due[i]->ready (l->due[i]->owner, ready[i].rtnevents);
+      l->due[i]->ready (l->due[i]->owner, l->due[i]->ready_events);
   l->n_due = 0;
 }
 
-/* Waits LONGEST milliseconds at most and calls the owners of what became
-   ready. */
+/* Does both. */
 void
 loop_poll (Loop *l, ClockMs longest)
 {
-  const apr_pollfd_t *ready = NULL;
-  apr_int32_t n = 0;
-  apr_status_t rv;
-
-  rv = apr_pollset_poll (l->pollset, longest * us_per_ms, &n, &ready);
-  loop_read_clock (l);
-  if (rv == APR_SUCCESS)
-    dispatch (l, ready, n);
+  loop_wait (l, longest);
+  loop_dispatch (l);
 }
 
 static void
--- a/src/loop.h
+++ b/src/loop.h
@@ -18,6 +18,8 @@
 apr_pool_t *loop_pool (const Loop *l);
 ClockMs loop_now (const Loop *l);
 ClockMs loop_read_clock (Loop *l);
+void loop_wait (Loop *l, ClockMs longest);
+void loop_dispatch (Loop *l);
 void loop_poll (Loop *l, ClockMs longest);
 LoopWatch *
 loop_watch (Loop *l, int fd, int events, LoopReady ready, void *owner);
--- a/tests/fuzz/node_fuzz.c
+++ b/tests/fuzz/node_fuzz.c
@@ -221,6 +221,7 @@
       while (send_next_request (node, &in, i + 1))
         i++;
       node_tick (node);
+      node_plan (node);
       if (!reply_to_calls (node, &in, now))
         break;
       now += TICK_INTERVAL_MS;
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -360,6 +360,7 @@
     return;
   node_set_time (n, now_, wall_ + now_ + hosts[host].wall_offset);
   node_tick (n);
+  node_plan (n);
   while ((e = node_pop_effect (n)))
     apply_effect (host, e);
 }
