Tests: urgent jobs under load while workers crash, on slower processors

CrashedWorkerLeavesConnectionsToOthersOpen shows that step alone: a worker whose process ends resets a call on its first connection, having answered another one since that was sent; 21 connections are made in 10 s in place of 7.

--- a/tests/queue_connections_test.cc
+++ b/tests/queue_connections_test.cc
@@ -230,3 +230,23 @@
     }
   w.expect_no_violations ();
 }
+
+/* A crash was taken for a lack of connections, and all calls to all workers
+   then made a new one. */
+TEST (QueueConnections, CrashedWorkerLeavesConnectionsToOthersOpen)
+{
+  QueueWorld w (n_hosts, n_workers);
+
+  limit_connections (w, 64);
+  w.run (3000);
+  w.submit (0,
+            { "q1/0000000000000001",
+              world_body (world_step (3 * n_workers, 20000, 1), "ms=60000") });
+  w.run (200);
+  w.crash_worker (0, false);
+  w.reset_polls (0);
+  w.run (1000);
+  int before = w.n_connections;
+  w.run (10000);
+  EXPECT_LT (w.n_connections - before, 2 * n_workers);
+}
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -1,5 +1,6 @@
 #include "queue_world.h"
 
+#include <cmath>
 #include <gtest/gtest.h>
 
 extern "C"
@@ -188,6 +189,8 @@
     node_free (hosts[i].node);
   hosts[i].node = nullptr;
   hosts[i].incarnation++;
+  hosts[i].inbox.clear ();
+  hosts[i].turn_is_scheduled = false;
 }
 
 void
@@ -287,12 +290,70 @@
         deliver (host, incarnation, frozen_retry_ms, what);
         return;
       }
+    if (processor.is_charged ())
+      {
+        h.inbox.push_back (what);
+        schedule_turn (host);
+        return;
+      }
     node_set_time (h.node, now_, wall_ + now_ + h.wall_offset);
     what (h.node);
     pump (host);
   });
 }
 
+bool
+QueueWorld::is_busy (int host) const
+{
+  return (double)now_ < hosts[host].busy_until;
+}
+
+/* Keeps HOST's processor busy for MS more. */
+void
+QueueWorld::charge (int host, double ms)
+{
+  WorldHost &h = hosts[host];
+
+  h.busy_until = std::max (h.busy_until, (double)now_) + ms;
+}
+
+/* Has HOST handle what waits in its inbox as soon as its processor is free. */
+void
+QueueWorld::schedule_turn (int host)
+{
+  WorldHost &h = hosts[host];
+  int incarnation = h.incarnation;
+
+  if (h.turn_is_scheduled)
+    return;
+  h.turn_is_scheduled = true;
+  schedule (std::max (now_, (ClockMs)std::ceil (h.busy_until)),
+            [this, host, incarnation] {
+              if (hosts[host].incarnation == incarnation)
+                take_turn (host);
+            });
+}
+
+/* Handles all that waits in HOST's inbox, as one step of its loop. */
+void
+QueueWorld::take_turn (int host)
+{
+  WorldHost &h = hosts[host];
+  std::vector<std::function<void (Node *)> > work;
+
+  h.turn_is_scheduled = false;
+  if (!h.node || h.frozen)
+    return;
+  work.swap (h.inbox);
+  for (auto &what : work)
+    {
+      node_set_time (h.node, now_, wall_ + now_ + h.wall_offset);
+      what (h.node);
+      charge (host, processor.reply);
+    }
+  pump (host);
+}
+
 void
 QueueWorld::record_answer (int host, const Answer &a)
 {
@@ -404,7 +465,8 @@
       check_reclaim ();
       answer_watches ();
       for (size_t i = 0; i < hosts.size (); i++)
-        if (hosts[i].node && node_next_deadline (hosts[i].node) <= now_)
+        if (hosts[i].node && !is_busy ((int)i) &&
+            node_next_deadline (hosts[i].node) <= now_)
           pump ((int)i);
     }
 }
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -65,6 +65,7 @@
   int idle = 0;
   std::set<gint64> calls;         /* ids of those that keep it open after */
   std::set<gint64> closing_calls; /* ids of those that close it after */
+  std::set<gint64> first_calls;   /* ids of those that opened theirs */
 };
 
 struct WorldWorker
@@ -119,6 +120,10 @@
   int incarnation = 0;
   double link_free_at = 0; /* when its queued bytes are sent */
   int n_store_calls = 0;
+  /* What waits for the processor, and until when that is busy. */
+  std::vector<std::function<void (Node *)> > inbox;
+  double busy_until = 0;
+  bool turn_is_scheduled = false;
 };
 
 /* The network link of each host.  With a bytes_per_s of 0 its bandwidth is
@@ -129,6 +134,21 @@
   bool known_to_hosts = true;
 };
 
+/* What a host's processor needs for each piece of work, in ms.  While it is
+   busy, what arrives waits.  All 0: no time at all. */
+struct WorldProcessor
+{
+  double call = 0;       /* to send a call to a worker */
+  double reply = 0;      /* to handle any reply */
+  double connection = 0; /* to open a connection to a worker */
+
+  bool
+  is_charged () const
+  {
+    return call + reply + connection > 0;
+  }
+};
+
 struct WorldAnswer
 {
   int status = 0;
@@ -169,6 +189,7 @@
   void drain_host (int host);
   void stop_host (int host);
   void crash_worker (int worker, bool listed);
+  void reset_polls (int worker);
   void restart_worker (int worker);
   void drain_worker (int worker);
   void remove_worker (int worker);
@@ -189,6 +210,7 @@
   int scheduler () const;
   int starts (const std::string &task) const;
   int n_polls = 0;
+  int n_connections = 0; /* opened to workers, where they are counted */
   int n_stray_calls = 0; /* to an address where no worker is */
   /* Most polls with a wait of 0 that were pending at once. */
   size_t peak_immediate_polls = 0;
@@ -205,6 +227,7 @@
 
   std::vector<WorldHost> hosts;
   std::vector<WorldWorker> workers;
+  WorldProcessor processor;            /* of each host */
   ClockMs store_down_until = 0;        /* drops calls without executing them */
   ClockMs min_store_lease = 0;         /* the store refuses shorter ones */
   bool pause_leases_in_outage = false; /* leases don't age while it lasts */
@@ -277,6 +300,11 @@
 
   void schedule (ClockMs when, std::function<void ()> what);
   void pump (int host);
+  void schedule_turn (int host);
+  void take_turn (int host);
+  void charge (int host, double ms);
+  bool is_busy (int host) const;
+  bool counts_connections (const WorldWorker &w) const;
   void apply_effect (int host, Effect *e);
   void record_answer (int host, const Answer &a);
   bool store_drops_calls (int host) const;
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -259,6 +259,13 @@
   return reply;
 }
 
+/* Whether connections to W are counted. */
+bool
+QueueWorld::counts_connections (const WorldWorker &w) const
+{
+  return w.max_connections || processor.is_charged ();
+}
+
 /* Takes one of HOST's connections to W for CALL, or opens one.  Returns false
    if W refuses it. */
 bool
@@ -272,8 +279,14 @@
          (int)c.second.closing_calls.size ();
   if (own.idle)
     own.idle--;
-  else if (n >= w.max_connections)
+  else if (w.max_connections && n >= w.max_connections)
     return false;
+  else
+    {
+      n_connections++;
+      own.first_calls.insert (call.id);
+      charge (host, processor.connection);
+    }
   (call.close_after ? own.closing_calls : own.calls).insert (call.id);
   return true;
 }
@@ -289,10 +302,31 @@
       if (own == w.connections.end ())
         continue;
       own->second.closing_calls.erase (call);
+      own->second.first_calls.erase (call);
       own->second.idle += (int)own->second.calls.erase (call);
     }
 }
 
+/* Resets the connections of the polls that wait at a worker, as when its
+   process ends. */
+void
+QueueWorld::reset_polls (int worker)
+{
+  auto is_at_worker = [worker] (const Poll &p) { return p.worker == worker; };
+
+  for (const Poll &p : polls_)
+    if (is_at_worker (p))
+      {
+        auto reply = new_run_reply (p.id, RUN_LOST);
+
+        for (auto &c : workers[worker].connections)
+          if (c.second.first_calls.count (p.id))
+            reply->refused = TRUE;
+        reply_run (p.host, p.incarnation, reply, worker_latency_ms);
+      }
+  std::erase_if (polls_, is_at_worker);
+}
+
 /* Closes all connections of HOST's current process to workers. */
 void
 QueueWorld::close_connections (int host)
@@ -347,7 +381,9 @@
   WorldWorker &w = workers[n];
   ClockMs queued = reserve_link (host, link_run_call_bytes (raw));
 
-  if (w.max_connections && is_reachable (w) && !open_connection (host, w, *raw))
+  charge (host, processor.call);
+  if (counts_connections (w) && is_reachable (w) &&
+      !open_connection (host, w, *raw))
     {
       auto reply =
           new_run_reply (raw->id, chance () < 0.5 ? RUN_UNSENT : RUN_LOST);
@@ -375,8 +411,10 @@
       bool refused = (!w.alive && w.unreachable_until <= now_) ||
                      w.cut_refuses_connections;
 
-      reply_run (host, incarnation,
-                 new_run_reply (raw->id, refused ? RUN_UNSENT : RUN_LOST),
+      auto reply = new_run_reply (raw->id, refused ? RUN_UNSENT : RUN_LOST);
+
+      reply->refused = refused;
+      reply_run (host, incarnation, reply,
                  refused ? worker_latency_ms : raw->timeout);
       return;
     }
