Connections: a worker that crashes is not taken for one that accepts few

Cause: a call that is reset on a new connection counted as a refusal for lack of connections if the worker had answered since the call was sent, or had calls in flight. A crash looks just like that. The least limit of any worker then held for all of them, for the rest of the term: no connection was kept open.

Fix: only a worker that answers a call sent after the refusal has shown that it takes few connections, and an eighth of the workers must have shown it before all are treated so. It is counted anew each second, so that it also ends.

--- a/queue/call_limit.c
+++ b/queue/call_limit.c
@@ -27,6 +27,7 @@
   l->max = INITIAL_MAX;
   l->raise_pause = 0;
   l->raise_at = 0;
+  l->confirmed = FALSE;
 }
 
 static gboolean
@@ -59,14 +60,22 @@
   return usable_max (l) == 1;
 }
 
+/* Tells whether the worker surely accepts so few calls that connections are
+   scarce. */
+gboolean
+call_limit_is_scarce (const CallLimit *l)
+{
+  return l->confirmed && l->max <= SCARCE_MAX;
+}
+
 /* Tells whether the connection of a call is kept open after it.  Where
    connections are scarce, none is, so that a host that loses power leaves only
-   those of its calls in flight.  A worker that has refused none is assumed to
-   accept LEAST_MAX, the least that any worker does. */
+   those of its calls in flight.  SCARCE tells whether they are at a worker that
+   has refused none. */
 gboolean
-call_limit_keeps_connection (const CallLimit *l, guint least_max)
+call_limit_keeps_connection (const CallLimit *l, gboolean scarce)
 {
-  return (has_refused (l) ? l->max : least_max) > SCARCE_MAX;
+  return has_refused (l) ? l->max > SCARCE_MAX : !scarce;
 }
 
 /* Counts a call that is sent. */
@@ -105,6 +114,15 @@
     raise_max (l, now);
 }
 
+/* Handles that the worker has answered a call that was sent at SENT_AT.  A
+   worker that ends refuses connections, too, but answers no later call. */
+void
+call_limit_on_answer (CallLimit *l, ClockMs sent_at)
+{
+  if (has_refused (l) && sent_at > l->refused_at)
+    l->confirmed = TRUE;
+}
+
 /* Handles the refusal at NOW of a call's connection, after its reply has been
    counted: the worker accepts those that are in flight, but no more. */
 void
@@ -115,6 +133,7 @@
         CLAMP (2 * l->raise_pause, RAISE_PAUSE_MS, RAISE_PAUSE_MAX_MS);
   l->max = CLAMP (l->in_flight, 1, l->max);
   l->raised = FALSE;
+  l->refused_at = now;
   l->raise_at = now + l->raise_pause;
 }
 
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -8,7 +8,11 @@
 {
   PLAN_MIN_INTERVAL_MS = 15,  /* batches changes that arrive close together */
   PLAN_MAX_INTERVAL_MS = 250, /* ages and quarantines change without an event */
-  OCCURRENCE_CHECK_MS = 50    /* precision of occurrence due times */
+  OCCURRENCE_CHECK_MS = 50,   /* precision of occurrence due times */
+  SCARCITY_CHECK_MS = 1000,
+  /* From 1/8 of the workers on, scarce connections are taken for a property of
+     all; a single worker may be ill. */
+  SCARCE_WORKERS_DIVISOR = 8
 };
 
 /* Creates the scheduler of TERM.  JOB_CACHE and ROSTER must have been loaded
@@ -254,18 +258,13 @@
   gboolean answered = reply->status != RUN_LOST && reply->status != RUN_UNSENT;
 
   call_limit_on_reply (&w->calls, d->now, answered);
+  if (answered)
+    call_limit_on_answer (&w->calls, call->sent_at);
   if (answered && !call->waits)
     rtt_record (&w->rtt, d->now - call->sent_at);
   if (!reply->refused || !call_limit_serves_others (&w->calls, call->sent_at))
     return;
   call_limit_on_refusal (&w->calls, d->now);
-  if (w->calls.max < d->pool.least_calls)
-    effects_log (d->fx,
-                 "event=least_calls worker=%s max_calls=%u before=%u "
-                 "in_flight=%u answered_ms_ago=%" CLOCK_MS_FORMAT,
-                 w->entry->id, w->calls.max, d->pool.least_calls,
-                 w->calls.in_flight, d->now - w->calls.answered_at);
-  d->pool.least_calls = MIN (d->pool.least_calls, w->calls.max);
   effects_log_detail (d->fx, "event=connection_refused worker=%s max_calls=%u",
                       w->entry->id, w->calls.max);
 }
@@ -349,6 +348,26 @@
       d->replan = TRUE;
 }
 
+/* Counts the workers with scarce connections now and then, and logs when all
+   are taken to be like them or no longer. */
+static void
+check_scarcity (Dispatch *d)
+{
+  guint n;
+  gboolean scarce;
+
+  if (d->next_scarcity > d->now)
+    return;
+  d->next_scarcity = d->now + SCARCITY_CHECK_MS;
+  n = pool_count_scarce (&d->pool);
+  scarce = n > 0 && n * SCARCE_WORKERS_DIVISOR >= pool_size (&d->pool);
+  if (scarce == d->pool.connections_are_scarce)
+    return;
+  d->pool.connections_are_scarce = scarce;
+  effects_log (d->fx, "event=connections scarce=%d workers=%u of=%u", scarce, n,
+               pool_size (&d->pool));
+}
+
 /* Runs all due work but placement: polls workers and writes changes to the
    store. */
 void
@@ -359,6 +378,7 @@
   due_run (d);
   check_all_runs_known (d);
   add_due_occurrences (d);
+  check_scarcity (d);
   save_tick (d);
   roster_tick (d);
   waiting_tick (d);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -108,6 +108,7 @@
   ClockMs next_plan;        /* earliest time of the next planning pass */
   ClockMs next_purge;       /* next deletion of old job records */
   ClockMs next_occurrences; /* next check for due job occurrences */
+  ClockMs next_scarcity;    /* next count of scarce connections */
   gint64 n_starts;          /* runs started, for metrics */
   gint64 n_evicted;         /* runs evicted for more urgent jobs, for metrics */
 };
--- a/queue/pool.c
+++ b/queue/pool.c
@@ -162,7 +162,6 @@
   p->departed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        (GDestroyNotify)g_ptr_array_unref);
   p->by_rack = g_ptr_array_new ();
-  p->least_calls = G_MAXUINT;
 }
 
 /* Frees the workers of P and its indexes. */
@@ -269,6 +268,18 @@
   return w;
 }
 
+/* Returns the number of workers whose connections are scarce. */
+guint
+pool_count_scarce (const Pool *p)
+{
+  guint n = 0;
+  guint i;
+
+  for (i = 0; i < pool_size (p); i++)
+    n += call_limit_is_scarce (&pool_at (p, i)->calls);
+  return n;
+}
+
 /* Removes and frees W, which must have no placements. */
 void
 pool_remove (Pool *p, PoolWorker *w, ClockMs now)
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -148,7 +148,8 @@
      come back before they have expired. */
   GHashTable *departed;
   GPtrArray *by_rack; /* of PoolWorker, sorted by rack, then id */
-  guint least_calls;  /* least CallLimit.max after a refusal */
+  /* Many workers accept so few connections that none is kept open. */
+  gboolean connections_are_scarce;
 } Pool;
 
 void pool_init (Pool *p);
@@ -158,6 +159,7 @@
 PoolWorker *pool_at (const Pool *p, guint i);
 guint pool_rack_end (const Pool *p, guint from);
 PoolWorker *pool_update (Pool *p, PoolEntry *entry);
+guint pool_count_scarce (const Pool *p);
 void pool_remove (Pool *p, PoolWorker *w, ClockMs now);
 void
 pool_add_late_start (PoolWorker *w, char *task, gint64 run, ClockMs expires);
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -67,7 +67,8 @@
   if (placement)
     detach_order (d, placement);
   call->close_after =
-      w && !call_limit_keeps_connection (&w->calls, d->pool.least_calls);
+      w &&
+      !call_limit_keeps_connection (&w->calls, d->pool.connections_are_scarce);
   if (w)
     call_limit_on_send (&w->calls);
   call->id = effects_next_id (d->fx);
