Loop: what is urgent comes first in a step, and a step is bounded

Cause: one step of the loop read all sockets that were ready, some hundreds, and began all calls that were due. The answer to the role's renewal waited among them; two such steps outlast the lease of 1.5 s. Another host took over, read everything, opened a thousand connections and was busier still. Evidence: event=renewal_late sent_late_ms=90 to 500 answer_ms=600 to 1,300 while the store answers in 4 ms, on holders that nothing disrupted, before each role_taken.

Fix: sockets of the store and of callers are served before those of workers, and stops and starts of urgent tasks are sent before other calls to workers. Of the rest a step takes on as much as keeps it near 40 ms (src/step_budget.c), those first that have waited longest. Calls of a term that has ended are dropped.

--- a/queue/effects.c
+++ b/queue/effects.c
@@ -14,6 +14,7 @@
 {
   *fx = (Effects) { .last_id = 0 };
   g_queue_init (&fx->queue);
+  g_queue_init (&fx->later_calls);
   link_init (&fx->link, link_rate);
 }
 
@@ -32,6 +33,17 @@
 
   while ((e = effects_pop (fx)))
     effect_free (e);
+  effects_drop_later_calls (fx);
+}
+
+/* Drops the calls to workers that have not been carried out. */
+void
+effects_drop_later_calls (Effects *fx)
+{
+  Effect *e;
+
+  while ((e = effects_pop_later_call (fx)))
+    effect_free (e);
 }
 
 /* Returns a new call id, higher than all earlier ones. */
@@ -42,15 +54,21 @@
 }
 
 static Effect *
-push_effect (Effects *fx, EffectKind kind)
+push_to (GQueue *queue, EffectKind kind)
 {
   Effect *e = g_new0 (Effect, 1);
 
   e->kind = kind;
-  g_queue_push_tail (&fx->queue, e);
+  g_queue_push_tail (queue, e);
   return e;
 }
 
+static Effect *
+push_effect (Effects *fx, EffectKind kind)
+{
+  return push_to (&fx->queue, kind);
+}
+
 /* Returns the time-out of a call to the store in milliseconds, by its round
    trips: at least LEAST. */
 ClockMs
@@ -80,7 +98,8 @@
 {
   call->timeout += link_delay (&fx->link, fx->now);
   link_add_bytes (&fx->link, fx->now, link_run_call_bytes (call));
-  push_effect (fx, EFFECT_RUN)->run = call;
+  push_to (call->urgent ? &fx->queue : &fx->later_calls, EFFECT_RUN)->run =
+      call;
 }
 
 /* Queues the closing of all connections to workers. */
@@ -140,6 +159,20 @@
   return g_queue_pop_head (&fx->queue);
 }
 
+/* Like effects_pop, for the calls to workers that can wait. */
+Effect *
+effects_pop_later_call (Effects *fx)
+{
+  return g_queue_pop_head (&fx->later_calls);
+}
+
+/* Returns how many calls to workers wait to be carried out. */
+guint
+effects_n_later_calls (const Effects *fx)
+{
+  return fx->later_calls.length;
+}
+
 /* Frees E. */
 void
 effect_free (Effect *e)
--- a/queue/effects.h
+++ b/queue/effects.h
@@ -5,7 +5,8 @@
 #include "rtt.h"
 
 /* A queue of the actions that the modules request: calls, answers, log lines
-   and measurements, as data.  The platform code carries them out in order. */
+   and measurements, as data.  The platform code carries them out in order, but
+   calls to workers that can wait after all others, as its processor allows. */
 
 typedef enum AnswerBody
 {
@@ -63,7 +64,8 @@
 
 typedef struct Effects
 {
-  GQueue queue; /* of Effect */
+  GQueue queue;       /* of Effect */
+  GQueue later_calls; /* of Effect, all EFFECT_RUN */
   gint64 last_id;
   Link link; /* models the network link that carries the calls */
   RttEstimate store_rtt;
@@ -83,7 +85,10 @@
 void effects_log_detail (Effects *fx, const char *format, ...)
     G_GNUC_PRINTF (2, 3);
 void effects_measure (Effects *fx, Measure measure, ClockMs span);
+void effects_drop_later_calls (Effects *fx);
 Effect *effects_pop (Effects *fx);
+Effect *effects_pop_later_call (Effects *fx);
+guint effects_n_later_calls (const Effects *fx);
 void effect_free (Effect *e);
 
 #endif
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -317,6 +317,19 @@
   return FALSE;
 }
 
+/* Tells whether the start of an urgent task waits for a reading of W's clock.
+ */
+static gboolean
+delays_urgent_start (PoolWorker *w)
+{
+  const WorkPlacement *placement;
+
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    if (placement->awaits_reading && work_task_is_urgent (placement->task))
+      return TRUE;
+  return FALSE;
+}
+
 static void
 send_hold (Dispatch *d, PoolWorker *w)
 {
@@ -328,6 +341,7 @@
   if (w->runs_known && !w->polls_unanswered && d->may_send_orders &&
       needs_lease (w) && former_may_give_lease (w))
     call->lease_deadline = grant_lease_deadline (d, w);
+  call->urgent = delays_urgent_start (w);
   call->ack = ack_to_send (w, unsaved);
   w->ends_ack_sent = call->ack;
   call->max_wait = hold_wait (d, w, unsaved);
--- a/queue/node.c
+++ b/queue/node.c
@@ -268,6 +268,7 @@
                why, n->now - n->term.renewed_at);
   dispatch_free (n->dispatch);
   n->dispatch = NULL;
+  effects_drop_later_calls (&n->fx);
   /* The next scheduler may need the connections that this one keeps open. */
   effects_disconnect_workers (&n->fx);
   n->relisting = FALSE;
@@ -490,6 +491,21 @@
   return effects_pop (&n->fx);
 }
 
+/* Removes and returns the oldest call to a worker that can wait until all other
+   effects have been carried out, or NULL; the caller frees it. */
+Effect *
+node_pop_later_call (Node *n)
+{
+  return effects_pop_later_call (&n->fx);
+}
+
+/* Returns how many such calls wait. */
+guint
+node_n_later_calls (const Node *n)
+{
+  return effects_n_later_calls (&n->fx);
+}
+
 /* Returns when node_tick and node_plan must be called next if nothing else
    happens. */
 ClockMs
--- a/queue/node.h
+++ b/queue/node.h
@@ -50,6 +50,8 @@
 void node_drain (Node *n);
 void node_stop (Node *n);
 Effect *node_pop_effect (Node *n);
+Effect *node_pop_later_call (Node *n);
+guint node_n_later_calls (const Node *n);
 ClockMs node_next_deadline (const Node *n);
 gboolean node_is_ready (const Node *n);
 gboolean node_is_scheduler (const Node *n);
--- a/queue/run_call.h
+++ b/queue/run_call.h
@@ -52,6 +52,7 @@
   gint64 fence;          /* fencing token of the scheduler's term */
   gint64 ack;            /* acknowledges the ends up to this sequence number */
   gboolean close_after;  /* close the connection once the call is over */
+  gboolean urgent;       /* is not to wait for the processor behind others */
   ClockMs max_wait;      /* how long a poll may wait for a run to end */
 } RunCall;
 
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -106,6 +106,8 @@
   call->task = work_task_name (placement->task);
   call->run = placement->run;
   call->timeout = order_timeout (placement->worker);
+  /* A stop frees room. */
+  call->urgent = op == RUN_STOP || work_task_is_urgent (placement->task);
   return call;
 }
 
@@ -410,6 +412,7 @@
   call->task = g_strdup (task);
   call->run = run;
   call->timeout = order_timeout (w);
+  call->urgent = TRUE;
   runs_send (d, call, NULL);
 }
 
--- a/queue/work.c
+++ b/queue/work.c
@@ -214,6 +214,13 @@
          job->next_occurrence >= spec_job_occurrences (job->entry->job);
 }
 
+/* Returns whether TASK belongs to an urgent job. */
+gboolean
+work_task_is_urgent (const WorkTask *task)
+{
+  return task->step->job->entry->job->priority == 0;
+}
+
 /* Returns how many tasks of STEP are neither done nor placed. */
 guint
 work_step_unplaced (const WorkStep *step)
--- a/queue/work.h
+++ b/queue/work.h
@@ -123,6 +123,7 @@
 void work_task_set_done (WorkTask *task);
 gboolean work_task_add_failure (WorkTask *task, gint64 run);
 guint work_task_attempts (const WorkTask *task);
+gboolean work_task_is_urgent (const WorkTask *task);
 void work_task_set_failed_on (WorkTask *task, PoolWorker *w, ClockMs now);
 void work_task_set_checkpoint (WorkTask *task, const char *checkpoint);
 char *work_task_name (const WorkTask *task);
--- a/src/curl_loop.c
+++ b/src/curl_loop.c
@@ -60,6 +60,8 @@
   s = g_new (Socket, 1);
   *s = (Socket) { .curl = c, .fd = fd };
   s->watch = loop_watch (c->loop, fd, events, on_ready, s);
+  if (c->bulk)
+    loop_watch_set_bulk (s->watch);
   curl_multi_assign (c->multi, fd, s);
   return 0;
 }
--- a/src/curl_loop.h
+++ b/src/curl_loop.h
@@ -10,6 +10,7 @@
 {
   Loop *loop;
   CURLM *multi;
+  gboolean bulk; /* its sockets may wait while others are served */
   ClockMs timer; /* when libcurl wants to be called, on the loop's clock */
 } CurlLoop;
 
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -44,6 +44,7 @@
 struct Fetch
 {
   Loop *loop;
+  gboolean bulk; /* its calls may wait while others are served */
   /* Calls to one address share a lane and its connections.  libcurl walks
      through a handle's connections and transfers in chains whose length
      grows with their number, so that many short lanes cost less than one. */
@@ -150,6 +151,7 @@
     {
       *lane = g_new (CurlLoop, 1);
       curl_loop_init (*lane, f->loop, MAX_IDLE_CONNECTIONS);
+      (*lane)->bulk = f->bulk;
     }
   return *lane;
 }
@@ -285,6 +287,14 @@
   return f;
 }
 
+/* Lets the calls of F, which has made none yet, wait while others of its loop
+   are served. */
+void
+fetch_set_bulk (Fetch *f)
+{
+  f->bulk = TRUE;
+}
+
 static void
 drop_lanes (Fetch *f)
 {
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -56,6 +56,7 @@
 } FetchCall;
 
 Fetch *fetch_new (Loop *loop);
+void fetch_set_bulk (Fetch *f);
 void fetch_free (Fetch *f);
 void fetch_disconnect (Fetch *f);
 void fetch_start (Fetch *f, const FetchCall *call);
--- a/src/loop.c
+++ b/src/loop.c
@@ -2,6 +2,7 @@
 
 #include <apr_general.h>
 #include <apr_portable.h>
+#include <stdlib.h>
 #include <time.h>
 
 enum
@@ -19,7 +20,9 @@
   LoopReady ready;
   void *owner;
   gboolean polled;
-  int ready_events; /* found by loop_wait */
+  gboolean bulk;       /* may wait while others are served */
+  guint64 served_step; /* the last step in which it was served */
+  int ready_events;    /* found by loop_wait */
   LoopWatch *next_free;
 };
 
@@ -30,6 +33,7 @@
   LoopWatch *free_watches;
   LoopWatch **due;
   int n_due;
+  guint64 step;
   ClockMs now;
 };
 
@@ -112,24 +116,56 @@
   l->n_due = n;
 }
 
-/* Calls the owners of the descriptors that loop_wait found ready. */
-void
-loop_dispatch (Loop *l)
+/* Sorts watches by the order in which they are served: bulk ones last, and of
+   these the one first that has waited longest. */
+static int
+compare_watches (const void *a, const void *b)
+{
+  const LoopWatch *x = *(LoopWatch *const *)a;
+  const LoopWatch *y = *(LoopWatch *const *)b;
+
+  if (x->bulk != y->bulk)
+    return x->bulk ? 1 : -1;
+  if (x->served_step != y->served_step)
+    return x->served_step < y->served_step ? -1 : 1;
+  return 0;
+}
+
+static void
+serve (Loop *l, LoopWatch *w)
+{
+  w->served_step = l->step;
+  w->ready (w->owner, w->ready_events);
+}
+
+/* Calls the owners of the descriptors that loop_wait found ready, but of
+   MAX_BULK bulk ones at most; the others are found again by the next loop_wait.
+   Returns how many of these there were. */
+guint
+loop_dispatch (Loop *l, guint max_bulk)
 {
+  guint n_bulk = 0;
   int i;
 
+  l->step++;
+  qsort (l->due, (size_t)l->n_due, sizeof *l->due, compare_watches);
   for (i = 0; i < l->n_due; i++)
-    if (l->due[i])
-      l->due[i]->ready (l->due[i]->owner, l->due[i]->ready_events);
+    {
+      LoopWatch *w = l->due[i];
+
+      if (w && (!w->bulk || n_bulk++ < max_bulk))
+        serve (l, w);
+    }
   l->n_due = 0;
+  return n_bulk;
 }
 
-/* Does both. */
+/* Waits like loop_wait and serves all that are ready. */
 void
 loop_poll (Loop *l, ClockMs longest)
 {
   loop_wait (l, longest);
-  loop_dispatch (l);
+  loop_dispatch (l, G_MAXUINT);
 }
 
 static void
@@ -164,11 +200,20 @@
   w->pfd.reqevents = (apr_int16_t)events;
   w->ready = ready;
   w->owner = owner;
+  w->bulk = FALSE;
+  w->served_step = 0;
   apr_os_sock_put (&w->pfd.desc.s, &fd, l->pool);
   poll_add (l, w);
   return w;
 }
 
+/* Lets W wait while others are served. */
+void
+loop_watch_set_bulk (LoopWatch *w)
+{
+  w->bulk = TRUE;
+}
+
 /* Changes what W waits for to EVENTS; 0 for nothing. */
 void
 loop_watch_set (Loop *l, LoopWatch *w, int events)
--- a/src/loop.h
+++ b/src/loop.h
@@ -19,10 +19,11 @@
 ClockMs loop_now (const Loop *l);
 ClockMs loop_read_clock (Loop *l);
 void loop_wait (Loop *l, ClockMs longest);
-void loop_dispatch (Loop *l);
+guint loop_dispatch (Loop *l, guint max_bulk);
 void loop_poll (Loop *l, ClockMs longest);
 LoopWatch *
 loop_watch (Loop *l, int fd, int events, LoopReady ready, void *owner);
+void loop_watch_set_bulk (LoopWatch *w);
 void loop_watch_set (Loop *l, LoopWatch *w, int events);
 void loop_unwatch (Loop *l, LoopWatch *w);
 
--- a/tests/fuzz/node_fuzz.c
+++ b/tests/fuzz/node_fuzz.c
@@ -147,6 +147,15 @@
     g_bytes_unref (r.body);
 }
 
+/* Returns the next effect of NODE, the calls that can wait last, or NULL. */
+static Effect *
+pop_effect (Node *node)
+{
+  Effect *e = node_pop_effect (node);
+
+  return e ? e : node_pop_later_call (node);
+}
+
 /* Replies to each pending call of NODE with the next line of IN; other effects
    are discarded.  Returns FALSE if the input ended before a call had its
    reply. */
@@ -157,7 +166,7 @@
   InputLine line;
   gboolean more = TRUE;
 
-  while (more && (e = node_pop_effect (node)))
+  while (more && (e = pop_effect (node)))
     {
       if (e->kind == EFFECT_KV && (more = next_line (in, &line)))
         reply_to_kv_call (node, e->kv, &line, now);
@@ -226,7 +235,7 @@
         break;
       now += TICK_INTERVAL_MS;
     }
-  while ((e = node_pop_effect (node)))
+  while ((e = pop_effect (node)))
     effect_free (e);
   node_free (node);
   return 0;
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -175,6 +175,7 @@
                      min_store_lease };
 
   h.name = "h" + std::to_string (i);
+  step_budget_init (&h.budget);
   h.node = node_new (&s, &platform_codec, now_, wall_ + now_ + h.wall_offset);
   schedule (now_, [this, i] { pump (i); });
 }
@@ -190,6 +191,7 @@
   hosts[i].node = nullptr;
   hosts[i].incarnation++;
   hosts[i].inbox.clear ();
+  hosts[i].bulk_inbox.clear ();
   hosts[i].turn_is_scheduled = false;
 }
 
@@ -278,21 +280,25 @@
 QueueWorld::deliver (int host,
                      int incarnation,
                      ClockMs delay,
-                     std::function<void (Node *)> what)
+                     std::function<void (Node *)> what,
+                     bool bulk)
 {
-  schedule (now_ + delay, [this, host, incarnation, what] {
+  schedule (now_ + delay, [this, host, incarnation, what, bulk] {
     WorldHost &h = hosts[host];
 
     if (h.incarnation != incarnation || !h.node)
       return;
     if (h.frozen)
       {
-        deliver (host, incarnation, frozen_retry_ms, what);
+        deliver (host, incarnation, frozen_retry_ms, what, bulk);
         return;
       }
     if (processor.is_charged ())
       {
-        h.inbox.push_back (what);
+        if (bulk)
+          h.bulk_inbox.push_back (what);
+        else
+          h.inbox.push_back (what);
         schedule_turn (host);
         return;
       }
@@ -334,24 +340,44 @@
             });
 }
 
-/* Handles all that waits in HOST's inbox, as one step of its loop. */
+void
+QueueWorld::handle (int host, const std::function<void (Node *)> &what)
+{
+  WorldHost &h = hosts[host];
+
+  node_set_time (h.node, now_, wall_ + now_ + h.wall_offset);
+  what (h.node);
+  charge (host, processor.reply);
+}
+
+/* Lets HOST take a step as its loop does (platform/host.c): what is urgent
+   comes first, and of the rest as much as its budget allows. */
 void
 QueueWorld::take_turn (int host)
 {
   WorldHost &h = hosts[host];
   std::vector<std::function<void (Node *)> > work;
+  guint n;
 
   h.turn_is_scheduled = false;
   if (!h.node || h.frozen)
     return;
   work.swap (h.inbox);
   for (auto &what : work)
+    handle (host, what);
+  for (n = 0; n < h.budget.pieces && !h.bulk_inbox.empty (); n++)
     {
-      node_set_time (h.node, now_, wall_ + now_ + h.wall_offset);
-      what (h.node);
-      charge (host, processor.reply);
+      auto what = h.bulk_inbox.front ();
+
+      h.bulk_inbox.pop_front ();
+      handle (host, what);
     }
   pump (host);
+  step_budget_on_step (&h.budget, (ClockMs)(h.busy_until - (double)now_),
+                       !h.bulk_inbox.empty () ||
+                           node_n_later_calls (h.node) > 0);
+  if (!h.bulk_inbox.empty () || node_n_later_calls (h.node) > 0)
+    schedule_turn (host);
 }
 
 void
@@ -410,20 +436,64 @@
   effect_free (e);
 }
 
+/* Returns the id of the call that E starts, or 0. */
+static gint64
+call_id (const Effect *e)
+{
+  if (e->kind == EFFECT_RUN)
+    return e->run->id;
+  return e->kind == EFFECT_KV ? e->kv->id : 0;
+}
+
+/* Carries out all effects of HOST's node at once, its calls by their ids. */
+void
+QueueWorld::apply_all_effects (int host)
+{
+  Node *n = hosts[host].node;
+  Effect *e, *later = node_pop_later_call (n);
+
+  while ((e = node_pop_effect (n)))
+    {
+      for (; later && later->run->id < call_id (e);
+           later = node_pop_later_call (n))
+        apply_effect (host, later);
+      apply_effect (host, e);
+    }
+  for (; later; later = node_pop_later_call (n))
+    apply_effect (host, later);
+}
+
+/* Carries out the effects of HOST's node that are not to wait, then as many as
+   its budget allows of the others. */
+void
+QueueWorld::apply_budgeted_effects (int host)
+{
+  WorldHost &h = hosts[host];
+  Effect *e;
+
+  while ((e = node_pop_effect (h.node)))
+    apply_effect (host, e);
+  for (guint i = 0; i < h.budget.pieces && node_n_later_calls (h.node); i++)
+    apply_effect (host, node_pop_later_call (h.node));
+  if (node_n_later_calls (h.node))
+    schedule_turn (host);
+}
+
 /* Runs HOST's node at the current time and carries out its effects. */
 void
 QueueWorld::pump (int host)
 {
   Node *n = hosts[host].node;
-  Effect *e;
 
   if (!n || hosts[host].frozen)
     return;
   node_set_time (n, now_, wall_ + now_ + hosts[host].wall_offset);
   node_tick (n);
   node_plan (n);
-  while ((e = node_pop_effect (n)))
-    apply_effect (host, e);
+  if (processor.is_charged ())
+    apply_budgeted_effects (host);
+  else
+    apply_all_effects (host);
 }
 
 /* Time limits are checked only while all hosts and the store are healthy. */
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -1,6 +1,7 @@
 #ifndef QUEUE_WORLD_H
 #define QUEUE_WORLD_H
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 {
 #include "codec.h"
 #include "node.h"
+#include "step_budget.h"
 }
 
 /* A simulated deployment in virtual time: real nodes on a simulated store and
@@ -120,8 +122,11 @@
   int incarnation = 0;
   double link_free_at = 0; /* when its queued bytes are sent */
   int n_store_calls = 0;
-  /* What waits for the processor, and until when that is busy. */
+  /* What waits for the processor, the replies of workers apart, and until when
+     that is busy. */
   std::vector<std::function<void (Node *)> > inbox;
+  std::deque<std::function<void (Node *)> > bulk_inbox;
+  StepBudget budget;
   double busy_until = 0;
   bool turn_is_scheduled = false;
 };
@@ -300,8 +305,11 @@
 
   void schedule (ClockMs when, std::function<void ()> what);
   void pump (int host);
+  void apply_all_effects (int host);
+  void apply_budgeted_effects (int host);
   void schedule_turn (int host);
   void take_turn (int host);
+  void handle (int host, const std::function<void (Node *)> &what);
   void charge (int host, double ms);
   bool is_busy (int host) const;
   bool counts_connections (const WorldWorker &w) const;
@@ -318,7 +326,8 @@
   void deliver (int host,
                 int incarnation,
                 ClockMs delay,
-                std::function<void (Node *)> what);
+                std::function<void (Node *)> what,
+                bool bulk = false);
   void reply_kv (int host,
                  int incarnation,
                  gint64 id,
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -215,12 +215,14 @@
                        std::shared_ptr<RunReply> reply,
                        ClockMs delay)
 {
-  deliver (host, incarnation, delay,
-           [this, host, incarnation, reply] (Node *n) {
-             immediate_polls_.erase ({ host, reply->id });
-             release_connection (host, incarnation, reply->id);
-             node_on_run_reply (n, reply.get ());
-           });
+  deliver (
+      host, incarnation, delay,
+      [this, host, incarnation, reply] (Node *n) {
+        immediate_polls_.erase ({ host, reply->id });
+        release_connection (host, incarnation, reply->id);
+        node_on_run_reply (n, reply.get ());
+      },
+      true);
 }
 
 static void
