Holds: ends are not asked for again before they are saved

Cause: a worker that had listed an end was asked again at once, before the end could be acknowledged, and listed it again; a third call acknowledged it.

Fix: the next hold of such a worker waits until the end is saved, or 300 ms after the list; not while a run there is being stopped or a start waits for its clock.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -47,7 +47,7 @@
   /* Between holds of an idle worker that may still execute a start: a new
      process of it must be told to refuse that. */
   LATE_START_INTERVAL_MS = 500,
-  UNSAVED_DELAY_MS = 300, /* least time between holds while ends are unsaved */
+  UNSAVED_DELAY_MS = 300, /* between holds while ends are unsaved */
   /* Between readings of an idle worker's clock.  A lease reckoned from an older
      reading would be too short for a worker whose clock is right.  Up to the
      spread earlier, so that workers heard at one moment are not read at one. */
@@ -161,6 +161,17 @@
   return !w->poll_id && w->poll_sent_at + POLL_MIN_MS <= d->now;
 }
 
+/* Returns when W, which has unsaved ends, may get a hold.  Until these are
+   saved W only lists them again, so nothing is asked for unless other news may
+   be there. */
+static ClockMs
+unsaved_hold_at (const PoolWorker *w)
+{
+  ClockMs listed_at = w->poll_immediately ? 0 : w->worker_clock_at;
+
+  return MAX (w->poll_sent_at, listed_at) + UNSAVED_DELAY_MS;
+}
+
 /* Returns when the next hold of W is due; not before one of the calls to W has
    its reply if too many are in flight. */
 ClockMs
@@ -170,9 +181,9 @@
     return CLOCK_NEVER;
   if (!needs_hold (w))
     return next_clock_reading (w);
-  if (has_unsaved_ends (d, w) && w->poll_sent_at + UNSAVED_DELAY_MS > d->now)
-    return w->poll_sent_at + UNSAVED_DELAY_MS;
-  return w->next_poll;
+  if (!has_unsaved_ends (d, w))
+    return w->next_poll;
+  return MAX (w->next_poll, unsaved_hold_at (w));
 }
 
 static gboolean
