Placement: passes and batch starts leave the processor to what is urgent

Cause: nothing was held back when the processor was short. A pass ran each 15 ms however long it took, and started all batch tasks that fit; their calls and answers stood before those of urgent gangs, orders ran into their time-outs and were sent again.

Fix: passes are five times their own length apart. The host tells how long workers' replies wait and how many calls a step bears; beyond 150 ms only urgent tasks are started, and before that a pass starts no more batch tasks than a step bears.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -22,7 +22,10 @@
   ONLY_WORKER_WAIT_MS = 2000,
   EVICT_RETRY_MS = 300,       /* between evictions for the same step */
   MAX_EVICTIONS_PER_PASS = 3, /* bounds the duration of a pass */
-  FEASIBILITY_TTL_MS = 1000   /* of the result of is_feasible_when_idle */
+  FEASIBILITY_TTL_MS = 1000,  /* of the result of is_feasible_when_idle */
+  /* While workers' replies wait longer than this for the processor, only urgent
+     tasks are started. */
+  MAX_LAG_MS = 150
 };
 
 /* State of one placement pass. */
@@ -35,6 +38,8 @@
   guint evictions;
   gboolean has_quarantined; /* some usable worker is in quarantine */
   gboolean link_full;       /* the pass stopped short and must be repeated */
+  guint batch_left;         /* tasks that are not urgent and may start */
+  gboolean batch_held;      /* some of them may not start yet */
   PoolResources largest;    /* largest amount of each resource on any worker */
   double free_workers;      /* free room of usable workers, in workers */
   double reserved_workers;  /* of it, the part kept for urgent work */
@@ -72,6 +77,25 @@
   return FALSE;
 }
 
+/* Tells whether the processor leaves room to start a task of STEP now, and
+   records in P if it doesn't. */
+static gboolean
+check_processor (Pass *p, const WorkStep *step)
+{
+  if (step->job->entry->job->priority == 0 || p->batch_left > 0)
+    return TRUE;
+  p->batch_held = TRUE;
+  return FALSE;
+}
+
+/* Counts N tasks of STEP as started. */
+static void
+count_batch (Pass *p, const WorkStep *step, guint n)
+{
+  if (step->job->entry->job->priority > 0)
+    p->batch_left -= MIN (n, p->batch_left);
+}
+
 /* Tells whether W's entry is that of its process before, so that its kind and
    its room are not known. */
 static gboolean
@@ -428,7 +452,7 @@
 {
   PoolWorker **chosen;
 
-  if (!check_link (p) ||
+  if (!check_link (p) || !check_processor (p, step) ||
       !fits_outside_reserve (p, step, (guint)step->spec->count))
     return;
   chosen = g_new0 (PoolWorker *, step->spec->count);
@@ -437,6 +461,7 @@
     {
       start_gang (p->d, step, chosen);
       subtract_free (p, step, (guint)step->spec->count);
+      count_batch (p, step, (guint)step->spec->count);
     }
   else if (step->job->entry->job->priority == 0)
     evict_and_refresh (p, step);
@@ -548,12 +573,14 @@
 
       if (task->done || task->placement)
         continue;
-      if (!check_link (p) || !fits_outside_reserve (p, step, 1))
+      if (!check_link (p) || !check_processor (p, step) ||
+          !fits_outside_reserve (p, step, 1))
         break;
       min_trust = assign_min_trust (p->d, task);
       if (place_task (p, task, min_trust))
         {
           subtract_free (p, step, 1);
+          count_batch (p, step, 1);
           n++;
           run = MAX (run, task->last_run);
         }
@@ -773,7 +800,8 @@
 void
 assign_all (Dispatch *d)
 {
-  Pass p = { .d = d };
+  Pass p = { .d = d,
+             .batch_left = d->load.lag > MAX_LAG_MS ? 0 : d->load.pieces };
   GArray *ranked;
   guint i;
 
@@ -799,6 +827,8 @@
       d->next_plan =
           MAX (d->next_plan, link_capacity_at (&d->fx->link, d->now) + 1);
     }
+  if (p.batch_held)
+    d->replan = TRUE;
   g_free (p.candidates);
   g_array_unref (ranked);
 }
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -8,7 +8,10 @@
 {
   PLAN_MIN_INTERVAL_MS = 15,  /* batches changes that arrive close together */
   PLAN_MAX_INTERVAL_MS = 250, /* ages and quarantines change without an event */
-  OCCURRENCE_CHECK_MS = 50,   /* precision of occurrence due times */
+  /* Passes are this many times their own length apart, so that they leave the
+     processor to what else there is. */
+  PLAN_PAUSE_FACTOR = 5,
+  OCCURRENCE_CHECK_MS = 50, /* precision of occurrence due times */
   SCARCITY_CHECK_MS = 1000,
   /* From 1/8 of the workers on, scarce connections are taken for a property of
      all; a single worker may be ill. */
@@ -36,6 +39,7 @@
   d->now = now;
   d->wall = wall;
   d->started_at = now;
+  d->load = (NodeLoad) { .pieces = G_MAXUINT };
   d->may_send_orders = TRUE;
   d->replan = TRUE;
   pool_init (&d->pool);
@@ -387,18 +391,33 @@
   reap (d);
 }
 
-/* Runs a placement pass if one is due. */
-void
+/* Runs a placement pass if one is due.  Returns whether it was. */
+gboolean
 dispatch_plan (Dispatch *d)
 {
   if (d->lost_role || !d->conf || !d->may_send_orders)
-    return;
+    return FALSE;
   if ((!d->replan || d->now < d->next_plan) &&
       d->now < d->next_plan + PLAN_MAX_INTERVAL_MS)
-    return;
+    return FALSE;
   d->replan = FALSE;
   d->next_plan = d->now + PLAN_MIN_INTERVAL_MS;
   assign_all (d);
+  return TRUE;
+}
+
+/* Tells D what the host's processor has ahead of it. */
+void
+dispatch_set_load (Dispatch *d, const NodeLoad *load)
+{
+  d->load = *load;
+}
+
+/* Tells D that the last placement pass took SPAN milliseconds. */
+void
+dispatch_on_plan_span (Dispatch *d, ClockMs span)
+{
+  d->next_plan = MAX (d->next_plan, d->now + span * PLAN_PAUSE_FACTOR);
 }
 
 /* Returns when dispatch_tick and dispatch_plan have to be called next. */
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -106,6 +106,7 @@
   gboolean reap_pending;    /* a finished job may be ready to be freed */
   gboolean lost_role;       /* another host leads; step down */
   ClockMs next_plan;        /* earliest time of the next planning pass */
+  NodeLoad load;            /* of the host */
   ClockMs next_purge;       /* next deletion of old job records */
   ClockMs next_occurrences; /* next check for due job occurrences */
   ClockMs next_scarcity;    /* next count of scarce connections */
--- a/queue/node.c
+++ b/queue/node.c
@@ -458,12 +458,28 @@
     dispatch_tick (n->dispatch);
 }
 
-/* Places waiting tasks if that is due; to be called after node_tick. */
-void
+/* Places waiting tasks if that is due; to be called after node_tick.  Returns
+   whether it was. */
+gboolean
 node_plan (Node *n)
+{
+  return n->dispatch && dispatch_plan (n->dispatch);
+}
+
+/* Tells N what the host's processor has ahead of it. */
+void
+node_set_load (Node *n, const NodeLoad *load)
+{
+  if (n->dispatch)
+    dispatch_set_load (n->dispatch, load);
+}
+
+/* Tells N that the last node_plan took SPAN milliseconds. */
+void
+node_on_plan_span (Node *n, ClockMs span)
 {
   if (n->dispatch)
-    dispatch_plan (n->dispatch);
+    dispatch_on_plan_span (n->dispatch, span);
 }
 
 /* Begins the shutdown of N: gives up the role and reports not ready.  Requests
--- a/src/step_budget.c
+++ b/src/step_budget.c
@@ -17,13 +17,14 @@
   *b = (StepBudget) { .pieces = INITIAL_PIECES };
 }
 
-/* Adapts B to a step that took SPAN milliseconds.  USED_UP tells whether it had
-   as much work as B allowed, or more. */
+/* Adapts B to a step that took SPAN milliseconds and found N_WAITING pieces of
+   work that can wait. */
 void
-step_budget_on_step (StepBudget *b, ClockMs span, gboolean used_up)
+step_budget_on_step (StepBudget *b, ClockMs span, guint n_waiting)
 {
+  b->lag = span * n_waiting / b->pieces;
   if (span > TARGET_MS)
     b->pieces = MAX ((guint)(b->pieces * TARGET_MS / span), MIN_PIECES);
-  else if (used_up && span <= TARGET_MS / 2)
+  else if (n_waiting >= b->pieces && span <= TARGET_MS / 2)
     b->pieces = MIN (b->pieces * 3 / 2, MAX_PIECES);
 }
--- a/src/step_budget.h
+++ b/src/step_budget.h
@@ -8,9 +8,10 @@
 typedef struct StepBudget
 {
   guint pieces;
+  ClockMs lag; /* how long work that can wait has to wait by now */
 } StepBudget;
 
 void step_budget_init (StepBudget *b);
-void step_budget_on_step (StepBudget *b, ClockMs span, gboolean used_up);
+void step_budget_on_step (StepBudget *b, ClockMs span, guint n_waiting);
 
 #endif
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -98,16 +98,17 @@
 
   step_budget_init (&b);
   guint first = b.pieces;
-  step_budget_on_step (&b, 200, TRUE);
+  step_budget_on_step (&b, 200, 2 * first);
+  EXPECT_EQ (b.lag, 400);
   EXPECT_LT (b.pieces, first / 2);
   for (int i = 0; i < 100; i++)
-    step_budget_on_step (&b, 100000, TRUE);
+    step_budget_on_step (&b, 100000, 2000);
   EXPECT_GT (b.pieces, 0U);
   /* A short step tells nothing if there was nothing more to do. */
   guint least = b.pieces;
-  step_budget_on_step (&b, 1, FALSE);
+  step_budget_on_step (&b, 1, least - 1);
   EXPECT_EQ (b.pieces, least);
   for (int i = 0; i < 100; i++)
-    step_budget_on_step (&b, 1, TRUE);
+    step_budget_on_step (&b, 1, 2000);
   EXPECT_GT (b.pieces, first);
 }
--- a/tests/queue_load_test.cc
+++ b/tests/queue_load_test.cc
@@ -24,7 +24,8 @@
 {
   return { .call = 1.5 * slowness,
            .reply = 1.5 * slowness,
-           .connection = 3.0 * slowness };
+           .connection = 3.0 * slowness,
+           .pass = (ClockMs)(4 * slowness) };
 }
 
 static std::string
@@ -137,3 +138,21 @@
 INSTANTIATE_TEST_SUITE_P (Slowness,
                           QueueLoad,
                           ::testing::Values (1.0, 1.5, 2.5));
+
+/* A worker was asked again at once for ends that it had just listed, before
+   they could be acknowledged. */
+TEST (QueueLoadCalls, EndsAreNotAskedForAgainBeforeTheyAreSaved)
+{
+  QueueWorld w (1, 1);
+
+  w.run (3000);
+  w.submit (0, { "q1/0000000000000001",
+                 world_body (world_step (1, 1000, 1), "ms=3000") });
+  w.run (2900);
+  int before = w.n_polls;
+  w.run (500);
+  EXPECT_EQ (w.state_of ("0000000000000001"), "completed");
+  /* The one that acknowledges the end. */
+  EXPECT_LE (w.n_polls - before, 1);
+  w.expect_no_violations ();
+}
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -374,8 +374,10 @@
     }
   pump (host);
   step_budget_on_step (&h.budget, (ClockMs)(h.busy_until - (double)now_),
-                       !h.bulk_inbox.empty () ||
-                           node_n_later_calls (h.node) > 0);
+                       n + (guint)h.bulk_inbox.size () +
+                           node_n_later_calls (h.node));
+  NodeLoad load = { h.budget.lag, h.budget.pieces };
+  node_set_load (h.node, &load);
   if (!h.bulk_inbox.empty () || node_n_later_calls (h.node) > 0)
     schedule_turn (host);
 }
@@ -489,7 +491,11 @@
     return;
   node_set_time (n, now_, wall_ + now_ + hosts[host].wall_offset);
   node_tick (n);
-  node_plan (n);
+  if (node_plan (n) && processor.pass)
+    {
+      charge (host, (double)processor.pass);
+      node_on_plan_span (n, processor.pass);
+    }
   if (processor.is_charged ())
     apply_budgeted_effects (host);
   else
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -146,6 +146,7 @@
   double call = 0;       /* to send a call to a worker */
   double reply = 0;      /* to handle any reply */
   double connection = 0; /* to open a connection to a worker */
+  ClockMs pass = 0;      /* for a placement pass */
 
   bool
   is_charged () const
