--- a/queue/term.c
+++ b/queue/term.c
@@ -2,6 +2,7 @@
 
 #include "job_cache.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,9 +16,16 @@
   RENEWAL_MS = 550, /* time for a renewal over short ways */
   CALL_TIMEOUT_MS = 700,
   RETRY_DELAY_MS = 150,
-  RUNS_PER_EPOCH = 1000 /* limits the starts of one task in one term */
+  RUNS_PER_EPOCH = 1000, /* limits the starts of one task in one term */
+  /* A host waits this long before it claims the role for each halving of its
+     processor below large_host_cores: longer than hosts learn apart that the
+     role is free, for most of them. */
+  DELAY_PER_HALVING_MS = 300,
+  MAX_CLAIM_DELAY_MS = 600
 };
 
+static const double large_host_cores = 0.25;
+
 /* A leader that cannot renew its lease continues to send orders and to renew
    the leases of running tasks for this many milliseconds after its own lease
    expired.  A new leader adds this time before it assumes that the leases that
@@ -30,6 +38,17 @@
    exist if the store was unavailable to all hosts. */
 static const ClockMs renew_only_span = 5500;
 
+/* Returns how long a host with this many CORES waits before it claims the role,
+   so that one with a faster processor gets it if there is any. */
+ClockMs
+term_claim_delay (double cores)
+{
+  double halvings = log2 (large_host_cores / cores);
+
+  return (ClockMs)CLAMP (halvings * DELAY_PER_HALVING_MS, 0.0,
+                         MAX_CLAIM_DELAY_MS);
+}
+
 /* Initializes T.  HOLDER_NAME identifies this process in the role key; no other
    process may ever use the same name.  The store refuses a lease of less than
    MIN_LEASE_TTL ms. */
--- a/queue/term.h
+++ b/queue/term.h
@@ -57,6 +57,7 @@
   TermHistory history;
 } Term;
 
+ClockMs term_claim_delay (double cores);
 void term_init (Term *t, const char *holder_name, ClockMs min_lease_ttl);
 void term_clear (Term *t);
 void term_on_role (Term *t, const KvItem *item, ClockMs now, ClockMs jitter);
--- a/tests/queue_outage_test.cc
+++ b/tests/queue_outage_test.cc
@@ -122,6 +122,17 @@
   EXPECT_TRUE (term_on_reply (t, &reply, now, fx));
 }
 
+/* Below 0.2 cores all hosts waited alike, so that the smallest of them could
+   take the role. */
+TEST (TermClaim, SlowerHostsWaitLonger)
+{
+  EXPECT_EQ (term_claim_delay (0.5), 0);
+  EXPECT_EQ (term_claim_delay (0.25), 0);
+  EXPECT_GT (term_claim_delay (0.12), term_claim_delay (0.2) + 120);
+  EXPECT_GT (term_claim_delay (0.05), term_claim_delay (0.1) + 120);
+  EXPECT_EQ (term_claim_delay (0.001), term_claim_delay (0.01));
+}
+
 class TermTest : public ::testing::Test
 {
 protected:
