--- a/queue/assign.c
+++ b/queue/assign.c
@@ -7,8 +7,6 @@
 
 enum
 {
-  /* Claimed room that has not become free by then is given up. */
-  CLAIM_TIMEOUT_MS = 1600,
   /* Wait for room in the rack of the data before running in another. */
   RACK_WAIT_MS = 2500,
   /* Wait of an urgent gang for workers that are not slow: twice the time that
@@ -341,8 +339,8 @@
 }
 
 /* Logs the start of N tasks of STEP, and marks its job as running. */
-static void
-record_start (Dispatch *d, WorkStep *step, guint n, gint64 run)
+void
+assign_record_start (Dispatch *d, WorkStep *step, guint n, gint64 run)
 {
   WorkJob *job = step->job;
 
@@ -371,7 +369,7 @@
   for (i = 0; i < step->spec->count; i++)
     runs_start (d, work_placement_new (&step->tasks[i], chosen[i], run,
                                        PLACEMENT_STARTING));
-  record_start (d, step, (guint)step->spec->count, run);
+  assign_record_start (d, step, (guint)step->spec->count, run);
 }
 
 /* Tells whether STEP, a gang, may use slow workers.  An urgent gang first waits
@@ -589,7 +587,7 @@
         has_room = FALSE;
     }
   if (n)
-    record_start (p->d, step, n, run);
+    assign_record_start (p->d, step, n, run);
   if (!has_room && step->job->entry->job->priority == 0)
     evict_and_refresh (p, step);
 }
@@ -688,94 +686,6 @@
   return ranked;
 }
 
-/* Tells whether the room that PLACEMENT claims is free now. */
-static gboolean
-claim_fits_now (const WorkPlacement *placement)
-{
-  PoolResources room = placement->worker->entry->capacity;
-
-  pool_resources_subtract (&room, &placement->worker->used);
-  return pool_resources_fit (&room, &placement->task->step->need);
-}
-
-/* Tells whether the room of all of STEP's claims is free now, counting several
-   claims on one worker together. */
-static gboolean
-gang_claims_fit_now (const WorkStep *step)
-{
-  guint i, k;
-
-  for (i = 0; i < step->spec->count; i++)
-    {
-      const WorkPlacement *placement = step->tasks[i].placement;
-      PoolResources room;
-
-      if (!placement || placement->state != PLACEMENT_RESERVED)
-        continue;
-      room = placement->worker->entry->capacity;
-      pool_resources_subtract (&room, &placement->worker->used);
-      for (k = 0; k < i; k++)
-        if (step->tasks[k].placement &&
-            step->tasks[k].placement->state == PLACEMENT_RESERVED &&
-            step->tasks[k].placement->worker == placement->worker)
-          pool_resources_subtract (&room, &step->need);
-      if (!pool_resources_fit (&room, &step->need))
-        return FALSE;
-    }
-  return TRUE;
-}
-
-/* Tells whether PLACEMENT's claim has timed out or its worker can't be used. */
-static gboolean
-claim_is_invalid (const Dispatch *d, const WorkPlacement *placement)
-{
-  return d->now - placement->started_at > CLAIM_TIMEOUT_MS ||
-         !assign_is_usable (d, placement->worker) ||
-         is_quarantined (d, placement->worker);
-}
-
-/* Starts the claims of STEP whose room is free, a gang only as a whole, and
-   drops the invalid ones. */
-static void
-resolve_step_claims (Dispatch *d, WorkStep *step)
-{
-  gboolean gang_fits = step->spec->gang && gang_claims_fit_now (step);
-  gint64 run = 0;
-  guint n = 0;
-  guint i;
-
-  for (i = 0; i < step->spec->count; i++)
-    {
-      WorkPlacement *placement = step->tasks[i].placement;
-
-      if (!placement || placement->state != PLACEMENT_RESERVED)
-        continue;
-      if (step->spec->gang ? gang_fits : claim_fits_now (placement))
-        {
-          runs_start (d, placement);
-          run = placement->run;
-          n++;
-        }
-      else if (claim_is_invalid (d, placement))
-        runs_end (d, placement, RUN_STOPPED, NULL);
-    }
-  if (n)
-    record_start (d, step, n, run);
-}
-
-static void
-resolve_claims (Dispatch *d)
-{
-  WorkJob *job;
-  WorkStep *step;
-
-  APR_RING_FOREACH (job, &d->jobs, WorkJob, link)
-    if (job->n_placements > 0)
-      APR_RING_FOREACH (step, &job->steps, WorkStep, link)
-        if (step->n_placements > 0)
-          resolve_step_claims (d, step);
-}
-
 /* Returns the least amount of each resource that a waiting task needs. */
 static PoolResources
 smallest_need (const GArray *ranked)
@@ -805,7 +715,7 @@
   GArray *ranked;
   guint i;
 
-  resolve_claims (d);
+  claims_resolve (d);
   share_mark_guaranteed (&d->jobs, d->conf);
   ranked = waiting_steps (d);
   p.min_need = smallest_need (ranked);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -130,22 +130,15 @@
                const char *checkpoint);
 void runs_end_all_on_worker (Dispatch *d, PoolWorker *w, const char *reason);
 void runs_on_other_worker (Dispatch *d, PoolWorker *w, const PendingCall *call);
-gboolean runs_has_orphans (const Dispatch *d, const PoolWorker *w);
 void runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply);
-void
-runs_stop_orphan (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
-void runs_send_orphan_stop (Dispatch *d,
-                            PoolWorker *w,
-                            const char *task,
-                            gint64 run);
 void runs_stop_unconfirmed_start (Dispatch *d, WorkPlacement *placement);
-void runs_forget_orphans (Dispatch *d, PoolWorker *w);
 void runs_retry_order (Dispatch *d, WorkPlacement *placement);
 void runs_send_queued (Dispatch *d, PoolWorker *w);
 void runs_on_silent (Dispatch *d, PoolWorker *w);
 void runs_on_hold_refused (Dispatch *d, PoolWorker *w);
 void runs_stop_stalled (Dispatch *d, WorkPlacement *placement);
 void runs_apply_end (Dispatch *d, WorkTask *task, gint64 run, RunEnd how);
+ClockMs runs_order_timeout (const PoolWorker *w);
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPlacement *placement);
 void runs_stop_incomplete_gangs (Dispatch *d);
 
@@ -243,6 +236,24 @@
 FitTrust assign_min_trust (const Dispatch *d, const WorkTask *task);
 gint64 assign_next_run (const Dispatch *d, const WorkStep *step);
 
+void assign_record_start (Dispatch *d, WorkStep *step, guint n, gint64 run);
+
+/* claims.c */
+void claims_resolve (Dispatch *d);
+
+/* quarantine.c */
+extern const ClockMs quarantine_exclusion_span;
+void quarantine_exclude (Dispatch *d, PoolWorker *w, ClockMs span);
+void quarantine_count_failure (Dispatch *d, PoolWorker *w, const WorkJob *job);
+void quarantine_on_success (PoolWorker *w, ClockMs started);
+
+/* orphans.c */
+gboolean orphans_are_on (const Dispatch *d, const PoolWorker *w);
+void orphans_stop (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
+void
+orphans_send_stop (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
+void orphans_forget (Dispatch *d, PoolWorker *w);
+
 /* evict.c */
 gboolean evict_for (Dispatch *d, WorkStep *step);
 
--- a/queue/due.c
+++ b/queue/due.c
@@ -71,7 +71,7 @@
   return !w->registered && w->n_placements == 0 && !w->poll_id &&
          (w->lease_expired ||
           (w->runs_known && w->ends_applied <= w->ends_acked)) &&
-         !runs_has_orphans (d, w);
+         !orphans_are_on (d, w);
 }
 
 /* Does what is due at W, then removes it or sets its timer. */
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -98,7 +98,7 @@
       const PoolLateStart *late = pool_late_start_at (w, i);
 
       if (late->unwanted)
-        runs_send_orphan_stop (d, w, late->task, late->run);
+        orphans_send_stop (d, w, late->task, late->run);
     }
 }
 
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -436,7 +436,7 @@
                           "event=stray task=%s run=%" G_GINT64_FORMAT
                           " worker=%s",
                           row->task, row->run, w->entry->id);
-      runs_stop_orphan (d, w, row->task, row->run);
+      orphans_stop (d, w, row->task, row->run);
       g_hash_table_insert (d->orphans, g_strdup (row->task),
                            g_strdup (w->entry->id));
       w->poll_immediately = TRUE;
@@ -722,7 +722,7 @@
   w->ends_acked = MAX (w->ends_acked, w->ends_ack_sent);
   for (i = 0; i < reply->ended->len; i++)
     apply_end (d, w, &g_array_index (reply->ended, RunEnded, i), stale);
-  runs_forget_orphans (d, w);
+  orphans_forget (d, w);
   for (i = 0; i < reply->running->len; i++)
     apply_run_row (d, w, &g_array_index (reply->running, RunActive, i));
   end_missing_placements (d, w, reply);
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -16,14 +16,7 @@
   /* How long a start is tried that gets no connection: half of the time that a
      gang waits for its members. */
   CONNECTION_WAIT_MS = 1500,
-  /* How long a worker gets no new placements after a failed order. */
-  EXCLUSION_MS = 700,
-  UNHEALTHY_EXCLUSION_MS = 1500,
-  QUARANTINE_FAILURES = 2, /* in a row, of different jobs */
-  /* If more than 1/4 of the workers plus one fail, the jobs are blamed. */
-  MAX_FAILING_DIVISOR = 4,
-  QUARANTINE_MS = 4000,
-  QUARANTINE_MAX_MS = 16000
+  UNHEALTHY_EXCLUSION_MS = 1500
 };
 
 static void
@@ -91,8 +84,9 @@
   return call->id;
 }
 
-static ClockMs
-order_timeout (const PoolWorker *w)
+/* Returns the time-out of an order to W in milliseconds. */
+ClockMs
+runs_order_timeout (const PoolWorker *w)
 {
   return rtt_timeout (&w->rtt, ORDER_TIMEOUT_MS, ORDER_TIMEOUT_MAX_MS);
 }
@@ -105,7 +99,7 @@
 
   call->task = work_task_name (placement->task);
   call->run = placement->run;
-  call->timeout = order_timeout (placement->worker);
+  call->timeout = runs_order_timeout (placement->worker);
   /* A stop frees room. */
   call->urgent = op == RUN_STOP || work_task_is_urgent (placement->task);
   return call;
@@ -288,57 +282,6 @@
     stop_step (d, step, reason);
 }
 
-/* Excludes W from new placements for SPAN milliseconds. */
-static void
-exclude_worker (Dispatch *d, PoolWorker *w, ClockMs span)
-{
-  w->excluded_until = MAX (w->excluded_until, d->now + span);
-}
-
-/* Returns whether only few workers fail.  If many do, the cause is probably
-   in the jobs and not in the workers. */
-static gboolean
-few_workers_fail (const Dispatch *d)
-{
-  guint n = pool_size (&d->pool);
-  guint failing = 0;
-  guint i;
-
-  for (i = 0; i < n; i++)
-    failing += pool_at (&d->pool, i)->consecutive_failures > 0;
-  return failing * MAX_FAILING_DIVISOR <= n + MAX_FAILING_DIVISOR;
-}
-
-/* Counts a run of JOB that failed, or stalled, on W.  A worker on which
-   different jobs fail in a row, while only few workers fail, is quarantined;
-   the quarantine doubles each time up to QUARANTINE_MAX_MS. */
-static void
-count_worker_failure (Dispatch *d, PoolWorker *w, const WorkJob *job)
-{
-  guint hash = g_str_hash (job->entry->id);
-
-  if (w->consecutive_failures && w->last_failed_job == hash)
-    return;
-  w->last_failed_job = hash;
-  w->consecutive_failures++;
-  if (w->consecutive_failures < QUARANTINE_FAILURES || !few_workers_fail (d))
-    return;
-  w->quarantine_span =
-      CLAMP (w->quarantine_span * 2, QUARANTINE_MS, QUARANTINE_MAX_MS);
-  w->quarantined_until = d->now + w->quarantine_span;
-  effects_log (
-      d->fx, "event=quarantine worker=%s failures=%u span_ms=%" CLOCK_MS_FORMAT,
-      w->entry->id, w->consecutive_failures, w->quarantine_span);
-}
-
-static void
-reset_worker_failures (PoolWorker *w, ClockMs started)
-{
-  w->consecutive_failures = 0;
-  w->last_success_start = MAX (w->last_success_start, started);
-  w->quarantine_span = 0;
-}
-
 static void
 count_failed_run (Dispatch *d, WorkTask *task, gint64 run)
 {
@@ -399,23 +342,6 @@
   stop_step (d, step, "gang_broken");
 }
 
-/* Tells W to stop RUN of the task with the name TASK, or to refuse its start
-   if that arrives later. */
-void
-runs_send_orphan_stop (Dispatch *d, PoolWorker *w, const char *task, gint64 run)
-{
-  RunCall *call;
-
-  if (!d->may_send_orders)
-    return;
-  call = run_call_new (RUN_STOP, w->entry->id, w->entry->address);
-  call->task = g_strdup (task);
-  call->run = run;
-  call->timeout = order_timeout (w);
-  call->urgent = TRUE;
-  runs_send (d, call, NULL);
-}
-
 /* Frees PLACEMENT, whose run has ended, or never began, with the result HOW.
    Records the result for its worker and, by runs_apply_end, for its task and
    job, and updates its gang.  CHECKPOINT is where the next run continues; NULL
@@ -440,10 +366,10 @@
   if (how == RUN_FAILED)
     {
       work_task_set_failed_on (task, w, d->now);
-      count_worker_failure (d, w, step->job);
+      quarantine_count_failure (d, w, step->job);
     }
   else if (how == RUN_DONE)
-    reset_worker_failures (w, placement->started_at);
+    quarantine_on_success (w, placement->started_at);
   work_placement_free (placement);
   runs_apply_end (d, task, run, how);
   if (step->spec->gang)
@@ -462,28 +388,6 @@
   send_stop (d, placement);
 }
 
-static gboolean
-is_on_worker (gpointer task, gpointer id, gpointer w)
-{
-  (void)task;
-  return strcmp (id, ((const PoolWorker *)w)->entry->id) == 0;
-}
-
-/* Tells whether W runs tasks that this scheduler did not start there. */
-gboolean
-runs_has_orphans (const Dispatch *d, const PoolWorker *w)
-{
-  return g_hash_table_find (d->orphans, is_on_worker, (gpointer)w) != NULL;
-}
-
-/* Forgets the runs on W that this scheduler did not start there, so that their
-   tasks can be placed again. */
-void
-runs_forget_orphans (Dispatch *d, PoolWorker *w)
-{
-  g_hash_table_foreach_remove (d->orphans, is_on_worker, w);
-}
-
 static const char *
 placement_state_name (PlacementState state)
 {
@@ -528,7 +432,7 @@
 void
 runs_end_all_on_worker (Dispatch *d, PoolWorker *w, const char *reason)
 {
-  runs_forget_orphans (d, w);
+  orphans_forget (d, w);
   if (w->n_placements || !w->runs_known)
     effects_log (d->fx,
                  "event=worker_void worker=%s parts=%u reason=%s draining=%d "
@@ -556,15 +460,6 @@
     runs_end_all_on_worker (d, w, "other_life");
 }
 
-/* Stops RUN of a task on W that has no placement in this scheduler.  W gets no
-   new placements for EXCLUSION_MS. */
-void
-runs_stop_orphan (Dispatch *d, PoolWorker *w, const char *task, gint64 run)
-{
-  runs_send_orphan_stop (d, w, task, run);
-  exclude_worker (d, w, EXCLUSION_MS);
-}
-
 /* Stops PLACEMENT, and with it the rest of its gang, which would wait for it in
    vain. */
 static void
@@ -621,9 +516,9 @@
                placement->run, w->entry->id, run_status_name (status),
                placement->order_attempts);
   if (status == RUN_UNHEALTHY)
-    exclude_worker (d, w, UNHEALTHY_EXCLUSION_MS);
+    quarantine_exclude (d, w, UNHEALTHY_EXCLUSION_MS);
   else
-    exclude_worker (d, w, EXCLUSION_MS);
+    quarantine_exclude (d, w, quarantine_exclusion_span);
   w->poll_immediately = TRUE;
   if (placement->state == PLACEMENT_STOPPING)
     return;
@@ -641,7 +536,7 @@
     return;
   if (placement->order_attempts >= START_ATTEMPTS)
     {
-      exclude_worker (d, placement->worker, EXCLUSION_MS);
+      quarantine_exclude (d, placement->worker, quarantine_exclusion_span);
       stop_unit (d, placement, "start_unanswered");
       return;
     }
@@ -668,7 +563,7 @@
       on_start_lost (d, placement);
       return;
     case RUN_UNSENT:
-      exclude_worker (d, placement->worker, EXCLUSION_MS);
+      quarantine_exclude (d, placement->worker, quarantine_exclusion_span);
       placement->worker->poll_immediately = TRUE;
       on_start_refused (d, placement, reply->status);
       return;
@@ -717,7 +612,8 @@
       {
         work_task_set_failed_on (&step->tasks[i],
                                  step->tasks[i].placement->worker, d->now);
-        count_worker_failure (d, step->tasks[i].placement->worker, step->job);
+        quarantine_count_failure (d, step->tasks[i].placement->worker,
+                                  step->job);
       }
   runs_stop (d, placement, "stalled");
 }
@@ -799,7 +695,7 @@
 
   while ((placement = find_unread (w, since)))
     {
-      exclude_worker (d, w, EXCLUSION_MS);
+      quarantine_exclude (d, w, quarantine_exclusion_span);
       runs_end (d, placement, RUN_STOPPED, NULL);
     }
 }
--- a/queue/term.c
+++ b/queue/term.c
@@ -43,7 +43,7 @@
 ClockMs
 term_claim_delay (double cores)
 {
-  double halvings = log2 (large_host_cores / cores);
+  double halvings = log (large_host_cores / cores) / G_LN2;
 
   return (ClockMs)CLAMP (halvings * DELAY_PER_HALVING_MS, 0.0,
                          MAX_CLAIM_DELAY_MS);
