--- a/src/gang.c
+++ b/src/gang.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-static void part_call (Core *c, Part *p, WorkerOp op);
 static void on_part_silent (Core *c, Part *p, WorkerOp op, gboolean sent);
 
 /* Notes that P's worker holds nothing for it any more. */
@@ -46,8 +45,9 @@
   return op == WORKER_RESERVE ? GANG_RESERVE_LEASE_MS : c->cfg->worker_lease_ms;
 }
 
-static void
-part_call (Core *c, Part *p, WorkerOp op)
+/* Has P's worker do OP. */
+void
+gang_part_call (Core *c, Part *p, WorkerOp op)
 {
   JobRecord *r = p->job->rec;
   WorkerCall call = { .op = op,
@@ -86,10 +86,10 @@
   switch (p->state)
     {
     case PART_RESERVING:
-      part_call (c, p, WORKER_RESERVE);
+      gang_part_call (c, p, WORKER_RESERVE);
       break;
     case PART_STARTING:
-      part_call (c, p, WORKER_START);
+      gang_part_call (c, p, WORKER_START);
       break;
     case PART_STOPPING:
       if (c->now >= p->lease_end ||
@@ -100,11 +100,11 @@
           gang_advance (c, p->job);
           return;
         }
-      part_call (c, p, WORKER_STOP);
+      gang_part_call (c, p, WORKER_STOP);
       break;
     case PART_RUNNING:
       if (p->job->phase == PHASE_SAVE)
-        part_call (c, p, WORKER_CHECKPOINT);
+        gang_part_call (c, p, WORKER_CHECKPOINT);
       break;
     default:
       break;
@@ -129,7 +129,7 @@
   p->state = PART_STOPPING;
   p->tries = 0;
   p->lease_end = MAX (p->lease_end, c->now + c->cfg->worker_lease_ms);
-  part_call (c, p, WORKER_STOP);
+  gang_part_call (c, p, WORKER_STOP);
 }
 
 static void
@@ -263,7 +263,7 @@
       p->state = PART_RESERVING;
       p->tries = 0;
       p->lease_end = c->now + GANG_RESERVE_LEASE_MS;
-      part_call (c, p, WORKER_RESERVE);
+      gang_part_call (c, p, WORKER_RESERVE);
     }
   core_arm (c, &j->timer, c->now + GANG_RESERVE_LEASE_MS / 2);
 }
@@ -284,7 +284,7 @@
       p->state = PART_STARTING;
       p->tries = 0;
       p->lease_end = c->now + c->cfg->worker_lease_ms;
-      part_call (c, p, WORKER_START);
+      gang_part_call (c, p, WORKER_START);
     }
   core_arm (c, &j->timer, c->now + GANG_RESERVE_LEASE_MS);
 }
@@ -338,8 +338,9 @@
   return j->rec->repeatable || j->rec->saved_ms > 0;
 }
 
-static void
-add_evidence (Job *j, const char *worker, const char *reason)
+/* Adds to J's record that it went wrong on WORKER for REASON. */
+void
+gang_add_evidence (Job *j, const char *worker, const char *reason)
 {
   JobRecord *r = j->rec;
   JobEvidence *v;
@@ -365,7 +366,7 @@
 
   if (failed)
     {
-      add_evidence (j, worker, reason);
+      gang_add_evidence (j, worker, reason);
       j->failed = TRUE;
       blame = plan_failed (c->sched->plan, &j->fleet, worker, c->now);
     }
@@ -641,92 +642,11 @@
     {
       j->parts[i].tries = 0;
       if (j->parts[i].state == PART_RUNNING)
-        part_call (c, &j->parts[i], WORKER_CHECKPOINT);
+        gang_part_call (c, &j->parts[i], WORKER_CHECKPOINT);
     }
   core_arm (c, &j->timer, c->now + c->cfg->reclaim_checkpoint_ms);
 }
 
-/* J uses more memory than its worker can give it beside others. */
-static void
-stop_oversized (Core *c, Job *j, const Part *p)
-{
-  const char *reason = "it uses more memory than it asked for";
-
-  add_evidence (j, p->worker->cfg->name, reason);
-  j->failed = TRUE;
-  if (gang_may_repeat (j) && j->rec->evidence.n < JOB_MAX_EVIDENCE)
-    gang_undo (c, j, JOB_QUEUED, reason);
-  else
-    gang_undo (c, j, JOB_FAILED, reason);
-}
-
-/* Looks at the memory that P is reported to use.  Returns FALSE if its gang
-   is stopped for that. */
-static gboolean
-check_memory (Core *c, Part *p, gint64 used_mb)
-{
-  Job *j = p->job;
-  PlanMemoryAction over;
-
-  p->used_mb = used_mb;
-  if (j->phase != PHASE_RUN || p->state != PART_RUNNING || used_mb == 0)
-    return TRUE;
-  over = plan_used_memory (c->sched->plan, &j->fleet, used_mb);
-  if (over == PLAN_MEMORY_STOP)
-    {
-      stop_oversized (c, j, p);
-      return FALSE;
-    }
-  if (over == PLAN_MEMORY_THROTTLE && !p->throttled && !p->call)
-    {
-      p->throttled = TRUE;
-      part_call (c, p, WORKER_THROTTLE);
-    }
-  return TRUE;
-}
-
-/* Applies L, the state of P's lease as its worker reported it. */
-void
-gang_apply_lease (Core *c, Part *p, const WorkerLease *l)
-{
-  Job *j = p->job;
-
-  if (!check_memory (c, p, l->used_memory_mb))
-    return;
-  p->progress_ms = MAX (p->progress_ms, l->progress_ms);
-  if (p->state == PART_FREE || p->state == PART_STOPPING)
-    return;
-  switch ((WorkerLeaseState)l->state)
-    {
-    case LEASE_RESERVED:
-      if (p->state == PART_RESERVING)
-        p->state = PART_RESERVED;
-      break;
-    case LEASE_RUNNING:
-      if (p->state == PART_STARTING || p->state == PART_RESERVED)
-        p->state = PART_RUNNING;
-      break;
-    case LEASE_DONE:
-      p->state = PART_DONE;
-      break;
-    case LEASE_SAVED:
-      p->state = PART_SAVED;
-      break;
-    case LEASE_FAILED:
-      p->state = PART_GONE;
-      gang_broken (c, j, p, TRUE, "a part failed");
-      return;
-    case LEASE_STOPPED:
-    case LEASE_LAPSED:
-      p->state = PART_GONE;
-      gang_broken (c, j, p, FALSE, "a part's lease lapsed");
-      return;
-    default:
-      break;
-    }
-  gang_advance (c, j);
-}
-
 static void
 on_part_silent (Core *c, Part *p, WorkerOp op, gboolean sent)
 {
--- a/src/quota.h
+++ b/src/quota.h
@@ -2,6 +2,7 @@
 #define QUOTA_H
 
 #include "fleet.h"
+#include "quota_pack.h"
 #include "table.h"
 
 /* Guaranteed shapes in one failure domain.  A shape is kept as runs of
@@ -77,7 +78,6 @@
                                 guint workspace,
                                 guint parts,
                                 guint accelerators);
-gboolean quota_pack (const guint *need, const guint *bins);
 gboolean quota_holds (const Quota *q, const Fleet *f);
 void quota_fit_to_fleet (Quota *q, const Fleet *f);
 gboolean quota_charge (const Quota *q, FleetJob *j, GArray *units);
--- a/src/wire.c
+++ b/src/wire.c
@@ -1,5 +1,8 @@
 #include "wire.h"
 
+#include "wire_mac.h"
+#include "wire_message.h"
+
 #include <apr_general.h>
 #include <apr_network_io.h>
 #include <apr_portable.h>
@@ -25,38 +28,6 @@
   USER_TIMEOUT_MS = 5000
 };
 
-/* The dialler's first frame: who it is, and whom it means to reach. */
-#define WIRE_HELLO_FIELDS(INT, STR, BYTES, LIST)                               \
-  INT (version, WIRE_VERSION, WIRE_VERSION)                                    \
-  STR (host, 1, WIRE_MAX_NAME)                                                 \
-  STR (peer, 1, WIRE_MAX_NAME)                                                 \
-  BYTES (nonce, WIRE_NONCE)
-REC_DECLARE (WireHello, wire_hello, WIRE_HELLO_FIELDS)
-REC_DEFINE (WireHello, wire_hello, WIRE_HELLO_FIELDS)
-
-/* The accepter's answer: its own nonce, and proof of the key. */
-#define WIRE_CHALLENGE_FIELDS(INT, STR, BYTES, LIST)                           \
-  INT (version, WIRE_VERSION, WIRE_VERSION)                                    \
-  BYTES (nonce, WIRE_NONCE)                                                    \
-  BYTES (proof, WIRE_MAC)
-REC_DECLARE (WireChallenge, wire_challenge, WIRE_CHALLENGE_FIELDS)
-REC_DEFINE (WireChallenge, wire_challenge, WIRE_CHALLENGE_FIELDS)
-
-/* The dialler's proof, after which it sends frames. */
-#define WIRE_PROOF_FIELDS(INT, STR, BYTES, LIST) BYTES (proof, WIRE_MAC)
-REC_DECLARE (WireProof, wire_proof, WIRE_PROOF_FIELDS)
-REC_DEFINE (WireProof, wire_proof, WIRE_PROOF_FIELDS)
-
-/* One message.  On the wire a MAC under the session's key follows it. */
-#define WIRE_FRAME_FIELDS(INT, STR, BYTES, LIST)                               \
-  INT (sequence, 0, G_MAXINT64)                                                \
-  STR (kind, 1, 64)                                                            \
-  INT (ms, 0, G_MAXINT64)                                                      \
-  INT (count, 0, HLC_MAX_COUNT)                                                \
-  BYTES (body, 64 << 20)
-REC_DECLARE (WireFrame, wire_frame, WIRE_FRAME_FIELDS)
-REC_DEFINE (WireFrame, wire_frame, WIRE_FRAME_FIELDS)
-
 typedef enum LinkState
 {
   LINK_CONNECTING,
@@ -116,12 +87,6 @@
   guint8 buffer[READ_BYTES];
 };
 
-static void
-frame_free (gpointer f)
-{
-  rec_free (wire_frame_desc (), f);
-}
-
 static void
 random_bytes (guint8 *to, gsize n)
 {
@@ -139,49 +104,19 @@
   return span / 2 + (ClockMs)(r % (guint32)(span + 1));
 }
 
-/* Computes into MAC the HMAC-SHA256 under the pre-shared key of LABEL and
-   all that both ends said.  LABEL keeps the uses apart, so that no end can
-   be made to answer its own challenge. */
+/* Computes into MAC the MAC of LABEL and all that both ends of L said. */
 static void
 sign_handshake (const Link *l, const char *label, guint8 *mac)
 {
-  const Settings *s = l->wire->settings;
-  const char *dialler = l->dialled ? s->host : l->peer->host->name;
-  const char *accepter = l->dialled ? l->peer->host->name : s->host;
-  GHmac *h = g_hmac_new (G_CHECKSUM_SHA256, (const guchar *)s->peer_key,
-                         strlen (s->peer_key));
-  gsize n = WIRE_MAC;
-
-  g_hmac_update (h, (const guchar *)label, (gssize)strlen (label) + 1);
-  g_hmac_update (h, (const guchar *)dialler, (gssize)strlen (dialler) + 1);
-  g_hmac_update (h, (const guchar *)accepter, (gssize)strlen (accepter) + 1);
-  g_hmac_update (h, l->dialled ? l->nonce : l->peer_nonce, WIRE_NONCE);
-  g_hmac_update (h, l->dialled ? l->peer_nonce : l->nonce, WIRE_NONCE);
-  g_hmac_get_digest (h, mac, &n);
-  g_hmac_unref (h);
-}
-
-static void
-sign_frame (const Link *l, gconstpointer data, gsize n, guint8 *mac)
-{
-  GHmac *h = g_hmac_new (G_CHECKSUM_SHA256, l->key, WIRE_MAC);
-  gsize size = WIRE_MAC;
-
-  g_hmac_update (h, data, (gssize)n);
-  g_hmac_get_digest (h, mac, &size);
-  g_hmac_unref (h);
-}
-
-/* Compares in a time that does not tell where the difference is. */
-static gboolean
-same_mac (const guint8 *a, const guint8 *b)
-{
-  guint8 difference = 0;
-  int i;
+  const char *self = l->wire->settings->host;
+  const char *other = l->peer->host->name;
+  WireHandshake h = { .key = l->wire->settings->peer_key,
+                      .dialler = l->dialled ? self : other,
+                      .accepter = l->dialled ? other : self,
+                      .dialler_nonce = l->dialled ? l->nonce : l->peer_nonce,
+                      .accepter_nonce = l->dialled ? l->peer_nonce : l->nonce };
 
-  for (i = 0; i < WIRE_MAC; i++)
-    difference |= a[i] ^ b[i];
-  return difference == 0;
+  wire_mac_handshake (&h, label, mac);
 }
 
 static gboolean
@@ -192,7 +127,7 @@
   if (!proof || g_bytes_get_size (proof) != WIRE_MAC)
     return FALSE;
   sign_handshake (l, label, mac);
-  return same_mac (mac, g_bytes_get_data (proof, NULL));
+  return wire_mac_equal (mac, g_bytes_get_data (proof, NULL));
 }
 
 static int
@@ -277,7 +212,7 @@
     note_down (w, p);
   p->out = NULL;
   io_count (w->io, SHELL_WIRE_DROPPED, p->waiting.length);
-  g_queue_clear_full (&p->waiting, frame_free);
+  g_queue_clear_full (&p->waiting, wire_frame_free);
   back_off (w, p);
 }
 
@@ -358,7 +293,7 @@
   g_byte_array_append (l->out, data, (guint)n);
   if (sign)
     {
-      sign_frame (l, data, n, mac);
+      wire_mac_frame (l->key, data, n, mac);
       g_byte_array_append (l->out, mac, WIRE_MAC);
     }
   g_bytes_unref (packed);
@@ -432,7 +367,7 @@
   while ((f = g_queue_pop_head (&l->peer->waiting)))
     {
       append_frame (l, f);
-      frame_free (f);
+      wire_frame_free (f);
     }
 }
 
@@ -477,27 +412,6 @@
   return NULL;
 }
 
-static Event *
-read_message (const Link *l, const WireFrame *f, Findings *findings)
-{
-  int kind = event_from_name (f->kind);
-  const RecDesc *d;
-  void *body;
-  gsize n = 0;
-  gconstpointer data = f->body ? g_bytes_get_data (f->body, &n) : NULL;
-  Event *e = NULL;
-
-  if (kind < 0 || !event_is_message ((EventKind)kind))
-    return NULL;
-  d = event_desc ((EventKind)kind);
-  body = rec_new (d);
-  if (rec_unpack (d, body, data, n, findings))
-    e = event_new ((EventKind)kind, io_now (l->wire->io), l->peer->host->name,
-                   body);
-  rec_free (d, body);
-  return e;
-}
-
 static const char *
 take_frame (Link *l, gconstpointer rec)
 {
@@ -512,7 +426,7 @@
   l->sequence++;
   io_count (l->wire->io, SHELL_WIRE_FRAMES_IN, 1);
   findings_init (&findings);
-  e = read_message (l, f, &findings);
+  e = wire_frame_read (f, io_now (l->wire->io), l->peer->host->name, &findings);
   findings_clear (&findings);
   if (!e)
     return "no message of a known kind and form";
@@ -549,8 +463,8 @@
       if (n < WIRE_MAC)
         return "bad frame";
       n -= WIRE_MAC;
-      sign_frame (l, data, n, mac);
-      if (!same_mac (mac, data + n))
+      wire_mac_frame (l->key, data, n, mac);
+      if (!wire_mac_equal (mac, data + n))
         return "wrong code";
     }
   rec = rec_new (d);
@@ -671,18 +585,6 @@
   apr_socket_connect (socket, address);
 }
 
-static WireFrame *
-frame_new (const Event *e, Hlc stamp)
-{
-  WireFrame *f = rec_new (wire_frame_desc ());
-
-  rec_set_str (&f->kind, event_name (e->kind));
-  f->ms = stamp.ms;
-  f->count = stamp.count;
-  f->body = rec_pack (event_desc (e->kind), e->body);
-  return f;
-}
-
 static void
 send_frame (Wire *w, Peer *p, WireFrame *f)
 {
@@ -703,7 +605,7 @@
     }
   else
     io_count (w->io, SHELL_WIRE_DROPPED, 1);
-  frame_free (f);
+  wire_frame_free (f);
 }
 
 /* Sends message E, stamped STAMP, to its peer.  A message is dropped and
@@ -722,7 +624,7 @@
   p->wanted_until = io_now (w->io) + WANTED_MS;
   if (!p->out && p->retry_at <= io_now (w->io))
     dial (w, p);
-  send_frame (w, p, frame_new (e, stamp));
+  send_frame (w, p, wire_frame_new (e, stamp));
 }
 
 static void
