--- a/src/step_budget.c
+++ b/src/step_budget.c
@@ -24,7 +24,8 @@
 {
   b->lag = span * n_waiting / b->pieces;
   if (span > TARGET_MS)
-    b->pieces = MAX ((guint)(b->pieces * TARGET_MS / span), MIN_PIECES);
+    b->pieces =
+        MAX ((guint)((ClockMs)b->pieces * TARGET_MS / span), MIN_PIECES);
   else if (n_waiting >= b->pieces && span <= TARGET_MS / 2)
     b->pieces = MIN (b->pieces * 3 / 2, MAX_PIECES);
 }
