Loop: of bulk sockets the one is served first that has been ready for longest

Cause: sockets were sorted by when they were last served, and libcurl watches a socket anew for each call, so that nearly all counted as never served; which one waited was left to the order in which the system named them.

Fix: a watch notes the step in which it was found ready and not yet served. LoopTest.SocketThatIsWatchedAnewOvertakesNone guards it (it passes before, too, as the kernel names sockets in turn; on other systems it need not). NodeLoad has a header of its own.

--- a/queue/dispatch.h
+++ b/queue/dispatch.h
@@ -4,6 +4,7 @@
 #include "job_cache.h"
 #include "conf.h"
 #include "effects.h"
+#include "node_load.h"
 #include "pool.h"
 #include "roster.h"
 #include "term.h"
--- a/queue/effects.h
+++ b/queue/effects.h
@@ -62,13 +62,6 @@
   ClockMs span;       /* the value, in milliseconds */
 } Effect;
 
-/* What the host's processor has ahead of it. */
-typedef struct NodeLoad
-{
-  ClockMs lag;  /* how long workers' replies wait before they are handled */
-  guint pieces; /* calls or replies that it can handle in a step */
-} NodeLoad;
-
 typedef struct Effects
 {
   GQueue queue;       /* of Effect */
--- a/queue/node.h
+++ b/queue/node.h
@@ -4,6 +4,7 @@
 #include "conf.h"
 #include "effects.h"
 #include "intake.h"
+#include "node_load.h"
 #include "pool.h"
 
 /* The logic of one entry host: handles callers' requests and, while it holds
--- a/src/loop.c
+++ b/src/loop.c
@@ -20,9 +20,9 @@
   LoopReady ready;
   void *owner;
   gboolean polled;
-  gboolean bulk;       /* may wait while others are served */
-  guint64 served_step; /* the last step in which it was served */
-  int ready_events;    /* found by loop_wait */
+  gboolean bulk;      /* may wait while others are served */
+  guint64 ready_step; /* found ready then and not served since; 0: not ready */
+  int ready_events;   /* found by loop_wait */
   LoopWatch *next_free;
 };
 
@@ -108,16 +108,21 @@
       APR_SUCCESS)
     n = 0;
   loop_read_clock (l);
+  l->step++;
   for (i = 0; i < n; i++)
     {
-      l->due[i] = ready[i].client_data;
-      l->due[i]->ready_events = ready[i].rtnevents;
+      LoopWatch *w = ready[i].client_data;
+
+      w->ready_events = ready[i].rtnevents;
+      if (!w->ready_step)
+        w->ready_step = l->step;
+      l->due[i] = w;
     }
   l->n_due = n;
 }
 
 /* Sorts watches by the order in which they are served: bulk ones last, and of
-   these the one first that has waited longest. */
+   these the one first that has been ready for longest. */
 static int
 compare_watches (const void *a, const void *b)
 {
@@ -126,15 +131,15 @@
 
   if (x->bulk != y->bulk)
     return x->bulk ? 1 : -1;
-  if (x->served_step != y->served_step)
-    return x->served_step < y->served_step ? -1 : 1;
+  if (x->ready_step != y->ready_step)
+    return x->ready_step < y->ready_step ? -1 : 1;
   return 0;
 }
 
 static void
-serve (Loop *l, LoopWatch *w)
+serve (LoopWatch *w)
 {
-  w->served_step = l->step;
+  w->ready_step = 0;
   w->ready (w->owner, w->ready_events);
 }
 
@@ -147,14 +152,13 @@
   guint n_bulk = 0;
   int i;
 
-  l->step++;
   qsort (l->due, (size_t)l->n_due, sizeof *l->due, compare_watches);
   for (i = 0; i < l->n_due; i++)
     {
       LoopWatch *w = l->due[i];
 
       if (w && (!w->bulk || n_bulk++ < max_bulk))
-        serve (l, w);
+        serve (w);
     }
   l->n_due = 0;
   return n_bulk;
@@ -201,7 +205,7 @@
   w->ready = ready;
   w->owner = owner;
   w->bulk = FALSE;
-  w->served_step = 0;
+  w->ready_step = 0;
   apr_os_sock_put (&w->pfd.desc.s, &fd, l->pool);
   poll_add (l, w);
   return w;
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -39,6 +39,17 @@
 
     (void)events;
     p->test->served.push_back (p->fds[0]);
+    if (p->test->watches_anew)
+      p->test->watch (p, true);
+  }
+
+  void
+  watch (Pipe *p, bool bulk)
+  {
+    loop_unwatch (loop, p->watch);
+    p->watch = loop_watch (loop, p->fds[0], APR_POLLIN, on_ready, p);
+    if (bulk)
+      loop_watch_set_bulk (p->watch);
   }
 
   /* Adds a pipe that stays readable; returns its descriptor. */
@@ -49,9 +60,7 @@
 
     EXPECT_EQ (pipe (p->fds), 0);
     EXPECT_EQ (write (p->fds[1], "x", 1), 1);
-    p->watch = loop_watch (loop, p->fds[0], APR_POLLIN, on_ready, p);
-    if (bulk)
-      loop_watch_set_bulk (p->watch);
+    watch (p, bulk);
     pipes.push_back (p);
     return p->fds[0];
   }
@@ -59,6 +68,7 @@
   Loop *loop = loop_new ();
   std::vector<Pipe *> pipes;
   std::vector<int> served;
+  bool watches_anew = false; /* each pipe that is served, as libcurl does */
 };
 
 /* The answer to the role's renewal waited behind hundreds of answers of
@@ -92,6 +102,24 @@
   EXPECT_EQ (std::unique (served.begin (), served.end ()), served.end ());
 }
 
+/* A socket that is watched anew for the next call is not served before those
+   that have waited since. */
+TEST_F (LoopTest, SocketThatIsWatchedAnewOvertakesNone)
+{
+  const int n = 20;
+
+  watches_anew = true;
+  for (int i = 0; i < n; i++)
+    add_readable (true);
+  for (int step = 0; step < n; step++)
+    {
+      loop_wait (loop, 0);
+      loop_dispatch (loop, 1);
+    }
+  std::sort (served.begin (), served.end ());
+  EXPECT_EQ (std::unique (served.begin (), served.end ()), served.end ());
+}
+
 TEST (StepBudget, LongStepsTakeOnLessAndShortOnesMore)
 {
   StepBudget b;
