Observability: calls that don't end, and placements that stand still

No line and no counter told of the placements that stood, nor of what they waited for, so that the hypotheses could not be told apart.

Counted now, by kind of call: calls ended, in flight, and overdue, those which libcurl has not ended 100 ms after their time-out (transfers_overdue); in the core, calls without a reply 2 s after their time-out (call_overdue), and how far the longest overran; placements that have stood still for 7 s, by state, each with what it awaits, its worker's call in flight and lease (standing); gangs with part of their placements that neither start nor stop. wagtailpassd counts overdue calls (client_overdue_total). No logic is changed.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -388,6 +388,7 @@
   waiting_tick (d);
   pace_save_tick (d);
   purge_tick (d);
+  standing_tick (d);
   reap (d);
 }
 
@@ -448,4 +449,5 @@
   g_string_append_printf (
       text, "wagtailpass_scheduler_evictions_total %" G_GINT64_FORMAT "\n",
       d->n_evicted);
+  standing_append_metrics (d, text);
 }
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -69,6 +69,16 @@
   ClockMs next_at; /* earliest time of the next call */
 } PaceSave;
 
+/* What was found at the last look at placements that stand still; see
+   standing.c. */
+typedef struct Standing
+{
+  ClockMs next_look;
+  ClockMs next_log;
+  guint n[N_PLACEMENT_STATES]; /* by state; running ones that aren't listed */
+  guint n_partial_gangs;       /* that neither start nor stop */
+} Standing;
+
 struct Dispatch
 {
   Effects *fx;
@@ -110,8 +120,9 @@
   ClockMs next_purge;       /* next deletion of old job records */
   ClockMs next_occurrences; /* next check for due job occurrences */
   ClockMs next_scarcity;    /* next count of scarce connections */
-  gint64 n_starts;          /* runs started, for metrics */
-  gint64 n_evicted;         /* runs evicted for more urgent jobs, for metrics */
+  Standing standing;
+  gint64 n_starts;  /* runs started, for metrics */
+  gint64 n_evicted; /* runs evicted for more urgent jobs, for metrics */
 };
 
 /* dispatch.c */
@@ -247,6 +258,10 @@
 void quarantine_count_failure (Dispatch *d, PoolWorker *w, const WorkJob *job);
 void quarantine_on_success (PoolWorker *w, ClockMs started);
 
+/* standing.c */
+void standing_tick (Dispatch *d);
+void standing_append_metrics (const Dispatch *d, GString *text);
+
 /* orphans.c */
 gboolean orphans_are_on (const Dispatch *d, const PoolWorker *w);
 void orphans_stop (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
--- a/queue/kv.c
+++ b/queue/kv.c
@@ -149,6 +149,20 @@
   g_clear_pointer (&reply->items, g_ptr_array_unref);
 }
 
+/* Returns the name of OP, for logs and metrics. */
+const char *
+kv_op_name (KvOp op)
+{
+  static const char *const names[] = {
+    [KV_GET] = "get",           [KV_RANGE] = "range",
+    [KV_WATCH] = "watch",       [KV_TXN] = "txn",
+    [KV_LEASE_GRANT] = "lease", [KV_LEASE_RENEW] = "keep",
+    [KV_LEASE_REVOKE] = "end",
+  };
+
+  return names[op];
+}
+
 /* Returns the name of STATUS as it appears in log lines. */
 const char *
 kv_status_name (KvStatus status)
--- a/queue/kv.h
+++ b/queue/kv.h
@@ -94,6 +94,7 @@
 const KvItem *kv_reply_find (const KvReply *reply, const char *key);
 gboolean kv_reply_is_list (const KvReply *reply);
 void kv_reply_clear (KvReply *reply);
+const char *kv_op_name (KvOp op);
 const char *kv_status_name (KvStatus status);
 
 #endif
--- a/queue/node.c
+++ b/queue/node.c
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "dispatch.h"
+#include "in_flight.h"
 #include "term.h"
 
 #include <string.h>
@@ -21,6 +22,7 @@
 {
   const NodeCodec *codec;
   Effects fx;
+  InFlight in_flight;
   GRand *rng;
   ClockMs now;
   ClockMs wall;
@@ -213,6 +215,7 @@
   n->rng = g_rand_new_with_seed (s->seed);
   effects_init (&n->fx, s->link_bytes_per_s);
   effects_set_time (&n->fx, now);
+  in_flight_init (&n->in_flight);
   feed_init (&n->conf_feed, codec->conf_prefix, on_conf_item, n,
              CONF_WATCH_INTERVAL_MS);
   feed_init (&n->role_feed, scheduler_key_prefix, on_role_item, n,
@@ -257,6 +260,7 @@
   conf_unref (n->conf);
   g_rand_free (n->rng);
   effects_clear (&n->fx);
+  in_flight_clear (&n->in_flight);
   g_free (n);
 }
 
@@ -391,6 +395,7 @@
   gboolean was_list_complete = n->role_feed.list_complete;
 
   link_add_bytes (&n->fx.link, n->now, reply->bytes);
+  in_flight_remove (&n->in_flight, reply->id);
   store_health_record (&n->store_health, n->now, reply->status);
   if (feed_on_reply (&n->conf_feed, reply, n->now, &n->fx) ||
       feed_on_reply (&n->job_cache_feed, reply, n->now, &n->fx) ||
@@ -418,6 +423,7 @@
 node_on_run_reply (Node *n, const RunReply *reply)
 {
   link_add_bytes (&n->fx.link, n->now, reply->link_bytes);
+  in_flight_remove (&n->in_flight, reply->id);
   if (n->dispatch)
     dispatch_on_run_reply (n->dispatch, reply);
 }
@@ -437,10 +443,24 @@
   job_cache_clear (n->job_cache);
 }
 
+static void
+log_overdue_calls (Node *n)
+{
+  const InFlightCall *call;
+
+  while ((call = in_flight_next_overdue (&n->in_flight, n->now)))
+    effects_log (&n->fx,
+                 "event=call_overdue op=%s worker=%s"
+                 " timeout_ms=%" CLOCK_MS_FORMAT " age_ms=%" CLOCK_MS_FORMAT,
+                 call->op, call->worker ? call->worker : "", call->timeout,
+                 n->now - call->began_at);
+}
+
 /* Starts the store and worker calls that are due and expires requests. */
 void
 node_tick (Node *n)
 {
+  log_overdue_calls (n);
   term_poll (&n->term, n->now, &n->fx);
   sync_dispatch_with_term (n);
   feed_poll (&n->conf_feed, n->now, &n->fx);
@@ -499,12 +519,20 @@
   intake_stop (n->intake);
 }
 
+static Effect *
+note_call (Node *n, Effect *e)
+{
+  if (e)
+    in_flight_add (&n->in_flight, e, n->now);
+  return e;
+}
+
 /* Removes and returns the oldest queued effect, which the caller frees, or
-   NULL. */
+   NULL.  A call has to get its reply within its time-out from now on. */
 Effect *
 node_pop_effect (Node *n)
 {
-  return effects_pop (&n->fx);
+  return note_call (n, effects_pop (&n->fx));
 }
 
 /* Removes and returns the oldest call to a worker that can wait until all other
@@ -512,7 +540,7 @@
 Effect *
 node_pop_later_call (Node *n)
 {
-  return effects_pop_later_call (&n->fx);
+  return note_call (n, effects_pop_later_call (&n->fx));
 }
 
 /* Returns how many such calls wait. */
@@ -532,6 +560,7 @@
   next = MIN (next, feed_next_deadline (&n->conf_feed));
   next = MIN (next, feed_next_deadline (&n->role_feed));
   next = MIN (next, intake_next_deadline (n->intake));
+  next = MIN (next, in_flight_next_deadline (&n->in_flight));
   if (term_is_leader (&n->term))
     next = MIN (next, MIN (feed_next_deadline (&n->job_cache_feed),
                            feed_next_deadline (&n->worker_feed)));
@@ -591,6 +620,7 @@
                           job_cache_n_unreadable (n->job_cache));
   g_string_append_printf (text, "wagtailpass_is_scheduler %d\n",
                           n->dispatch != NULL);
+  in_flight_append_metrics (&n->in_flight, text, n->now);
   intake_append_metrics (n->intake, text);
   if (n->dispatch)
     dispatch_append_metrics (n->dispatch, text);
--- a/queue/run_call.c
+++ b/queue/run_call.c
@@ -63,6 +63,19 @@
   g_clear_pointer (&reply->ended, g_array_unref);
 }
 
+/* Returns the name of OP, for logs and metrics. */
+const char *
+run_op_name (RunOp op)
+{
+  static const char *const names[] = {
+    [RUN_START] = "start",
+    [RUN_STOP] = "stop",
+    [RUN_POLL] = "hold",
+  };
+
+  return names[op];
+}
+
 /* Returns the name of HOW, for logs. */
 const char *
 run_end_name (RunEnd how)
--- a/queue/run_call.h
+++ b/queue/run_call.h
@@ -96,6 +96,7 @@
 void run_call_free (RunCall *call);
 void run_reply_init (RunReply *reply);
 void run_reply_clear (RunReply *reply);
+const char *run_op_name (RunOp op);
 const char *run_end_name (RunEnd how);
 const char *run_status_name (RunStatus status);
 
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -388,19 +388,6 @@
   send_stop (d, placement);
 }
 
-static const char *
-placement_state_name (PlacementState state)
-{
-  static const char *const names[] = {
-    [PLACEMENT_RESERVED] = "reserved",
-    [PLACEMENT_STARTING] = "starting",
-    [PLACEMENT_RUNNING] = "running",
-    [PLACEMENT_STOPPING] = "stopping",
-  };
-
-  return names[state];
-}
-
 /* Returns for how many milliseconds a run on W may go on without a renewal;
    negative once its lease has surely expired. */
 static ClockMs
@@ -423,7 +410,7 @@
       " worker=%s state=%s reason=%s lease_left_ms=%" CLOCK_MS_FORMAT,
       step->job->entry->id, step->occurrence, step->number,
       placement->task->index, placement->run, placement->worker->entry->id,
-      placement_state_name (placement->state), reason,
+      work_placement_state_name (placement->state), reason,
       lease_left (d, placement->worker));
 }
 
--- a/queue/work.c
+++ b/queue/work.c
@@ -415,6 +415,7 @@
   placement->worker = worker;
   placement->run = run;
   placement->state = state;
+  placement->seen_state = N_PLACEMENT_STATES;
   placement->retry_at = CLOCK_NEVER;
   pool_resources_add (state == PLACEMENT_RESERVED ? &worker->reserved
                                                   : &worker->used,
@@ -444,6 +445,20 @@
   placement->state = state;
 }
 
+/* Returns the name of STATE, for logs and metrics. */
+const char *
+work_placement_state_name (PlacementState state)
+{
+  static const char *const names[N_PLACEMENT_STATES] = {
+    [PLACEMENT_RESERVED] = "reserved",
+    [PLACEMENT_STARTING] = "starting",
+    [PLACEMENT_RUNNING] = "running",
+    [PLACEMENT_STOPPING] = "stopping",
+  };
+
+  return names[state];
+}
+
 /* Frees PLACEMENT and releases its resources on the worker. */
 void
 work_placement_free (WorkPlacement *placement)
--- a/queue/work.h
+++ b/queue/work.h
@@ -17,7 +17,8 @@
   PLACEMENT_RESERVED, /* waits for capacity to become free on its worker */
   PLACEMENT_STARTING, /* the start order has been sent */
   PLACEMENT_RUNNING,
-  PLACEMENT_STOPPING /* being stopped, or its state is unknown */
+  PLACEMENT_STOPPING, /* being stopped, or its state is unknown */
+  N_PLACEMENT_STATES
 } PlacementState;
 
 struct WorkPlacement
@@ -39,18 +40,20 @@
   gboolean awaits_reading;
   guint order_attempts;
   ClockMs started_at;
-  double percent;          /* progress that the worker last reported */
-  ClockMs progressed_at;   /* when PERCENT last rose */
-  ClockMs baseline_at;     /* when its worker first listed it; 0: not yet */
-  double baseline_percent; /* progress at BASELINE_AT */
-  ClockMs normal_at;       /* last time at which its speed was normal */
-  double normal_percent;   /* progress at NORMAL_AT */
-  ClockMs sample_at;       /* start of the current speed measurement */
-  double sample_percent;   /* progress at SAMPLE_AT */
-  gboolean from_zero;      /* started here, not from a checkpoint */
-  gboolean pace_measured;  /* its pace was learned from */
-  ClockMs sampled_at;      /* when PERCENT was reported */
-  ClockMs measurable_at;   /* when its pace could first be measured */
+  double percent;            /* progress that the worker last reported */
+  ClockMs progressed_at;     /* when PERCENT last rose */
+  ClockMs baseline_at;       /* when its worker first listed it; 0: not yet */
+  double baseline_percent;   /* progress at BASELINE_AT */
+  ClockMs normal_at;         /* last time at which its speed was normal */
+  double normal_percent;     /* progress at NORMAL_AT */
+  ClockMs sample_at;         /* start of the current speed measurement */
+  double sample_percent;     /* progress at SAMPLE_AT */
+  gboolean from_zero;        /* started here, not from a checkpoint */
+  gboolean pace_measured;    /* its pace was learned from */
+  ClockMs sampled_at;        /* when PERCENT was reported */
+  ClockMs measurable_at;     /* when its pace could first be measured */
+  PlacementState seen_state; /* at the last look at what stands; standing.c */
+  ClockMs seen_state_at;     /* when SEEN_STATE was first seen */
 };
 
 struct WorkTask
@@ -140,6 +143,7 @@
                                    PlacementState state);
 void work_placement_set_state (WorkPlacement *placement, PlacementState state);
 void work_placement_free (WorkPlacement *placement);
+const char *work_placement_state_name (PlacementState state);
 GBytes *work_job_progress (const WorkJob *job, ClockMs wall);
 
 #endif
--- a/src/client.c
+++ b/src/client.c
@@ -57,6 +57,7 @@
   char *url;
   GBytes *body;
   CURL *easy;
+  CurlTransfer transfer;
   struct curl_slist *headers;
   GByteArray *answer;
   guint sendings; /* how often sending began */
@@ -248,7 +249,7 @@
   call->easy = curl_loop_take_handle (call->client->idle);
   call->answer = g_byte_array_new ();
   set_options (call, left);
-  curl_multi_add_handle (call->client->curl.multi, call->easy);
+  curl_loop_add (&call->client->curl, &call->transfer, call->easy, left);
 }
 
 /* Tells the core how CALL ended and forgets it. */
@@ -642,7 +643,7 @@
 static void
 end_transfer (Call *call)
 {
-  curl_multi_remove_handle (call->client->curl.multi, call->easy);
+  curl_loop_remove (&call->client->curl, &call->transfer);
   call->target->open--;
   io_count (call->client->io, SHELL_CALLS_OPEN, -1);
 }
@@ -687,6 +688,18 @@
   begin_waiting (c, target);
 }
 
+static void
+on_transfer_overdue (void *owner, CURL *easy)
+{
+  Client *c = owner;
+
+  (void)easy;
+  io_count (c->io, SHELL_CALLS_OVERDUE, 1);
+}
+
+static const CurlLoopOps transfer_ops = { .ended = on_transfer_end,
+                                          .overdue = on_transfer_overdue };
+
 /* Returns a client of the store, workers and upstreams in IO's settings. */
 Client *
 client_new (Io *io)
@@ -778,7 +791,7 @@
 void
 client_run (Client *c)
 {
-  curl_loop_run (&c->curl, on_transfer_end, c);
+  curl_loop_run (&c->curl, &transfer_ops, c);
   run_expiry (c);
 }
 
@@ -786,7 +799,7 @@
 ClockMs
 client_next_deadline (const Client *c)
 {
-  ClockMs next = c->curl.timer;
+  ClockMs next = curl_loop_next_deadline (&c->curl);
 
   /* The loop's clock has another zero than the core's. */
   if (next != CLOCK_NEVER)
--- a/src/curl_loop.c
+++ b/src/curl_loop.c
@@ -3,6 +3,12 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+enum
+{
+  /* How long after its time-out libcurl may take to end a transfer. */
+  OVERDUE_MARGIN_MS = 100
+};
+
 typedef struct Socket
 {
   CurlLoop *curl;
@@ -85,6 +91,8 @@
   *c = (CurlLoop) { .loop = loop,
                     .multi = curl_multi_init (),
                     .timer = CLOCK_NEVER };
+  APR_RING_INIT (&c->starting, CurlTransfer, link);
+  timer_heap_init (&c->overdue);
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
   curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, on_timer);
@@ -98,25 +106,85 @@
 curl_loop_clear (CurlLoop *c)
 {
   curl_multi_cleanup (c->multi);
+  timer_heap_clear (&c->overdue);
   curl_global_cleanup ();
 }
 
-/* Runs what libcurl's timer asks for, then tells OWNER of the transfers that
-   have ended. */
+/* Begins the transfer of EASY in C.  T must not move before curl_loop_remove;
+   TIMEOUT is that of EASY, in milliseconds. */
+void
+curl_loop_add (CurlLoop *c, CurlTransfer *t, CURL *easy, ClockMs timeout)
+{
+  *t = (CurlTransfer) { .easy = easy,
+                        .timeout = timeout,
+                        .overdue = { .owner = t },
+                        .is_starting = TRUE };
+  APR_RING_INSERT_TAIL (&c->starting, t, CurlTransfer, link);
+  curl_multi_add_handle (c->multi, easy);
+}
+
+static void
+leave_starting (CurlTransfer *t)
+{
+  if (t->is_starting)
+    APR_RING_REMOVE (t, link);
+  t->is_starting = FALSE;
+}
+
+/* Takes T out of C; an unfinished one is broken off. */
+void
+curl_loop_remove (CurlLoop *c, CurlTransfer *t)
+{
+  leave_starting (t);
+  timer_heap_stop (&c->overdue, &t->overdue);
+  curl_multi_remove_handle (c->multi, t->easy);
+}
+
+/* Sets the timers of the transfers that libcurl has just started. */
+static void
+watch_started (CurlLoop *c)
+{
+  CurlTransfer *t;
+
+  if (APR_RING_EMPTY (&c->starting, CurlTransfer, link))
+    return;
+  loop_read_clock (c->loop);
+  while (!APR_RING_EMPTY (&c->starting, CurlTransfer, link))
+    {
+      t = APR_RING_FIRST (&c->starting);
+      leave_starting (t);
+      timer_heap_arm (&c->overdue, &t->overdue,
+                      loop_now (c->loop) + t->timeout + OVERDUE_MARGIN_MS);
+    }
+}
+
+/* Runs what libcurl's timer asks for, then tells OWNER by OPS of the transfers
+   that have ended or are overdue. */
 void
-curl_loop_run (CurlLoop *c, CurlLoopEnd end, void *owner)
+curl_loop_run (CurlLoop *c, const CurlLoopOps *ops, void *owner)
 {
   CURLMsg *m;
+  Timer *timer;
   int left;
 
   if (c->timer <= loop_now (c->loop))
     {
       c->timer = CLOCK_NEVER;
       act (c, CURL_SOCKET_TIMEOUT, 0);
+      watch_started (c);
     }
   while ((m = curl_multi_info_read (c->multi, &left)))
     if (m->msg == CURLMSG_DONE)
-      end (owner, m->easy_handle, m->data.result);
+      ops->ended (owner, m->easy_handle, m->data.result);
+  while ((timer = timer_heap_pop (&c->overdue, loop_now (c->loop))))
+    ops->overdue (owner, ((CurlTransfer *)timer->owner)->easy);
+}
+
+/* Returns when curl_loop_run wants to be called without an event. */
+ClockMs
+curl_loop_next_deadline (const CurlLoop *c)
+{
+  return MIN (c->timer, timer_heap_next (&c->overdue));
 }
 
 static int
--- a/src/curl_loop.h
+++ b/src/curl_loop.h
@@ -2,9 +2,23 @@
 #define CURL_LOOP_H
 
 #include "loop.h"
+#include "timer.h"
 
+#include <apr_ring.h>
 #include <curl/curl.h>
 
+/* A transfer of a CurlLoop, to be embedded in the call that it belongs to. */
+typedef struct CurlTransfer
+{
+  APR_RING_ENTRY (CurlTransfer) link; /* in CurlLoop::starting */
+  CURL *easy;
+  ClockMs timeout;
+  Timer overdue; /* armed once libcurl has started the transfer */
+  gboolean is_starting;
+} CurlTransfer;
+
+APR_RING_HEAD (CurlTransferRing, CurlTransfer);
+
 /* Drives a multi handle of libcurl by a Loop. */
 typedef struct CurlLoop
 {
@@ -12,10 +26,18 @@
   CURLM *multi;
   gboolean bulk; /* its sockets may wait while others are served */
   ClockMs timer; /* when libcurl wants to be called, on the loop's clock */
+  struct CurlTransferRing starting; /* not yet started by libcurl */
+  TimerHeap overdue;                /* of the transfers under way */
 } CurlLoop;
 
-/* Called with each transfer that has ended. */
-typedef void (*CurlLoopEnd) (void *owner, CURL *easy, CURLcode code);
+/* What the owner of a CurlLoop is told of its transfers, each of which it finds
+   by the CURLINFO_PRIVATE of its handle. */
+typedef struct CurlLoopOps
+{
+  void (*ended) (void *owner, CURL *easy, CURLcode code);
+  /* libcurl has not ended the transfer although its time-out has passed. */
+  void (*overdue) (void *owner, CURL *easy);
+} CurlLoopOps;
 
 /* Called with N * SIZE bytes of a transfer's answer; returns how many it
    took, and fewer break the transfer off. */
@@ -42,6 +64,9 @@
 void curl_loop_clear (CurlLoop *c);
 CURL *curl_loop_take_handle (GPtrArray *idle);
 void curl_loop_prepare (CURL *easy, const CurlLoopCall *call);
-void curl_loop_run (CurlLoop *c, CurlLoopEnd end, void *owner);
+void curl_loop_add (CurlLoop *c, CurlTransfer *t, CURL *easy, ClockMs timeout);
+void curl_loop_remove (CurlLoop *c, CurlTransfer *t);
+void curl_loop_run (CurlLoop *c, const CurlLoopOps *ops, void *owner);
+ClockMs curl_loop_next_deadline (const CurlLoop *c);
 
 #endif
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -26,6 +26,7 @@
   APR_RING_ENTRY (Transfer) link;
   Fetch *fetch;
   CurlLoop *lane;
+  CurlTransfer curl;
   CURL *easy;
   char *body;
   struct curl_slist *headers;
@@ -177,7 +178,7 @@
   set_options (t, call);
   set_body (t, call);
   set_headers (t, call);
-  curl_multi_add_handle (t->lane->multi, t->easy);
+  curl_loop_add (t->lane, &t->curl, t->easy, call->timeout);
 }
 
 static void
@@ -251,7 +252,8 @@
   FetchReply reply;
 
   curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_multi_remove_handle (t->lane->multi, t->easy);
+  curl_loop_remove (t->lane, &t->curl);
+  t->traffic->ended++;
   loop_read_clock (t->fetch->loop);
   reply = (FetchReply) { .outcome = outcome_of (t, code, status),
                          .status = (int)status,
@@ -275,6 +277,19 @@
   end_transfer (t, code);
 }
 
+static void
+on_transfer_overdue (void *owner, CURL *easy)
+{
+  Transfer *t;
+
+  (void)owner;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&t);
+  t->traffic->overdue++;
+}
+
+static const CurlLoopOps transfer_ops = { .ended = on_transfer_end,
+                                          .overdue = on_transfer_overdue };
+
 /* Returns a client whose sockets LOOP watches. */
 Fetch *
 fetch_new (Loop *loop)
@@ -330,7 +345,7 @@
     return;
   APR_RING_FOREACH_SAFE (t, next, &f->transfers, Transfer, link)
     {
-      curl_multi_remove_handle (t->lane->multi, t->easy);
+      curl_loop_remove (t->lane, &t->curl);
       transfer_free (t);
     }
   g_ptr_array_unref (f->idle);
@@ -346,7 +361,7 @@
 
   for (i = 0; i < N_LANES; i++)
     if (f->lanes[i])
-      curl_loop_run (f->lanes[i], on_transfer_end, f);
+      curl_loop_run (f->lanes[i], &transfer_ops, f);
 }
 
 /* Returns when fetch_run wants to be called without an event. */
@@ -358,7 +373,7 @@
 
   for (i = 0; i < N_LANES; i++)
     if (f->lanes[i])
-      next = MIN (next, f->lanes[i]->timer);
+      next = MIN (next, curl_loop_next_deadline (f->lanes[i]));
   return next;
 }
 
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -33,6 +33,8 @@
 typedef struct FetchTraffic
 {
   gint64 calls;
+  gint64 ended;
+  gint64 overdue;     /* that libcurl had not ended after their time-out */
   gint64 connections; /* made for them */
   gint64 sent;
   gint64 received;
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -26,6 +26,8 @@
      "Calls of which no byte left this host.")                                 \
   X (SHELL_CALLS_LOST, "client_lost_total",                                    \
      "Calls that were sent and got no whole answer.")                          \
+  X (SHELL_CALLS_OVERDUE, "client_overdue_total",                              \
+     "Calls that were not over when their time was.")                          \
   X (SHELL_CONTROL_BYTES_OUT, "control_bytes_sent_total",                      \
      "Bytes sent in calls to the store and the workers.")                      \
   X (SHELL_CONTROL_BYTES_IN, "control_bytes_received_total",                   \
