Calls: a transfer that libcurl doesn't end is ended at its deadline

Cause: where a transfer's connect time-out (600 ms) and its whole time-out lie 1 to 3 ms apart, libcurl 7.88.1 can lose the second: its alarm for the first comes, nothing is over yet, and none follows. A peer that stays silent then holds the call for ever. Why this works: each transfer has a deadline of its own, kept by the loop, 100 ms after its time-out as counted from its start by libcurl. Who owns the transfer ends it then, as if its time-out had passed.

--- a/src/client.c
+++ b/src/client.c
@@ -693,8 +693,8 @@
 {
   Client *c = owner;
 
-  (void)easy;
   io_count (c->io, SHELL_CALLS_OVERDUE, 1);
+  on_transfer_end (c, easy, CURLE_OPERATION_TIMEDOUT);
 }
 
 static const CurlLoopOps transfer_ops = { .ended = on_transfer_end,
--- a/src/curl_loop.c
+++ b/src/curl_loop.c
@@ -159,7 +159,8 @@
 }
 
 /* Runs what libcurl's timer asks for, then tells OWNER by OPS of the transfers
-   that have ended or are overdue. */
+   that have ended or are overdue: libcurl can lose one of two time-outs of a
+   transfer that are a millisecond or two apart. */
 void
 curl_loop_run (CurlLoop *c, const CurlLoopOps *ops, void *owner)
 {
--- a/src/curl_loop.h
+++ b/src/curl_loop.h
@@ -35,7 +35,8 @@
 typedef struct CurlLoopOps
 {
   void (*ended) (void *owner, CURL *easy, CURLcode code);
-  /* libcurl has not ended the transfer although its time-out has passed. */
+  /* libcurl has not ended the transfer although its time-out has passed; the
+     owner has to. */
   void (*overdue) (void *owner, CURL *easy);
 } CurlLoopOps;
 
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -285,6 +285,7 @@
   (void)owner;
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&t);
   t->traffic->overdue++;
+  end_transfer (t, CURLE_OPERATION_TIMEDOUT);
 }
 
 static const CurlLoopOps transfer_ops = { .ended = on_transfer_end,
--- a/src/fetch.h
+++ b/src/fetch.h
@@ -34,7 +34,7 @@
 {
   gint64 calls;
   gint64 ended;
-  gint64 overdue;     /* that libcurl had not ended after their time-out */
+  gint64 overdue;     /* ended here, as libcurl had not after their time-out */
   gint64 connections; /* made for them */
   gint64 sent;
   gint64 received;
--- a/tests/fetch_test.cc
+++ b/tests/fetch_test.cc
@@ -23,9 +23,10 @@
   return t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
-/* Listens on a free port of loopback and returns the socket. */
+/* Listens on a free port of loopback, with a queue of BACKLOG connections, and
+   returns the socket. */
 static int
-listen_on_loopback (int *port)
+listen_on_loopback (int *port, int backlog = 4)
 {
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   sockaddr_in address = {};
@@ -34,7 +35,7 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   EXPECT_EQ (bind (fd, (sockaddr *)&address, sizeof address), 0);
-  EXPECT_EQ (listen (fd, 4), 0);
+  EXPECT_EQ (listen (fd, backlog), 0);
   getsockname (fd, (sockaddr *)&address, &n);
   *port = ntohs (address.sin_port);
   return fd;
@@ -122,3 +123,63 @@
   fetch_free (fetch);
   loop_free (loop);
 }
+
+static void
+count_lost (void *owner, gint64 tag, const FetchReply *reply)
+{
+  (void)tag;
+  EXPECT_EQ (reply->outcome, FETCH_LOST);
+  ++*(int *)owner;
+}
+
+/* Makes N calls with TIMEOUT to a peer that accepts and never answers, and
+   returns how many have ended MARGIN milliseconds after it. */
+static int
+count_ended_calls (int n, ClockMs timeout, ClockMs margin)
+{
+  int port;
+  int listener = listen_on_loopback (&port, n);
+  Loop *loop = loop_new ();
+  Fetch *fetch = fetch_new (loop);
+  FetchTraffic traffic = {};
+  std::string url = "http://127.0.0.1:" + std::to_string (port) + "/";
+  FetchCall call = {};
+  int ended = 0;
+  ClockMs until;
+
+  call.method = "GET";
+  call.url = url.c_str ();
+  call.timeout = timeout;
+  call.traffic = &traffic;
+  call.done = count_lost;
+  call.owner = &ended;
+  for (int i = 0; i < n; i++)
+    {
+      fetch_start (fetch, &call);
+      fetch_run (fetch);
+      loop_poll (loop, 1);
+    }
+  until = loop_now (loop) + timeout + margin;
+  while (ended < n && loop_now (loop) < until)
+    {
+      ClockMs wait = fetch_next_deadline (fetch) - loop_now (loop);
+
+      loop_poll (loop, CLAMP (wait, 0, 50));
+      fetch_run (fetch);
+    }
+  fetch_free (fetch);
+  loop_free (loop);
+  close (listener);
+  return ended;
+}
+
+/* libcurl was seen to lose the second of two time-outs 1 or 2 ms apart. */
+TEST (Fetch, CallToASilentPeerEndsThoughItsTimeOutsAlmostCoincide)
+{
+  const int n = 100;
+  const ClockMs connect_timeout = 600;
+
+  for (ClockMs more = 0; more <= 3; more++)
+    EXPECT_EQ (count_ended_calls (n, connect_timeout + more, 1500), n)
+        << more << " ms after the connect time-out";
+}
