Calls: the core takes a call without a reply for lost

What callers saw: accepted jobs that never began, next to free room. Cause: the core believed in a call in flight for as long as nobody told it how the call had ended. A hold that never ended left its worker neither heard nor silent: no lapse of its lease, no order to it, and what was placed there waited for its clock for ever. A store call that never ended stopped a feed, a save or the renewal of the role in the same way. Why this works: node.c notes each call that it hands out and each reply. Nothing is restarted for it: a task starts elsewhere only once its lease is over, as after any silence. A reply that comes later is ignored.

--- a/queue/node.c
+++ b/queue/node.c
@@ -444,23 +444,49 @@
 }
 
 static void
-log_overdue_calls (Node *n)
+give_up_call (Node *n, const InFlightCall *call)
+{
+  KvReply no_answer = { .id = call->id,
+                        .status = KV_OUTCOME_UNKNOWN,
+                        .call_started_at = call->began_at };
+  RunReply lost;
+
+  if (call->peer == IN_FLIGHT_STORE)
+    {
+      node_on_kv_reply (n, &no_answer);
+      return;
+    }
+  run_reply_init (&lost);
+  lost.id = call->id;
+  lost.status = RUN_LOST;
+  lost.error = "no reply in time";
+  node_on_run_reply (n, &lost);
+  run_reply_clear (&lost);
+}
+
+/* Takes the calls for lost that are overdue; a reply that comes later is
+   ignored. */
+static void
+give_up_overdue_calls (Node *n)
 {
   const InFlightCall *call;
 
   while ((call = in_flight_next_overdue (&n->in_flight, n->now)))
-    effects_log (&n->fx,
-                 "event=call_overdue op=%s worker=%s"
-                 " timeout_ms=%" CLOCK_MS_FORMAT " age_ms=%" CLOCK_MS_FORMAT,
-                 call->op, call->worker ? call->worker : "", call->timeout,
-                 n->now - call->began_at);
+    {
+      effects_log (&n->fx,
+                   "event=call_overdue op=%s worker=%s"
+                   " timeout_ms=%" CLOCK_MS_FORMAT " age_ms=%" CLOCK_MS_FORMAT,
+                   call->op, call->worker ? call->worker : "", call->timeout,
+                   n->now - call->began_at);
+      give_up_call (n, call);
+    }
 }
 
 /* Starts the store and worker calls that are due and expires requests. */
 void
 node_tick (Node *n)
 {
-  log_overdue_calls (n);
+  give_up_overdue_calls (n);
   term_poll (&n->term, n->now, &n->fx);
   sync_dispatch_with_term (n);
   feed_poll (&n->conf_feed, n->now, &n->fx);
@@ -528,7 +554,8 @@
 }
 
 /* Removes and returns the oldest queued effect, which the caller frees, or
-   NULL.  A call has to get its reply within its time-out from now on. */
+   NULL.  A call has to get its reply within its time-out from now on; one that
+   gets none is taken for lost some time later. */
 Effect *
 node_pop_effect (Node *n)
 {
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -91,13 +91,14 @@
   int cut_from_host = -1;        /* this host's calls to it are lost */
   /* While it is cut off, connections to it fail instead of hanging. */
   bool cut_refuses_connections = false;
-  double late_call_rate = 0;  /* calls executed late, without a reply */
-  double late_start_rate = 0; /* the same, of starts */
-  gint64 incarnation = 1;     /* after a restart: its time, Unix ms */
-  gint64 fence = 0;           /* highest seen */
-  double clock_rate = 1.0;    /* relative to virtual time */
-  ClockMs started_at = 0;     /* when its own clock read 0 */
-  gint64 lease_deadline = 0;  /* on its own clock; 0: none */
+  double late_call_rate = 0;    /* calls executed late, without a reply */
+  double late_start_rate = 0;   /* the same, of starts */
+  double endless_call_rate = 0; /* calls that get no reply of any kind */
+  gint64 incarnation = 1;       /* after a restart: its time, Unix ms */
+  gint64 fence = 0;             /* highest seen */
+  double clock_rate = 1.0;      /* relative to virtual time */
+  ClockMs started_at = 0;       /* when its own clock read 0 */
+  gint64 lease_deadline = 0;    /* on its own clock; 0: none */
   gint64 last_end_number = 0;
   std::map<std::string, WorldRun> runs;
   /* Highest run that was stopped or has ended, by task. */
@@ -243,7 +244,9 @@
   bool forbid_stale_calls = false;
   bool reorder_calls = false; /* calls to a worker may overtake each other */
   double store_late_write_rate = 0; /* writes executed late, no reply */
-  std::string extra_tenants_json;   /* ",{...}", appended by put_conf */
+  /* Calls that get no reply of any kind, though their time-out passes. */
+  double store_endless_call_rate = 0;
+  std::string extra_tenants_json; /* ",{...}", appended by put_conf */
   std::vector<std::string> violations;
   std::vector<std::string> lines;
 
--- a/tests/queue_world_store.cc
+++ b/tests/queue_world_store.cc
@@ -239,6 +239,8 @@
   bool writes = raw->op == KV_TXN;
 
   hosts[host].n_store_calls++;
+  if (store_endless_call_rate > 0 && chance () < store_endless_call_rate)
+    return;
   ClockMs queued = reserve_link (host, link_kv_call_bytes (raw));
 
   if (link_.bytes_per_s)
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -384,6 +384,8 @@
   ClockMs queued = reserve_link (host, link_run_call_bytes (raw));
 
   charge (host, processor.call);
+  if (w.endless_call_rate > 0 && chance () < w.endless_call_rate)
+    return;
   if (counts_connections (w) && is_reachable (w) &&
       !open_connection (host, w, *raw))
     {
