--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -145,13 +145,16 @@
 void runs_stop_unconfirmed_start (Dispatch *d, WorkPlacement *placement);
 void runs_retry_order (Dispatch *d, WorkPlacement *placement);
 void runs_send_queued (Dispatch *d, PoolWorker *w);
-void runs_on_silent (Dispatch *d, PoolWorker *w);
-void runs_on_hold_refused (Dispatch *d, PoolWorker *w);
 void runs_stop_stalled (Dispatch *d, WorkPlacement *placement);
 void runs_apply_end (Dispatch *d, WorkTask *task, gint64 run, RunEnd how);
 ClockMs runs_order_timeout (const PoolWorker *w);
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPlacement *placement);
 void runs_stop_incomplete_gangs (Dispatch *d);
+extern const ClockMs runs_connection_wait;
+
+/* unsent.c */
+void unsent_on_silent (Dispatch *d, PoolWorker *w);
+void unsent_on_hold_refused (Dispatch *d, PoolWorker *w);
 
 /* begin.c */
 void begin_on_chosen (Dispatch *d, WorkJob *job);
@@ -194,6 +197,14 @@
 extern const ClockMs holds_normal_lease;
 extern const ClockMs holds_long_lease;
 
+/* run_list.c */
+void run_list_apply_ends (Dispatch *d,
+                          PoolWorker *w,
+                          const RunReply *reply,
+                          gboolean stale);
+void run_list_apply_runs (Dispatch *d, PoolWorker *w, const RunReply *reply);
+void run_list_end_missing (Dispatch *d, PoolWorker *w, const RunReply *reply);
+
 /* former.c */
 ClockMs former_leases_end (const Dispatch *d);
 void
--- a/queue/fit.h
+++ b/queue/fit.h
@@ -22,7 +22,7 @@
   FIT_NOT_SLOW,    /* the worker is not marked slow */
   FIT_NO_FAILURES, /* and its last run did not fail */
   /* and a run has succeeded there, or made progress and lasted at least
-     HEALTHY_RUN_MS (holds.c) */
+     HEALTHY_RUN_MS (run_list.c) */
   FIT_PROVEN,
   FIT_PROVEN_SINCE /* and that run began at PROVEN_SINCE or later */
 } FitTrust;
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -35,11 +35,7 @@
   RETRY_LAPSED_MS = 1000, /* ... and up to this from then on */
   /* Between holds while a run is being stopped or poll_immediately is set. */
   STOPPING_INTERVAL_MS = 60,
-  STALL_MS = 2600,       /* more than two polls of POLL_MIN_MS */
-  HEALTHY_RUN_MS = 1000, /* on a defective worker a run fails before this */
-  STALL_DIVISOR = 4,     /* a stall lasts at least 1/4 of the task's length */
   DRAIN_MARGIN_MS = 300, /* to receive a run's end before its worker leaves */
-  MIN_RATE_PERCENT = 5,  /* progress needed to extrapolate a rate */
   /* Limit of first holds in flight.  A new leader has thousands of workers to
      poll.  If it sent more polls at once than it can process replies for within
      the time-out, the excess would time out. */
@@ -58,7 +54,6 @@
 /* Spreads the hashes of ids that hardly differ: 2^32 by the golden ratio. */
 static const guint32 hash_multiplier = 2654435769U;
 
-static const double full_percent = 100.0;
 static const gint64 ms_per_s = 1000;
 
 /* Lease of a worker's runs in milliseconds: how long they continue without a
@@ -424,227 +419,6 @@
     send_or_queue (d, w);
 }
 
-static void
-adopt_run (Dispatch *d, PoolWorker *w, const RunActive *row)
-{
-  WorkTask *task = work_find_task (d->job_cache, row->task);
-  WorkPlacement *placement;
-
-  if (!task || task->placement)
-    {
-      effects_log_detail (d->fx,
-                          "event=stray task=%s run=%" G_GINT64_FORMAT
-                          " worker=%s",
-                          row->task, row->run, w->entry->id);
-      orphans_stop (d, w, row->task, row->run);
-      g_hash_table_insert (d->orphans, g_strdup (row->task),
-                           g_strdup (w->entry->id));
-      w->poll_immediately = TRUE;
-      return;
-    }
-  placement = work_placement_new (task, w, row->run, PLACEMENT_RUNNING);
-  placement->start_sent = TRUE;
-  placement->confirmed_call = d->fx->last_id;
-  placement->started_at = d->now;
-  placement->progressed_at = d->now;
-  speed_record_progress (placement, d->now, row->percent);
-  effects_log_detail (d->fx,
-                      "event=adopted task=%s run=%" G_GINT64_FORMAT
-                      " worker=%s",
-                      row->task, row->run, w->entry->id);
-  /* Until all runs are known, a task that a previous leader may have started
-     waits for its run to be listed.  From then on it is restarted instead, and
-     a run that appears later is stopped. */
-  if (task->done || spec_state_is_final (task->step->job->state) ||
-      d->all_runs_known)
-    runs_stop (d, placement, "not_wanted");
-}
-
-static WorkPlacement *
-find_placement (const Dispatch *d,
-                const PoolWorker *w,
-                const char *name,
-                gint64 run)
-{
-  WorkTask *task = work_find_task (d->job_cache, name);
-  WorkPlacement *placement = task ? task->placement : NULL;
-
-  return placement && placement->worker == w && placement->run == run
-             ? placement
-             : NULL;
-}
-
-/* Tells whether PLACEMENT has made no progress for longer than both STALL_MS
-   and 1/STALL_DIVISOR of the task's length, which is its estimate or, if
-   longer, the time since it started.  Progress is reported in whole percent, so
-   this has to exceed the time that the slowest task needs for one percent.  A
-   perpetual task never stalls, nor does one at 100 percent, where progress
-   stays while a task takes longer than its worker expected. */
-static gboolean
-is_stalled (const Dispatch *d, const WorkPlacement *placement)
-{
-  ClockMs length = MAX (placement->task->step->spec->estimate_ms,
-                        d->now - placement->started_at);
-
-  if (placement->task->step->spec->perpetual ||
-      placement->percent >= full_percent)
-    return FALSE;
-  return d->now - placement->progressed_at >
-         MAX ((ClockMs)STALL_MS, length / STALL_DIVISOR);
-}
-
-/* Estimates PLACEMENT's remaining time in milliseconds from its progress so
-   far, or from the step's estimate while the progress is too small or is 100
-   percent. */
-static ClockMs
-time_left (const Dispatch *d, const WorkPlacement *placement)
-{
-  double elapsed_ms = (double)(d->now - placement->started_at);
-
-  if (placement->percent >= MIN_RATE_PERCENT &&
-      placement->percent < full_percent)
-    return (ClockMs)(elapsed_ms * (full_percent - placement->percent) /
-                     placement->percent);
-  return MAX (placement->task->step->spec->estimate_ms - (ClockMs)elapsed_ms,
-              0);
-}
-
-static void
-apply_run_row (Dispatch *d, PoolWorker *w, const RunActive *row)
-{
-  WorkPlacement *placement = find_placement (d, w, row->task, row->run);
-
-  if (!placement)
-    {
-      adopt_run (d, w, row);
-      return;
-    }
-  if (placement->state == PLACEMENT_STARTING)
-    {
-      placement->state = PLACEMENT_RUNNING;
-      begin_on_confirmed (d, placement->task);
-      placement->retry_at = CLOCK_NEVER;
-      placement->confirmed_call = d->fx->last_id;
-    }
-  speed_record_progress (placement, d->now, row->percent);
-  pace_learn (&d->pace, placement, d->now);
-  if (d->now - placement->started_at >= HEALTHY_RUN_MS &&
-      placement->percent > placement->baseline_percent)
-    w->last_success_start = MAX (w->last_success_start, placement->started_at);
-  work_task_set_checkpoint (placement->task, row->checkpoint);
-  if (placement->state == PLACEMENT_RUNNING && is_stalled (d, placement))
-    runs_stop_stalled (d, placement);
-  else if (placement->state == PLACEMENT_RUNNING && w->entry->draining &&
-           d->now + time_left (d, placement) + DRAIN_MARGIN_MS > w->leaves_at)
-    runs_stop (d, placement, "worker_leaves");
-}
-
-static gboolean
-has_run (const WorkTask *task)
-{
-  return task->step->spec->gang ? task->step->n_placements > 0
-                                : task->placement != NULL;
-}
-
-/* Applies the end E of a run that this scheduler has no placement for: a
-   previous leader did not store the end, or the run was given up as lost.  With
-   STALE its lease has expired since, and only success counts.  A success counts
-   even if the task was restarted meanwhile; the other runs are stopped. */
-static void
-apply_unassigned_end (Dispatch *d,
-                      WorkTask *task,
-                      const RunEnded *e,
-                      gboolean stale)
-{
-  if (stale && e->how != RUN_DONE)
-    return;
-  if (!has_run (task))
-    work_task_set_checkpoint (task, e->checkpoint);
-  runs_apply_end (d, task, e->run, e->how);
-  if (task->done && e->how == RUN_DONE)
-    runs_stop_other_runs (d, task, e->run);
-}
-
-static void
-apply_end (Dispatch *d, PoolWorker *w, const RunEnded *e, gboolean stale)
-{
-  WorkPlacement *placement = find_placement (d, w, e->task, e->run);
-  WorkTask *task = work_find_task (d->job_cache, e->task);
-
-  if (e->sequence <= w->ends_applied)
-    return;
-  w->ends_applied = e->sequence;
-  effects_log_detail (d->fx,
-                      "event=end task=%s run=%" G_GINT64_FORMAT
-                      " worker=%s how=%s known=%d stale=%d",
-                      e->task, e->run, w->entry->id, run_end_name (e->how),
-                      placement != NULL, stale);
-  if (placement)
-    runs_end (d, placement, e->how, e->checkpoint);
-  else if (task)
-    apply_unassigned_end (d, task, e, stale);
-  /* The changes above have been given save orders up to this one. */
-  w->ends_applied_save = d->save.last_order;
-}
-
-static gboolean
-is_listed (const RunReply *reply, const WorkPlacement *placement)
-{
-  char *name = work_task_name (placement->task);
-  gboolean found = FALSE;
-  guint i;
-
-  for (i = 0; i < reply->running->len && !found; i++)
-    {
-      const RunActive *row = &g_array_index (reply->running, RunActive, i);
-
-      found = row->run == placement->run && strcmp (row->task, name) == 0;
-    }
-  g_free (name);
-  return found;
-}
-
-/* Tells whether REPLY shows that PLACEMENT's run is over: its worker had
-   confirmed the start or stop before the hold was sent, but does not list the
-   run.  Calls are ordered by number rather than by time, because many are sent
-   and answered within a millisecond. */
-static gboolean
-is_missing (const RunReply *reply, const WorkPlacement *placement)
-{
-  gboolean confirmed =
-      placement->state == PLACEMENT_RUNNING ||
-      (placement->state == PLACEMENT_STOPPING && placement->stop_acked);
-
-  return confirmed && placement->confirmed_call < reply->id &&
-         !is_listed (reply, placement);
-}
-
-/* Ends the placements on W that are missing in REPLY.  If there are more ends
-   than REPLY has, none is known to be missing. */
-static void
-end_missing_placements (Dispatch *d, PoolWorker *w, const RunReply *reply)
-{
-  GPtrArray *gone = g_ptr_array_new ();
-  WorkPlacement *placement;
-  guint i;
-
-  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    if (!reply->more_ended && is_missing (reply, placement))
-      g_ptr_array_add (gone, placement);
-  for (i = 0; i < gone->len; i++)
-    {
-      placement = g_ptr_array_index (gone, i);
-      if (placement->state == PLACEMENT_RUNNING)
-        effects_log (d->fx,
-                     "event=run_vanished job=%s task=%u run=%" G_GINT64_FORMAT
-                     " worker=%s",
-                     placement->task->step->job->entry->id,
-                     placement->task->index, placement->run, w->entry->id);
-      runs_end (d, placement, RUN_STOPPED, NULL);
-    }
-  g_ptr_array_unref (gone);
-}
-
 /* Handles the first reply of a worker process to this scheduler.  If another
    process of W replied before, W has restarted. */
 static void
@@ -712,7 +486,6 @@
   gboolean was_unresponsive = w->polls_unanswered > 0;
   gboolean stale = w->lease_expired;
   gboolean renew_now = FALSE;
-  guint i;
 
   detect_restart (d, w, reply);
   grant_refuse_late_starts (d, w);
@@ -720,12 +493,10 @@
   w->worker_clock_at = d->now;
   w->polls_unanswered = 0;
   w->ends_acked = MAX (w->ends_acked, w->ends_ack_sent);
-  for (i = 0; i < reply->ended->len; i++)
-    apply_end (d, w, &g_array_index (reply->ended, RunEnded, i), stale);
+  run_list_apply_ends (d, w, reply, stale);
   orphans_forget (d, w);
-  for (i = 0; i < reply->running->len; i++)
-    apply_run_row (d, w, &g_array_index (reply->running, RunActive, i));
-  end_missing_placements (d, w, reply);
+  run_list_apply_runs (d, w, reply);
+  run_list_end_missing (d, w, reply);
   update_speed (d, w);
   log_pace (d, w);
   if (!w->runs_known || was_unresponsive)
@@ -744,7 +515,7 @@
 {
   w->polls_unanswered++;
   w->last_disruption = d->now;
-  runs_on_silent (d, w);
+  unsent_on_silent (d, w);
   w->next_poll = d->now + MIN ((ClockMs)RETRY_MS * w->polls_unanswered,
                                (ClockMs)(w->lease_expired ? RETRY_LAPSED_MS
                                                           : RETRY_MAX_MS));
@@ -786,7 +557,7 @@
     {
       /* The worker takes no more connections, but serves others. */
       w->next_poll = d->now + RETRY_MS;
-      runs_on_hold_refused (d, w);
+      unsent_on_hold_refused (d, w);
     }
   else
     {
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -125,7 +125,7 @@
   guint consecutive_failures; /* in a row, of different jobs */
   guint last_failed_job;      /* hash of the id of the job that failed last */
   /* Start of the latest run that succeeded, or made progress and lasted at
-     least HEALTHY_RUN_MS (holds.c); 0: none. */
+     least HEALTHY_RUN_MS (run_list.c); 0: none. */
   ClockMs last_success_start;
   ClockMs excluded_until; /* gets no new placements before */
   /* Until then it gets only tasks that no other worker can ever take. */
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -13,12 +13,13 @@
   /* With short round trips, all attempts fit into the time that a gang waits
      for its members. */
   START_ATTEMPTS = 4,
-  /* How long a start is tried that gets no connection: half of the time that a
-     gang waits for its members. */
-  CONNECTION_WAIT_MS = 1500,
   UNHEALTHY_EXCLUSION_MS = 1500
 };
 
+/* How long a start is tried that gets no connection, in milliseconds: half of
+   the time that a gang waits for its members. */
+const ClockMs runs_connection_wait = 1500;
+
 static void
 pending_call_free (gpointer p)
 {
@@ -471,7 +472,7 @@
   const PoolWorker *w = placement->worker;
 
   return reply->refused && placement->state == PLACEMENT_STARTING &&
-         d->now - placement->started_at <= CONNECTION_WAIT_MS &&
+         d->now - placement->started_at <= runs_connection_wait &&
          call_limit_serves_others (&w->calls, placement->last_order_at);
 }
 
@@ -658,49 +659,6 @@
     }
 }
 
-/* Returns a start that has waited for W's clock since SINCE or before, and was
-   never sent, or NULL. */
-static WorkPlacement *
-find_unread (PoolWorker *w, ClockMs since)
-{
-  WorkPlacement *placement;
-
-  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    if (placement->awaits_reading && !placement->start_sent &&
-        placement->started_at <= since)
-      return placement;
-  return NULL;
-}
-
-/* Gives up the starts that have waited for a reading of W's clock since SINCE:
-   W has not answered.  Nothing was sent, so that their tasks can start
-   elsewhere. */
-static void
-drop_unread (Dispatch *d, PoolWorker *w, ClockMs since)
-{
-  WorkPlacement *placement;
-
-  while ((placement = find_unread (w, since)))
-    {
-      quarantine_exclude (d, w, quarantine_exclusion_span);
-      runs_end (d, placement, RUN_STOPPED, NULL);
-    }
-}
-
-/* Handles that W did not answer the hold that was to read its clock. */
-void
-runs_on_silent (Dispatch *d, PoolWorker *w)
-{
-  drop_unread (d, w, d->now);
-}
-
-/* Handles that W, which serves others, took no connection for its hold. */
-void
-runs_on_hold_refused (Dispatch *d, PoolWorker *w)
-{
-  drop_unread (d, w, d->now - CONNECTION_WAIT_MS);
-}
-
 /* Handles REPLY to the pending start or stop order O. */
 void
 runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply)
