Runs: an order that reached another worker at an old address is sent again

What callers saw: nothing reported; found by reading. A stopped task's room, and the task itself if it is to start again, are held until the scheduler changes.

Cause: a stop is under way to a worker that restarts at another address. The worker that has the old address now answers 421, after the new entry was read. runs_on_reply returned at once: the placement kept its call_id, with no retry. The lists of the new process don't end it, as its stop was never confirmed, and renew the lease.

Evidence, before (two workers, one cancelled job that filled one of them; a gang of both 20 s later): queue_standing_test.cc:75: w.state_of ("") Which is: "queued", "completed" expected [ FAILED ] QueueStanding.StopThatReachedAnotherWorkerIsSentAgain (wait of 2 ms)

Fix: the reply is handled as that of an order that was not executed: a stop is sent again to the present address, a start is given up as refused. 421 says that nothing was done there, so nothing is started twice. If the address is unchanged, the placement is freed as before.

After: the test passes for all waits of 0 to 19 ms.

--- a/queue/runs.c
+++ b/queue/runs.c
@@ -560,11 +560,18 @@
     }
 }
 
+/* Tells whether a stop with a reply of STATUS may not have been executed. */
+static gboolean
+is_stop_unsure (RunStatus status)
+{
+  return status == RUN_LOST || status == RUN_UNSENT ||
+         status == RUN_UNHEALTHY || status == RUN_OTHER_INCARNATION;
+}
+
 static void
 on_stop (Dispatch *d, WorkPlacement *placement, const RunReply *reply)
 {
-  if (reply->status == RUN_LOST || reply->status == RUN_UNSENT ||
-      reply->status == RUN_UNHEALTHY)
+  if (is_stop_unsure (reply->status))
     {
       /* The count also includes the start orders sent, so the delay of the
          first stop retry is longer after several starts. */
@@ -664,7 +671,7 @@
 runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply)
 {
   PoolWorker *w = pool_find (&d->pool, o->worker);
-  WorkPlacement *placement = o->placement;
+  WorkPlacement *placement;
 
   if (reply->status == RUN_FENCED)
     {
@@ -675,13 +682,12 @@
       d->lost_role = TRUE;
       return;
     }
+  /* Frees the placement, unless W has another address by now. */
   if (reply->status == RUN_OTHER_INCARNATION && w)
-    {
-      runs_on_other_worker (d, w, o);
-      return;
-    }
-  if (w)
+    runs_on_other_worker (d, w, o);
+  else if (w)
     grant_check_clock (d, w, reply);
+  placement = o->placement;
   if (!placement && w && o->op == RUN_STOP && reply->status == RUN_OK)
     pool_late_start_refused (w, o->task, o->run);
   if (!placement)
