Holds: a refused hold of a worker with a stray run is sent again

What callers saw: nothing reported; found by reading. A task whose run shows up on a second worker isn't placed while that run is noted there. If its first run then ends, nothing of it runs for as long as the worker isn't asked again: up to a minute, or for ever once its entry is gone.

Cause: the hold that is to show that the stray run is over is refused for want of a connection while the stop is under way. poll_immediately was cleared when the hold was sent, the refusal doesn't count as silence, and nothing else calls for a hold to an idle worker.

Evidence, before (stray run on a worker whose entry is gone, stops lost, holds refused): queue_standing_test.cc:119: w.state_of (job_id) Which is: "running", "completed" expected after 30 s [ FAILED ] QueueStanding.RefusedHoldOfAWorkerWithAStrayRunIsSentAgain

Fix: a refused hold stays due. Once no other call is under way a refusal counts as silence, and the lease ends the wait as for any other worker.

After: passes. HoldsThatAreRefusedForEverCountAsSilence guards the case with placements; it passed before, too: each refusal lowers the worker's call limit until a hold is under way alone.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -555,8 +555,10 @@
   else if (reply->refused &&
            call_limit_serves_others (&w->calls, w->poll_sent_at))
     {
-      /* The worker takes no more connections, but serves others. */
+      /* The worker takes no more connections, but serves others.  What this
+         hold was sent for is still to be asked. */
       w->next_poll = d->now + RETRY_MS;
+      w->poll_immediately = TRUE;
       unsent_on_hold_refused (d, w);
     }
   else
--- a/tests/queue_standing_test.cc
+++ b/tests/queue_standing_test.cc
@@ -76,3 +76,45 @@
       w.expect_no_violations ();
     }
 }
+
+TEST (QueueStanding, HoldsThatAreRefusedForEverCountAsSilence)
+{
+  QueueWorld w (1, 2);
+
+  w.run (3000);
+  w.submit (0, { "q1/" + job_id,
+                 world_body (world_step (12, 1000, 0), "ms=12000") });
+  int worker = run_until_started (w, task);
+  ASSERT_GE (worker, 0);
+  w.run (500);
+  ASSERT_EQ (w.workers[worker].runs.size (), 12U);
+  w.workers[worker].loses_orders = true;
+  w.workers[worker].refuses_polls = true;
+  w.drain_worker (worker);
+  w.run (40000);
+  EXPECT_EQ (w.state_of (job_id), "completed");
+  w.expect_no_violations ();
+}
+
+TEST (QueueStanding, RefusedHoldOfAWorkerWithAStrayRunIsSentAgain)
+{
+  QueueWorld w (1, 2);
+
+  w.run (3000);
+  w.submit (0, full_task ("q1", job_id, 6000));
+  int worker = run_until_started (w, task);
+  ASSERT_GE (worker, 0);
+  w.run (2000);
+  w.workers[1 - worker].loses_orders = true;
+  w.force_start (1 - worker, task, "ms=4000");
+  w.drop_worker_entry (1 - worker);
+  for (int i = 0; i < 1000 && !w.count_lines ("event=stray"); i++)
+    w.run (1);
+  w.workers[1 - worker].refuses_polls = true;
+  w.run (1000);
+  w.crash_worker (worker, true);
+  w.run (1000);
+  w.restart_worker (worker);
+  w.run (30000);
+  EXPECT_EQ (w.state_of (job_id), "completed");
+}
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -94,6 +94,9 @@
   double late_call_rate = 0;    /* calls executed late, without a reply */
   double late_start_rate = 0;   /* the same, of starts */
   double endless_call_rate = 0; /* calls that get no reply of any kind */
+  double lost_reply_rate = 0;   /* calls executed without a reply */
+  bool loses_orders = false;    /* its starts and stops are lost */
+  bool refuses_polls = false;   /* refuses the connections of polls */
   gint64 incarnation = 1;       /* after a restart: its time, Unix ms */
   gint64 fence = 0;             /* highest seen */
   double clock_rate = 1.0;      /* relative to virtual time */
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -381,6 +381,20 @@
       return;
     }
   WorldWorker &w = workers[n];
+  if (w.refuses_polls && raw->op == RUN_POLL)
+    {
+      auto reply = new_run_reply (raw->id, RUN_UNSENT);
+
+      reply->refused = TRUE;
+      reply_run (host, incarnation, reply, worker_latency_ms);
+      return;
+    }
+  if (w.loses_orders && raw->op != RUN_POLL)
+    {
+      reply_run (host, incarnation, new_run_reply (raw->id, RUN_LOST),
+                 raw->timeout);
+      return;
+    }
   ClockMs queued = reserve_link (host, link_run_call_bytes (raw));
 
   charge (host, processor.call);
@@ -463,6 +477,12 @@
         return;
       }
     execute_worker_call (w, *call, reply.get ());
+    if (w.lost_reply_rate > 0 && chance () < w.lost_reply_rate)
+      {
+        reply_run (host, incarnation, new_run_reply (call->id, RUN_LOST),
+                   call->timeout);
+        return;
+      }
     if (call->op == RUN_POLL && reply->status == RUN_OK && call->max_wait &&
         w.unacked_ends.empty ())
       {
