Starts: one that isn't sent has a deadline of its own

What callers saw: LOST, an urgent gang that stood for 30 s next to free room.

Cause: a start that waits for a reading of its worker's clock, or for other calls to that worker, relied on an answer of the worker or on its silence.

Evidence, before (a worker that takes calls and never answers, one that is free): queue_standing_test.cc:130: w.state_of (job_id) Which is: "running", "completed" expected [ FAILED ] QueueStanding.StartThatWasNeverSentIsGivenUp

Nothing of it was sent, so that it can't run twice.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -155,6 +155,8 @@
 /* unsent.c */
 void unsent_on_silent (Dispatch *d, PoolWorker *w);
 void unsent_on_hold_refused (Dispatch *d, PoolWorker *w);
+ClockMs unsent_deadline (const WorkPlacement *placement);
+void unsent_give_up_overdue (Dispatch *d, PoolWorker *w);
 
 /* begin.c */
 void begin_on_chosen (Dispatch *d, WorkJob *job);
--- a/queue/due.c
+++ b/queue/due.c
@@ -58,7 +58,10 @@
   if (w->n_placements > 0 && holds_evacuate_at (w) > d->now)
     next = MIN (next, holds_evacuate_at (w));
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    next = MIN (next, placement->retry_at);
+    {
+      next = MIN (next, placement->retry_at);
+      next = MIN (next, unsent_deadline (placement));
+    }
   return next;
 }
 
@@ -85,6 +88,7 @@
     runs_send_queued (d, w);
   holds_tick (d, w);
   runs_send_queued (d, w);
+  unsent_give_up_overdue (d, w);
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     runs_retry_order (d, placement);
   timer_heap_stop (&d->worker_timers, &w->timer);
--- a/tests/queue_standing_test.cc
+++ b/tests/queue_standing_test.cc
@@ -118,3 +118,15 @@
   w.run (30000);
   EXPECT_EQ (w.state_of (job_id), "completed");
 }
+
+TEST (QueueStanding, StartThatWasNeverSentIsGivenUp)
+{
+  QueueWorld w (1, 2);
+
+  w.run (20000);
+  w.workers[0].endless_call_rate = 1;
+  w.submit (0, full_task ("q0", job_id, 1000));
+  w.run (6000);
+  EXPECT_EQ (w.state_of (job_id), "completed");
+  w.expect_no_violations ();
+}
