Lists: a run whose stop gets no answer ends once its start can't arrive any more

What callers saw: nothing reported; found by reading. A task stands for as long as its worker loses or refuses orders while it answers holds.

Cause: a start without an answer is followed by a stop, and the placement waits for the answer to that. Lists that don't show the run don't count, as the start might still arrive; but they renew the lease, so that nothing ends the wait.

Evidence, before (orders to one of two workers are lost, its holds answered): queue_standing_test.cc:143: w.state_of (job_id) Which is: "running", "completed" expected after 20 s [ FAILED ] QueueStanding.StopWithoutAnswerEndsOnceItsStartCanNoLongerArrive

After: passes.

--- a/queue/run_list.c
+++ b/queue/run_list.c
@@ -37,6 +37,7 @@
   placement = work_placement_new (task, w, row->run, PLACEMENT_RUNNING);
   placement->start_sent = TRUE;
   placement->confirmed_call = d->fx->last_id;
+  placement->last_start_at = d->now;
   placement->started_at = d->now;
   placement->progressed_at = d->now;
   speed_record_progress (placement, d->now, row->percent);
@@ -220,21 +221,64 @@
   return found;
 }
 
-/* Tells whether REPLY shows that PLACEMENT's run is over: its worker had
-   confirmed the start or stop before the hold was sent, but does not list the
-   run.  Calls are ordered by number rather than by time, because many are sent
-   and answered within a millisecond. */
+/* Tells whether PLACEMENT's worker had confirmed the start or stop before the
+   hold that REPLY answers was sent.  Calls are ordered by number rather than by
+   time, because many are sent and answered within a millisecond. */
 static gboolean
-is_missing (const RunReply *reply, const WorkPlacement *placement)
+was_confirmed (const RunReply *reply, const WorkPlacement *placement)
 {
   gboolean confirmed =
       placement->state == PLACEMENT_RUNNING ||
       (placement->state == PLACEMENT_STOPPING && placement->stop_acked);
 
-  return confirmed && placement->confirmed_call < reply->id &&
+  return confirmed && placement->confirmed_call < reply->id;
+}
+
+/* Tells whether PLACEMENT, whose stop has got no answer, was sent its last
+   start so long before the last hold that the start can't be executed any more.
+ */
+static gboolean
+is_past_late_start (const WorkPlacement *placement)
+{
+  return placement->state == PLACEMENT_STOPPING &&
+         placement->worker->poll_sent_at >=
+             placement->last_start_at + holds_late_order_window;
+}
+
+/* Tells whether REPLY, which answers W's last hold, shows that PLACEMENT's run
+   is over, or will never begin. */
+static gboolean
+is_missing (const RunReply *reply, const WorkPlacement *placement)
+{
+  return (was_confirmed (reply, placement) || is_past_late_start (placement)) &&
          !is_listed (reply, placement);
 }
 
+/* Logs that PLACEMENT is_missing.  A worker that did not answer its stop gets
+   no new placements for a while. */
+static void
+note_missing (Dispatch *d, WorkPlacement *placement)
+{
+  const WorkTask *task = placement->task;
+  PoolWorker *w = placement->worker;
+
+  if (placement->state == PLACEMENT_RUNNING)
+    effects_log (d->fx,
+                 "event=run_vanished job=%s task=%u run=%" G_GINT64_FORMAT
+                 " worker=%s",
+                 task->step->job->entry->id, task->index, placement->run,
+                 w->entry->id);
+  else if (!placement->stop_acked)
+    {
+      effects_log (d->fx,
+                   "event=stop_unanswered job=%s task=%u run=%" G_GINT64_FORMAT
+                   " worker=%s waited_ms=%" CLOCK_MS_FORMAT,
+                   task->step->job->entry->id, task->index, placement->run,
+                   w->entry->id, d->now - placement->stopping_at);
+      quarantine_exclude (d, w, quarantine_exclusion_span);
+    }
+}
+
 /* Ends the placements on W that are missing in REPLY.  If there are more ends
    than REPLY has, none is known to be missing. */
 void
@@ -247,16 +291,10 @@
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     if (!reply->more_ended && is_missing (reply, placement))
       g_ptr_array_add (gone, placement);
+  /* Ending one may stop others, of its gang. */
   for (i = 0; i < gone->len; i++)
-    {
-      placement = g_ptr_array_index (gone, i);
-      if (placement->state == PLACEMENT_RUNNING)
-        effects_log (d->fx,
-                     "event=run_vanished job=%s task=%u run=%" G_GINT64_FORMAT
-                     " worker=%s",
-                     placement->task->step->job->entry->id,
-                     placement->task->index, placement->run, w->entry->id);
-      runs_end (d, placement, RUN_STOPPED, NULL);
-    }
+    note_missing (d, g_ptr_array_index (gone, i));
+  for (i = 0; i < gone->len; i++)
+    runs_end (d, g_ptr_array_index (gone, i), RUN_STOPPED, NULL);
   g_ptr_array_unref (gone);
 }
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -183,6 +183,7 @@
   placement->start_sent = TRUE;
   placement->order_attempts++;
   placement->last_order_at = d->now;
+  placement->last_start_at = d->now;
   placement->retry_at = CLOCK_NEVER;
   placement->call_id = runs_send (d, call, placement);
   begin_on_sent (d, placement->task);
@@ -241,6 +242,7 @@
       task->index, placement->run, placement->worker->entry->id, reason);
   placement->state = PLACEMENT_STOPPING;
   placement->stop_acked = FALSE;
+  placement->stopping_at = d->now;
   send_stop (d, placement);
 }
 
@@ -386,6 +388,7 @@
 {
   placement->state = PLACEMENT_STOPPING;
   placement->stop_acked = FALSE;
+  placement->stopping_at = d->now;
   send_stop (d, placement);
 }
 
--- a/queue/work.h
+++ b/queue/work.h
@@ -33,6 +33,8 @@
   gboolean stop_acked;
   gint64 call_id;        /* of the order in flight; 0 for none */
   ClockMs last_order_at; /* when the last order was sent */
+  ClockMs last_start_at; /* when the last start was sent, or the run adopted */
+  ClockMs stopping_at;   /* when it began to be stopped */
   gint64 confirmed_call; /* highest call id when its order was answered */
   ClockMs retry_at;      /* when to send the order again */
   gboolean order_queued; /* the order waits for another one to the worker */
--- a/tests/queue_standing_test.cc
+++ b/tests/queue_standing_test.cc
@@ -130,3 +130,15 @@
   EXPECT_EQ (w.state_of (job_id), "completed");
   w.expect_no_violations ();
 }
+
+TEST (QueueStanding, StopWithoutAnswerEndsOnceItsStartCanNoLongerArrive)
+{
+  QueueWorld w (1, 2);
+
+  w.run (3000);
+  w.workers[0].loses_orders = true;
+  w.submit (0, full_task ("q1", job_id, 1000));
+  w.run (20000);
+  EXPECT_EQ (w.state_of (job_id), "completed");
+  w.expect_no_violations ();
+}
