Evictions: the room of a stop that hangs is not claimed again

What callers saw: nothing reported; found by reading. An urgent task waits for as long as one worker does not carry out a stop, while other workers have work that could make room.

Cause: what is being stopped counts as free room at no cost, however long it has been. So the plan chooses the same worker again each time a claim on it has timed out (1.6 s).

Fix: a run that has been stopping for longer than a claim waits is no room to come, and its worker gets no more stops for evictions.

After: it starts within 2.7 s and the test passes.

--- a/queue/claims.c
+++ b/queue/claims.c
@@ -3,11 +3,9 @@
 /* Claims: placements whose room is still taken by runs that are being
    stopped. */
 
-enum
-{
-  /* Claimed room that has not become free by then is given up. */
-  CLAIM_TIMEOUT_MS = 1600
-};
+/* Claimed room that has not become free within so many milliseconds is given
+   up. */
+const ClockMs claims_timeout = 1600;
 
 /* Tells whether the room that PLACEMENT claims is free now. */
 static gboolean
@@ -50,7 +48,7 @@
 static gboolean
 claim_is_invalid (const Dispatch *d, const WorkPlacement *placement)
 {
-  return d->now - placement->started_at > CLAIM_TIMEOUT_MS ||
+  return d->now - placement->started_at > claims_timeout ||
          !assign_is_usable (d, placement->worker) ||
          placement->worker->quarantined_until > d->now;
 }
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -264,6 +264,7 @@
 
 /* claims.c */
 void claims_resolve (Dispatch *d);
+extern const ClockMs claims_timeout;
 
 /* quarantine.c */
 extern const ClockMs quarantine_exclusion_span;
--- a/queue/evict.c
+++ b/queue/evict.c
@@ -115,6 +115,26 @@
   return n;
 }
 
+/* Tells whether PLACEMENT has been stopping for so long that a claim on its
+   room would have been given up: its worker doesn't carry out the stop. */
+static gboolean
+stop_hangs (const Plan *p, const WorkPlacement *placement)
+{
+  return placement->state == PLACEMENT_STOPPING &&
+         p->d->now - placement->stopping_at > claims_timeout;
+}
+
+static gboolean
+has_hanging_stop (const Plan *p, const PoolWorker *w)
+{
+  const WorkPlacement *placement;
+
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    if (stop_hangs (p, placement))
+      return TRUE;
+  return FALSE;
+}
+
 /* Returns W's free room once P's victims and all runs that are stopping have
    ended and P's tasks are placed. */
 static PoolResources
@@ -125,8 +145,9 @@
   WorkPlacement *placement;
 
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    if (placement->state == PLACEMENT_STOPPING ||
-        g_hash_table_contains (p->victims, victim_key (placement)))
+    if (!stop_hangs (p, placement) &&
+        (placement->state == PLACEMENT_STOPPING ||
+         g_hash_table_contains (p->victims, victim_key (placement))))
       pool_resources_add (&room, &placement->task->step->need);
   while (n--)
     pool_resources_subtract (&room, &p->step->need);
@@ -150,17 +171,20 @@
 }
 
 /* Collects in NEW_VICTIMS the cheapest runs on W, one after the other, until
-   one more task fits.  Returns their cost, or cost_impossible. */
+   one more task fits.  Returns their cost, or cost_impossible.  A worker on
+   which a stop hangs is given no more stops. */
 static double
 cost_on_worker (const Plan *p, const PoolWorker *w, GHashTable *new_victims)
 {
   PoolResources room = free_room_after (p, w);
+  gboolean may_stop = !has_hanging_stop (p, w);
   double cost = 0.0;
 
   g_hash_table_remove_all (new_victims);
   while (!pool_resources_fit (&room, &p->step->need))
     {
-      WorkPlacement *placement = cheapest_victim (p, w, new_victims);
+      WorkPlacement *placement =
+          may_stop ? cheapest_victim (p, w, new_victims) : NULL;
 
       if (!placement)
         return cost_impossible;
--- a/tests/queue_standing_test.cc
+++ b/tests/queue_standing_test.cc
@@ -142,3 +142,21 @@
   EXPECT_EQ (w.state_of (job_id), "completed");
   w.expect_no_violations ();
 }
+
+TEST (QueueStanding, UrgentTaskDoesNotClaimTheRoomOfAStopThatHangs)
+{
+  QueueWorld w (1, 2);
+
+  w.run (3000);
+  w.submit (0, { "q1/" + job_id,
+                 world_body (world_step (2, 1000, 8), "ms=60000") });
+  w.run (1000);
+  ASSERT_EQ (w.n_starts (), 2);
+  w.workers[0].loses_orders = true;
+  w.submit (0, full_task ("q0", "0000000000000502", 1000));
+  w.run (2700);
+  EXPECT_EQ (w.starts ("0000000000000502.0.0.0"), 1);
+  w.run (2000);
+  EXPECT_EQ (w.state_of ("0000000000000502"), "completed");
+  w.expect_no_violations ();
+}
