Placement: without a reserve nothing is held back for one

What callers saw: nothing reported; found by reading. A job that isn't urgent and needs no accelerator waits next to idle cores for as long as all accelerators are in use, with no urgent work anywhere.

Cause: free room is counted by each worker's scarcest resource, so that a worker without a free accelerator counts as full, and a worker that has none at all, too. A task was held back if it needs more than what is left, also if the reserve was nothing.

Evidence, before (all accelerators in use, the other worker has none and is idle): queue_standing_test.cc:191: w.state_of ("") Which is: "queued", "completed" expected [ FAILED ] QueueStanding.TaskWithoutAcceleratorUsesAWorkerThatHasNone

Fix: the check only applies while there is a reserve. What fits is decided where workers are chosen.

After: passes. Open: while urgent work arrives there is a reserve, and such a task waits as before. Simulated workers now announce their own capacity.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -48,7 +48,7 @@
 static gboolean
 fits_outside_reserve (const Pass *p, const WorkStep *step, guint n_tasks)
 {
-  if (step->job->entry->job->priority == 0)
+  if (step->job->entry->job->priority == 0 || p->reserved_workers <= 0.0)
     return TRUE;
   return p->free_workers -
              n_tasks * reserve_need_fraction (&step->need, &p->largest) >=
--- a/tests/queue_standing_test.cc
+++ b/tests/queue_standing_test.cc
@@ -160,3 +160,20 @@
   EXPECT_EQ (w.state_of ("0000000000000502"), "completed");
   w.expect_no_violations ();
 }
+
+TEST (QueueStanding, TaskWithoutAcceleratorUsesAWorkerThatHasNone)
+{
+  QueueWorld w (1, 2);
+
+  w.run (3000);
+  w.workers[1].capacity.accelerators = 0;
+  w.put_worker (1);
+  w.run (500);
+  w.submit (0, full_task ("q1", job_id, 60000));
+  w.run (500);
+  ASSERT_EQ (worker_running (w, task), 0);
+  w.submit (0, { "q1/0000000000000502",
+                 world_body (world_step (1, 1000, 0), "ms=500") });
+  w.run (5000);
+  EXPECT_EQ (w.state_of ("0000000000000502"), "completed");
+}
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -147,10 +147,12 @@
          "{\"service\":\"render\",\"address\":\"10.0.0." +
              std::to_string (w.address < 0 ? i : w.address) +
              ":1\",\"zone\":\"z\",\"state\":\"" +
-             (w.draining ? "draining" : "ready") +
-             "\",\"capacity\":{\"cpu\":64000,\"memMb\":256000,\"gpu\":8},"
-             "\"labels\":[\"a\",\"" +
-             w.rack + "\"],\"born\":" + std::to_string (w.incarnation) +
+             (w.draining ? "draining" : "ready") + "\",\"capacity\":{\"cpu\":" +
+             std::to_string (w.capacity.cpu_milli) +
+             ",\"memMb\":" + std::to_string (w.capacity.mem_mb) +
+             ",\"gpu\":" + std::to_string (w.capacity.accelerators) +
+             "},\"labels\":[\"a\",\"" + w.rack +
+             "\"],\"born\":" + std::to_string (w.incarnation) +
              (w.draining ? ",\"drainRemainingMs\":2500}" : "}"),
          0);
 }
