Reserve: less than a twentieth of a worker is none

What callers saw: nothing reported; found by reading. After any urgent job, a task that isn't urgent and needs all of a worker's room, on the last one that is free, waits for ever.

Cause: past urgent demand decays by half every 2.8 s but never to nothing, and a reserve however small doesn't fit beside a task that needs all there is.

Evidence, before (one worker, an urgent job that has ended, a task that needs the whole worker; also 40 s later): queue_standing_test.cc:174: w.state_of ("") Which is: "queued", "completed" expected [ FAILED ] QueueStanding.TaskThatNeedsAllRoomIsPlacedOnceUrgentWorkHasEnded

Fix: a reserve of less than 0.05 workers counts as none.

After: passes within 12 s.

--- a/queue/reserve.c
+++ b/queue/reserve.c
@@ -13,6 +13,10 @@
    however much urgent work arrives. */
 static const double max_fleet_fraction = 0.40;
 
+/* A smaller reserve, in workers, is none.  Past demand never decays to nothing,
+   and any reserve holds back a task that needs all of the room. */
+static const double min_size = 0.05;
+
 /* Returns R's demand, decayed until NOW, in workers per millisecond. */
 static double
 demand_at (const Reserve *r, ClockMs now)
@@ -35,8 +39,10 @@
 double
 reserve_size (const Reserve *r, ClockMs now, guint n_workers)
 {
-  return MIN (demand_at (r, now) * horizon_ms,
-              max_fleet_fraction * (double)n_workers);
+  double size = MIN (demand_at (r, now) * horizon_ms,
+                     max_fleet_fraction * (double)n_workers);
+
+  return size < min_size ? 0.0 : size;
 }
 
 static double
--- a/tests/queue_standing_test.cc
+++ b/tests/queue_standing_test.cc
@@ -161,6 +161,19 @@
   w.expect_no_violations ();
 }
 
+TEST (QueueStanding, TaskThatNeedsAllRoomIsPlacedOnceUrgentWorkHasEnded)
+{
+  QueueWorld w (1, 1);
+
+  w.run (3000);
+  w.submit (0, full_task ("q0", job_id, 500));
+  w.run (2000);
+  ASSERT_EQ (w.state_of (job_id), "completed");
+  w.submit (0, full_task ("q1", "0000000000000502", 500));
+  w.run (12000);
+  EXPECT_EQ (w.state_of ("0000000000000502"), "completed");
+}
+
 TEST (QueueStanding, TaskWithoutAcceleratorUsesAWorkerThatHasNone)
 {
   QueueWorld w (1, 2);
