Jobs: a worker that never answers a STOP holds its part till its lease is over

What callers saw: an accepted job that must not be repeated, whose worker was lost for good between its reservation and its start, was never started again and never ended; its room stayed taken, and the scheduler could not drain.

Cause: each unanswered STOP moved the part's lease_end on by a lease, as if STOP granted one, so that now >= lease_end never came true. Jobs that may be repeated gave up after GANG_TRIES.

Fix: STOP doesn't move lease_end any more. What may grant a lease does: a call that is still on its way when the part is stopped (a time-out and its grace are added at the stop), and renewals of the whole worker, which now count for parts that are being stopped, also when they end as lost. So nothing is started elsewhere before the lease is surely over. Calls that the host ends by its own bound are counted (worker_calls_overdue_total).

--- a/src/gang.c
+++ b/src/gang.c
@@ -79,6 +79,7 @@
     {
       WorkerOp op = overdue->op;
 
+      core_add (c, COUNT_WORKER_OVERDUE, 1);
       forget_call (c, p);
       on_part_silent (c, p, op, TRUE);
       return;
@@ -124,11 +125,15 @@
 static void
 stop_part (Core *c, Part *p)
 {
+  ClockMs answer = c->cfg->worker_timeout_ms + LEASE_ANSWER_GRACE_MS;
+  ClockMs lease = MAX (c->cfg->worker_lease_ms, GANG_RESERVE_LEASE_MS);
+
   if (p->state == PART_FREE || p->state == PART_STOPPING)
     return;
   p->state = PART_STOPPING;
   p->tries = 0;
-  p->lease_end = MAX (p->lease_end, c->now + c->cfg->worker_lease_ms);
+  /* A call that grants a lease may still be on its way. */
+  p->lease_end = MAX (p->lease_end, c->now + answer + lease);
   gang_part_call (c, p, WORKER_STOP);
 }
 
@@ -650,7 +655,7 @@
 static void
 on_part_silent (Core *c, Part *p, WorkerOp op, gboolean sent)
 {
-  if (sent)
+  if (sent && op != WORKER_STOP)
     p->lease_end = MAX (p->lease_end, c->now + lease_of (c, op));
   if (p->tries + 1 < GANG_TRIES)
     {
--- a/src/lease.c
+++ b/src/lease.c
@@ -242,7 +242,8 @@
   return NULL;
 }
 
-/* Notes that all leases on W may have been renewed until now. */
+/* Notes that all leases on W may have been renewed until now, also those of
+   parts that are being stopped. */
 static void
 note_renewal (Core *c, Worker *w)
 {
@@ -250,7 +251,7 @@
 
   APR_RING_FOREACH (p, &w->parts, Part, link)
     {
-      if (p->state == PART_RUNNING)
+      if (p->state == PART_RUNNING || p->state == PART_STOPPING)
         p->lease_end = MAX (p->lease_end, c->now + c->cfg->worker_lease_ms);
     }
 }
@@ -298,6 +299,7 @@
     {
       if (c->now - w->asked < c->cfg->worker_timeout_ms + LEASE_ANSWER_GRACE_MS)
         return;
+      core_add (c, COUNT_WORKER_OVERDUE, 1);
       if (is_renewing (c, w))
         note_renewal (c, w);
       g_hash_table_remove (c->sched->pending, &w->call);
@@ -411,7 +413,11 @@
         core_arm (c, &w->timer, c->now + GANG_RETRY_MS);
     }
   else
-    worker_silent (c, w);
+    {
+      if (op == WORKER_RENEW && r->status == WORKER_LOST)
+        note_renewal (c, w);
+      worker_silent (c, w);
+    }
 }
 
 /* Takes a worker's reply, or a report that it sent by itself. */
--- a/src/sched_event.h
+++ b/src/sched_event.h
@@ -79,6 +79,8 @@
   X (COUNT_WORKER_CALLS, "worker_calls_total", "Calls made to workers.")       \
   X (COUNT_WORKER_STALE, "worker_stale_total",                                 \
      "Calls that workers refused for a lower term.")                           \
+  X (COUNT_WORKER_OVERDUE, "worker_calls_overdue_total",                       \
+     "Calls to workers that the host itself ended.")                           \
   X (COUNT_RECLAIMS, "reclaims_total", "Gangs taken off borrowed room.")       \
   X (COUNT_MOVES, "moves_total", "Gangs moved against fragmentation.")         \
   X (COUNT_QUARANTINES, "worker_quarantines_total",                            \
--- /dev/null
+++ b/tests/sched_standing_test.cc
@@ -0,0 +1,90 @@
+#include "sched_fixture.h"
+
+/* Jobs that wait for what only somebody else can bring: an answer of a worker
+   or of the store, or news of a job. */
+namespace
+{
+
+const char *const table = "workspace,weight,guarantee\nalpha,1,2x8\n";
+
+/* A job that must not be repeated. */
+CallerJob
+once_job (JobWorld &w, int parts, ClockMs run_ms)
+{
+  CallerJob q = w.job_of (parts, 8, run_ms);
+
+  q.repeatable = 0;
+  q.key = "once";
+  return q;
+}
+
+const WorkerCall *
+worker_call (const Event &e)
+{
+  return e.kind == FX_WORKER_CALL ? static_cast<const WorkerCall *> (e.body)
+                                  : nullptr;
+}
+
+struct SchedStanding : testing::TestWithParam<int>
+{
+  void
+  begin (JobWorld &w)
+  {
+    w.start ();
+    w.load_table (table);
+    ASSERT_TRUE (w.wait_scheduler (5000));
+    w.run (3000);
+  }
+};
+
+/* The first worker that is asked for OP never answers any more. */
+void
+silence_worker_at (JobWorld &w, WorkerOp op, std::string *silent)
+{
+  w.tap = [&w, op, silent] (Node &, const Event &e) {
+    const WorkerCall *call = worker_call (e);
+
+    if (call && call->op == op && silent->empty ())
+      {
+        *silent = call->worker;
+        w.workers[*silent].reboot ();
+      }
+    return call && call->worker == *silent;
+  };
+}
+
+TEST_P (SchedStanding, JobGoesElsewhereWhenItsWorkerNeverAnswersAgain)
+{
+  auto op = static_cast<WorkerOp> (GetParam ());
+  JobWorld w (7, 2, 3);
+  std::string silent;
+
+  begin (w);
+  silence_worker_at (w, op, &silent);
+  CallerJob q = once_job (w, 1, 4000);
+  q.checkpointable = 1;
+  std::string id = w.submit_wait (q);
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.run_until ([&] { return !silent.empty (); }, 5000));
+  EXPECT_TRUE (w.run_until (
+      [&] { return w.state (id) == "done" || w.state (id) == "unknown"; },
+      90000))
+      << w.story ();
+  EXPECT_EQ (w.state (id), op == WORKER_RESERVE ? "done" : "unknown");
+  EXPECT_EQ (w.total (COUNT_JOBS_RUNNING), 0);
+  EXPECT_GT (w.total (COUNT_WORKER_OVERDUE), 3);
+}
+
+INSTANTIATE_TEST_SUITE_P (Calls,
+                          SchedStanding,
+                          testing::Values (WORKER_RESERVE, WORKER_START));
+
+struct SchedStandingTakeover : SchedStanding
+{
+};
+
+struct SchedStandingCaller : SchedStanding
+{
+};
+
+} // namespace
