Role: a host that drains without a scheduler goes on answering

What callers saw: a host that got SIGTERM, had requests in flight and was not the scheduler answered none of them once the scheduler had left or was not heard for 1.5 s; the process used all of a processor until it was killed. A roll of SIGTERMs over all hosts does just that.

Cause: role_tick of a host that drains armed its timer for heard + ROLE_QUIET_MS, which lies in the past by then: run_timers never came to an end.

Fix: such a host looks again after ROLE_POLL_MS, which the tick arms first.

--- a/src/role.c
+++ b/src/role.c
@@ -452,7 +452,7 @@
     role_keep (c);
   else if (r->held || (!c->draining && c->now - r->heard >= ROLE_QUIET_MS))
     role_look (c);
-  else
+  else if (!c->draining)
     core_arm (c, t, r->heard + ROLE_QUIET_MS);
 }
 
--- a/tests/sched_standing_test.cc
+++ b/tests/sched_standing_test.cc
@@ -87,4 +87,24 @@
 {
 };
 
+TEST_F (SchedStandingCaller, DrainWithoutASchedulerFinishesWhatIsInFlight)
+{
+  JobWorld w (5, 2, 2);
+
+  w.add_upstream ("u1", "d1").service_ms = 6000;
+  begin (w);
+  std::string h = w.scheduler ();
+  std::string other = h == "h0" ? "h1" : "h0";
+  CallerRequest q = {};
+  q.workspace = "alpha";
+  q.work_kind = "proof";
+  q.repeatable = 1;
+  gint64 conn = w.request (other, q, "body");
+  w.run (100);
+  w.drain (other);
+  w.drain (h);
+  EXPECT_TRUE (w.run_until ([&] { return w.reply (conn); }, 8000));
+  EXPECT_TRUE (w.run_until ([&] { return w.nodes.at (other).drained; }, 2000));
+}
+
 } // namespace
