Takeover: leases of jobs that are not adopted yet are kept

What callers saw: when a scheduler changed while any worker was down, running jobs were stopped; what must not be repeated ended as unknown.

Cause: with a silent worker a new scheduler is ready after SCHED_READY_MS, 1.5 s. A worker with leases is asked again after LEASE_OCCUPIED_MS, 1 s. By then the records had come; a lease of a known job without parts counted as left over and was stopped.

Evidence (code before): SchedStandingTakeover.JobGoesOnThoughAnotherWorkerIsDown: "job_undone ... a worker lost a part", state never "done".

Fix: until the scheduler is ready, leases are only noted for the adoption.

After: the test passes; the job ends done in its first run.

--- a/src/lease.c
+++ b/src/lease.c
@@ -95,7 +95,7 @@
         p->lease_end = c->now + c->cfg->worker_lease_ms;
       gang_apply_lease (c, p, l);
     }
-  else if (g_hash_table_contains (c->sched->jobs, l->job))
+  else if (c->sched->ready && g_hash_table_contains (c->sched->jobs, l->job))
     lease_stop (c, w, l);
   else
     add_orphan (c, w, l);
--- a/tests/sched_standing_test.cc
+++ b/tests/sched_standing_test.cc
@@ -83,6 +83,25 @@
 {
 };
 
+TEST_F (SchedStandingTakeover, JobGoesOnThoughAnotherWorkerIsDown)
+{
+  JobWorld w (5, 3, 2);
+  std::string h;
+
+  begin (w);
+  h = w.scheduler ();
+  std::string id =
+      w.submit_wait (once_job (w, 1, 30000), h == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.wait_state (id, "running", 5000));
+  w.run (2000);
+  for (auto &[name, worker] : w.workers)
+    worker.down = worker.leases.empty ();
+  w.kill (h);
+  EXPECT_TRUE (w.wait_state (id, "done", 60000)) << w.story ();
+  EXPECT_EQ (w.job_starts[id].size (), 1U);
+}
+
 struct SchedStandingCaller : SchedStanding
 {
 };
