Takeover: a part that was taken for running and is only reserved is started

What callers saw: a gang whose scheduler was lost between the starts of its parts, with one worker out of reach at the takeover, ran in part for ever; its job never ended.

Cause: a part on a worker that has not reported counts as running. When the worker then reported its lease as reserved, nothing followed: renewals kept the reservation alive, and since the worker ran less than it should it was asked for its list without a pause.

Fix: START is sent within the same lease and run; a worker refuses it when the lease is gone, and answers it as done when the part runs. The part stays running here, so that the lease's end bounds it when the worker falls silent.

--- a/src/gang_lease.c
+++ b/src/gang_lease.c
@@ -57,6 +57,9 @@
     case LEASE_RESERVED:
       if (p->state == PART_RESERVING)
         p->state = PART_RESERVED;
+      else if (p->state == PART_RUNNING && !p->call && j->phase <= PHASE_RUN)
+        /* It was taken for running while its worker was silent. */
+        gang_part_call (c, p, WORKER_START);
       break;
     case LEASE_RUNNING:
       if (p->state == PART_STARTING || p->state == PART_RESERVED)
--- a/tests/sched_standing_test.cc
+++ b/tests/sched_standing_test.cc
@@ -83,6 +83,45 @@
 {
 };
 
+TEST_F (SchedStandingTakeover, PartThatIsOnlyReservedIsStarted)
+{
+  JobWorld w (5, 3, 2);
+  std::string h;
+  std::string second;
+  int starts = 0;
+
+  begin (w);
+  h = w.scheduler ();
+  w.tap = [&] (Node &n, const Event &e) {
+    const WorkerCall *call = worker_call (e);
+
+    if (!call || call->op != WORKER_START || n.name != h || ++starts != 2)
+      return false;
+    second = call->worker;
+    w.at (w.now, [&] { w.kill (h); });
+    for (auto &[name, node] : w.nodes)
+      w.cut (name, second);
+    return true;
+  };
+  std::string id =
+      w.submit_wait (w.job_of (2, 8, 30000), h == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.run_until ([&] { return !second.empty (); }, 5000));
+  w.tap = nullptr;
+  ASSERT_TRUE (w.run_until (
+      [&] {
+        for (auto &n : w.notes)
+          if (n.kind == NOTE_ROLE_READY && n.host != h)
+            return true;
+        return false;
+      },
+      9000));
+  for (auto &[name, node] : w.nodes)
+    w.cut (name, second, false);
+  EXPECT_TRUE (w.wait_state (id, "done", 60000)) << w.story ();
+  EXPECT_LT (w.total (COUNT_WORKER_CALLS), 500);
+}
+
 TEST_F (SchedStandingTakeover, JobGoesOnThoughAnotherWorkerIsDown)
 {
   JobWorld w (5, 3, 2);
