Takeover: a checkpoint that the scheduler before asked for is used

What callers saw: a job that was being reclaimed when its scheduler was lost, and whose checkpoint took longer than the takeover, stood as running for ever.

Cause: a part that is reported as saved in a gang that runs was noted, and no phase leads on from there.

Evidence (code before): SchedStandingTakeover.CheckpointThatTheFormerScheduler- AskedForIsUsed: not done after 90 s.

Fix: the whole gang is saved then, bounded by reclaim_checkpoint_ms as always, and goes on from its checkpoint.

After: the test passes.

--- a/src/gang.c
+++ b/src/gang.c
@@ -437,6 +437,12 @@
     case PHASE_RUN:
       if (gang_count (j, PART_DONE) == j->n_parts)
         done (c, j);
+      else if (gang_count (j, PART_SAVED))
+        {
+          /* A scheduler before this one has asked for checkpoints. */
+          gang_save (c, j);
+          gang_advance (c, j);
+        }
       break;
     case PHASE_SAVE:
       if (gang_count (j, PART_DONE) == j->n_parts)
--- a/tests/sched_standing_test.cc
+++ b/tests/sched_standing_test.cc
@@ -122,6 +122,26 @@
   EXPECT_LT (w.total (COUNT_WORKER_CALLS), 500);
 }
 
+TEST_F (SchedStandingTakeover, CheckpointThatTheFormerSchedulerAskedForIsUsed)
+{
+  JobWorld w (5, 3, 2);
+  std::string h;
+
+  begin (w);
+  h = w.scheduler ();
+  CallerJob q = w.job_of (1, 8, 30000);
+  q.checkpointable = 1;
+  std::string id = w.submit_wait (q, h == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.wait_state (id, "placed", 5000));
+  w.run (2000);
+  for (auto &[name, worker] : w.workers)
+    for (auto &l : worker.leases)
+      l.saved_at = w.now + 12000;
+  w.kill (h);
+  EXPECT_TRUE (w.wait_state (id, "done", 90000)) << w.story ();
+}
+
 TEST_F (SchedStandingTakeover, JobGoesOnThoughAnotherWorkerIsDown)
 {
   JobWorld w (5, 3, 2);
