Jobs: a caller that waits for a job's recorded end is answered in time

What callers saw: at the scheduler's host, a cancellation, or a question after a job that had ended, got no answer for as long as the store was away.

Cause: such callers are told when the end is in the store, and nothing else ended their wait.

Evidence (code before): SchedStandingCaller.CancelIsAnsweredThoughTheStoreIsAway: no reply after 15 s; 0 replies in all at the end.

Fix: after RECORD_WAIT_MS, 10 s, the caller gets 503 with the outcome unknown, and job_answers_overdue_total counts it. The end that is recorded later isn't told a second time. A job whose keeping ends answers whoever still waits.

After: the test passes; one reply.

--- a/src/ask.c
+++ b/src/ask.c
@@ -6,7 +6,8 @@
 
 enum
 {
-  CANCEL_WAIT_MS = 1500 /* for the scheduler, before the record is marked */
+  CANCEL_WAIT_MS = 1500, /* for the scheduler, before the record is marked */
+  RECORD_WAIT_MS = 10000 /* for the store, before an asker is answered */
 };
 
 /* A question after a job, or its cancellation, that needs the store. */
@@ -53,15 +54,34 @@
   ask_end (c, a);
 }
 
+/* The end of A's job is not in the store in time.  A peer finds that out by
+   itself. */
+static void
+asker_overdue (Core *c, Timer *t)
+{
+  JobAsker *a = t->owner;
+  Job *j = a->job;
+
+  core_add (c, COUNT_JOB_ANSWERS_OVERDUE, 1);
+  if (!a->peer)
+    submit_fail (c, a->conn, OUTCOME_UNKNOWN, 503, j->rec->id,
+                 "the store has not recorded the job's end yet, ask again");
+  g_ptr_array_remove (j->askers, a);
+}
+
 /* Adds CONN, of this host or of PEER, to those that are told the recorded end
    of J. */
 void
-ask_add_asker (Job *j, gint64 conn, const char *peer)
+ask_add_asker (Core *c, Job *j, gint64 conn, const char *peer)
 {
   JobAsker *a = g_new (JobAsker, 1);
 
-  *a = (JobAsker) { .conn = conn, .peer = g_strdup (peer) };
+  *a = (JobAsker) { .job = j,
+                    .conn = conn,
+                    .peer = g_strdup (peer),
+                    .timer = { .fire = asker_overdue, .owner = a } };
   g_ptr_array_add (j->askers, a);
+  core_arm (c, &a->timer, c->now + RECORD_WAIT_MS);
 }
 
 static gboolean
@@ -82,13 +102,14 @@
     hint_tell_origin (c, j);
   for (i = 0; i < j->askers->len; i++)
     {
-      const JobAsker *a = g_ptr_array_index (j->askers, i);
+      JobAsker *a = g_ptr_array_index (j->askers, i);
       char *json = job_to_json (j->rec);
       SchedKnown m = { .id = j->rec->id,
                        .cancel = 1,
                        .conn = a->conn,
                        .json = g_bytes_new (json, strlen (json)) };
 
+      core_stop (c, &a->timer);
       if (left && !a->peer)
         submit_fail (c, a->conn, OUTCOME_UNKNOWN, 503, j->rec->id,
                      "the scheduler is changing, ask again");
@@ -114,7 +135,7 @@
     return FALSE;
   if (cancel || end_unwritten (j))
     {
-      ask_add_asker (j, q->conn, NULL);
+      ask_add_asker (c, j, q->conn, NULL);
       if (cancel)
         sched_cancel (c, j);
     }
--- a/src/hint.c
+++ b/src/hint.c
@@ -169,7 +169,7 @@
       j = g_hash_table_lookup (c->sched->jobs, h->id);
       if (j)
         {
-          ask_add_asker (j, h->conn, h->origin);
+          ask_add_asker (c, j, h->conn, h->origin);
           sched_cancel (c, j);
         }
       return;
--- a/src/sched.c
+++ b/src/sched.c
@@ -360,6 +360,8 @@
   g_free (key);
   drop_key (c, j);
   gang_drop (c, j);
+  if (j->askers->len)
+    sched_notify_waiters (c, j);
   job_forget_write (c, j);
   core_stop (c, &j->timer);
   g_hash_table_remove (c->sched->jobs, j->rec->id);
--- a/src/sched_event.h
+++ b/src/sched_event.h
@@ -72,6 +72,8 @@
   X (COUNT_JOB_RUNS, "job_runs_total", "Starts of jobs' gangs.")               \
   X (COUNT_JOB_UNDONE, "job_runs_undone_total",                                \
      "Gangs given up before or after their start.")                            \
+  X (COUNT_JOB_ANSWERS_OVERDUE, "job_answers_overdue_total",                   \
+     "Askers told that a job's end is not recorded yet.")                      \
   X (COUNT_JOB_WRITES, "job_record_writes_total",                              \
      "Writes of job records to the store.")                                    \
   X (COUNT_JOBS_WAITING, "jobs_waiting", "Jobs of the domain that wait.")      \
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -108,11 +108,13 @@
   gboolean listed;   /* seen in the listing under way */
 };
 
-/* Who is to be told of a cancellation: a caller here, or a peer. */
+/* Who is to be told of a job's recorded end: a caller here, or a peer. */
 typedef struct JobAsker
 {
+  Job *job;
   gint64 conn;
   char *peer;
+  Timer timer; /* the end of its patience */
 } JobAsker;
 
 /* A worker of the own domain. */
@@ -225,7 +227,7 @@
 void hint_tell_origin (Core *c, Job *j);
 void hint_free (gpointer p);
 
-void ask_add_asker (Job *j, gint64 conn, const char *peer);
+void ask_add_asker (Core *c, Job *j, gint64 conn, const char *peer);
 void ask_cancel_answered (Core *c, const SchedKnown *m);
 void ask_free (gpointer p);
 
--- a/tests/sched_standing_test.cc
+++ b/tests/sched_standing_test.cc
@@ -185,4 +185,22 @@
   EXPECT_TRUE (w.run_until ([&] { return w.nodes.at (other).drained; }, 2000));
 }
 
+TEST_F (SchedStandingCaller, CancelIsAnsweredThoughTheStoreIsAway)
+{
+  JobWorld w (5, 2, 2);
+
+  begin (w);
+  std::string id = w.submit_wait (w.job_of (1, 8, 60000));
+  ASSERT_NE (id, "");
+  w.run (2000);
+  w.store.silent = true;
+  gint64 conn = w.ask (w.scheduler (), EV_JOB_CANCEL, "alpha", id);
+  EXPECT_TRUE (w.run_until ([&] { return w.reply (conn); }, 15000));
+  w.store.silent = false;
+  EXPECT_TRUE (w.wait_state (id, "cancelled", 30000)) << w.story ();
+  EXPECT_EQ (std::count_if (w.replies.begin (), w.replies.end (),
+                            [&] (const Reply &r) { return r.conn == conn; }),
+             1);
+}
+
 } // namespace
