Drain: jobs, questions and the scheduler's role keep to its bound

What callers saw: a host that got SIGTERM while the store was away kept the scheduler's role, with the jobs that it could not place, till the store was back or the process was killed. Submissions and questions that were under way at drain_ms were not answered before the process ended.

Cause: a gang whose placement is being recorded counts as a step to be finished, and only the store ends it if the job must not be repeated. The bound of a drain was kept by requests alone.

Fix: while the store is away such a gang is left to the next scheduler: nothing was asked of a worker yet. At drain_ms submissions get 504 if the record may be in the store, otherwise 503; questions get 503; the role is left as after a crash, counted by scheduler_roles_cut_off_total; nothing new is asked of the store for callers.

--- a/src/ask.c
+++ b/src/ask.c
@@ -21,6 +21,7 @@
   JobRecord *rec;     /* found; to be cancelled */
   gint64 revision;
   gboolean marking; /* the scheduler did not answer in time */
+  gint64 call;      /* the store call under way, 0: none */
   Timer timer;
 } Ask;
 
@@ -161,6 +162,7 @@
   Ask *a = owner;
 
   (void)arg;
+  a->call = 0;
   job_count_write (c, r);
   if (r->status == STORE_OK)
     {
@@ -191,7 +193,7 @@
   rec_set_str (&a->rec->writer, c->sched->writer);
   a->rec->write = ++c->sched->last_write;
   put.value = job_encode (a->rec);
-  store_submit (c, STORE_FOR_JOB, &put, on_marked, a, 0);
+  a->call = store_submit (c, STORE_FOR_JOB, &put, on_marked, a, 0);
   g_bytes_unref (put.value);
   g_free (key);
 }
@@ -256,6 +258,7 @@
   Ask *a = owner;
 
   (void)arg;
+  a->call = 0;
   if (r->status == STORE_OK && r->items.n)
     ask_found (c, a, store_first_item (r));
   else if (r->status == STORE_OK || r->status == STORE_MISSING)
@@ -284,7 +287,7 @@
     }
   key = job_key (g_ptr_array_index (a->domains, 0), a->id);
   get.key = key;
-  store_submit (c, STORE_FOR_JOB, &get, on_looked, a, 0);
+  a->call = store_submit (c, STORE_FOR_JOB, &get, on_looked, a, 0);
   g_free (key);
 }
 
@@ -312,6 +315,11 @@
                      "token");
       return;
     }
+  if (c->sched->closed)
+    {
+      submit_refuse (c, q->conn, 503, "this host is shutting down");
+      return;
+    }
   if (!*util_str (q->id) || ask_here (c, q, cancel))
     {
       if (!*util_str (q->id))
@@ -345,6 +353,27 @@
   ask (c, e->body, TRUE);
 }
 
+/* Ends all questions under way, for the host stops. */
+void
+ask_close (Core *c)
+{
+  GList *list = g_hash_table_get_values (c->sched->asks);
+  GList *l;
+
+  for (l = list; l; l = l->next)
+    {
+      Ask *a = l->data;
+
+      if (a->call)
+        store_forget (c, a->call);
+      submit_fail (c, a->conn,
+                   a->cancel && a->rec ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, 503,
+                   a->id, "this host is shutting down, ask again");
+      ask_end (c, a);
+    }
+  g_list_free (list);
+}
+
 /* Passes the scheduler's answer M to a cancellation on to its caller. */
 void
 ask_cancel_answered (Core *c, const SchedKnown *m)
--- a/src/core.c
+++ b/src/core.c
@@ -35,6 +35,7 @@
   c->draining = TRUE;
   core_write_note (c, &(CoreNote) { .kind = NOTE_DRAINING });
   req_on_drain (c);
+  sched_on_drain (c);
   member_announce (c);
 }
 
--- a/src/req.c
+++ b/src/req.c
@@ -457,6 +457,9 @@
     core_reply_json (c, q->conn, 202, r->id, req_explain (c, r->id));
   else if (r)
     req_attach (c, r, q->conn);
+  else if (c->req->closed)
+    req_reply (c, q->conn, NULL, OUTCOME_UNKNOWN, 503,
+               "this host is shutting down, ask another", NULL);
   else
     {
       claim_make_id (q->workspace, q->id, id);
--- a/src/sched.c
+++ b/src/sched.c
@@ -18,6 +18,7 @@
 static void plan_run (Core *c, Timer *t);
 static void tick (Core *c, Timer *t);
 static void on_ready_bound (Core *c, Timer *t);
+static void on_drain_bound (Core *c, Timer *t);
 
 static void
 worker_free (gpointer p)
@@ -70,6 +71,7 @@
   s->plan_timer.fire = plan_run;
   s->ready_timer.fire = on_ready_bound;
   s->tick_timer.fire = tick;
+  s->drain_bound.fire = on_drain_bound;
   for (i = 0; i < c->cfg->workers.n; i++)
     if (strcmp (config_worker (c->cfg, i)->domain, c->cfg->domain) == 0)
       add_worker (s, config_worker (c->cfg, i));
@@ -142,6 +144,27 @@
   return submit_busy (c) || role_is_held (c);
 }
 
+/* The bound of a drain has passed: callers are answered with what is known,
+   and the role is left as it is. */
+static void
+on_drain_bound (Core *c, Timer *t)
+{
+  (void)t;
+  c->sched->closed = TRUE;
+  submit_close (c);
+  ask_close (c);
+  if (role_is_held (c))
+    core_add (c, COUNT_ROLES_CUT_OFF, 1);
+  role_drain (c);
+}
+
+/* Takes the start of a drain. */
+void
+sched_on_drain (Core *c)
+{
+  core_arm (c, &c->sched->drain_bound, c->now + c->cfg->drain_ms);
+}
+
 /* Sees each step of time before anything else acts on it: a holder that
    was paused beyond its lease steps down first. */
 void
@@ -241,6 +264,17 @@
   core_set (c, COUNT_JOBS_WAITING, plan_n_waiting (s->plan));
 }
 
+/* Tells whether a gang of phase P is worth waiting for in a drain: one whose
+   placement only the store can record is left to the next scheduler while
+   the store is away. */
+static gboolean
+is_step (Core *c, JobPhase p)
+{
+  if (p == PHASE_INTENT)
+    return store_is_up (c);
+  return p != PHASE_WAITING && p != PHASE_RUN && p != PHASE_ENDED;
+}
+
 /* Tells whether a gang is between its placement and its start, or its
    stop. */
 static gboolean
@@ -251,12 +285,8 @@
 
   g_hash_table_iter_init (&it, c->sched->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      JobPhase p = ((Job *)value)->phase;
-
-      if (p != PHASE_WAITING && p != PHASE_RUN && p != PHASE_ENDED)
-        return TRUE;
-    }
+    if (is_step (c, ((Job *)value)->phase))
+      return TRUE;
   return FALSE;
 }
 
--- a/src/sched.h
+++ b/src/sched.h
@@ -10,6 +10,7 @@
 void sched_start (Core *c);
 void sched_free (Sched *s);
 gboolean sched_busy (const Core *c);
+void sched_on_drain (Core *c);
 void sched_on_time (Core *c, ClockMs at);
 void sched_on_job (Core *c, const Event *e);
 void sched_on_ask (Core *c, const Event *e);
--- a/src/sched_event.h
+++ b/src/sched_event.h
@@ -90,6 +90,8 @@
   X (COUNT_SCHEDULER, "scheduler", "1 while this host has the role.")          \
   X (COUNT_SCHEDULER_TERM, "scheduler_term", "The term of the role.")          \
   X (COUNT_TAKEOVERS, "scheduler_takeovers_total", "Times the role came.")     \
+  X (COUNT_ROLES_CUT_OFF, "scheduler_roles_cut_off_total",                     \
+     "Drains whose bound passed while gangs were being started or stopped.")   \
   X (COUNT_STEPDOWNS, "scheduler_stepdowns_total", "Times the role went.")
 
 #define SCHED_NOTES(X)                                                         \
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -178,6 +178,9 @@
   Timer ready_timer;
   Timer plan_timer;
   Timer tick_timer;
+  Timer drain_bound;
+  gboolean closed; /* a drain's bound has passed: nothing is waited for */
+  guint n_live;    /* hosts, at the last tick */
   gint64 n_running;
   gint64 polls; /* that the budget has, in thousandths */
   ClockMs polls_at;
@@ -212,6 +215,7 @@
 void submit_new (Sched *s);
 void submit_free (Sched *s);
 gboolean submit_busy (const Core *c);
+void submit_close (Core *c);
 void submit_reply (Core *c, gint64 conn, int status, const JobRecord *r);
 void submit_fail (Core *c,
                   gint64 conn,
@@ -229,6 +233,7 @@
 
 void ask_add_asker (Core *c, Job *j, gint64 conn, const char *peer);
 void ask_cancel_answered (Core *c, const SchedKnown *m);
+void ask_close (Core *c);
 void ask_free (gpointer p);
 
 #endif
--- a/src/submit.c
+++ b/src/submit.c
@@ -18,6 +18,7 @@
   GBytes *value;
   gboolean claimed;    /* the key's domain is settled */
   gboolean maybe_done; /* a write's answer was lost */
+  gint64 call;         /* the store call under way, 0: none */
   ClockMs bound;
   Timer timer;
 } Submit;
@@ -181,6 +182,7 @@
   const StoreItem *item = store_first_item (r);
 
   (void)arg;
+  s->call = 0;
   job_count_write (c, r);
   if (r->status == STORE_OK)
     accepted (c, s, item ? item->revision : r->revision);
@@ -203,7 +205,7 @@
   if (!s->value)
     s->value = job_encode (s->rec);
   put.value = s->value;
-  store_submit (c, STORE_FOR_JOB, &put, on_created, s, 0);
+  s->call = store_submit (c, STORE_FOR_JOB, &put, on_created, s, 0);
   g_free (key);
 }
 
@@ -215,6 +217,7 @@
   gsize n;
 
   (void)arg;
+  s->call = 0;
   job_count_write (c, r);
   if (r->status == STORE_OK)
     s->claimed = TRUE;
@@ -244,18 +247,46 @@
                     .key = key,
                     .value = g_bytes_new (domain, strlen (domain)) };
 
-  store_submit (c, STORE_FOR_JOB, &put, on_claimed, s, 0);
+  s->call = store_submit (c, STORE_FOR_JOB, &put, on_claimed, s, 0);
   g_bytes_unref (put.value);
   g_free (key);
 }
 
+static gboolean
+is_claimed (const Submit *s)
+{
+  return s->claimed || !*util_str (s->rec->key);
+}
+
 static void
 submit_step (Core *c, Submit *s)
 {
-  if (*util_str (s->rec->key) && !s->claimed)
-    submit_claim (c, s);
-  else
+  if (is_claimed (s))
     submit_create (c, s);
+  else
+    submit_claim (c, s);
+}
+
+/* Ends all submissions under way, for the host stops: their callers are told
+   what is known. */
+void
+submit_close (Core *c)
+{
+  GList *list = g_hash_table_get_values (c->sched->submits);
+  GList *l;
+
+  for (l = list; l; l = l->next)
+    {
+      Submit *s = l->data;
+
+      if (s->call)
+        {
+          store_forget (c, s->call);
+          s->maybe_done |= is_claimed (s);
+        }
+      submit_give_up (c, s);
+    }
+  g_list_free (list);
 }
 
 /* Tells whether all parts of Q fit into DOMAIN when it is empty. */
--- a/tests/sched_standing_test.cc
+++ b/tests/sched_standing_test.cc
@@ -203,4 +203,40 @@
              1);
 }
 
+TEST_F (SchedStandingCaller, DrainEndsThoughTheStoreIsAway)
+{
+  JobWorld w (5, 2, 2);
+
+  w.config ()->drain_ms = 20000;
+  begin (w);
+  std::string h = w.scheduler ();
+  std::string id =
+      w.submit_wait (once_job (w, 1, 4000), h == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  w.store.silent = true;
+  w.run (3000);
+  w.drain (h);
+  EXPECT_TRUE (w.run_until ([&] { return w.nodes.at (h).drained; }, 10000))
+      << w.story ();
+  w.store.silent = false;
+  EXPECT_TRUE (w.wait_state (id, "done", 60000)) << w.story ();
+}
+
+TEST_F (SchedStandingCaller, AllAreAnsweredWithinTheBoundOfADrain)
+{
+  JobWorld w (5, 2, 2);
+
+  w.config ()->drain_ms = 2000;
+  begin (w);
+  std::string h = w.scheduler ();
+  w.store.silent = true;
+  gint64 job = w.submit (w.job_of (1, 8, 4000), h);
+  gint64 question = w.ask (h, EV_JOB_ASK, "alpha", "nobody's");
+  w.run (500);
+  w.drain (h);
+  EXPECT_TRUE (w.run_until ([&] { return w.reply (job) && w.reply (question); },
+                            2500));
+  EXPECT_TRUE (w.run_until ([&] { return w.nodes.at (h).drained; }, 500));
+}
+
 } // namespace
