Jobs: records are listed soon after a host is lost

What callers saw: a job that was accepted by a host that lost power at once stood for minutes where there were many records.

Cause: the news of it died with the host, and the next listing that finds it is up to a second away for each 2 KB of records (SCHED_LIST_BYTES_PER_S).

Evidence (code before): SchedStandingCaller.JobOfAHostThatDiedIsFoundAmongMany- Records, with 24 records of 16 KB: not done after 20 s.

Fix: when fewer hosts are live than at the last tick, the next listing is sent within a second.

After: the test passes.

--- a/src/sched.c
+++ b/src/sched.c
@@ -1,5 +1,7 @@
 #include "sched_state.h"
 
+#include "member.h"
+
 #include <string.h>
 
 enum
@@ -8,6 +10,7 @@
   SCHED_TICK_MS = 1000,          /* between looks at table and quarantines */
   SCHED_LIST_MS = 10000,         /* the least time between listings */
   SCHED_LIST_BYTES_PER_S = 2000, /* what listings may cost on average */
+  SCHED_LIST_SOON_MS = 1000,     /* after a host was lost */
   SCHED_ORPHAN_MS = 5000,    /* for the hosts to tell of jobs the store lost */
   SCHED_LIST_RETRY_MS = 500, /* while no listing has come */
   SCHED_BACKOFF_MS = 500,    /* after a first failed run, then doubled */
@@ -290,12 +293,27 @@
   return FALSE;
 }
 
+/* Looks for jobs whose news a lost host may have taken with it, long before
+   the next listing if there are many records. */
+static void
+list_after_loss (Core *c)
+{
+  Sched *s = c->sched;
+  guint n_live = member_n_live (c);
+
+  if (n_live < s->n_live && s->list_timer.slot &&
+      s->list_timer.at > c->now + SCHED_LIST_SOON_MS)
+    core_arm (c, &s->list_timer, c->now + SCHED_LIST_SOON_MS);
+  s->n_live = n_live;
+}
+
 static void
 tick (Core *c, Timer *t)
 {
   Sched *s = c->sched;
 
   core_arm (c, t, c->now + SCHED_TICK_MS);
+  list_after_loss (c);
   rec_list_clear (sched_name_desc (), &s->role.full);
   sched_account (c, &s->role.full);
   plan_tick (s->plan, c->now);
--- a/tests/sched_standing_test.cc
+++ b/tests/sched_standing_test.cc
@@ -239,4 +239,31 @@
   EXPECT_TRUE (w.run_until ([&] { return w.nodes.at (h).drained; }, 500));
 }
 
+TEST_F (SchedStandingCaller, JobOfAHostThatDiedIsFoundAmongManyRecords)
+{
+  JobWorld w (5, 3, 4);
+  std::string text (16000, 'x');
+
+  begin (w);
+  std::string h = w.scheduler ();
+  std::string other = h == "h0" ? "h1" : "h0";
+  GBytes *body = g_bytes_new (text.data (), text.size ());
+  for (int i = 0; i < 24; i++)
+    {
+      CallerJob q = w.job_of (1, 8, 100);
+      q.body = body;
+      ASSERT_NE (w.submit_wait (q), "");
+    }
+  g_bytes_unref (body);
+  ASSERT_TRUE (w.quiet (30000));
+  w.run (20000); /* the next listing is far away */
+  w.tap = [&] (Node &n, const Event &e) {
+    return e.kind == MSG_JOB_HINT && n.name == other;
+  };
+  std::string id = w.submit_wait (w.job_of (1, 8, 1000), other);
+  ASSERT_NE (id, "");
+  w.kill (other);
+  EXPECT_TRUE (w.wait_state (id, "done", 20000)) << w.story ();
+}
+
 } // namespace
