Upstreams: a probe that never ends is given up and sent again

What callers saw: an upstream that was out of reach once was never used again by a host whose probe got neither an answer nor a failure; with one upstream, or all of them, requests were refused or ran into their deadline.

Cause: the next probe was armed by the answer to the last one alone.

Evidence (code before): ReqStanding.ProbeThatNeverEndsIsSentAgain: the request after 11 s ends as not run (outcome 2), not answered.

Fix: each upstream has a prober with a bound, PROBE_TIMEOUT_MS and PROBE_GRACE_MS; when it passes, that counts as unhealthy and in upstream_probes_overdue_total.

After: the test passes.

--- a/src/req.c
+++ b/src/req.c
@@ -59,14 +59,15 @@
   q->other_cost.ms = REQ_COST_FIRST_MS;
   q->tick = (Timer) { .fire = req_on_tick };
   q->drain_bound = (Timer) { .fire = on_drain_bound };
-  q->probes = g_new0 (Timer, c->cfg->upstreams.n);
+  q->probers = g_new0 (UpstreamProber, c->cfg->upstreams.n);
   for (i = 0; i < c->cfg->upstreams.n; i++)
     {
       const ConfigUpstream *u = config_upstream (c->cfg, i);
       gboolean own = strcmp (u->domain, c->cfg->domain) == 0;
 
       route_set_limit (q->route, route_add (q->route, u->name, own), !own);
-      q->probes[i] = (Timer) { .fire = req_on_probe };
+      q->probers[i].timer =
+          (Timer) { .fire = req_on_probe, .owner = GUINT_TO_POINTER (i) };
     }
   return q;
 }
@@ -94,7 +95,7 @@
   route_free (q->route);
   slots_free (q->slots);
   claim_free (q->claims);
-  g_free (q->probes);
+  g_free (q->probers);
   g_free (q);
 }
 
--- a/src/req_event.h
+++ b/src/req_event.h
@@ -55,6 +55,10 @@
      "Attempts after one that certainly did not run.")                         \
   X (COUNT_SILENCES, "request_silences_total",                                 \
      "Requests asked after because their connection was silent.")              \
+  X (COUNT_ASKS_OVERDUE, "upstream_asks_overdue_total",                        \
+     "Questions after a request that the host itself ended.")                  \
+  X (COUNT_PROBES_OVERDUE, "upstream_probes_overdue_total",                    \
+     "Probes of upstreams that the host itself ended.")                        \
   X (COUNT_LATE, "upstream_replies_late_total",                                \
      "Replies of upstreams that nothing waited for.")                          \
   X (COUNT_SPILLED, "requests_spilled_total",                                  \
--- a/src/req_state.h
+++ b/src/req_state.h
@@ -110,6 +110,13 @@
 
 APR_RING_HEAD (RequestRing, Request);
 
+/* Asks an unreachable upstream whether it is back. */
+typedef struct UpstreamProber
+{
+  Timer timer;
+  gboolean probing; /* TIMER is the answer's bound */
+} UpstreamProber;
+
 struct Req
 {
   GHashTable *by_id;   /* to Request */
@@ -134,7 +141,7 @@
   gint64 spill_bytes;
   ClockMs spill_at;
   Timer tick;
-  Timer *probes; /* one an upstream */
+  UpstreamProber *probers; /* one an upstream */
   Timer drain_bound;
   gboolean closed; /* a drain's bound has passed: nothing starts */
 };
--- a/src/req_upstream.c
+++ b/src/req_upstream.c
@@ -4,7 +4,8 @@
 
 enum
 {
-  PROBE_TIMEOUT_MS = 2000
+  PROBE_TIMEOUT_MS = 2000,
+  PROBE_GRACE_MS = 1000 /* past the time-out, for the answer's way */
 };
 
 static void
@@ -20,6 +21,15 @@
                                     .detail = r->work_kind });
 }
 
+static void
+probe_later (Core *c, int u)
+{
+  UpstreamProber *p = &c->req->probers[u];
+
+  p->probing = FALSE;
+  core_arm (c, &p->timer, route_probe_at (c->req->route, u));
+}
+
 /* Updates the health of R's upstream by RESULT of R's present attempt.  One
    that becomes unreachable is probed until it answers. */
 void
@@ -36,22 +46,39 @@
     {
       core_write_note (c, &(CoreNote) { .kind = NOTE_UPSTREAM_UNREACHABLE,
                                         .upstream = req_upstream_name (c, r) });
-      core_arm (c, &q->probes[r->upstream],
-                route_probe_at (q->route, r->upstream));
+      probe_later (c, r->upstream);
     }
 }
 
-/* Sends a probe to the upstream whose probe timer is T. */
-void
-req_on_probe (Core *c, Timer *t)
+static void
+probe (Core *c, int u)
 {
-  int u = (int)(t - c->req->probes);
+  UpstreamProber *p = &c->req->probers[u];
 
+  p->probing = TRUE;
+  core_arm (c, &p->timer, c->now + PROBE_TIMEOUT_MS + PROBE_GRACE_MS);
   core_emit (c, FX_UPSTREAM_PROBE, NULL,
              &(UpstreamProbe) { .upstream = route_name (c->req->route, u),
                                 .timeout_ms = PROBE_TIMEOUT_MS });
 }
 
+/* Handles the timer of an upstream's prober: sends a probe, or gives up one
+   that has got neither an answer nor a failure. */
+void
+req_on_probe (Core *c, Timer *t)
+{
+  int u = GPOINTER_TO_INT (t->owner);
+
+  if (!c->req->probers[u].probing)
+    {
+      probe (c, u);
+      return;
+    }
+  core_add (c, COUNT_PROBES_OVERDUE, 1);
+  route_probed (c->req->route, u, FALSE, c->now);
+  probe_later (c, u);
+}
+
 /* Notes that upstream U, called NAME, is leaving, and tells the other hosts;
    U may be ROUTE_NONE. */
 void
@@ -77,9 +104,11 @@
   route_probed (c->req->route, u, p->healthy != 0, c->now);
   if (!p->healthy)
     {
-      core_arm (c, &c->req->probes[u], route_probe_at (c->req->route, u));
+      probe_later (c, u);
       return;
     }
+  c->req->probers[u].probing = FALSE;
+  core_stop (c, &c->req->probers[u].timer);
   core_write_note (c, &(CoreNote) { .kind = NOTE_UPSTREAM_REACHABLE,
                                     .upstream = p->upstream });
   req_pump (c);
