Requests: a question after a silent request has a bound of its own

What callers saw: a request whose connection went silent, and of which the question never ended, stood till its deadline though the answer was there; one that must not be repeated held its slot ten minutes longer (DETACHED_MS).

Cause: the next question was armed by the reply to the last one alone.

Evidence (code before): ReqStandingAsk.QuestionThatNeverEndsIsAskedAgain, both kinds: no reply after 20 s, with a deadline of 60 s.

Fix: ASK_TIMEOUT_MS and ASK_GRACE_MS after a question it counts as lost, as if the shell had said so, and in upstream_asks_overdue_total; a reply that comes later is taken only if it is an answer.

--- a/src/req.c
+++ b/src/req.c
@@ -309,7 +309,9 @@
 {
   Request *r = t->owner;
 
-  if (r->state == REQUEST_RUNNING)
+  if (r->asking)
+    req_ask_overdue (c, r);
+  else if (r->state == REQUEST_RUNNING)
     req_ask_upstream (c, r);
   else if (r->state == REQUEST_FOLLOWING && r->claim)
     claim_follow (c, r);
--- a/src/req_attempt.c
+++ b/src/req_attempt.c
@@ -8,6 +8,7 @@
 {
   MAX_RETRIES = 2,
   ASK_TIMEOUT_MS = 2000,
+  ASK_GRACE_MS = 1000, /* past the time-out, for the answer's way */
   ASK_AGAIN_MS = 1000,
   ASK_LOST_MS = 20, /* after a lost answer, which only asking can bring */
   ASK_MAX_MS = 60000,
@@ -28,6 +29,7 @@
 req_stop_step (Core *c, Request *r)
 {
   stop_watching (r);
+  r->asking = FALSE;
   core_stop (c, &r->step);
 }
 
@@ -113,6 +115,8 @@
 
   core_add (c, COUNT_SILENCES, 1);
   req_stop_step (c, r);
+  r->asking = TRUE;
+  core_arm (c, &r->step, c->now + ASK_TIMEOUT_MS + ASK_GRACE_MS);
   core_emit (c, FX_UPSTREAM_ASK, NULL, &ask);
 }
 
@@ -240,10 +244,29 @@
               "the upstream cannot tell what became of it", NULL);
 }
 
+static void
+on_ask_lost (Core *c, Request *r)
+{
+  if (r->state == REQUEST_RUNNING)
+    req_learn_result (c, r, UPSTREAM_LOST);
+  on_not_told (c, r);
+}
+
+/* Handles the bound of a question after R: neither an answer nor a failure
+   has come. */
+void
+req_ask_overdue (Core *c, Request *r)
+{
+  r->asking = FALSE;
+  core_add (c, COUNT_ASKS_OVERDUE, 1);
+  on_ask_lost (c, r);
+}
+
 /* Handles the result of asking for R's outcome. */
 static void
 on_asked (Core *c, Request *r, const UpstreamReply *u)
 {
+  req_stop_step (c, r);
   switch (u->result)
     {
     case UPSTREAM_FAILED:
@@ -258,9 +281,7 @@
       break;
     case UPSTREAM_LOST:
     case UPSTREAM_UNSENT:
-      if (r->state == REQUEST_RUNNING)
-        req_learn_result (c, r, UPSTREAM_LOST);
-      on_not_told (c, r);
+      on_ask_lost (c, r);
       break;
     default:
       on_not_told (c, r);
@@ -288,7 +309,8 @@
     req_learn_leaving (c, u->upstream, index);
   if (r && u->result == UPSTREAM_ANSWERED && (r->attempt > 0 || u->asked))
     on_answered (c, r, u);
-  else if (r && u->asked && awaits_ask (r) && u->attempt == MAX (1, r->attempt))
+  else if (r && u->asked && r->asking && awaits_ask (r) &&
+           u->attempt == MAX (1, r->attempt))
     on_asked (c, r, u);
   else if (r && !u->asked && r->state == REQUEST_RUNNING && !r->lost &&
            is_current (c, r, u))
--- a/src/req_state.h
+++ b/src/req_state.h
@@ -96,7 +96,8 @@
   guint n_tried;
   int tried[ROUTE_MAX_TRIED];
   guint ask_failures;
-  gboolean lost;         /* the present attempt's connection broke */
+  gboolean asking; /* its upstream was asked; STEP is the answer's bound */
+  gboolean lost;   /* the present attempt's connection broke */
   Outcome known_outcome; /* if no more is heard of it */
   ClaimValue *claim;     /* the newest that is known */
   gint64 claim_revision; /* 0: none is known */
@@ -187,6 +188,7 @@
 void req_on_silence (Core *c, Timer *t);
 void req_stop_step (Core *c, Request *r);
 void req_ask_upstream (Core *c, Request *r);
+void req_ask_overdue (Core *c, Request *r);
 void req_cancel_upstream (Core *c, Request *r);
 
 void req_learn_result (Core *c, Request *r, UpstreamResult result);
--- a/tests/req_standing_test.cc
+++ b/tests/req_standing_test.cc
@@ -35,4 +35,42 @@
   EXPECT_EQ (w.total (COUNT_PROBES_OVERDUE), 1);
 }
 
+/* KEY is empty for a request that may be repeated. */
+struct ReqStandingAsk : testing::TestWithParam<const char *>
+{
+};
+
+TEST_P (ReqStandingAsk, QuestionThatNeverEndsIsAskedAgain)
+{
+  ReqWorld w (3, 1, 2);
+
+  w.begin ();
+  for (auto &u : w.upstreams)
+    u.second.hangs = true;
+  w.swallow = swallow_first (FX_UPSTREAM_ASK, 1);
+  gint64 conn = w.send ("h1", GetParam (), "body", CLASS_NORMAL, "c1", 60000);
+  ASSERT_TRUE (w.ended (conn, 20000));
+  EXPECT_EQ (w.outcome (conn), OUTCOME_ANSWERED);
+  EXPECT_EQ (w.executions["body"], 1);
+  EXPECT_EQ (w.total (COUNT_ASKS_OVERDUE), 1);
+}
+
+TEST_P (ReqStandingAsk, QuestionsThatNeverEndFreeTheSlot)
+{
+  ReqWorld w (3, 1, 1, 1);
+
+  w.begin ();
+  w.upstreams.at ("u1").hangs = true;
+  w.swallow = swallow_first (FX_UPSTREAM_ASK, 1000);
+  gint64 conn = w.send ("h1", GetParam (), "body", CLASS_NORMAL, "c1", 60000);
+  EXPECT_TRUE (w.ended (conn, 61000));
+  EXPECT_EQ (w.outcome (conn), OUTCOME_UNKNOWN);
+  w.upstreams.at ("u1").hangs = false;
+  gint64 next = w.send ("h1", "", "next", CLASS_NORMAL, "c1", 5000);
+  EXPECT_TRUE (w.ended (next, 6000));
+  EXPECT_EQ (w.outcome (next), OUTCOME_ANSWERED);
+}
+
+INSTANTIATE_TEST_SUITE_P (Kinds, ReqStandingAsk, testing::Values ("", "key"));
+
 } // namespace
