Stop: whatever a host has read is answered before its process ends

What callers saw: a request that came on an open connection while its host stopped found it closed without an answer; so did one whose body was still coming; a large answer was cut off.

Cause: the process ended once the core was drained and no request waited for the core. Requests that were being read, refusals that the library had not written yet and answers that were half out counted as nothing.

Fix: once the core is drained the host stops listening, reads what has come on open connections, and ends when each request whose head was read has its whole answer; the bound of drain_ms and 5 s stays. Answers of a host that drains close their connection, so that callers that keep theirs open go to another host.

--- a/src/http.c
+++ b/src/http.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
@@ -83,6 +84,7 @@
   const Settings *s = io_settings (l->http->io);
   HttpCall *call = g_new0 (HttpCall, 1);
 
+  l->http->n_calls++;
   call->listener = l;
   call->connection = connection;
   call->conn =
@@ -131,9 +133,13 @@
   io_count (h->io, SHELL_BODY_BYTES, (gint64)n);
 }
 
+/* Sends CALL's answer.  One of a host that drains ends its connection, so
+   that the caller goes to another host. */
 static enum MHD_Result
 send_answer (HttpCall *call)
 {
+  if (io_draining (call->listener->http->io))
+    MHD_add_response_header (call->answer, MHD_HTTP_HEADER_CONNECTION, "close");
   http_conn_unlink (call->conn);
   return MHD_queue_response (call->connection, call->status, call->answer);
 }
@@ -219,6 +225,7 @@
   if (call->answer)
     MHD_destroy_response (call->answer);
   http_conn_set_idle (call->conn);
+  h->n_calls--;
   g_free (call->id);
   g_free (call);
   *slot = NULL;
@@ -318,11 +325,31 @@
               listener_deadline (&h->operators));
 }
 
-/* Returns the number of requests that wait for the core's reply. */
+static void
+stop_listening (Listener *l)
+{
+  int fd = MHD_quiesce_daemon (l->daemon);
+
+  if (fd >= 0)
+    close (fd);
+  l->due = TRUE;
+}
+
+/* Takes no new connection any more, and has what has come on the open ones
+   read by the next http_run. */
+void
+http_stop_listening (Http *h)
+{
+  stop_listening (&h->callers);
+  stop_listening (&h->operators);
+}
+
+/* Returns the number of requests whose head was read and whose answer has
+   not left whole. */
 guint
-http_n_pending (const Http *h)
+http_n_calls (const Http *h)
 {
-  return g_hash_table_size (h->pending);
+  return h->n_calls;
 }
 
 /* Logs the number of every request that still waits for its reply. */
--- a/src/http.h
+++ b/src/http.h
@@ -12,7 +12,8 @@
 void http_reply (Http *h, const CallerReply *reply);
 void http_run (Http *h);
 ClockMs http_next_deadline (Http *h);
-guint http_n_pending (const Http *h);
+void http_stop_listening (Http *h);
+guint http_n_calls (const Http *h);
 void http_log_pending (const Http *h);
 
 #endif
--- a/src/http_state.h
+++ b/src/http_state.h
@@ -88,6 +88,7 @@
   Listener callers;
   Listener operators;
   GHashTable *pending; /* number to HttpCall */
+  guint n_calls;       /* from their head to the last byte of their answer */
   gint64 last_number;
   gsize body_bytes;
   guint max_conns;
--- a/src/io.c
+++ b/src/io.c
@@ -44,6 +44,8 @@
   ClockMs now;
   ClockMs drain_until;
   gboolean drained;
+  gboolean emptied; /* all that callers sent before the end of the drain is
+                       read */
   gint64 counters[N_SHELL_COUNTERS];
 };
 
@@ -312,7 +314,11 @@
 void
 io_step (Io *io, ClockMs longest)
 {
+  gboolean last_look = io->drained && !io->emptied;
+
   read_clock (io);
+  if (last_look)
+    http_stop_listening (io->http);
   feed_time (io);
   loop_poll (io->loop, time_to_wait (io, longest));
   read_clock (io);
@@ -321,6 +327,7 @@
   feed_time (io);
   http_run (io->http);
   feed_time (io);
+  io->emptied |= last_look;
 }
 
 /* Tells whether a drain has ended, and every answer has left. */
@@ -329,7 +336,7 @@
 {
   if (io->now >= io->drain_until)
     return TRUE;
-  return io->drained && http_n_pending (io->http) == 0;
+  return io->emptied && http_n_calls (io->http) == 0;
 }
 
 /* Starts a drain: nothing new is taken, what is in flight is finished. */
