Takeover: a job whose room is taken is not placed while its parts are stopped

What callers saw: TWICE. A job that must not be repeated was started a second time, after its end had been recorded as unknown.

Cause: a job that is found late, with its room held by another one, is undone; but it was put into the plan as waiting at once. When a STOP was lost, the undoing lasted long enough for the plan to place it, over the phase of its undoing.

Fix: such a job enters the plan only when its parts are free, if it may run again.

--- a/src/adopt.c
+++ b/src/adopt.c
@@ -97,7 +97,9 @@
   return j->rec->seats.n == j->rec->parts;
 }
 
-/* Takes the room of J's seats in the plan. */
+/* Takes the room of J's seats in the plan.  Returns FALSE if another job has
+   it; J is not in the plan then, which could place it while its parts are
+   still being stopped. */
 static gboolean
 adopt_room (Core *c, Job *j)
 {
@@ -117,7 +119,7 @@
     return TRUE;
   g_free (part);
   j->fleet.part = NULL;
-  plan_submit (s->plan, &j->fleet);
+  j->planned = FALSE;
   return FALSE;
 }
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -431,7 +431,8 @@
   ClockMs span = (ClockMs)SCHED_BACKOFF_MS << MIN (j->rec->evidence.n - 1, 6);
 
   j->failed = FALSE;
-  plan_end (c->sched->plan, &j->fleet, c->now, FALSE);
+  if (j->planned)
+    plan_end (c->sched->plan, &j->fleet, c->now, FALSE);
   j->planned = FALSE;
   j->timer.fire = try_again;
   j->timer.owner = j;
@@ -446,8 +447,13 @@
   j->rec->state = JOB_QUEUED;
   if (j->failed)
     back_off (c, j);
-  else
+  else if (j->planned)
     plan_requeue (c->sched->plan, &j->fleet, c->now);
+  else
+    {
+      j->planned = TRUE;
+      plan_submit (c->sched->plan, &j->fleet);
+    }
   if (j->rec->cancel)
     gang_cancel (c, j);
   else if (j->rec->saved_ms || !j->rec->repeatable)
--- a/tests/sched_standing_test.cc
+++ b/tests/sched_standing_test.cc
@@ -266,4 +266,74 @@
   EXPECT_TRUE (w.wait_state (id, "done", 20000)) << w.story ();
 }
 
+/* Calls end neither in an answer nor in a failure, drawn from the seed; now
+   and then a worker, the store or a host goes, and comes back. */
+struct SchedStandingSearch : testing::TestWithParam<int>
+{
+};
+
+void
+draw_fault (JobWorld &w)
+{
+  std::string worker = "w" + std::to_string (w.random (4));
+  std::string host = "h" + std::to_string (w.random (3));
+
+  switch (w.random (4))
+    {
+    case 0:
+      w.workers[worker].down = true;
+      w.at (w.now + 14000, [&w, worker] { w.workers[worker].down = false; });
+      break;
+    case 1:
+      w.workers[worker].reboot ();
+      break;
+    case 2:
+      w.store.silent = true;
+      w.at (w.now + 8000, [&w] { w.store.silent = false; });
+      break;
+    default:
+      w.kill (host);
+      w.at (w.now + 4000, [&w, host] { w.restart (host); });
+    }
+}
+
+TEST_P (SchedStandingSearch, EveryJobEndsWholeAndOnce)
+{
+  JobWorld w (static_cast<guint32> (GetParam ()), 3, 4);
+  ClockMs end;
+  guint32 permille = 20 + 40 * static_cast<guint32> (GetParam () % 5);
+
+  w.start ();
+  w.load_table (table);
+  ASSERT_TRUE (w.wait_scheduler (5000));
+  end = w.now + 40000;
+  w.tap = [&] (Node &, const Event &e) {
+    return (e.kind == FX_WORKER_CALL || e.kind == FX_STORE_CALL) &&
+           w.now < end && w.random (1000) < permille;
+  };
+  for (ClockMs at = w.now + 3000; at < end; at += 9000)
+    w.at (at, [&w] { draw_fault (w); });
+  for (int i = 0; i < 6; i++)
+    {
+      CallerJob q = w.job_of (1 + i % 2, 8, 3000);
+      std::string key = "key " + std::to_string (i);
+
+      q.repeatable = i % 3 != 0;
+      q.checkpointable = i % 2 && q.repeatable;
+      q.key = q.repeatable ? "" : key.c_str ();
+      gint64 conn = w.submit (q, "h" + std::to_string (i % 3));
+      w.accepted (conn, 14000);
+      w.run (1000);
+    }
+  w.run_until ([&] { return w.now >= end; }, 60000);
+  EXPECT_TRUE (w.quiet (120000)) << w.story ();
+}
+
+INSTANTIATE_TEST_SUITE_P (Seeds, SchedStandingSearch, testing::Range (0, 60));
+
+/* A job that was being undone was placed again. */
+INSTANTIATE_TEST_SUITE_P (Regressions,
+                          SchedStandingSearch,
+                          testing::Values (1003, 1757, 2191, 4078));
+
 } // namespace
