--- a/tests/req_standing_test.cc
+++ b/tests/req_standing_test.cc
@@ -1,3 +1,4 @@
+#include "invariants.h"
 #include "req_world.h"
 
 #include <gtest/gtest.h>
@@ -73,4 +74,52 @@
 
 INSTANTIATE_TEST_SUITE_P (Kinds, ReqStandingAsk, testing::Values ("", "key"));
 
+/* Calls end neither in an answer nor in a failure, drawn from the seed. */
+struct ReqStandingSearch : testing::TestWithParam<int>
+{
+};
+
+TEST_P (ReqStandingSearch, EveryCallerIsAnsweredAndNoSlotIsLost)
+{
+  ReqWorld w (static_cast<guint32> (GetParam ()), 2, 3, 4);
+  std::vector<gint64> sent;
+  ClockMs end;
+
+  w.begin ();
+  invariants::watch (w);
+  end = w.now + 30000;
+  w.swallow = [&] (Node &, const Event &e) {
+    bool call = e.kind == FX_STORE_CALL || e.kind == FX_UPSTREAM_SEND ||
+                e.kind == FX_UPSTREAM_ASK || e.kind == FX_UPSTREAM_PROBE ||
+                e.kind == FX_UPSTREAM_CANCEL;
+
+    return call && w.now < end && w.random (10) == 0;
+  };
+  for (int i = 0; i < 60; i++)
+    {
+      bool once = w.random (3) == 0;
+      std::string key = once ? "key " + std::to_string (i) : "";
+
+      sent.push_back (w.send (i % 2 ? "h1" : "h2", key,
+                              "body " + std::to_string (i), CLASS_NORMAL, "c1",
+                              1000 + w.random (20000)));
+      w.run (500);
+    }
+  w.run (25000);
+  for (gint64 conn : sent)
+    EXPECT_TRUE (w.reply (conn)) << conn;
+  w.run (60000);
+  for (auto &[name, node] : w.nodes)
+    EXPECT_EQ (core_counter (node.core, COUNT_RUNNING), 0) << name;
+  for (int i = 0; i < 24; i++)
+    {
+      gint64 conn =
+          w.send (i % 2 ? "h1" : "h2", "", "last", CLASS_NORMAL, "c1", 5000);
+      ASSERT_TRUE (w.ended (conn, 6000));
+      EXPECT_EQ (w.outcome (conn), OUTCOME_ANSWERED);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P (Seeds, ReqStandingSearch, testing::Range (0, 60));
+
 } // namespace
