Stop: open connections are read for a quarter of a second after a drain

What callers saw: of 16 callers that keep their connections open and ask without a pause, some still found them closed without an answer, or reset.

Cause: the process ended at once when it was drained: requests on their way to open connections came after its last read, and connections that were set up but not accepted were reset with the listener.

Evidence: ShellStop.RequestThatComesSoonAfterTheEndOfTheDrainIsAnswered got nothing.

Fix: after the drain the host accepts what waits, stops listening and lingers LINGER_MS, 250 ms; whatever comes is refused and its connection closed.

A process ends 250 ms later.

--- a/src/http.c
+++ b/src/http.c
@@ -328,15 +328,17 @@
 static void
 stop_listening (Listener *l)
 {
-  int fd = MHD_quiesce_daemon (l->daemon);
+  int fd;
 
+  /* Connections that were not accepted would be reset. */
+  MHD_run (l->daemon);
+  fd = MHD_quiesce_daemon (l->daemon);
   if (fd >= 0)
     close (fd);
   l->due = TRUE;
 }
 
-/* Takes no new connection any more, and has what has come on the open ones
-   read by the next http_run. */
+/* Takes no new connection any more; what comes on open ones is answered. */
 void
 http_stop_listening (Http *h)
 {
--- a/src/io.c
+++ b/src/io.c
@@ -12,6 +12,7 @@
 {
   POLL_LONGEST_MS = 1000,
   DRAIN_GRACE_MS = 5000, /* beyond drain_ms, for the last answers to leave */
+  LINGER_MS = 250,       /* after a drain, for requests on their way */
   TRACE_FLUSH_MS = 1000
 };
 
@@ -44,8 +45,7 @@
   ClockMs now;
   ClockMs drain_until;
   gboolean drained;
-  gboolean emptied; /* all that callers sent before the end of the drain is
-                       read */
+  ClockMs linger_until; /* CLOCK_NEVER: the drain has not ended */
   gint64 counters[N_SHELL_COUNTERS];
 };
 
@@ -196,6 +196,8 @@
 {
   (void)e;
   io->drained = TRUE;
+  io->linger_until = io->now + LINGER_MS;
+  http_stop_listening (io->http);
   log_event (io->log, LOG_INFO, io->now, "drained", NULL);
 }
 
@@ -307,6 +309,8 @@
   next = MIN (next, wire_next_deadline (io->wire));
   next = MIN (next, http_next_deadline (io->http));
   next = MIN (next, io->drain_until);
+  if (io->now < io->linger_until)
+    next = MIN (next, io->linger_until);
   return CLAMP (next - io->now, 0, longest);
 }
 
@@ -314,11 +318,7 @@
 void
 io_step (Io *io, ClockMs longest)
 {
-  gboolean last_look = io->drained && !io->emptied;
-
   read_clock (io);
-  if (last_look)
-    http_stop_listening (io->http);
   feed_time (io);
   loop_poll (io->loop, time_to_wait (io, longest));
   read_clock (io);
@@ -327,7 +327,6 @@
   feed_time (io);
   http_run (io->http);
   feed_time (io);
-  io->emptied |= last_look;
 }
 
 /* Tells whether a drain has ended, and every answer has left. */
@@ -336,7 +335,7 @@
 {
   if (io->now >= io->drain_until)
     return TRUE;
-  return io->emptied && http_n_calls (io->http) == 0;
+  return io->now >= io->linger_until && http_n_calls (io->http) == 0;
 }
 
 /* Starts a drain: nothing new is taken, what is in flight is finished. */
@@ -426,6 +425,7 @@
       log_new (stderr, (LogLevel)log_level_from_name (s->log_level), s->host);
   io->trace = trace;
   io->drain_until = CLOCK_NEVER;
+  io->linger_until = CLOCK_NEVER;
   io->wall_start = g_get_real_time () / us_per_ms;
   io->monotonic_start_us = g_get_monotonic_time ();
   g_queue_init (&io->posted);
--- a/tests/shell_standing_test.cc
+++ b/tests/shell_standing_test.cc
@@ -48,6 +48,23 @@
   EXPECT_NE (c.in.find ("shutting down"), std::string::npos);
 }
 
+TEST_F (ShellStop, RequestThatComesSoonAfterTheEndOfTheDrainIsAnswered)
+{
+  Io *io = start ();
+  Peer c = caller ("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ (answer (c).find ("HTTP/1.1 200"), 0U);
+  c.in.clear ();
+  io_drain (io);
+  for (gint64 end = g_get_monotonic_time () + 50000;
+       g_get_monotonic_time () < end && !io_done (io);)
+    step ();
+  EXPECT_FALSE (io_done (io));
+  c.send (post ("late"));
+  run_to_exit ();
+  end ();
+  EXPECT_EQ (rest (c).find ("HTTP/1.1 503"), 0U);
+}
+
 TEST_F (ShellStop, RequestWhoseBodyIsStillComingIsAnswered)
 {
   Io *io = start ();
