Tests: nothing stands beside faulty workers, checked in every simulated run

An invariant of the simulated deployment: what could run begins within 35.3 s of the last fault of a host or the store, whatever some workers do, while healthy workers have room for it twice over and are half free. The bound adds up four tries of a start, the time in which an order may be late, the longest lease and the wait of a task that has failed. QueueRules.TaskThatStandsNextToFreeRoomIsDetected shows that it can fail.

QueueSearch.NothingStandsBesideFaultyWorkers: half of the workers lose orders and replies, refuse holds, swap addresses, restart and leave, for 60 s. QUEUE_SEARCH_STANDS prints the longest stand of each seed.

--- a/tests/queue_rules.cc
+++ b/tests/queue_rules.cc
@@ -53,17 +53,27 @@
   return now_ - std::max (last_fault_at_, last_worker_fault_at_) > stable_ms;
 }
 
+/* Tells whether W has a fault other than being out of reach. */
+static bool
+has_fault (const WorldWorker &w)
+{
+  return w.draining || w.fails_all || w.hangs || w.late_call_rate > 0 ||
+         w.slowdown > 1 || w.lost_reply_rate > 0 || w.endless_call_rate > 0 ||
+         w.loses_orders || w.refuses_polls;
+}
+
 /* Records when hosts, the store and workers were last seen with a fault. */
 void
 QueueWorld::record_fault_times ()
 {
   if (has_host_or_store_fault ())
     last_fault_at_ = now_;
-  for (const WorldWorker &w : workers)
-    if (!is_reachable (w) || w.draining || w.fails_all || w.hangs ||
-        w.late_call_rate > 0 || w.slowdown > 1 || w.lost_reply_rate > 0 ||
-        w.endless_call_rate > 0 || w.loses_orders || w.refuses_polls)
-      last_worker_fault_at_ = now_;
+  for (WorldWorker &w : workers)
+    if (!is_reachable (w) || has_fault (w))
+      {
+        w.last_fault_at = now_;
+        last_worker_fault_at_ = now_;
+      }
 }
 
 /* Decodes JOB's body into its spec, or NULL if it is not valid. */
@@ -425,6 +435,24 @@
   EXPECT_TRUE (w->has_violation ("RECLAIM"));
 }
 
+TEST (QueueRules, TaskThatStandsNextToFreeRoomIsDetected)
+{
+  QueueWorld w (1, 4);
+
+  w.run (3000);
+  w.put_conf (2, "key",
+              ",{\"name\":\"q9\",\"host\":\"h.example\",\"prefix\":\"/q9/\","
+              "\"service\":\"other\",\"priority\":1,\"attempts\":3,"
+              "\"stretch\":3.0,\"targetLatencyMs\":1000}");
+  w.run (1000);
+  w.submit (0, { std::string ("q9/") + job_id,
+                 world_body (world_step (1, 1000, 1)) });
+  w.run (30000);
+  EXPECT_FALSE (w.has_violation ("LOST stands"));
+  w.run (8000);
+  EXPECT_TRUE (w.has_violation ("LOST stands"));
+}
+
 TEST (QueueRules, FalseCompletionAndLostJobAreDetected)
 {
   auto w = world_with ("q1", world_body (world_step (1, 1000, 9)));
--- a/tests/queue_search_test.cc
+++ b/tests/queue_search_test.cc
@@ -11,11 +11,14 @@
   N_HOSTS = 3,
   N_WORKERS = 8,
   N_FAULT_KINDS = 14,
-  N_REAL_FAULT_KINDS = 17 /* with real_workers */
+  N_REAL_FAULT_KINDS = 17, /* with real_workers */
+  N_FAULTY_WORKERS = 4,    /* with faulty_workers: those that have faults */
+  N_WORKER_FAULT_KINDS = 9
 };
 
 static const ClockMs fault_phase_ms = 20000;
 static const ClockMs recovery_phase_ms = 50000;
+static const ClockMs long_fault_phase_ms = 60000; /* with faulty_workers */
 static const ClockMs step_ms = 250;
 /* A worker's entry is removed so long after its last heartbeat. */
 static const ClockMs entry_ttl_ms = 4500;
@@ -36,6 +39,9 @@
   /* Workers drain and leave, lose their entry while they are cut off, restart
      within tenths of a second, and cuts may refuse connections. */
   bool real_workers = false;
+  /* Only the first workers have faults, and neither hosts nor the store: what
+     could run must not stand. */
+  bool faulty_workers = false;
 };
 
 class RandomRun
@@ -64,7 +70,8 @@
   void
   run ()
   {
-    ClockMs end = world.now () + fault_phase_ms;
+    ClockMs end = world.now () + (options.faulty_workers ? long_fault_phase_ms
+                                                         : fault_phase_ms);
 
     world.run (2500);
     while (world.now () < end)
@@ -73,10 +80,13 @@
           submit ();
         if (chance (0.1))
           cancel ();
-        if (chance (options.real_workers ? 0.5 : 0.25))
+        if (options.faulty_workers && chance (0.25))
+          inject_worker_fault ();
+        else if (!options.faulty_workers &&
+                 chance (options.real_workers ? 0.5 : 0.25))
           inject_fault ();
         world.run (step_ms);
-        if (options.real_workers)
+        if (options.real_workers || options.faulty_workers)
           update_workers ();
       }
     end_faults ();
@@ -230,6 +240,68 @@
       }
   }
 
+  /* Starts, or ends, a random fault of one of the first workers. */
+  void
+  inject_worker_fault ()
+  {
+    int worker = random_below (N_FAULTY_WORKERS);
+    WorldWorker &w = world.workers[worker];
+
+    switch (random_below (N_WORKER_FAULT_KINDS))
+      {
+      case 0:
+        w.unreachable_until = world.now () + 500 + random_below (9000);
+        w.cut_refuses_connections = chance (0.5);
+        last_heartbeat[worker] =
+            world.now () - random_below ((int)heartbeat_ms);
+        break;
+      case 1:
+        if (w.alive)
+          world.crash_worker (worker, chance (0.5));
+        break;
+      case 2:
+        if (!w.alive)
+          world.restart_worker (worker);
+        break;
+      case 3:
+        restart_soon (worker);
+        break;
+      case 4:
+        w.lost_reply_rate = chance (0.5) ? 0.5 : 0.0;
+        break;
+      case 5:
+        w.loses_orders = !w.loses_orders;
+        break;
+      case 6:
+        w.refuses_polls = !w.refuses_polls;
+        break;
+      case 7:
+        drain (worker);
+        break;
+      case 8:
+        swap_addresses (worker, random_below (N_FAULTY_WORKERS));
+        break;
+      }
+  }
+
+  /* Restarts two workers, each at the address that the other had. */
+  void
+  swap_addresses (int a, int b)
+  {
+    if (!world.workers[a].alive || !world.workers[b].alive || leaves_at[a] ||
+        leaves_at[b] || a == b)
+      return;
+    for (int i : { a, b })
+      if (world.workers[i].address < 0)
+        world.workers[i].address = i;
+    std::swap (world.workers[a].address, world.workers[b].address);
+    for (int i : { a, b })
+      {
+        world.crash_worker (i, true);
+        world.restart_worker (i);
+      }
+  }
+
   void
   drain (int worker)
   {
@@ -297,6 +369,9 @@
           world.remove_worker (i);
         leaves_at[i] = 0;
         w.late_call_rate = 0;
+        w.lost_reply_rate = 0;
+        w.loses_orders = false;
+        w.refuses_polls = false;
         w.fails_all = false;
         if (!w.alive)
           world.restart_worker (i);
@@ -329,6 +404,10 @@
       EXPECT_TRUE (r.world.violations.empty ())
           << "seed " << seed << ": " << r.world.violations[0] << " and "
           << r.world.violations.size () - 1 << " more violations";
+      if (getenv ("QUEUE_SEARCH_STANDS"))
+        fprintf (stderr, "seed %u longest_stand_ms %ld of %s\n", seed,
+                 (long)r.world.longest_stand,
+                 r.world.longest_stand_task.c_str ());
       if (::testing::Test::HasFailure ())
         {
           fprintf (stderr, "seed %u\n", seed);
@@ -408,6 +487,14 @@
   run_seeds_from_environment ({ .reorder_calls = true, .real_workers = true });
 }
 
+/* Half of the workers lose orders and replies, refuse holds, swap addresses,
+   restart and leave. */
+TEST (QueueSearch, NothingStandsBesideFaultyWorkers)
+{
+  run_seeds_from_environment ({ .reorder_calls = true,
+                                .faulty_workers = true });
+}
+
 /* Each of these seeds has exposed a fault, which stands beside it. */
 TEST (QueueSearch, InvariantsHoldForSeedsThatFailedBefore)
 {
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -541,6 +541,7 @@
       tick_leases ();
       tick_workers ();
       check_reclaim ();
+      check_standing ();
       answer_watches ();
       for (size_t i = 0; i < hosts.size (); i++)
         if (hosts[i].node && !is_busy ((int)i) &&
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -108,7 +108,8 @@
   std::map<std::string, gint64> tombstones;
   std::vector<WorldEnd> unacked_ends;
   PoolResources capacity { 64000, 256000, 8 };
-  int max_connections = 0; /* more are refused; 0: unlimited */
+  int max_connections = 0;    /* more are refused; 0: unlimited */
+  ClockMs last_fault_at = -1; /* when it last had a fault; -1: never */
   /* By host and its incarnation. */
   std::map<std::pair<int, int>, WorldConnections> connections;
 };
@@ -250,6 +251,8 @@
   /* Calls that get no reply of any kind, though their time-out passes. */
   double store_endless_call_rate = 0;
   std::string extra_tenants_json; /* ",{...}", appended by put_conf */
+  ClockMs longest_stand = 0; /* of a task that could run; see check_standing */
+  std::string longest_stand_task;
   std::vector<std::string> violations;
   std::vector<std::string> lines;
 
@@ -392,6 +395,14 @@
   void check_drain (const WorldWorker &w, const WorldRun &r);
   void check_state (const std::string &id, const WorldAnswer &answer);
   void check_reclaim ();
+  void check_standing ();
+  void check_step_stands (const std::string &id,
+                          const SubmittedJob &job,
+                          int occurrence,
+                          int n);
+  bool is_running (const std::string &task) const;
+  bool has_ended (const std::string &id);
+  bool has_room_twice (const SpecStep *step) const;
 
   ClockMs last_work_at_ = 0;  /* last update of work_done */
   ClockMs last_fault_at_ = 0; /* of a host, its connections or the store */
@@ -417,6 +428,9 @@
   std::map<int, std::string> submits_;
   std::map<int, std::string> cancels_;
   std::map<int, std::string> states_;
+  /* Since when what could run has not run, by task or gang. */
+  std::map<std::string, ClockMs> standing_since_;
+  ClockMs next_standing_check_ = 0;
   /* Includes completions that aren't acknowledged yet. */
   std::set<std::string> completed_units_;
   std::map<std::string, SubmittedJob> jobs_;
