--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,266 @@
+#!/usr/bin/env python3
+"""The soak's checks on fabricated logs: each is broken when it should be, and
+isn't where the rule has an exception."""
+import os
+import sys
+import tempfile
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../tools/soak"))
+
+import answers
+import checks
+import standing
+from clients import COMPLETE, EOF, PARTIAL, RESET, Request
+from jobs import Job
+from ledger import NEVER, STORE, Ledger
+
+TERM_AT = 100000
+ACKED = 100000
+STEP = {"count": 1, "cpu": 8000, "gpu": 1}
+
+
+def make_ledger(*spans):
+    ledger = Ledger()
+    ledger.spans = [list(span) for span in spans]
+    return ledger
+
+
+def make_request(sent, ended, how, **fields):
+    request = Request("h0", "GET", "a")
+    request.sent, request.ended, request.how = sent, ended, how
+    for name, value in fields.items():
+        setattr(request, name, value)
+    return request
+
+
+def make_job(*steps, **fields):
+    job = Job("a", 0, "ms=1000", list(steps) or [STEP])
+    job.acked = ACKED
+    for name, value in fields.items():
+        setattr(job, name, value)
+    return job
+
+
+class OwedTest(unittest.TestCase):
+    TERM = (TERM_AT, NEVER, "h0", "term")
+
+    def judge(self, request, *spans):
+        return answers.check_owed([request], make_ledger(*spans))
+
+    def broken(self, *args):
+        return len(self.judge(*args)[0])
+
+    def test_answer_that_a_terminated_host_owes(self):
+        self.assertEqual(self.broken(make_request(101000, 101201, EOF), self.TERM), 1)
+        self.assertEqual(self.broken(make_request(99000, 100500, EOF), self.TERM), 1)
+        self.assertEqual(self.broken(make_request(106700, 106950, PARTIAL), self.TERM), 1)
+
+    def test_connection_that_ends_within_the_slack(self):
+        self.assertEqual(self.broken(make_request(101000, 101200, EOF), self.TERM), 0)
+
+    def test_time_that_the_caller_did_not_look_is_not_counted(self):
+        self.assertEqual(self.broken(make_request(101000, 101300, EOF, lag=150), self.TERM), 0)
+
+    def test_request_that_was_not_read_is_in_doubt(self):
+        broken, doubts = self.judge(make_request(101000, 101500, RESET), self.TERM)
+        self.assertEqual((len(broken), len(doubts)), (0, 1))
+
+    def test_answer_after_the_time_of_grace(self):
+        self.assertEqual(self.broken(make_request(106900, 107201, EOF), self.TERM), 0)
+
+    def test_connection_that_ended_before_the_signal(self):
+        self.assertEqual(self.broken(make_request(99000, 99900, EOF), self.TERM), 0)
+
+    def test_deadline(self):
+        self.assertEqual(self.broken(make_request(100000, 103000, EOF), self.TERM), 0)
+
+    def test_unplanned_disruption(self):
+        late = make_request(101000, 101500, EOF)
+        self.assertEqual(self.broken(late, self.TERM, (97100, 97200, "h0", "stop")), 0)
+        self.assertEqual(self.broken(late, self.TERM, (96000, 97100, STORE, "inject")), 0)
+        self.assertEqual(self.broken(late, self.TERM, (96000, 96900, "h0", "stop")), 1)
+        self.assertEqual(self.broken(late, self.TERM, (97100, 97200, "h1", "stop")), 1)
+
+    def test_hup(self):
+        hup = (TERM_AT, TERM_AT, "h0", "hup")
+        self.assertEqual(self.broken(make_request(102500, 102900, EOF), hup), 1)
+        self.assertEqual(self.broken(make_request(102501, 102900, EOF), hup), 0)
+
+    def test_config(self):
+        change = (TERM_AT, TERM_AT + 500, STORE, "config")
+        beside = make_request(101000, 101500, EOF)
+        late = make_request(101000, 103101, EOF)
+        calm = [make_request(200000 + i, 200300 + i, EOF) for i in range(2)]
+        fine = [make_request(300000 + i, 300001 + i, COMPLETE) for i in range(4)]
+        self.assertEqual(self.broken(beside, change), 1)
+        self.assertEqual(self.broken(late, change), 0)
+        for others, expected in (calm, 0), (calm + fine, 0), (calm + 2 * fine, 1):
+            broken, _ = answers.check_owed([beside] + others, make_ledger(change))
+            self.assertEqual(len(broken), expected)
+
+
+class KnownTest(unittest.TestCase):
+    def judge(self, request, *spans, **fields):
+        broken, doubts = answers.check_known([request], {"a": make_job(**fields)},
+                                             make_ledger(*spans))
+        return len(broken), len(doubts)
+
+    def gone(self, at=ACKED + 3001, status=410):
+        return make_request(at, at + 5, COMPLETE, status=status)
+
+    def test_accepted_job_that_is_gone(self):
+        self.assertEqual(self.judge(self.gone()), (1, 0))
+        self.assertEqual(self.judge(self.gone(status=404)), (1, 0))
+
+    def test_not_visible_yet(self):
+        self.assertEqual(self.judge(self.gone(ACKED + 3000)), (0, 0))
+
+    def test_cancelled_job(self):
+        self.assertEqual(self.judge(self.gone(), cancelled=ACKED + 10), (0, 0))
+
+    def test_job_that_nobody_accepted(self):
+        self.assertEqual(self.judge(self.gone(), acked=None), (0, 0))
+
+    def test_host_out_of_touch(self):
+        for subject, kind in ("h0", "stop"), ("h0", "term"), (STORE, "inject"), ("h0", "link 1"):
+            span = (ACKED - 1000, ACKED - 999, subject, kind)
+            self.assertEqual(self.judge(self.gone(), span), (0, 1))
+        self.assertEqual(self.judge(self.gone(), (ACKED, NEVER, "h1", "down")), (1, 0))
+
+    def test_job_that_was_over_long_ago(self):
+        self.assertEqual(self.judge(self.gone(ACKED + 130000), final=ACKED + 5000), (0, 0))
+        self.assertEqual(self.judge(self.gone(ACKED + 100000), final=ACKED + 5000), (1, 0))
+
+    def shown(self, state, runs=(), **fields):
+        request = make_request(ACKED + 10, ACKED + 12, COMPLETE, status=200,
+                               body=b'{"state":"%s"}' % state)
+        return len(answers.check_states([request], {"a": make_job(**fields)}, runs, 4))
+
+    def test_state_without_cause(self):
+        runs = [checks.Run("a.0.0.0", i, "w0", ACKED) for i in range(4)]
+        for run in runs:
+            run.how = "failed"
+        self.assertEqual(self.shown(b"cancelled"), 1)
+        self.assertEqual(self.shown(b"failed"), 1)
+        self.assertEqual(self.shown(b"failed", runs[:3]), 1)
+        self.assertEqual(self.shown(b"failed", runs), 0)
+        self.assertEqual(self.shown(b"cancelled", cancelled=ACKED + 5), 0)
+        self.assertEqual(self.shown(b"running"), 0)
+
+
+class StandTest(unittest.TestCase):
+    """One or two runners, each a file of lines as the stand-in prints them."""
+
+    UNTIL = ACKED + 20000
+
+    def read(self, *logs):
+        lives = []
+        for i, lines in enumerate(logs):
+            with tempfile.NamedTemporaryFile("w", suffix=".log") as f:
+                f.write("%d born on w%d\n" % (ACKED - 9000, i))
+                f.writelines("%d %s on w%d%s\n" % (at, what, i, how) for at, what, how in lines)
+                f.flush()
+                lives.append(checks.Life("w%d" % i, f.name, None))
+        return lives
+
+    def judge(self, jobs, *logs, calm=None):
+        """Returns what is broken, and the longest stand that is not."""
+        lives = self.read(*logs)
+        runs = [run for life in lives for run in life.runs.values()]
+        jobs = {job.name: job for job in jobs}
+        stands = standing.find_stands(jobs, runs, lives, calm or [(ACKED - 5000, self.UNTIL)])
+        broken, doubts = standing.check_standing(stands, jobs)
+        return len(broken), len(doubts), max([s.ms for s in stands], default=0)
+
+    @staticmethod
+    def run_lines(task, start, end, how="done", number=1, acked=True):
+        lines = [(start, "start %s run %d" % (task, number), ""),
+                 (end, "end %s run %d" % (task, number), " " + how)]
+        return lines + [(end + 5, "ack %s run %d" % (task, number), " " + how)][:acked]
+
+    def test_job_that_never_begins(self):
+        broken, doubts, ms = self.judge([make_job()], [])
+        self.assertEqual((broken, doubts), (1, 0))
+        self.assertGreater(ms, 19000)
+
+    def test_job_that_begins_in_time(self):
+        log = self.run_lines("a.0.0.0", ACKED + 2900, ACKED + 5000)
+        broken, _, ms = self.judge([make_job()], log)
+        self.assertEqual(broken, 0)
+        self.assertTrue(2800 <= ms <= 2900)
+        late = self.run_lines("a.0.0.0", ACKED + 3100, ACKED + 5000)
+        self.assertEqual(self.judge([make_job()], late)[0], 1)
+
+    def test_second_step_that_stands(self):
+        job = make_job(STEP, dict(STEP, after=[0]))
+        log = self.run_lines("a.0.0.0", ACKED + 100, ACKED + 5000)
+        self.assertEqual(self.judge([job], log)[0], 1)
+
+    def test_task_while_others_of_its_job_run(self):
+        job = make_job(dict(STEP, count=2))
+        log = self.run_lines("a.0.0.0", ACKED + 100, self.UNTIL)
+        self.assertEqual(self.judge([job], log)[0], 0)
+
+    def test_lost_success(self):
+        """Nobody took note of the end before the runner was gone."""
+        log = self.run_lines("a.0.0.0", ACKED + 100, ACKED + 2000, acked=False)
+        log.append((ACKED + 2500, "gone", ""))
+        self.assertEqual(self.judge([make_job()], log, [])[0], 1)
+        self.assertEqual(self.judge([make_job()], log[:-1], [])[0], 0)
+
+    def test_without_room_for_it_twice(self):
+        wide = make_job(dict(STEP, count=5, gang=True))
+        self.assertEqual(self.judge([wide], [])[0], 0)
+        self.assertEqual(self.judge([wide], [], [])[0], 1)
+
+    def test_while_half_of_the_room_is_in_use(self):
+        other = Job("b", 0, "", [dict(STEP, count=4)])
+        other.acked = ACKED
+        log = [line for i in range(4)
+               for line in self.run_lines("b.0.0.%d" % i, ACKED, self.UNTIL)]
+        self.assertEqual(self.judge([make_job(), other], log)[:2], (0, 1))
+
+    def test_outside_calm(self):
+        calm = [(ACKED + 1000, ACKED + 3900), (ACKED + 9000, ACKED + 11900)]
+        self.assertEqual(self.judge([make_job()], [], calm=calm)[0], 0)
+
+    def test_runner_that_takes_nothing(self):
+        for what in "drain", "leave", "gone":
+            log = [(ACKED + 2000, what, "")]
+            self.assertEqual(self.judge([make_job()], log)[0], 0)
+
+    def test_job_that_is_over(self):
+        self.assertEqual(self.judge([make_job(cancelled=ACKED + 1000)], [])[0], 0)
+        self.assertEqual(self.judge([make_job(final=ACKED + 1000)], [])[0], 0)
+
+    def test_lasting_task(self):
+        job = make_job(dict(STEP, count=2, perpetual=True))
+        lines = (self.run_lines("a.0.0.0", ACKED + 100, self.UNTIL) +
+                 self.run_lines("a.0.0.1", ACKED + 100, ACKED + 4000))
+        back = self.run_lines("a.0.0.1", ACKED + 12900, self.UNTIL, number=2)
+        self.assertEqual(self.judge([job], lines)[0], 1)
+        self.assertEqual(self.judge([job], lines + back)[0], 0)
+
+    def test_lasting_task_may_not_stand_however_full_the_service_is(self):
+        job = make_job(dict(STEP, perpetual=True))
+        other = Job("b", 0, "", [dict(STEP, count=5)])
+        other.acked = ACKED
+        log = [line for i in range(5)
+               for line in self.run_lines("b.0.0.%d" % i, ACKED, self.UNTIL)]
+        self.assertEqual(self.judge([job, other], log)[0], 1)
+
+
+class LedgerTest(unittest.TestCase):
+    def test_calm_spans(self):
+        ledger = make_ledger((1000, 2000, "h0", "stop"), (7000, 8000, "runner 1", "away"),
+                             (7500, 7600, "h0", "hup"))
+        self.assertEqual(ledger.calm_spans(0, 20000), [(0, 1000), (6000, 7000), (12000, 20000)])
+
+    def test_span_that_is_still_open(self):
+        ledger = make_ledger((1000, NEVER, "h0", "stop"))
+        self.assertEqual(ledger.calm_spans(0, 20000), [(0, 1000)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -2,9 +2,10 @@
 import collections
 import re
 
+from ledger import NEVER
+
 LINE = re.compile(r"(\d+) (start|end|ack) (\S+) run (\d+) on (\S+) ?(\w*)")
-LIFE = re.compile(r"(\d+) (lapse|gone) on (\S+)")
-NEVER = 1 << 60
+LIFE = re.compile(r"(\d+) (born|drain|leave|lapse|gone) on (\S+)")
 TICK_MS = 20  # by which stamps of different processes may differ
 
 
@@ -16,6 +17,7 @@
         self.task, self.number, self.runner, self.start = task, number, runner, start
         self.end, self.how, self.acked = NEVER, "runs", None
         self.lapsed = False  # its lease, between its end and the acknowledgement
+        self.life, self.gone = None, NEVER  # its runner's life, and the end of that
 
     def __str__(self):
         return "%s run %s on %s from %d to %s %s" % (
@@ -23,26 +25,48 @@
             self.end if self.end < NEVER else "now", self.how)
 
 
-def read_life(name, path, killed_at):
-    """Returns the runs of one life.  They end when its process is gone, by
-    the log or at the time of its kill."""
-    runs, lapses, gone = {}, [], killed_at or NEVER
-    with open(path, encoding="utf-8") as f:
-        for line in f:
-            m = LINE.match(line)
-            if m:
-                read_line(runs, name, m)
-                continue
-            m = LIFE.match(line)
-            if m and m.group(2) == "lapse":
-                lapses.append(int(m.group(1)))
-            elif m:
-                gone = min(gone, int(m.group(1)))
-    for run in runs.values():
-        if run.end > gone:
-            run.end, run.how = max(gone, run.start), "gone"
-        run.lapsed = run.acked is not None and any(run.end <= at <= run.acked for at in lapses)
-    return list(runs.values())
+class Life:
+    """One life of a runner: its runs, and when it took any."""
+
+    def __init__(self, name, path, killed_at):
+        self.name, self.key = name, path
+        self.born, self.leaves, self.gone = NEVER, NEVER, killed_at or NEVER
+        self.lapses, self.runs = [], {}
+        with open(path, encoding="utf-8") as f:
+            for line in f:
+                self.read(line)
+        for run in self.runs.values():
+            self.end(run)
+
+    def read(self, line):
+        m = LINE.match(line)
+        if m:
+            read_line(self.runs, self.name, m)
+            return
+        m = LIFE.match(line)
+        if not m:
+            return
+        at, what = int(m.group(1)), m.group(2)
+        if what == "lapse":
+            self.lapses.append(at)
+        elif what == "born":
+            self.born = at
+        elif what == "gone":
+            self.gone = min(self.gone, at)
+        else:
+            self.leaves = min(self.leaves, at)
+
+    def end(self, run):
+        """What runs ends when the process is gone, by the log or at the time
+        of its kill."""
+        run.life, run.gone = self.key, self.gone
+        if run.end > self.gone:
+            run.end, run.how = max(self.gone, run.start), "gone"
+        run.lapsed = run.acked is not None and any(
+            run.end <= at <= run.acked for at in self.lapses)
+
+    def serves(self, at):
+        return self.born <= at < min(self.leaves, self.gone)
 
 
 def read_line(runs, runner, m):
@@ -55,29 +79,31 @@
         runs[key].acked = at
 
 
-def compare(a, b):
+def compare(a, b, lasting):
     """Returns what is wrong with B, which started after A, and whether that
-    is certain.  A success counts from its end on if it was acknowledged and
+    is certain.  LASTING tasks are begun anew however they end.  A success counts from its end on if it was acknowledged and
     its runner held its lease until then: only a lease that is over or a life
     that ended lets the task be given to another meanwhile."""
     if b.start < a.end:
         return "TWICE at once, for %d ms" % (min(a.end, b.end) - b.start), True
-    if a.how == "done":
+    if a.how == "done" and not lasting:
         return "TWICE after done", a.acked is not None and not a.lapsed
     return None, False
 
 
-def check_twice(runs):
+def check_twice(runs, jobs):
     """Returns what is broken and what is in doubt."""
     by_task = collections.defaultdict(list)
     broken, doubts = [], []
     for run in runs:
         by_task[run.task].append(run)
-    for same in by_task.values():
+    for task, same in by_task.items():
+        job = jobs.get(task.split(".")[0])
+        lasting = job is not None and job.lasting
         same.sort(key=lambda run: run.start)
         for i, b in enumerate(same):
             for a in same[:i]:
-                what, certain = compare(a, b)
+                what, certain = compare(a, b, lasting)
                 if what:
                     (broken if certain else doubts).append("%s: %s; %s" % (what, a, b))
     return broken, doubts
@@ -90,7 +116,7 @@
         job = jobs.get(task.split(".")[0])
         if job is None:
             broken.append("UNASKED %s" % task)
-        elif job["answers"] and all(a in (429, 503, 404, 401) for a in job["answers"]):
+        elif job.answers and all(a in (429, 503, 404, 401) for a in job.answers):
             broken.append("REFUSED %s" % task)
     return broken
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,22 +5,34 @@
 import signal
 import time
 
-STALL_S = (0.05, 0.9)
+from site_faults import SITE_SERIES, SiteFaults
 
+STALL_S = (0.05, 0.9)
+SITE_PAUSE_S = (1, 4)  # between series that concern the site
 
 HOST_SERIES = ["host_down", "host_pause", "host_stall", "link_trouble"]
 RUNNER_SERIES = ["drain", "restart", "cut", "stall", "drain_cut", "restart_cut", "cut_restart",
                  "drain_kill", "cut_kill", "cut_stall", "drain_cut_kill", "restart_stall",
                  "stutter_cut"]
+GROUPS = {"hosts": HOST_SERIES, "runners": RUNNER_SERIES, "site": SITE_SERIES}
 HOST_SHARE = 0.35
 
 
-class Faults:
+def chosen(series, only):
+    """Returns those of SERIES that ONLY names, by name or group."""
+    names = {name for word in only for name in GROUPS.get(word, [word])}
+    return [s for s in series if s in names]
+
+
+class Faults(SiteFaults):
     def __init__(self, soak, seed, only=None):
         """Plays the series that ONLY names, all of them without it."""
-        self.soak, self.seed = soak, seed
-        self.of_hosts = [s for s in HOST_SERIES if s in (only or HOST_SERIES)]
-        self.of_runners = [s for s in RUNNER_SERIES if s in (only or RUNNER_SERIES)]
+        super().__init__(soak)
+        only = only or list(GROUPS)
+        self.seed = seed
+        self.of_hosts = chosen(HOST_SERIES, only)
+        self.of_runners = chosen(RUNNER_SERIES, only)
+        self.of_site = chosen(SITE_SERIES, only)
         self.rng = random.Random(seed)
         self.victims = set()  # processes that a series is about
         self.enough = asyncio.Event()
@@ -30,12 +42,37 @@
         """Begins series for so long, then has all of them end soon, but for
         runners that drain or are cut off: that takes its time."""
         asyncio.get_running_loop().call_later(seconds, self.enough.set)
+        await asyncio.gather(self.run_of_processes(), self.run_of_site())
+
+    async def run_of_processes(self):
+        """Begins one series after the other, each on a process."""
         pace = max(1.0, len(self.soak.runners) / 8)
-        while not self.enough.is_set():
+        while (self.of_hosts or self.of_runners) and not self.enough.is_set():
             await self.wait(self.rng.uniform(0.1, 0.9) / pace)
             rng = random.Random("%d/%d" % (self.seed, len(self.series)))
             self.series.append(asyncio.create_task(self.begin(rng)))
 
+    async def run_of_site(self):
+        """Plays the series that concern the site, one or two at a time, each
+        once before any comes again."""
+        rng = random.Random("%d/site" % self.seed)
+        left, lanes = [], []
+        while self.of_site and not self.enough.is_set():
+            await self.wait(rng.uniform(*SITE_PAUSE_S))
+            left = left or rng.sample(self.of_site, len(self.of_site))
+            lanes = [lane for lane in lanes if not lane.done()]
+            if len(lanes) == 2:
+                await asyncio.wait(lanes, return_when=asyncio.FIRST_COMPLETED)
+            name = left.pop()
+            lane = asyncio.create_task(self.begin_site(random.Random(rng.random()), name))
+            lanes.append(lane)
+            self.series.append(lane)
+
+    async def begin_site(self, rng, name):
+        self.soak.note("begin %s" % name)
+        await getattr(self, name)(rng)
+        self.soak.note("end %s" % name)
+
     async def finish(self):
         await asyncio.gather(*self.series)
 
@@ -51,7 +88,7 @@
             victim, kind = rng.choice(self.soak.hosts), rng.choice(self.of_hosts)
         else:
             victim, kind = self.pick_runner(rng), rng.choice(self.of_runners)
-        if not victim or victim in self.victims:
+        if self.alone or not victim or victim in self.victims:
             return
         self.soak.note("%s %s" % (kind, victim.name))
         self.victims.add(victim)
@@ -95,7 +132,7 @@
                           [self.soak.store_links[self.soak.hosts.index(host)]] * 8)
         kind = rng.choice(["delay", "reset", "silent", "one_way", "refuse"])
         if kind == "delay":
-            link.delay = rng.uniform(0.02, 0.4)
+            link.slow_down(rng.uniform(0.02, 0.4))
         elif kind == "reset":
             link.reset()
         else:
--- /dev/null
+++ b/tools/soak/jobs.py
@@ -0,0 +1,74 @@
+"""The jobs of a soak: what is handed in, and what callers were told of it."""
+import asyncio
+import json
+
+from ledger import now_ms
+
+LONG_MS = (3000, 11000)  # a task that outlasts an entry and a lease
+SHORT_MS = (200, 2500)
+LASTING_MS = (4000, 9000)  # a run of a task that is begun anew whenever it ends
+FINAL = ("completed", "cancelled", "failed")
+N_QUEUES = 3
+TRIES = 4
+CANCEL_SHARE = 0.1
+LASTING_SHARE = 0.08
+
+
+class Job:
+    def __init__(self, name, queue, text, steps):
+        self.name, self.queue, self.text, self.steps = name, queue, text, steps
+        self.answers = []  # of each attempt to hand it in
+        self.acked = None  # when the first success came back
+        self.cancelled = None  # when the first request to cancel it was sent
+        self.final = None  # when a host first said that it is over
+        self.state = None  # what was said then
+
+    @property
+    def path(self):
+        return "/q%d/%s" % (self.queue, self.name)
+
+    @property
+    def lasting(self):
+        return any(step.get("perpetual") for step in self.steps)
+
+    def body(self):
+        return json.dumps({"spec": self.text, "steps": self.steps})
+
+    def note(self, request):
+        """Takes note of what a GET was answered."""
+        state = request.state()
+        if state in FINAL and not self.final:
+            self.final, self.state = request.ended, state
+
+
+def draw_job(rng, name, lasting):
+    """Returns a job that nobody has handed in yet."""
+    if lasting:
+        step = {"count": rng.randint(1, 2), "cpu": 4000, "gpu": 1, "perpetual": True}
+        return Job(name, rng.randrange(N_QUEUES), "ms=%d" % rng.randint(*LASTING_MS), [step])
+    gang = rng.random() < 0.3
+    count = rng.randint(1, 4)
+    length = rng.randint(*(LONG_MS if rng.random() < 0.45 else SHORT_MS))
+    step = {"count": count, "cpu": 8000, "gpu": 1, "estimateMs": length}
+    if gang:
+        step["gang"] = True
+    steps = [step]
+    if rng.random() < 0.3:
+        steps.append({"count": 1, "cpu": 1000, "estimateMs": 300, "after": [0]})
+    return Job(name, rng.randrange(N_QUEUES), "ms=%d" % length, steps)
+
+
+async def hand_in(callers, job, cancel, on_accepted):
+    """Hands JOB in until it is accepted or TRIES are over; then has it
+    cancelled if told so."""
+    for _ in range(TRIES):
+        request = await callers.ask("POST", job.path, job.body(), job=job.name)
+        job.answers.append(request.status)
+        if request.status == 200:
+            job.acked = request.ended
+            on_accepted(job)
+            break
+        await asyncio.sleep(0.2)
+    if job.acked and cancel:
+        job.cancelled = now_ms()
+        await callers.ask("DELETE", job.path, job=job.name)
--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -6,66 +6,103 @@
 import socket
 import time
 
+from ledger import now_ms
 from proxy import Link
 
 BUILD = os.environ.get("BUILD", "build")
 HOST_PORTS = 10
-
-
-def now_ms():
-    """The clock of the runners' logs, common to all processes."""
-    return int(time.monotonic() * 1000)
+GRACE_S = 6  # from SIGTERM to the kill
 
 
 class Process:
-    """A program of ours."""
+    """A program of ours.  What is done to it stands in LEDGER."""
 
-    def __init__(self, name, argv, log):
-        self.name, self.argv, self.log = name, argv, log
+    def __init__(self, name, argv, log, ledger):
+        self.name, self.argv, self.log, self.ledger = name, argv, log, ledger
+        self.subject = name  # of its troubles
         self.process = None
         self.stopped = False
+        self.told_to_end = False
+        self.own_ends = []  # when it was found to have ended by itself
+        self.lock = asyncio.Lock()
 
     async def start(self):
         with open(self.log, "ab") as out:
             self.process = await asyncio.create_subprocess_exec(
                 *self.argv, stdout=out, stderr=out)
-        self.stopped = False
+        self.stopped = self.told_to_end = False
+        self.ledger.end(self.subject, "down")
+        self.ledger.end(self.subject, "term")
+        self.ledger.end(self.subject, "stop")
 
     def alive(self):
         return self.process is not None and self.process.returncode is None
 
     def signal(self, number):
-        if self.alive():
-            self.process.send_signal(number)
-            self.stopped = {signal.SIGSTOP: True, signal.SIGCONT: False}.get(number, self.stopped)
+        if not self.alive():
+            return
+        self.process.send_signal(number)
+        if number == signal.SIGSTOP:
+            self.stopped = True
+            self.ledger.begin(self.subject, "stop")
+        elif number == signal.SIGCONT:
+            self.stopped = False
+            self.ledger.end(self.subject, "stop")
+        elif number == signal.SIGTERM:
+            self.told_to_end = True
+            self.ledger.begin(self.subject, "term")
+        elif number == signal.SIGHUP:
+            self.ledger.at(self.subject, "hup")
 
     def go_on(self):
         if self.stopped:
             self.signal(signal.SIGCONT)
 
     async def revive(self):
-        self.go_on()
-        if not self.alive():
+        async with self.lock:
+            self.go_on()
+            if self.alive():
+                return
+            if not self.told_to_end:
+                self.own_ends.append(now_ms())
+                self.ledger.begin(self.subject, "down")
             await self.start()
 
     async def end(self):
-        self.signal(signal.SIGKILL)
+        """Kills the process.  For one that was told to end, and has, nothing
+        happens."""
+        if self.alive():
+            self.ledger.begin(self.subject, "down")
+            self.told_to_end = True
+            self.signal(signal.SIGKILL)
         if self.process:
             await self.process.wait()
 
+    async def terminate(self):
+        """Has the process end as the platform does: told to, and killed only
+        after the time of grace."""
+        process = self.process
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+
 
 class Runner(Process):
     """A runner's machine: one life after the other, each with its own log.
     Hosts reach it by one link, it reaches the store by another."""
 
-    def __init__(self, ports, index, work):
+    def __init__(self, ports, index, work, ledger):
+        super().__init__("w%d" % index, [], "", ledger)
         self.ports, self.index, self.work = ports, index, work
-        self.link = Link(ports.runner_link(index), ports.runner(index))
-        self.store_link = Link(ports.runner_store(index), ports.store)
+        self.subject = "runner %d" % index
+        self.link = Link(ports.runner_link(index), ports.runner(index), ledger, self.subject)
+        self.store_link = Link(ports.runner_store(index), ports.store, ledger, self.subject)
         self.lives = []  # [id, log, time of its kill or None]
         self.drained_at = 0.0
         self.drain_ms = self.linger_ms = 0
-        super().__init__("w%d" % index, [], "")
 
     async def begin(self, rng, new_id=False):
         """Starts the next life, under the id before unless NEW_ID."""
@@ -82,15 +119,18 @@
                      "--linger", str(self.linger_ms), "--seconds", "600"]
         await self.start()
         await self.link.set_down(False)
+        self.ledger.end(self.subject, "away")
 
     async def crash(self):
         """What runs there ends when the signal is sent, at the latest."""
         self.lives[-1][2] = now_ms()
+        self.ledger.begin(self.subject, "away")
         await self.end()
         await self.link.set_down(True)
 
     def drain(self):
         self.drained_at = time.monotonic()
+        self.ledger.begin(self.subject, "away")
         self.signal(signal.SIGUSR1)
 
     async def leave(self):
@@ -160,21 +200,23 @@
     raise RuntimeError("no free ports")
 
 
-def make_host(ports, i, work):
+def make_host(ports, i, work, ledger):
     settings = {"node": "h%d" % i, "zone": "z", "ip": "127.0.0.1",
                 "listen": {"front": "127.0.0.1:%d" % ports.host(i),
                            "readiness": "127.0.0.1:%d" % ports.host(i, 1)},
                 "portRange": [ports.host(i, 2), ports.host(i, 8)],
-                "limits": {"cpuShare": 0.25},
+                "limits": {"cpuShare": 0.25}, "bounds": {"graceS": GRACE_S},
                 "platform": {"address": "127.0.0.1:%d" % ports.host(i, 9)}}
     path = "%s/h%d.json" % (work, i)
     with open(path, "w", encoding="utf-8") as f:
         json.dump(settings, f)
-    return Process("h%d" % i, [BUILD + "/wagtailpass-node", "--settings", path],
-                   "%s/h%d.log" % (work, i))
+    host = Process("h%d" % i, [BUILD + "/wagtailpass-node", "--settings", path],
+                   "%s/h%d.log" % (work, i), ledger)
+    host.settings = path
+    return host
 
 
-def make_platform(ports, work, seconds):
+def make_platform(ports, work, seconds, ledger):
     return Process("platform", [BUILD + "/wagtailpass-standin", "platform", "--port",
                                 str(ports.store), "--runners", "0", "--seconds", str(seconds)],
-                   work + "/platform.log")
+                   work + "/platform.log", ledger)
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -5,9 +5,11 @@
 
 class Link:
     """One listening port that forwards to another, and what is wrong with
-    it."""
+    it, which stands in LEDGER as trouble of SUBJECT."""
 
-    def __init__(self, port, target):
+    def __init__(self, port, target, ledger, subject):
+        self.ledger, self.subject = ledger, subject
+        self.kind = "link %d" % port
         self.port = port
         self.target = target
         self.delay = 0.0  # seconds, each way
@@ -44,6 +46,7 @@
 
     async def heal(self):
         """Ends every fault.  Connections that lost bytes are reset."""
+        self.ledger.end(self.subject, self.kind)
         lost = self.silent_out or self.silent_in
         self.delay = 0.0
         self.silent_out = self.silent_in = False
@@ -77,7 +80,12 @@
             caller.connect_ex(("127.0.0.1", self.port))
             self.hole.append(caller)
 
+    def slow_down(self, delay):
+        self.ledger.begin(self.subject, self.kind)
+        self.delay = delay
+
     def reset(self):
+        self.ledger.at(self.subject, self.kind)
         for writer in list(self.writers):
             writer.transport.abort()
         self.writers.clear()
--- /dev/null
+++ b/tools/soak/site_faults.py
@@ -0,0 +1,100 @@
+"""Series of faults that concern the site as a whole, and planned work."""
+import asyncio
+import json
+import os
+import signal
+
+from clients import fetch
+from ledger import STABLE_MS, STORE
+
+SITE_SERIES = ["term_roll", "power_loss", "host_term", "host_hup", "config_storm"]
+POWER_MS = 300  # after an acceptance was acknowledged
+ROLL_PAUSE_S = (0.2, 2)
+KEYS_KEPT = 2
+
+
+class SiteFaults:
+    """What Faults plays besides series on single processes."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.alone = False  # one series is to be played with nothing else wrong
+
+    # Signals that announce what they do.
+
+    async def term_roll(self, rng):
+        """SIGTERM to all hosts, one after the other, nothing else wrong."""
+        self.alone = True
+        while self.victims:
+            await asyncio.sleep(0.1)
+        await self.wait(STABLE_MS / 1000)
+        for host in rng.sample(self.soak.hosts, len(self.soak.hosts)):
+            if self.enough.is_set():
+                break
+            await self.replace(rng, host)
+            await self.wait(rng.uniform(*ROLL_PAUSE_S))
+        self.alone = False
+
+    async def replace(self, rng, host):
+        """Ends HOST by SIGTERM and starts it again."""
+        self.soak.note("term %s" % host.name)
+        await host.terminate()
+        await self.wait(rng.uniform(0.1, 1))
+        await host.revive()
+
+    def pick_host(self, rng):
+        free = [h for h in self.soak.hosts if h not in self.victims and h.alive()]
+        return rng.choice(free) if free and not self.alone else None
+
+    async def host_term(self, rng):
+        host = self.pick_host(rng)
+        if host:
+            self.victims.add(host)
+            await self.replace(rng, host)
+            self.victims.discard(host)
+
+    async def host_hup(self, rng):
+        """SIGHUP several times; the settings file is new for some of them."""
+        host = self.pick_host(rng)
+        for _ in range(rng.randint(1, 5) if host else 0):
+            if rng.random() < 0.5:
+                os.utime(host.settings)
+            self.soak.note("hup %s" % host.name)
+            host.signal(signal.SIGHUP)
+            await self.wait(rng.uniform(0, 0.4))
+
+    # The site.
+
+    async def power_loss(self, rng):
+        """Ends all hosts at once, soon after an acceptance."""
+        if self.alone:
+            return
+        job = await self.soak.next_accepted()
+        if not job or self.alone:
+            return
+        await asyncio.sleep(rng.uniform(0, POWER_MS / 1000))
+        self.soak.note("power loss after %s" % job.name)
+        await asyncio.gather(*[host.end() for host in self.soak.hosts])
+        await self.wait(rng.uniform(0.2, 2))
+        for host in rng.sample(self.soak.hosts, len(self.soak.hosts)):
+            await host.revive()
+
+    async def config_storm(self, rng):
+        """Versions in quick succession, with routes and keys that come and
+        go; those that callers use stay."""
+        self.soak.ledger.begin(STORE, "config")
+        for _ in range(rng.randint(3, 10)):
+            version = self.soak.version + rng.randint(1, 5)
+            self.soak.note("config %d" % version)
+            extra = [rng.randrange(100) for _ in range(rng.randrange(KEYS_KEPT + 1))]
+            await self.soak.configure(version, extra)
+            await self.wait(rng.uniform(0, 0.3))
+        self.soak.ledger.end(STORE, "config")
+
+    async def inject(self, port, subject, fault):
+        """Has the stand-in at PORT play FAULT, and waits until that is over."""
+        self.soak.note("%s %s" % (subject, json.dumps(fault)))
+        self.soak.ledger.begin(subject, "inject")
+        await fetch(port, "POST", "/standin/fault", json.dumps(fault))
+        await asyncio.sleep(fault["forMs"] / 1000)
+        self.soak.ledger.end(subject, "inject")
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
 """A randomized soak of real processes on loopback: the platform's stand-in,
 its runners behind a proxy, entry hosts whose way to the store leads through
-the proxy.  Faults come from outside: signals and the proxy.  What callers
-were told and what the runners ran is checked against the promises.
+the proxy.  Faults come from outside: signals, the proxy, the stand-in.  What
+callers were told and what the runners ran is checked against the promises.
 
   soak.py [--seed N] [--seconds S] [--hosts N] [--runners N] [--keep DIR]
 
@@ -11,22 +11,29 @@
 import asyncio
 import json
 import random
-import re
 import shutil
 import sys
 import tempfile
 import time
 
+import answers
 import checks
+import standing
+from clients import TOKEN, Caller, Callers, Lag, fetch
 from faults import Faults
-from processes import Ports, Runner, free_ports, make_host, make_platform, now_ms
+from jobs import CANCEL_SHARE, FINAL, LASTING_SHARE, N_QUEUES, draw_job, hand_in
+from ledger import Ledger, now_ms
+from processes import Ports, Runner, free_ports, make_host, make_platform
 from proxy import Link
 
-TOKEN = "soak-token"
 SETTLE_S = 45  # for everything accepted to end once the faults are over
-LONG_MS = (3000, 11000)  # a task that outlasts an entry and a lease
-SHORT_MS = (200, 2500)
+STAND_S = 12  # after healing, for tasks that stand to be seen
 MOST_LINES = 20  # of what was broken
+MOST_LASTING = 3  # jobs at a time
+MOST_CALLERS = 24
+ASKS_PER_S = 60  # of all who ask for accepted jobs, while the faults go on
+ASK_RECENT = 40  # jobs, mostly
+ATTEMPTS = 4
 
 
 class Soak:
@@ -37,15 +44,27 @@
         self.ports = (Ports(options.port, options.hosts, options.runners) if options.port
                       else free_ports(options.hosts, options.runners))
         self.offset = int(time.time() * 1000) - now_ms()
+        self.ledger = Ledger()
         self.log = []
         self.doubts = []
         self.freed = []
-        self.jobs = {}  # id: {"answers": [...], "cancelled": bool}
+        self.stands = []
+        self.jobs = {}  # by name, in the order in which they came
+        self.accepted = []
+        self.waiters = []  # for the next acceptance
+        self.requests = []
+        self.lag = Lag()
+        self.version = 0
         self.hosts = []
-        self.runners = [Runner(self.ports, i, work) for i in range(options.runners)]
-        self.store_links = [Link(self.ports.host(i, 9), self.ports.store)
+        self.runners = [Runner(self.ports, i, work, self.ledger) for i in range(options.runners)]
+        self.store_links = [Link(self.ports.host(i, 9), self.ports.store, self.ledger, "h%d" % i)
                             for i in range(options.hosts)]
-        self.platform = make_platform(self.ports, work, options.seconds + SETTLE_S + 90)
+        self.platform = make_platform(self.ports, work, options.seconds + SETTLE_S + 120,
+                                      self.ledger)
+        self.callers = Callers([Caller(self.pick_host, self.requests, self.lag, self.is_once(i))
+                                for i in range(min(4 + 2 * options.hosts, MOST_CALLERS))])
+        self.askers = [Caller(lambda i=i: self.address(i), self.requests, self.lag)
+                       for i in range(options.hosts)]
 
     def note(self, text):
         at = now_ms()
@@ -54,25 +73,45 @@
     def links(self):
         return self.store_links + [link for r in self.runners for link in (r.link, r.store_link)]
 
+    def address(self, i):
+        return "h%d" % i, self.ports.host(i)
+
+    def pick_host(self):
+        return self.address(self.rng.randrange(self.o.hosts))
+
+    @staticmethod
+    def is_once(i):
+        """Tells whether caller I uses a connection for one request only."""
+        return i % 10 in (2, 5, 8)
+
     async def set_up(self):
         await self.platform.start()
         for link in self.links():
             await link.start()
-        await self.until(self.configure, 10)
+        await self.until(lambda: self.configure(1), 10)
         for runner in self.runners:
             await runner.begin(self.rng)
         for i in range(self.o.hosts):
-            self.hosts.append(make_host(self.ports, i, self.work))
+            self.hosts.append(make_host(self.ports, i, self.work, self.ledger))
             await self.hosts[i].start()
-        await self.until(lambda: self.get(0, "/api/readyz", 1), 10)
+        for i in range(self.o.hosts):
+            await self.until(lambda i=i: self.is_ready(i), 20)
 
-    async def configure(self):
-        config = {"version": 1, "limits": {}, "services": [{"name": "render"}],
-                  "tenants": [{"name": "t", "apiKeys": [TOKEN], "guaranteed": {"gpu": 8}}],
-                  "routes": [{"name": "q%d" % p, "host": "soak", "prefix": "/q%d/" % p,
-                              "service": "render", "priority": p, "attempts": 4, "stretch": 3,
-                              "targetLatencyMs": 1000} for p in range(3)]}
-        return await self.http(self.ports.store, "POST", "/standin/config", json.dumps(config))
+    async def is_ready(self, i):
+        return (await fetch(self.ports.host(i, 1), "GET", "/api/readyz"))[0]
+
+    async def configure(self, version, extra=()):
+        """Sets a configuration with a route and a key more for each EXTRA."""
+        self.version = version
+        routes = ["q%d" % p for p in range(N_QUEUES)] + ["x%d" % x for x in extra]
+        config = {"version": version, "limits": {}, "services": [{"name": "render"}],
+                  "tenants": [{"name": "t", "apiKeys": [TOKEN] + ["key%d" % x for x in extra],
+                               "guaranteed": {"gpu": 8}}],
+                  "routes": [{"name": name, "host": "soak", "prefix": "/%s/" % name,
+                              "service": "render", "priority": p % N_QUEUES, "attempts": ATTEMPTS,
+                              "stretch": 3, "targetLatencyMs": 1000}
+                             for p, name in enumerate(routes)]}
+        return (await fetch(self.ports.store, "POST", "/standin/config", json.dumps(config)))[0]
 
     async def until(self, attempt, seconds):
         for _ in range(seconds * 10):
@@ -81,54 +120,33 @@
             await asyncio.sleep(0.1)
         raise RuntimeError("not reached: %s" % attempt)
 
-    def get(self, i, path, k=0):
-        return self.http(self.ports.host(i, k), "GET", path)
-
-    async def http(self, port, method, path, body="", limit=5.0):
-        """Returns the status, 0 when no whole answer came."""
-        status, _ = await self.fetch(port, method, path, body, limit)
-        return status
+    # Callers.
 
-    async def fetch(self, port, method, path, body="", limit=5.0):
-        """Returns the status, 0 when no whole answer came, and the answer."""
-        try:
-            async with asyncio.timeout(limit):
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                writer.write(("%s %s HTTP/1.1\r\nHost: soak\r\nAuthorization: Bearer %s\r\n"
-                              "Deadline-Ms: 3000\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s"
-                              % (method, path, TOKEN, len(body), body)).encode())
-                data = await reader.read()
-                writer.close()
-        except (OSError, TimeoutError):
-            return 0, b""
-        found = re.match(rb"HTTP/1.1 (\d+)", data)
-        return (int(found.group(1)) if found else 0), data
+    def draw(self):
+        active = sum(job.lasting and not job.cancelled for job in self.jobs.values())
+        lasting = self.rng.random() < LASTING_SHARE and active < MOST_LASTING
+        job = draw_job(self.rng, "%016x" % (len(self.jobs) + 1), lasting)
+        self.jobs[job.name] = job
+        return job, not lasting and self.rng.random() < CANCEL_SHARE
 
     async def submit(self):
-        job = "%016x" % (len(self.jobs) + 1)
-        gang = self.rng.random() < 0.3
-        count = self.rng.randint(1, 4)
-        length = self.rng.randint(*(LONG_MS if self.rng.random() < 0.45 else SHORT_MS))
-        step = {"count": count, "cpu": 8000, "gpu": 1, "estimateMs": length}
-        text = "ms=%d" % length
-        if gang:
-            step["gang"] = True
-        steps = [step]
-        if self.rng.random() < 0.3:
-            steps.append({"count": 1, "cpu": 1000, "estimateMs": 300, "after": [0]})
-        body = json.dumps({"spec": text, "steps": steps})
-        kept = self.jobs[job] = {"answers": [], "cancelled": False, "queue": self.rng.randrange(3)}
-        for _ in range(4):
-            status = await self.http(self.ports.host(self.rng.randrange(self.o.hosts)), "POST",
-                                     "/q%d/%s" % (kept["queue"], job), body, 3.0)
-            kept["answers"].append(status)
-            if status == 200:
-                break
-            await asyncio.sleep(0.2)
-        if kept["answers"][-1] == 200 and self.rng.random() < 0.1:
-            kept["cancelled"] = True
-            await self.http(self.ports.host(self.rng.randrange(self.o.hosts)), "DELETE",
-                            "/q%d/%s" % (kept["queue"], job))
+        job, cancel = self.draw()
+        await hand_in(self.callers, job, cancel, self.on_accepted)
+
+    def on_accepted(self, job):
+        self.accepted.append(job)
+        for waiter in self.waiters:
+            waiter.set_result(job)
+        self.waiters = []
+
+    async def next_accepted(self):
+        """Returns the job that is accepted next, None if none is for long."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.append(waiter)
+        done, _ = await asyncio.wait([waiter], timeout=10)
+        if not done:
+            self.waiters.remove(waiter)
+        return waiter.result() if done else None
 
     async def traffic(self, end):
         tasks = []
@@ -138,14 +156,25 @@
             await asyncio.sleep(self.rng.uniform(0.1, 0.5) / pace)
         await asyncio.gather(*tasks)
 
+    async def keep_asking(self, asker, rng):
+        """Asks one host for accepted jobs, mostly recent ones, all the time."""
+        while True:
+            recent = self.accepted[-ASK_RECENT:] if rng.random() < 0.8 else self.accepted
+            if recent:
+                job = rng.choice(recent)
+                job.note(await asker.ask("GET", job.path, job=job.name))
+            await asyncio.sleep(rng.uniform(0.5, 1.5) * len(self.askers) / ASKS_PER_S)
+
     async def scheduler(self):
         """Returns the host that schedules, None if none says so."""
         for i, host in enumerate(self.hosts):
-            _, text = await self.fetch(self.ports.host(i, 2), "GET", "/metrics", limit=0.2)
+            _, text = await fetch(self.ports.host(i, 2), "GET", "/metrics", limit=0.2)
             if b"\nwagtailpass_is_scheduler 1" in text:
                 return host
         return None
 
+    # The end.
+
     async def calm(self, faults):
         for host in self.hosts:
             await host.revive()
@@ -154,51 +183,99 @@
             await link.heal()
         for host in self.hosts:
             await host.revive()
+        self.note("healed")
+        await asyncio.sleep(STAND_S)
 
-    async def state(self, job):
-        path = "/q%d/%s" % (self.jobs[job]["queue"], job)
-        status, answer = await self.fetch(self.ports.host(0), "GET", path)
-        found = re.search(rb'"state": ?"(\w+)"', answer)
-        return found.group(1).decode() if status == 200 and found else str(status)
+    async def cancel_lasting(self):
+        for job in self.accepted:
+            if job.lasting:
+                job.cancelled = now_ms()
+                await self.callers.ask("DELETE", job.path, job=job.name)
+
+    async def ask_all(self, asker, left):
+        """Asks one host for all jobs that are LEFT to come to their end
+        there, and keeps the others."""
+        for name in list(left):
+            request = await asker.ask("GET", self.jobs[name].path, job=name)
+            self.jobs[name].note(request)
+            left[name] = request.state() or "%s %d" % (request.how, request.status)
+            if left[name] in FINAL:
+                del left[name]
 
     async def check_ends(self):
-        left = [j for j, kept in self.jobs.items() if 200 in kept["answers"]]
+        """Every host says of every accepted job that it has come to its end."""
+        left = [{job.name: "" for job in self.accepted} for _ in self.hosts]
         for _ in range(SETTLE_S):
-            states = {j: await self.state(j) for j in left}
-            left = [j for j in left if states[j] not in ("completed", "cancelled", "failed")]
-            if not left:
+            await asyncio.gather(*[self.ask_all(asker, names)
+                                   for asker, names in zip(self.askers, left)])
+            if not any(left):
                 break
             await asyncio.sleep(1)
-        broken = ["LOST %s is %s" % (j, states[j]) for j in left]
-        return broken
+        return ["LOST %s is %s at h%d" % (name, state, i)
+                for i, names in enumerate(left) for name, state in names.items()]
 
-    def check_runs(self):
-        runs = [run for runner in self.runners for life in runner.lives
-                for run in checks.read_life(*life)]
-        broken, self.doubts = checks.check_twice(runs)
+    def check_logs(self, since):
+        """What the runners logged and callers were told, against the rules."""
+        lives = [checks.Life(*life) for runner in self.runners for life in runner.lives]
+        runs = [run for life in lives for run in life.runs.values()]
+        broken, self.doubts = checks.check_twice(runs, self.jobs)
+        broken += checks.check_asked(runs, self.jobs)
+        broken += answers.check_states(self.requests, self.jobs, runs, ATTEMPTS)
+        calm = self.ledger.calm_spans(since, now_ms())
+        self.stands = standing.find_stands(self.jobs, runs, lives, calm)
+        for found, doubts in (answers.check_owed(self.requests, self.ledger),
+                              answers.check_known(self.requests, self.jobs, self.ledger),
+                              standing.check_standing(self.stands, self.jobs)):
+            broken += found
+            self.doubts += doubts
         self.freed = checks.find_freed(runs, [host.log for host in self.hosts], self.offset)
-        return broken + checks.check_asked(runs, self.jobs)
+        return broken + ["FAULT %s ended by itself, seen at %d" % (host.name, at)
+                         for host in self.hosts for at in host.own_ends]
 
     async def tear_down(self):
+        for caller in self.askers + self.callers.all:
+            caller.close()
         for process in self.hosts + self.runners + [self.platform]:
             process.go_on()
             await process.end()
         for link in self.links():
             await link.stop()
 
+    async def play(self):
+        """Returns what was broken."""
+        since = now_ms()
+        end = asyncio.get_running_loop().time() + self.o.seconds
+        faults = Faults(self, self.o.seed, self.o.only and self.o.only.split(","))
+        asking = [asyncio.create_task(self.keep_asking(asker, random.Random(i)))
+                  for i, asker in enumerate(self.askers)]
+        await asyncio.gather(self.traffic(end), faults.run(self.o.seconds))
+        self.note("calm")
+        await self.calm(faults)
+        await self.cancel_lasting()
+        for task in asking:
+            task.cancel()
+        await asyncio.gather(*asking, return_exceptions=True)
+        broken = await self.check_ends()
+        return broken + self.check_logs(since)
+
     async def run(self):
+        lag = asyncio.create_task(self.lag.run())
         try:
             await self.set_up()
-            end = asyncio.get_running_loop().time() + self.o.seconds
-            faults = Faults(self, self.o.seed, self.o.only and self.o.only.split(","))
-            await asyncio.gather(self.traffic(end), faults.run(self.o.seconds))
-            self.note("calm")
-            await self.calm(faults)
-            broken = await self.check_ends()
-            return broken + self.check_runs()
+            return await self.play()
         finally:
+            lag.cancel()
             await self.tear_down()
 
+    def summary(self):
+        longest = max(self.stands, key=lambda stand: stand.ms, default=None)
+        return ("%d jobs, %d accepted, %d faults, %d freed early, %d in doubt; longest stand %s; "
+                "answers: %s" % (
+                    len(self.jobs), len(self.accepted), len(self.log), len(self.freed),
+                    len(self.doubts),
+                    "%d ms, %s" % (longest.ms, longest.name) if longest else "none",
+                    answers.describe(self.requests)))
+
 
 def main():
     p = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -207,21 +284,20 @@
     p.add_argument("--hosts", type=int, default=3)
     p.add_argument("--runners", type=int, default=8)
     p.add_argument("--port", type=int, help="the first port; else free ones are looked for")
-    p.add_argument("--only", help="the series of faults to play, by their names in faults.py")
+    p.add_argument("--only", help="the series of faults to play, by their names or groups in "
+                   "faults.py")
     p.add_argument("--keep", help="keep logs of a broken seed here")
     options = p.parse_args()
     work = tempfile.mkdtemp(prefix="wagtailpass-soak")
     soak = Soak(options, work)
     broken = asyncio.run(soak.run())
-    accepted = sum(200 in kept["answers"] for kept in soak.jobs.values())
-    lines = broken[:MOST_LINES] + soak.freed + ["in doubt: " + d for d in soak.doubts] + soak.log
+    lines = (broken[:MOST_LINES] + soak.freed + ["in doubt: " + d for d in soak.doubts] +
+             ["stood: %s" % s for s in soak.stands] + soak.log)
     if broken:
         print("\n".join(lines))
-    if options.keep and (broken or soak.freed):
+    if options.keep and (broken or soak.freed or soak.doubts):
         keep(work, options, lines)
-    print("soak: seed %d %s, %d jobs, %d accepted, %d faults, %d freed early, %d in doubt" % (
-        options.seed, "BROKEN" if broken else "ok", len(soak.jobs), accepted, len(soak.log),
-        len(soak.freed), len(soak.doubts)))
+    print("soak: seed %d %s, %s" % (options.seed, "BROKEN" if broken else "ok", soak.summary()))
     shutil.rmtree(work)
     sys.exit(1 if broken else 0)
 
--- /dev/null
+++ b/tools/soak/standing.py
@@ -0,0 +1,147 @@
+"""Tasks that stand: by the runners' logs, a job that could run and doesn't."""
+import collections
+
+from ledger import NEVER
+
+STAND_MS = 3000
+LASTING_MS = 6000  # after its last run, a lasting task should be back
+STEP_MS = 50  # between looks
+ROOM = {"cpu": 64000, "gpu": 8}  # of each of the stand-in's runners
+ROOMS_NEEDED = 2  # "capacity for it twice over"
+
+
+class Stand:
+    """A job, or a lasting task, that stood for MS up to UNTIL."""
+
+    def __init__(self, name, until, ms, used):
+        self.name, self.until, self.ms, self.used = name, until, ms, used
+
+    def __str__(self):
+        return "%s could run and doesn't for %d ms up to %d, %d%% of the room in use" % (
+            self.name, self.ms, self.until, 100 * self.used)
+
+
+class Task:
+    """A task of JOB with all of its runs."""
+
+    def __init__(self, job, step, index, runs):
+        self.job, self.number = job, step
+        self.name = "%s.0.%d.%d" % (job.name, step, index)
+        self.step = job.steps[step]
+        self.runs = runs.get(self.name, [])
+        self.lasting = bool(self.step.get("perpetual"))
+
+    def runs_at(self, at):
+        return any(run.start <= at < run.end for run in self.runs)
+
+    def is_done(self, at):
+        """A success that nobody took note of goes with its runner's life."""
+        return not self.lasting and any(
+            run.how == "done" and run.end <= at and (run.acked is not None or at < run.gone)
+            for run in self.runs)
+
+    def last_end(self, at):
+        return max([run.end for run in self.runs if run.end <= at], default=self.job.acked)
+
+
+def tasks_of(job, runs):
+    return [[Task(job, number, index, runs) for index in range(step["count"])]
+            for number, step in enumerate(job.steps)]
+
+
+def step_is_done(tasks, at):
+    """One success of a gang stands for all of it."""
+    done = [task.is_done(at) for task in tasks]
+    return any(done) if tasks[0].step.get("gang") else all(done)
+
+
+def due_tasks(steps, at):
+    """Returns the tasks whose turn has come and that aren't done."""
+    done = [step_is_done(tasks, at) for tasks in steps]
+    return [task for tasks, over in zip(steps, done) if not over
+            and all(done[before] for before in tasks[0].step.get("after", []))
+            for task in tasks if not task.is_done(at)]
+
+
+class Room:
+    """What is free on each runner, at one moment."""
+
+    def __init__(self, lives, running, at):
+        self.free = {life.key: dict(ROOM) for life in lives if life.serves(at)}
+        for run, step in running:
+            for kind in ROOM:
+                if run.life in self.free:
+                    self.free[run.life][kind] -= step.get(kind, 0)
+
+    def used(self):
+        """Returns the share of the scarcest resource that is in use."""
+        n = len(self.free)
+        return max((1 - sum(free[kind] for free in self.free.values()) / (n * ROOM[kind])
+                    for kind in ROOM), default=1) if n else 1
+
+    def holds(self, step):
+        """Tells whether STEP, a gang as a whole or one of its tasks, fits
+        ROOMS_NEEDED times."""
+        wanted = ROOMS_NEEDED * (step["count"] if step.get("gang") else 1)
+        return sum(max(0, min(free[kind] // step[kind] for kind in ROOM if step.get(kind)))
+                   for free in self.free.values()) >= wanted
+
+
+def is_open(job, at):
+    """Tells whether JOB is owed its work at AT."""
+    return (job.acked is not None and job.acked <= at < (job.cancelled or NEVER)
+            and at < (job.final or NEVER))
+
+
+def standing(steps, at, room):
+    """Yields the names of what stands of a job at AT, given free ROOM.  A
+    lasting task stands by itself, whether others of its job run or not."""
+    due = [task for task in due_tasks(steps, at) if room.holds(task.step)]
+    idle = not any(task.runs_at(at) for tasks in steps for task in tasks)
+    if idle and not all(task.lasting for task in due):
+        yield due[0].job.name
+    for task in due:
+        if task.lasting and not task.runs_at(at) and at >= task.last_end(at) + LASTING_MS:
+            yield task.name
+
+
+def find_stands(jobs, runs, lives, calm):
+    """Returns what stood in the spans that CALM names, the longest stand of
+    each job or lasting task."""
+    by_task = collections.defaultdict(list)
+    for run in runs:
+        by_task[run.task].append(run)
+    steps = [tasks_of(job, by_task) for job in jobs.values() if job.acked]
+    wanted = {run: task.step for tasks in steps for step in tasks for task in step
+              for run in task.runs}
+    longest = {}
+    for since, until in calm:
+        for stand in stands_in(steps, wanted, lives, since, until):
+            if stand.name not in longest or stand.ms > longest[stand.name].ms:
+                longest[stand.name] = stand
+    return list(longest.values())
+
+
+def stands_in(steps, wanted, lives, since, until):
+    begun = {}  # of what stands: since when
+    for at in range(since, until, STEP_MS):
+        running = [(run, step) for run, step in wanted.items() if run.start <= at < run.end]
+        room = Room(lives, running, at)
+        names = {name for tasks in steps if is_open(tasks[0][0].job, at)
+                 for name in standing(tasks, at, room)}
+        begun = {name: begun.get(name, at) for name in names}
+        for name in names:
+            yield Stand(name, at, at - begun[name], room.used())
+
+
+def check_standing(stands, jobs):
+    """Returns what stood too long.  A lasting task may not stand however
+    full the service is; another job is in doubt while half of it is in use."""
+    broken, doubts = [], []
+    for stand in stands:
+        if stand.ms < STAND_MS:
+            continue
+        lasting = jobs[stand.name.split(".")[0]].lasting
+        certain = lasting or stand.used < 0.5
+        (broken if certain else doubts).append("LOST %s" % stand)
+    return broken, doubts
