Soak: a stand counts while less than half of the room is in use

The share in use was read at the end of a stand only, so that a stand in a service that was full for a part of it could count, or be missed. Two spans are kept now; StandTest.test_stand_that_the_service_was_full_for_a_part_of.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -221,6 +221,17 @@
                for line in self.run_lines("b.0.0.%d" % i, ACKED, self.UNTIL)]
         self.assertEqual(self.judge([make_job(), other], log)[:2], (0, 1))
 
+    def test_stand_that_the_service_was_full_for_a_part_of(self):
+        other = Job("b", 0, "", [dict(STEP, count=4)])
+        other.acked = ACKED
+        log = [line for i in range(4)
+               for line in self.run_lines("b.0.0.%d" % i, ACKED, ACKED + 17500)]
+        self.assertEqual(self.judge([make_job(), other], log)[:2], (0, 1))
+        other.acked = ACKED + 4000
+        log = [line for i in range(4)
+               for line in self.run_lines("b.0.0.%d" % i, ACKED + 4000, self.UNTIL)]
+        self.assertEqual(self.judge([make_job(), other], log)[:2], (1, 0))
+
     def test_outside_calm(self):
         calm = [(ACKED + 1000, ACKED + 3900), (ACKED + 9000, ACKED + 11900)]
         self.assertEqual(self.judge([make_job()], [], calm=calm)[0], 0)
--- a/tools/soak/standing.py
+++ b/tools/soak/standing.py
@@ -7,18 +7,26 @@
 LASTING_MS = 6000  # after its last run, a lasting task should be back
 STEP_MS = 50  # between looks
 ROOM = {"cpu": 64000, "gpu": 8}  # of each of the stand-in's runners
+IDLE_SHARE = 0.5  # of the room in use
 ROOMS_NEEDED = 2  # "capacity for it twice over"
 
 
 class Stand:
-    """A job, or a lasting task, that stood for MS up to UNTIL."""
+    """The longest times for which a job, or a lasting task, stood: however
+    full the service was, and while less than half of its room was in use."""
 
-    def __init__(self, name, until, ms, used):
-        self.name, self.until, self.ms, self.used = name, until, ms, used
+    def __init__(self, name):
+        self.name = name
+        self.ms = self.until = self.idle_ms = 0
 
     def __str__(self):
-        return "%s could run and doesn't for %d ms up to %d, %d%% of the room in use" % (
-            self.name, self.ms, self.until, 100 * self.used)
+        return "%s could run and doesn't for %d ms up to %d, for %d ms while the room was %s" % (
+            self.name, self.ms, self.until, self.idle_ms, "less than half in use")
+
+    def note(self, at, ms, idle_ms):
+        if ms >= self.ms:
+            self.ms, self.until = ms, at
+        self.idle_ms = max(self.idle_ms, idle_ms)
 
 
 class Task:
@@ -114,34 +122,35 @@
     steps = [tasks_of(job, by_task) for job in jobs.values() if job.acked]
     wanted = {run: task.step for tasks in steps for step in tasks for task in step
               for run in task.runs}
-    longest = {}
+    stands = {}
     for since, until in calm:
-        for stand in stands_in(steps, wanted, lives, since, until):
-            if stand.name not in longest or stand.ms > longest[stand.name].ms:
-                longest[stand.name] = stand
-    return list(longest.values())
+        look_through(stands, steps, wanted, lives, since, until)
+    return list(stands.values())
 
 
-def stands_in(steps, wanted, lives, since, until):
-    begun = {}  # of what stands: since when
+def look_through(stands, steps, wanted, lives, since, until):
+    """Adds what stood in a calm span to STANDS, by name."""
+    begun, idle = {}, {}  # of what stands: since when; so, in an idle service
     for at in range(since, until, STEP_MS):
         running = [(run, step) for run, step in wanted.items() if run.start <= at < run.end]
         room = Room(lives, running, at)
         names = {name for tasks in steps if is_open(tasks[0][0].job, at)
                  for name in standing(tasks, at, room)}
         begun = {name: begun.get(name, at) for name in names}
+        idle = {name: idle.get(name, at) for name in names if room.used() < IDLE_SHARE}
         for name in names:
-            yield Stand(name, at, at - begun[name], room.used())
+            stand = stands.setdefault(name, Stand(name))
+            stand.note(at, at - begun[name], at - idle.get(name, at))
 
 
 def check_standing(stands, jobs):
     """Returns what stood too long.  A lasting task may not stand however
-    full the service is; another job is in doubt while half of it is in use."""
+    full the service is; another job is in doubt then."""
     broken, doubts = [], []
     for stand in stands:
-        if stand.ms < STAND_MS:
-            continue
         lasting = jobs[stand.name.split(".")[0]].lasting
-        certain = lasting or stand.used < 0.5
-        (broken if certain else doubts).append("LOST %s" % stand)
+        if (stand.ms if lasting else stand.idle_ms) >= STAND_MS:
+            broken.append("LOST %s" % stand)
+        elif stand.ms >= STAND_MS:
+            doubts.append("stood in a full service: %s" % stand)
     return broken, doubts
