Soak: rolls alone and pressed; a kill is no host's own end

Every SIGKILL is noted now, in the ledger too, so that requests beside it aren't judged as undisturbed.

While a host ends by SIGTERM three callers press it on connections that they keep; they end by themselves, so that what they see last is judged.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from site_faults import SITE_SERIES, SiteFaults
+from site_faults import ALONE, SITE_SERIES, SiteFaults
 
 STALL_S = (0.05, 0.9)
 SITE_PAUSE_S = (1, 4)  # between series that concern the site
@@ -53,20 +53,21 @@
             self.series.append(asyncio.create_task(self.begin(rng)))
 
     async def run_of_site(self):
-        """Plays the series that concern the site, one or two at a time, each
+        """Plays the series that concern the site, two at a time at most, each
         once before any comes again."""
         rng = random.Random("%d/site" % self.seed)
-        left, lanes = [], []
+        left, lanes = [], set()
         while self.of_site and not self.enough.is_set():
             await self.wait(rng.uniform(*SITE_PAUSE_S))
             left = left or rng.sample(self.of_site, len(self.of_site))
-            lanes = [lane for lane in lanes if not lane.done()]
-            if len(lanes) == 2:
-                await asyncio.wait(lanes, return_when=asyncio.FIRST_COMPLETED)
             name = left.pop()
+            while len(lanes) > (0 if name in ALONE else 1):
+                _, lanes = await asyncio.wait(lanes, return_when=asyncio.FIRST_COMPLETED)
             lane = asyncio.create_task(self.begin_site(random.Random(rng.random()), name))
-            lanes.append(lane)
             self.series.append(lane)
+            lanes.add(lane)
+            if name in ALONE:
+                await lane
 
     async def begin_site(self, rng, name):
         self.soak.note("begin %s" % name)
--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -51,6 +51,9 @@
         elif number == signal.SIGTERM:
             self.told_to_end = True
             self.ledger.begin(self.subject, "term")
+        elif number == signal.SIGKILL:
+            self.told_to_end = True
+            self.ledger.begin(self.subject, "down")
         elif number == signal.SIGHUP:
             self.ledger.at(self.subject, "hup")
 
@@ -69,12 +72,7 @@
             await self.start()
 
     async def end(self):
-        """Kills the process.  For one that was told to end, and has, nothing
-        happens."""
-        if self.alive():
-            self.ledger.begin(self.subject, "down")
-            self.told_to_end = True
-            self.signal(signal.SIGKILL)
+        self.signal(signal.SIGKILL)
         if self.process:
             await self.process.wait()
 
--- a/tools/soak/site_faults.py
+++ b/tools/soak/site_faults.py
@@ -8,8 +8,11 @@
 from ledger import STABLE_MS, STORE
 
 SITE_SERIES = ["term_roll", "power_loss", "host_term", "host_hup", "config_storm"]
+ALONE = {"term_roll"}  # with nothing else wrong
 POWER_MS = 300  # after an acceptance was acknowledged
 ROLL_PAUSE_S = (0.2, 2)
+N_PRESSING = 3  # callers of a host that ends
+PRESS_PAUSE_S = 0.005
 KEYS_KEPT = 2
 
 
@@ -18,7 +21,7 @@
 
     def __init__(self, soak):
         self.soak = soak
-        self.alone = False  # one series is to be played with nothing else wrong
+        self.alone = False  # no series on a process begins
 
     # Signals that announce what they do.
 
@@ -36,15 +39,21 @@
         self.alone = False
 
     async def replace(self, rng, host):
-        """Ends HOST by SIGTERM and starts it again."""
+        """Ends HOST by SIGTERM, while callers press it on connections that
+        they keep, and starts it again."""
+        gone = asyncio.Event()
+        pressing = [asyncio.create_task(self.soak.keep_asking(
+            self.soak.caller_of(host), rng, PRESS_PAUSE_S, gone)) for _ in range(N_PRESSING)]
         self.soak.note("term %s" % host.name)
         await host.terminate()
+        gone.set()
+        await asyncio.gather(*pressing)
         await self.wait(rng.uniform(0.1, 1))
         await host.revive()
 
     def pick_host(self, rng):
         free = [h for h in self.soak.hosts if h not in self.victims and h.alive()]
-        return rng.choice(free) if free and not self.alone else None
+        return rng.choice(free) if free else None
 
     async def host_term(self, rng):
         host = self.pick_host(rng)
@@ -67,10 +76,8 @@
 
     async def power_loss(self, rng):
         """Ends all hosts at once, soon after an acceptance."""
-        if self.alone:
-            return
         job = await self.soak.next_accepted()
-        if not job or self.alone:
+        if not job:
             return
         await asyncio.sleep(rng.uniform(0, POWER_MS / 1000))
         self.soak.note("power loss after %s" % job.name)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -63,8 +63,7 @@
                                       self.ledger)
         self.callers = Callers([Caller(self.pick_host, self.requests, self.lag, self.is_once(i))
                                 for i in range(min(4 + 2 * options.hosts, MOST_CALLERS))])
-        self.askers = [Caller(lambda i=i: self.address(i), self.requests, self.lag)
-                       for i in range(options.hosts)]
+        self.askers = []  # one a host
 
     def note(self, text):
         at = now_ms()
@@ -79,6 +78,11 @@
     def pick_host(self):
         return self.address(self.rng.randrange(self.o.hosts))
 
+    def caller_of(self, host):
+        """Returns a caller that goes to HOST only."""
+        where = self.address(self.hosts.index(host))
+        return Caller(lambda: where, self.requests, self.lag)
+
     @staticmethod
     def is_once(i):
         """Tells whether caller I uses a connection for one request only."""
@@ -156,14 +160,15 @@
             await asyncio.sleep(self.rng.uniform(0.1, 0.5) / pace)
         await asyncio.gather(*tasks)
 
-    async def keep_asking(self, asker, rng):
-        """Asks one host for accepted jobs, mostly recent ones, all the time."""
-        while True:
+    async def keep_asking(self, asker, rng, pause, enough):
+        """Asks one host for accepted jobs, mostly recent ones, until ENOUGH
+        is set."""
+        while not enough.is_set():
             recent = self.accepted[-ASK_RECENT:] if rng.random() < 0.8 else self.accepted
             if recent:
                 job = rng.choice(recent)
                 job.note(await asker.ask("GET", job.path, job=job.name))
-            await asyncio.sleep(rng.uniform(0.5, 1.5) * len(self.askers) / ASKS_PER_S)
+            await asyncio.sleep(rng.uniform(0.5, 1.5) * pause)
 
     async def scheduler(self):
         """Returns the host that schedules, None if none says so."""
@@ -246,15 +251,17 @@
         since = now_ms()
         end = asyncio.get_running_loop().time() + self.o.seconds
         faults = Faults(self, self.o.seed, self.o.only and self.o.only.split(","))
-        asking = [asyncio.create_task(self.keep_asking(asker, random.Random(i)))
+        self.askers = [self.caller_of(host) for host in self.hosts]
+        pause = len(self.hosts) / ASKS_PER_S
+        enough = asyncio.Event()
+        asking = [asyncio.create_task(self.keep_asking(asker, random.Random(i), pause, enough))
                   for i, asker in enumerate(self.askers)]
         await asyncio.gather(self.traffic(end), faults.run(self.o.seconds))
         self.note("calm")
         await self.calm(faults)
         await self.cancel_lasting()
-        for task in asking:
-            task.cancel()
-        await asyncio.gather(*asking, return_exceptions=True)
+        enough.set()
+        await asyncio.gather(*asking)
         broken = await self.check_ends()
         return broken + self.check_logs(since)
 
