Soak: a success that was listed counts if its job is completed by it

The check was wrong: two of the job's tasks were done on w48, which h5 heard (event=end ... stale=0) and couldn't acknowledge, as the runner was ended; the job was completed 11.7 s after its acceptance, 16.6 s before anybody asked for it. An end counts now where the job is completed in the end and no run of the task came later. StandTest.test_success_that_counted_though_not_acknowledged; it failed before.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -209,6 +209,14 @@
         self.assertEqual(self.judge([make_job()], log, [])[0], 1)
         self.assertEqual(self.judge([make_job()], log[:-1], [])[0], 0)
 
+    def test_success_that_counted_though_not_acknowledged(self):
+        log = self.run_lines("a.0.0.0", ACKED + 100, ACKED + 2000, acked=False)
+        log.append((ACKED + 2500, "gone", ""))
+        job = make_job(state="completed", final=self.UNTIL)
+        self.assertEqual(self.judge([job], log, [])[0], 0)
+        again = self.run_lines("a.0.0.0", ACKED + 9000, ACKED + 9500, number=2)
+        self.assertEqual(self.judge([job], log, again)[0], 1)
+
     def test_without_room_for_it_twice(self):
         wide = make_job(dict(STEP, count=5, gang=True))
         self.assertEqual(self.judge([wide], [])[0], 0)
--- a/tools/soak/standing.py
+++ b/tools/soak/standing.py
@@ -43,10 +43,13 @@
         return any(run.start <= at < run.end for run in self.runs)
 
     def is_done(self, at):
-        """A success that nobody took note of goes with its runner's life."""
+        """A success that nobody took note of goes with its runner's life.  One
+        that was listed, but not acknowledged, may have counted: it did if the
+        job is completed in the end and no run came after it."""
+        counted = self.job.state == "completed" and not any(run.start > at for run in self.runs)
         return not self.lasting and any(
-            run.how == "done" and run.end <= at and (run.acked is not None or at < run.gone)
-            for run in self.runs)
+            run.how == "done" and run.end <= at
+            and (run.acked is not None or at < run.gone or counted) for run in self.runs)
 
     def last_end(self, at):
         return max([run.end for run in self.runs if run.end <= at], default=self.job.acked)
