Stand-in: faults that a port injects for a while

The soak's faults came from outside only: signals and the proxy. So no store was slow, lost answers or dropped its history, no order was carried out late, no call to a runner that is well hung, and no task lasted.

POST /standin/fault on the store's port or a runner's now asks for them, for a bounded time and with a seed; each call that meets one is a line in the log. The text of a job may say that its tasks last or fail. Stale reads are left out: the hosts never send staleOk.

Seen by a script, by hand: each kind on both ports, the same draws from the same seed, and no descriptor left 0.3 s after the last of 50 hung calls was given up. No test covers the stand-in itself.

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -1,4 +1,6 @@
+#include "fault.h"
 #include "json.h"
+#include "reply.h"
 #include "runner.h"
 #include "standin.h"
 
@@ -9,9 +11,9 @@
 /* Stands in for the users' platform on loopback: the metadata store on PORT,
    a runner on each port after it.  Tasks take the time that their text
    names, "ms=N".  The operator's configuration is replaced by a POST to
-   /standin/config on the store's port.
-   XXX: leases of keys are kept, other leases are not; nothing is slow or
-   lost here, which tests/queue_world.cc does in virtual time. */
+   /standin/config on the store's port.  The store and each runner inject the
+   faults that a POST to /standin/fault on their port asks for.
+   XXX: leases of keys are kept, other leases are not. */
 
 enum
 {
@@ -21,6 +23,7 @@
   HTTP_OK = 200,
   HTTP_BAD_REQUEST = 400,
   HTTP_NOT_FOUND = 404,
+  HTTP_GONE = 410,
   HTTP_PRECONDITION = 412
 };
 
@@ -60,7 +63,10 @@
   GPtrArray *waiters;
   Runner **runners;
   gint64 revision;
+  gint64 oldest_history; /* a watch from before is gone */
   gint64 last_lease;
+  Faults faults;
+  gboolean faults_meet_reports; /* of runners, too */
   Timer look;
 } Platform;
 
@@ -201,13 +207,20 @@
 }
 
 static void
-add_waiter (Platform *p, Exchange *x)
+handle_watch (Platform *p, Exchange *x)
 {
-  Waiter *w = g_new0 (Waiter, 1);
+  gint64 after = g_ascii_strtoll (query (x, "after"), NULL, 10);
+  Waiter *w;
 
+  if (after < p->oldest_history)
+    {
+      standin_reply (x, HTTP_GONE, json_object_new_object ());
+      return;
+    }
+  w = g_new0 (Waiter, 1);
   w->x = x;
   w->prefix = g_strdup (query (x, "prefix"));
-  w->after = g_ascii_strtoll (query (x, "after"), NULL, 10);
+  w->after = after;
   w->until = server_now () + g_ascii_strtoll (query (x, "waitMs"), NULL, 10);
   exchange_hang (x);
   g_ptr_array_add (p->waiters, w);
@@ -419,12 +432,47 @@
   findings_clear (&f);
 }
 
+/* Takes a request about faults.  History is forgotten at once: what was
+   deleted stays known to the watches that wait. */
+static void
+handle_fault (Platform *p, Exchange *x)
+{
+  static const char *const fields[] = { "reports", "forgetHistory", NULL };
+  Findings f;
+  json_object *o;
+
+  findings_init (&f);
+  o = standin_body (x, &f);
+  if (faults_on_request (&p->faults, x, o, fields, &f))
+    {
+      p->faults_meet_reports = json_boolean (o, "reports", &f);
+      if (json_boolean (o, "forgetHistory", &f))
+        p->oldest_history = p->revision;
+    }
+  if (o)
+    json_object_put (o);
+  findings_clear (&f);
+}
+
+/* Tells whether X is one of the calls that faults are meant for. */
+static gboolean
+meets_faults (const Platform *p, const Exchange *x)
+{
+  return g_str_has_prefix (x->path, "/api/") ||
+         (p->faults_meet_reports &&
+          g_str_has_prefix (x->path, "/standin/entry/"));
+}
+
 static void
 on_store (Exchange *x, void *data)
 {
   Platform *p = data;
 
-  if (strcmp (x->method, "POST") == 0)
+  if (strcmp (x->path, fault_path) == 0)
+    handle_fault (p, x);
+  else if (meets_faults (p, x) && faults_strike (&p->faults, x))
+    return;
+  else if (strcmp (x->method, "POST") == 0)
     handle_post (p, x);
   else if (g_str_has_prefix (x->path, "/standin/entry/"))
     handle_entry (p, x, NULL);
@@ -435,7 +483,7 @@
   else if (strcmp (x->path, "/api/kv-range") == 0)
     handle_range (p, x);
   else if (strcmp (x->path, "/api/kv-watch") == 0)
-    add_waiter (p, x);
+    handle_watch (p, x);
   else
     standin_reply (x, HTTP_NOT_FOUND, json_object_new_object ());
 }
@@ -538,7 +586,9 @@
 int
 standin_platform (int argc, char **argv, GError **error)
 {
-  Platform p = { .n_runners = 4, .place = { .port = 17400, .seconds = 60 } };
+  Platform p = { .n_runners = 4,
+                 .place = { .port = 17400, .seconds = 60 },
+                 .faults = { .where = "store" } };
   const GOptionEntry entries[] = {
     { "runners", 0, 0, G_OPTION_ARG_INT, &p.n_runners, "stand in for N runners",
       "N" },
--- a/standin/runner.c
+++ b/standin/runner.c
@@ -1,5 +1,8 @@
 #include "runner.h"
 
+#include "fault.h"
+#include "reply.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,16 +16,21 @@
   STOP_MS = 50,
   MAX_LEASE_MS = 10000,
   PERMILLE = 1000,
-  FULL_PERCENT = 100
+  FULL_PERCENT = 100,
+  TASK_PARTS = 4, /* ID.K.STEP.INDEX */
+  TASK_STEP = 2
 };
 
+static const char *const stopped = "stopped";
+
 typedef struct Run
 {
   char *task;
   gint64 run;
   ClockMs begun;
+  ClockMs full; /* when it reports 100 percent */
   ClockMs ends;
-  gboolean stopping;
+  const char *how; /* it ends */
 } Run;
 
 typedef struct End
@@ -50,26 +58,9 @@
   GPtrArray *ends;    /* of End */
   GPtrArray *waiters; /* of Waiter */
   GHashTable *over;   /* task to the highest run that ended or was stopped */
+  Faults faults;
 };
 
-/* Replies to X with STATUS and O, which is freed. */
-void
-standin_reply (Exchange *x, unsigned status, json_object *o)
-{
-  char *text = json_serialize_free (o);
-
-  exchange_reply (x, 0, status, "Content-Type: application/json", text,
-                  strlen (text));
-  g_free (text);
-}
-
-/* Returns X's body, NULL if it can't be read; the caller frees it. */
-json_object *
-standin_body (const Exchange *x, Findings *findings)
-{
-  return json_parse ((const char *)x->body->data, x->body->len, findings);
-}
-
 static void
 print_at (const Runner *r, ClockMs at, const char *what)
 {
@@ -161,17 +152,58 @@
   return at ? (int)strtol (at + strlen (name), NULL, 10) : missing;
 }
 
-static void
-add_run (Runner *r, const char *task, gint64 number, const char *text)
+/* Whether the step of TASK, ID.K.STEP.INDEX, lasts by TEXT: all steps do where
+   it says "perpetual", one where it says "perpetual=STEP". */
+static gboolean
+is_perpetual (const char *text, const char *task)
+{
+  const char *word = strstr (text, "perpetual");
+  char **parts = g_strsplit (task, ".", TASK_PARTS);
+  gboolean is = word != NULL;
+
+  if (is && word[strlen ("perpetual")] == '=' &&
+      g_strv_length (parts) == TASK_PARTS)
+    is = number_in (word, "=", 0) == strtol (parts[TASK_STEP], NULL, 10);
+  g_strfreev (parts);
+  return is;
+}
+
+/* A task is at work for "ms=N", then done.  One that lasts is fully at work
+   after that time, until it is stopped.  With "failat=N" a run fails then,
+   unless it has ended before. */
+static Run *
+run_new (const char *task, gint64 number, const char *text)
 {
   Run *run = g_new0 (Run, 1);
+  ClockMs fails;
 
   run->task = g_strdup (task);
   run->run = number;
   run->begun = server_now ();
-  run->ends = run->begun + number_in (text, "ms=", DEFAULT_TASK_MS);
+  run->full = run->begun + number_in (text, "ms=", DEFAULT_TASK_MS);
+  run->ends = is_perpetual (text, task) ? CLOCK_NEVER : run->full;
+  run->how = "done";
+  fails = run->begun + number_in (text, "failat=", G_MAXINT);
+  if (fails < run->ends)
+    {
+      run->ends = fails;
+      run->how = "failed";
+    }
+  return run;
+}
+
+/* Begins run NUMBER of TASK; IS_LATE if its start was carried out late. */
+static void
+add_run (Runner *r,
+         const char *task,
+         gint64 number,
+         const char *text,
+         gboolean is_late)
+{
+  Run *run = run_new (task, number, text);
+
   g_ptr_array_add (r->runs, run);
-  print_run (r, run->begun, "start", task, number, "");
+  print_run (r, run->begun, "start", task, number, is_late ? "late" : "");
 }
 
 /* A lease is never shortened.  Prints what call X asks for and what is granted,
@@ -195,7 +227,7 @@
 /* Starts what O asks for, unless it is there.  Returns why not, NULL when it
    is there then. */
 static const char *
-start_run (Runner *r, json_object *o, Findings *f)
+start_run (Runner *r, json_object *o, gboolean is_late, Findings *f)
 {
   const char *task = json_string (o, "task", "", f);
   gint64 number = json_int (o, "run", 0, &json_range_id, f);
@@ -208,7 +240,7 @@
     return "late";
   if (run || number <= last_over (r, task))
     return "old";
-  add_run (r, task, number, json_string (o, "spec", "", f));
+  add_run (r, task, number, json_string (o, "spec", "", f), is_late);
   return NULL;
 }
 
@@ -220,9 +252,9 @@
   Run *run = find_run (r, task);
 
   set_over (r, task, number);
-  if (!run || run->run > number || run->stopping)
+  if (!run || run->run > number || run->how == stopped)
     return;
-  run->stopping = TRUE;
+  run->how = stopped;
   run->ends = server_now () + STOP_MS;
 }
 
@@ -241,7 +273,7 @@
 {
   json_object *row = json_object_new_array ();
   ClockMs percent = FULL_PERCENT * (server_now () - run->begun) /
-                    MAX (run->ends - run->begun, 1);
+                    MAX (run->full - run->begun, 1);
 
   json_object_array_add (row, json_object_new_string (run->task));
   json_object_array_add (row, json_object_new_int64 (run->run));
@@ -325,7 +357,7 @@
 static void
 take_start (Runner *r, Exchange *x, json_object *o, Findings *f)
 {
-  const char *reason = start_run (r, o, f);
+  const char *reason = start_run (r, o, x->deferred, f);
 
   if (g_strcmp0 (reason, "late") != 0)
     renew (r, x, o, f);
@@ -373,6 +405,7 @@
 void
 runner_on_request (Exchange *x, void *runner)
 {
+  static const char *const no_fields[] = { NULL };
   Runner *r = runner;
   Findings f;
   json_object *o;
@@ -380,11 +413,13 @@
   runner_look (r);
   findings_init (&f);
   o = standin_body (x, &f);
-  if (!is_meant (r, x))
+  if (strcmp (x->path, fault_path) == 0)
+    faults_on_request (&r->faults, x, o, no_fields, &f);
+  else if (!is_meant (r, x))
     standin_reply (x, MHD_HTTP_MISDIRECTED_REQUEST, runner_json (r));
   else if (!o)
     standin_reply (x, MHD_HTTP_BAD_REQUEST, json_object_new_object ());
-  else
+  else if (!faults_strike (&r->faults, x))
     take_order (r, x, o, &f);
   if (o)
     json_object_put (o);
@@ -439,7 +474,7 @@
       Run *run = g_ptr_array_index (r->runs, i);
 
       if (run->ends <= server_now ())
-        end_run (r, run, server_now (), run->stopping ? "stopped" : "done");
+        end_run (r, run, server_now (), run->how);
     }
   answer_waiters (r);
 }
@@ -469,6 +504,7 @@
   Runner *r = g_new0 (Runner, 1);
 
   r->life = *life;
+  r->faults.where = life->id;
   r->runs = g_ptr_array_new_with_free_func (run_free);
   r->ends = g_ptr_array_new_with_free_func (end_free);
   r->waiters = g_ptr_array_new_with_free_func (g_free);
--- a/standin/runner.h
+++ b/standin/runner.h
@@ -3,7 +3,6 @@
 
 #include <glib.h>
 
-#include "json.h"
 #include "server.h"
 
 /* One life of one of the platform's runners: its runs, their lease, the ends
@@ -37,7 +36,5 @@
 void runner_look (Runner *r);
 void runner_print (const Runner *r, const char *what);
 char *runner_entry_text (const RunnerEntry *e);
-void standin_reply (Exchange *x, unsigned status, json_object *o);
-json_object *standin_body (const Exchange *x, Findings *findings);
 
 #endif
--- a/standin/server.c
+++ b/standin/server.c
@@ -1,8 +1,10 @@
 #include "server.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -10,6 +12,7 @@
 static const unsigned idle_timeout_s = 600;
 static const unsigned max_connections = 900;
 static const int max_wait_ms = 1000;
+static const ClockMs abandoned_look_ms = 50;
 
 struct Port
 {
@@ -66,13 +69,24 @@
   Exchange *x = g_new0 (Exchange, 1);
 
   x->port = port;
-  x->method = method;
+  x->method = g_intern_string (method); /* outlives the connection */
   x->path = g_strdup (path);
   x->body = g_byte_array_new ();
   x->connection = connection;
   return x;
 }
 
+static void
+exchange_free (Exchange *x)
+{
+  timer_heap_stop (&x->port->server->timers, &x->timer);
+  if (x->response)
+    MHD_destroy_response (x->response);
+  g_byte_array_unref (x->body);
+  g_free (x->path);
+  g_free (x);
+}
+
 static enum MHD_Result
 queue_reply (Exchange *x)
 {
@@ -129,19 +143,13 @@
               void **state,
               enum MHD_RequestTerminationCode code)
 {
-  Port *port = data;
   Exchange *x = *state;
 
+  (void)data;
   (void)connection;
   (void)code;
-  if (!x)
-    return;
-  timer_heap_stop (&port->server->timers, &x->timer);
-  if (x->response)
-    MHD_destroy_response (x->response);
-  g_byte_array_unref (x->body);
-  g_free (x->path);
-  g_free (x);
+  if (x)
+    exchange_free (x);
   *state = NULL;
 }
 
@@ -179,14 +187,23 @@
   return TRUE;
 }
 
+static void
+resume (Exchange *x)
+{
+  x->suspended = FALSE;
+  MHD_resume_connection (x->connection);
+}
+
 static void
 on_due (Core *c, Timer *t)
 {
   Exchange *x = t->owner;
 
   (void)c;
-  x->suspended = FALSE;
-  MHD_resume_connection (x->connection);
+  if (x->deferred)
+    exchange_free (x);
+  else
+    resume (x);
 }
 
 static int
@@ -265,6 +282,19 @@
   return MHD_lookup_connection_value (x->connection, MHD_HEADER_KIND, name);
 }
 
+static struct MHD_Response *
+make_response (const char *header, const void *data, gsize n)
+{
+  struct MHD_Response *response =
+      MHD_create_response_from_buffer (n, (void *)data, MHD_RESPMEM_MUST_COPY);
+  char **parts = header ? g_strsplit (header, ": ", 2) : NULL;
+
+  if (parts && parts[0] && parts[1])
+    MHD_add_response_header (response, parts[0], parts[1]);
+  g_strfreev (parts);
+  return response;
+}
+
 /* Replies to X after DELAY ms with STATUS, an optional HEADER "Name: value"
    and a copy of the N bytes at DATA. */
 void
@@ -275,14 +305,10 @@
                 const void *data,
                 gsize n)
 {
-  char **parts = header ? g_strsplit (header, ": ", 2) : NULL;
-
   x->status = status;
-  x->response =
-      MHD_create_response_from_buffer (n, (void *)data, MHD_RESPMEM_MUST_COPY);
-  if (parts && parts[0] && parts[1])
-    MHD_add_response_header (x->response, parts[0], parts[1]);
-  g_strfreev (parts);
+  if (!x->loses_answer)
+    x->response = make_response (header, data, n);
+  delay += x->delay;
   if (delay <= 0 && !x->suspended)
     return;
   exchange_hang (x);
@@ -311,7 +337,8 @@
   if (x->suspended)
     return;
   x->suspended = TRUE;
-  MHD_suspend_connection (x->connection);
+  if (!x->deferred)
+    MHD_suspend_connection (x->connection);
 }
 
 /* Closes X's connection without a reply: the handler only has to return. */
@@ -321,6 +348,65 @@
   x->suspended = FALSE;
 }
 
+static gboolean
+caller_is_gone (const Exchange *x)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (x->connection,
+                               MHD_CONNECTION_INFO_CONNECTION_FD);
+  char byte;
+  ssize_t n = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  return n == 0 || (n < 0 && errno != EAGAIN);
+}
+
+static void
+on_abandoned (Core *c, Timer *t)
+{
+  Exchange *x = t->owner;
+
+  (void)c;
+  if (caller_is_gone (x))
+    resume (x);
+  else
+    server_arm (x->port->server, t, server_now () + abandoned_look_ms);
+}
+
+/* Never replies to X, whose connection stays open until its caller closes it.
+   The handler doesn't see X again. */
+void
+exchange_abandon (Exchange *x)
+{
+  exchange_hang (x);
+  x->timer = (Timer) { .fire = on_abandoned, .owner = x };
+  server_arm (x->port->server, &x->timer, server_now () + abandoned_look_ms);
+}
+
+static void
+on_deferred (Core *c, Timer *t)
+{
+  Exchange *x = t->owner;
+
+  (void)c;
+  x->port->handle (x, x->port->data);
+  if (!x->suspended)
+    exchange_free (x);
+}
+
+/* Abandons X, and has a copy of it handled after DELAY ms, whether its caller
+   is there or not.  The copy has no connection, headers or query. */
+void
+exchange_defer (Exchange *x, ClockMs delay)
+{
+  Exchange *copy = exchange_new (x->port, NULL, x->method, x->path);
+
+  g_byte_array_append (copy->body, x->body->data, x->body->len);
+  copy->deferred = TRUE;
+  copy->timer = (Timer) { .fire = on_deferred, .owner = copy };
+  server_arm (x->port->server, &copy->timer, server_now () + delay);
+  exchange_abandon (x);
+}
+
 /* Reads X's body into REC, which has been made by rec_new.  On a fault X
    is answered with status 400 and the findings, and FALSE returned. */
 gboolean
--- a/standin/server.h
+++ b/standin/server.h
@@ -27,6 +27,9 @@
   Timer timer;
   gboolean suspended;
   gboolean handled;
+  ClockMs delay;         /* of its answer, besides what the handler asks for */
+  gboolean loses_answer; /* the connection closes in place of the answer */
+  gboolean deferred;     /* has no connection: nobody gets its answer */
 } Exchange;
 
 typedef void (*ExchangeFunc) (Exchange *x, void *data);
@@ -56,6 +59,8 @@
                             const void *rec);
 void exchange_hang (Exchange *x);
 void exchange_close (Exchange *x);
+void exchange_abandon (Exchange *x);
+void exchange_defer (Exchange *x, ClockMs delay);
 gboolean
 exchange_record (Exchange *x, const RecDesc *d, void *rec, RecMissing missing);
 
