--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -217,6 +217,12 @@
         again = self.run_lines("a.0.0.0", ACKED + 9000, ACKED + 9500, number=2)
         self.assertEqual(self.judge([job], log, again)[0], 1)
 
+    def test_failed_job_that_is_asked_for_late(self):
+        log = self.run_lines("a.0.0.0", ACKED + 100, ACKED + 200, "failed")
+        self.assertEqual(self.judge([make_job()], log)[0], 1)
+        job = make_job(state="failed", final=self.UNTIL)
+        self.assertEqual(self.judge([job], log)[0], 0)
+
     def test_without_room_for_it_twice(self):
         wide = make_job(dict(STEP, count=5, gang=True))
         self.assertEqual(self.judge([wide], [])[0], 0)
--- a/tools/soak/jobs.py
+++ b/tools/soak/jobs.py
@@ -6,12 +6,13 @@
 
 LONG_MS = (3000, 11000)  # a task that outlasts an entry and a lease
 SHORT_MS = (200, 2500)
-LASTING_MS = (4000, 9000)  # a run of a task that is begun anew whenever it ends
+LASTING_MS = (2000, 9000)  # after which a lasting task may fail
 FINAL = ("completed", "cancelled", "failed")
 N_QUEUES = 3
 TRIES = 4
 CANCEL_SHARE = 0.1
 LASTING_SHARE = 0.08
+HOPELESS_SHARE = 0.04  # jobs whose every run fails
 
 
 class Job:
@@ -45,7 +46,8 @@
     """Returns a job that nobody has handed in yet."""
     if lasting:
         step = {"count": rng.randint(1, 2), "cpu": 4000, "gpu": 1, "perpetual": True}
-        return Job(name, rng.randrange(N_QUEUES), "ms=%d" % rng.randint(*LASTING_MS), [step])
+        fails = " failat=%d" % rng.randint(*LASTING_MS) if rng.random() < 0.5 else ""
+        return Job(name, rng.randrange(N_QUEUES), "perpetual ms=300" + fails, [step])
     gang = rng.random() < 0.3
     count = rng.randint(1, 4)
     length = rng.randint(*(LONG_MS if rng.random() < 0.45 else SHORT_MS))
@@ -55,7 +57,8 @@
     steps = [step]
     if rng.random() < 0.3:
         steps.append({"count": 1, "cpu": 1000, "estimateMs": 300, "after": [0]})
-    return Job(name, rng.randrange(N_QUEUES), "ms=%d" % length, steps)
+    fails = " failat=%d" % rng.randint(50, 150) if rng.random() < HOPELESS_SHARE else ""
+    return Job(name, rng.randrange(N_QUEUES), "ms=%d%s" % (length, fails), steps)
 
 
 async def hand_in(callers, job, cancel, on_accepted):
--- a/tools/soak/site_faults.py
+++ b/tools/soak/site_faults.py
@@ -7,7 +7,8 @@
 from clients import fetch
 from ledger import STABLE_MS, STORE
 
-SITE_SERIES = ["term_roll", "power_loss", "host_term", "host_hup", "config_storm"]
+SITE_SERIES = ["term_roll", "power_loss", "host_term", "host_hup", "config_storm",
+               "store_trouble", "runner_late", "runner_hang"]
 ALONE = {"term_roll"}  # with nothing else wrong
 POWER_MS = 300  # after an acceptance was acknowledged
 ROLL_PAUSE_S = (0.2, 2)
@@ -98,10 +99,47 @@
             await self.wait(rng.uniform(0, 0.3))
         self.soak.ledger.end(STORE, "config")
 
-    async def inject(self, port, subject, fault):
-        """Has the stand-in at PORT play FAULT, and waits until that is over."""
+    # What the stand-in injects.
+
+    async def store_trouble(self, rng):
+        """The store is slow, refuses, loses answers, is late, forgets."""
+        fault = {"forMs": rng.randint(800, 5000)}
+        kind = rng.choice(["slowMs", "refuse", "loseAnswers", "late", "mixed"])
+        if kind in ("slowMs", "mixed"):
+            fault["slowMs"] = rng.randint(20, 900)
+        if kind in ("late", "mixed"):
+            fault |= {"late": 0.2, "lateMs": [100, rng.randint(500, 4000)]}
+        if kind in ("refuse", "loseAnswers", "mixed"):
+            fault["refuse" if kind == "refuse" else "loseAnswers"] = rng.uniform(0.1, 0.7)
+        fault["reports"] = rng.random() < 0.3
+        fault["forgetHistory"] = rng.random() < 0.4
+        await self.inject(rng, self.soak.ports.store, STORE, fault)
+
+    async def runner_late(self, rng):
+        """Runners leave orders unanswered and carry them out later."""
+        await self.inject_some(rng, lambda: {
+            "late": rng.uniform(0.2, 0.8), "lateMs": [50, rng.randint(400, 7000)],
+            "loseAnswers": rng.choice([0, 0.2])})
+
+    async def runner_hang(self, rng):
+        """Runners leave calls unanswered, or lose the answers."""
+        await self.inject_some(rng, lambda: {
+            rng.choice(["hang", "hang", "loseAnswers"]): rng.uniform(0.2, 1)})
+
+    async def inject_some(self, rng, draw):
+        runners = rng.sample(self.soak.runners, rng.randint(1, 1 + len(self.soak.runners) // 4))
+        await asyncio.gather(*[
+            self.inject(rng, self.soak.ports.runner(runner.index), runner.subject,
+                        draw() | {"forMs": rng.randint(1000, 7000)}) for runner in runners])
+
+    async def inject(self, rng, port, subject, fault):
+        """Has the stand-in at PORT play FAULT, and waits until nothing of it
+        is left."""
         self.soak.note("%s %s" % (subject, json.dumps(fault)))
         self.soak.ledger.begin(subject, "inject")
-        await fetch(port, "POST", "/standin/fault", json.dumps(fault))
-        await asyncio.sleep(fault["forMs"] / 1000)
+        fault["seed"] = rng.randrange(1 << 32)
+        status, answer = await fetch(port, "POST", "/standin/fault", json.dumps(fault))
+        if status == 400:
+            raise ValueError(answer)
+        await asyncio.sleep((fault["forMs"] + fault.get("lateMs", [0, 0])[1]) / 1000)
         self.soak.ledger.end(subject, "inject")
