--- a/src/fetch.h
+++ b/src/fetch.h
@@ -33,6 +33,8 @@
 typedef struct FetchTraffic
 {
   gint64 calls;
+  gint64 ended;
+  gint64 overdue;     /* ended here, as libcurl had not after their time-out */
   gint64 connections; /* made for them */
   gint64 sent;
   gint64 received;
