Tests: two tests of waits fail again without their fix

Cause: later fixes cover both cases. A stop without an answer ends its run 13 s after the start, and StopThatReachedAnotherWorkerIsSentAgain looked 20 s later. The core takes a hold without a reply for lost, which gives up the start in StartThatWasNeverSentIsGivenUp.

Change: the first test looks after 4 s instead of 20, and waits 4 s for the second job instead of 8. For the deadline there is a new test in which nothing is lost: a distant worker that takes two connections has 24 starts sent one after the other, and another worker is free.

--- a/tests/queue_standing_test.cc
+++ b/tests/queue_standing_test.cc
@@ -67,11 +67,12 @@
       swap_addresses (w, worker, 1 - worker);
       w.run (1000);
       w.workers[1 - worker].reply_delay = 0;
-      w.run (20000);
+      /* Before a stop without an answer would end its run anyway. */
+      w.run (4000);
       w.submit (0, { "q1/0000000000000502",
                      world_body (world_step (2, 1000, 8, ",\"gang\":true"),
                                  "ms=1000 gang=2") });
-      w.run (8000);
+      w.run (4000);
       EXPECT_EQ (w.state_of ("0000000000000502"), "completed");
       w.expect_no_violations ();
     }
@@ -131,6 +132,22 @@
   w.expect_no_violations ();
 }
 
+/* The distant worker takes few connections and has its starts sent one after
+   the other; it answers all the time. */
+TEST (QueueStanding, StartsThatWaitLongForTheirTurnGoToAnotherWorker)
+{
+  QueueWorld w (1, 2);
+
+  w.workers[0].max_connections = 2;
+  w.workers[0].reply_delay = 300;
+  w.run (5000);
+  w.submit (0, { "q1/" + job_id,
+                 world_body (world_step (24, 1000, 0), "ms=1000") });
+  w.run (6000);
+  EXPECT_EQ (w.state_of (job_id), "completed");
+  w.expect_no_violations ();
+}
+
 TEST (QueueStanding, StopWithoutAnswerEndsOnceItsStartCanNoLongerArrive)
 {
   QueueWorld w (1, 2);
