Scheduler: listings of records in a file of their own

Moved to listing.c with its prefix: heal, unlist, on_list, listing_send (list_records), listing_after_loss (list_after_loss) and their constants. sched_check_ready (check_ready) is shared.

--- a/src/sched.c
+++ b/src/sched.c
@@ -1,23 +1,15 @@
 #include "sched_state.h"
 
-#include "member.h"
-
 #include <string.h>
 
 enum
 {
-  SCHED_READY_MS = 1500,         /* the first plan waits so long for reports */
-  SCHED_TICK_MS = 1000,          /* between looks at table and quarantines */
-  SCHED_LIST_MS = 10000,         /* the least time between listings */
-  SCHED_LIST_BYTES_PER_S = 2000, /* what listings may cost on average */
-  SCHED_LIST_SOON_MS = 1000,     /* after a host was lost */
-  SCHED_ORPHAN_MS = 5000,    /* for the hosts to tell of jobs the store lost */
-  SCHED_LIST_RETRY_MS = 500, /* while no listing has come */
-  SCHED_BACKOFF_MS = 500,    /* after a first failed run, then doubled */
-  SCHED_MAX_STEPS = 256      /* of the plan in one go */
+  SCHED_READY_MS = 1500,  /* the first plan waits so long for reports */
+  SCHED_TICK_MS = 1000,   /* between looks at table and quarantines */
+  SCHED_BACKOFF_MS = 500, /* after a first failed run, then doubled */
+  SCHED_MAX_STEPS = 256   /* of the plan in one go */
 };
 
-static void list_records (Core *c, Timer *t);
 static void plan_run (Core *c, Timer *t);
 static void tick (Core *c, Timer *t);
 static void on_ready_bound (Core *c, Timer *t);
@@ -70,7 +62,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, orphans_free);
   s->writer = g_strdup_printf ("%s-%" G_GINT64_FORMAT, c->cfg->host,
                                c->cfg->incarnation);
-  s->list_timer.fire = list_records;
+  s->list_timer.fire = listing_send;
   s->plan_timer.fire = plan_run;
   s->ready_timer.fire = on_ready_bound;
   s->tick_timer.fire = tick;
@@ -293,27 +285,13 @@
   return FALSE;
 }
 
-/* Looks for jobs whose news a lost host may have taken with it, long before
-   the next listing if there are many records. */
-static void
-list_after_loss (Core *c)
-{
-  Sched *s = c->sched;
-  guint n_live = member_n_live (c);
-
-  if (n_live < s->n_live && s->list_timer.slot &&
-      s->list_timer.at > c->now + SCHED_LIST_SOON_MS)
-    core_arm (c, &s->list_timer, c->now + SCHED_LIST_SOON_MS);
-  s->n_live = n_live;
-}
-
 static void
 tick (Core *c, Timer *t)
 {
   Sched *s = c->sched;
 
   core_arm (c, t, c->now + SCHED_TICK_MS);
-  list_after_loss (c);
+  listing_after_loss (c);
   rec_list_clear (sched_name_desc (), &s->role.full);
   sched_account (c, &s->role.full);
   plan_tick (s->plan, c->now);
@@ -532,42 +510,10 @@
          !j->writing;
 }
 
-/* A record that the store has lost, or has in an older state, is written
-   again: the store went back, and its jobs have not. */
-static void
-heal (Core *c, const StoreReply *r)
-{
-  Sched *s = c->sched;
-  GHashTableIter it;
-  gpointer value;
-
-  (void)r;
-  g_hash_table_iter_init (&it, s->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      Job *j = value;
-
-      if (j->listed || j->writing || j->unwritten ||
-          j->written_at >= s->list_sent)
-        continue;
-      j->revision = 0;
-      job_write (c, j);
-    }
-}
-
-static void
-unlist (Core *c)
-{
-  GHashTableIter it;
-  gpointer value;
-
-  g_hash_table_iter_init (&it, c->sched->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    ((Job *)value)->listed = FALSE;
-}
-
-static void
-check_ready (Core *c)
+/* Plans as soon as all workers have reported, and the records are known or
+   the store is away. */
+void
+sched_check_ready (Core *c)
 {
   Sched *s = c->sched;
 
@@ -576,56 +522,6 @@
     core_arm (c, &s->ready_timer, c->now);
 }
 
-static void
-on_list (Core *c, const StoreReply *r, gpointer owner, guint64 arg)
-{
-  Sched *s = c->sched;
-  gint64 bytes = 0;
-  guint i;
-
-  (void)owner;
-  (void)arg;
-  s->list_call = 0;
-  if (r->status != STORE_OK && r->status != STORE_MISSING)
-    {
-      core_arm (c, &s->list_timer, c->now + SCHED_LIST_RETRY_MS);
-      return;
-    }
-  unlist (c);
-  /* Of work that a scheduler before this one had, an older state is read. */
-  s->went_back = !s->records_known && r->revision < s->role.store_revision;
-  for (i = 0; i < r->items.n && role_is_held (c); i++)
-    {
-      const StoreItem *item = rec_list_at (store_item_desc (), &r->items, i);
-
-      bytes += item->value ? (gint64)g_bytes_get_size (item->value) : 0;
-      sched_job_seen (c, item->value, item->revision);
-    }
-  if (!role_is_held (c))
-    return;
-  heal (c, r);
-  s->records_known = TRUE;
-  if (c->now - s->taken_at >= SCHED_ORPHAN_MS)
-    adopt_reap (c, s->list_sent);
-  core_arm (c, &s->list_timer,
-            c->now +
-                MAX (SCHED_LIST_MS, bytes * 1000 / SCHED_LIST_BYTES_PER_S));
-  check_ready (c);
-}
-
-static void
-list_records (Core *c, Timer *t)
-{
-  Sched *s = c->sched;
-  char *key = g_strdup_printf ("jobs/%s/", c->cfg->domain);
-  StoreCall call = { .op = STORE_LIST, .key = key };
-
-  (void)t;
-  s->list_sent = c->now;
-  s->list_call = store_submit (c, STORE_FOR_JOB, &call, on_list, NULL, 0);
-  g_free (key);
-}
-
 static gint
 by_acceptance (gconstpointer a, gconstpointer b)
 {
@@ -737,7 +633,7 @@
       lease_report (c, w);
     }
   core_arm (c, &s->ready_timer, c->now + SCHED_READY_MS);
-  list_records (c, NULL);
+  listing_send (c, NULL);
 }
 
 static void
@@ -802,7 +698,7 @@
 {
   lease_on_reply (c, e);
   if (role_is_held (c))
-    check_ready (c);
+    sched_check_ready (c);
 }
 
 /* Takes the sign of a scheduler. */
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -15,6 +15,7 @@
 /* What the modules of the scheduler share.  For these alone:
    sched.c        the domain's jobs and workers, while the role is held
    role.c         the scheduler's role: the store's lease and a term
+   listing.c      listings of the domain's records
    job.c          records of jobs in the store
    gang.c         one run of a job, all parts or none
    lease.c        renewals of workers' leases, and their reports
@@ -206,6 +207,10 @@
 void sched_leave (Core *c);
 void sched_cancel (Core *c, Job *j);
 void sched_notify_waiters (Core *c, Job *j);
+void sched_check_ready (Core *c);
+
+void listing_send (Core *c, Timer *t);
+void listing_after_loss (Core *c);
 
 void job_count_write (Core *c, const StoreReply *r);
 void job_write (Core *c, Job *j);
