--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -198,12 +198,13 @@
     raise RuntimeError("no free ports")
 
 
-def make_host(ports, i, work, ledger):
+def make_host(ports, i, work, link_mbps, ledger):
     settings = {"node": "h%d" % i, "zone": "z", "ip": "127.0.0.1",
                 "listen": {"front": "127.0.0.1:%d" % ports.host(i),
                            "readiness": "127.0.0.1:%d" % ports.host(i, 1)},
                 "portRange": [ports.host(i, 2), ports.host(i, 8)],
-                "limits": {"cpuShare": 0.25}, "bounds": {"graceS": GRACE_S},
+                "limits": {"cpuShare": 0.25, "linkMbps": link_mbps},
+                "bounds": {"graceS": GRACE_S},
                 "platform": {"address": "127.0.0.1:%d" % ports.host(i, 9)}}
     path = "%s/h%d.json" % (work, i)
     with open(path, "w", encoding="utf-8") as f:
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -34,6 +34,7 @@
 ASKS_PER_S = 60  # of all who ask for accepted jobs, while the faults go on
 ASK_RECENT = 40  # jobs, mostly
 ATTEMPTS = 4
+LINK_MBPS = (2, 10, 1000)  # of a host, by its settings: calls wait for the link
 
 
 class Soak:
@@ -95,8 +96,9 @@
         await self.until(lambda: self.configure(1), 10)
         for runner in self.runners:
             await runner.begin(self.rng)
+        link_mbps = random.Random("%d/link" % self.o.seed).choice(LINK_MBPS)
         for i in range(self.o.hosts):
-            self.hosts.append(make_host(self.ports, i, self.work, self.ledger))
+            self.hosts.append(make_host(self.ports, i, self.work, link_mbps, self.ledger))
             await self.hosts[i].start()
         for i in range(self.o.hosts):
             await self.until(lambda i=i: self.is_ready(i), 20)
@@ -302,7 +304,7 @@
              ["stood: %s" % s for s in soak.stands] + soak.log)
     if broken:
         print("\n".join(lines))
-    if options.keep and (broken or soak.freed or soak.doubts):
+    if options.keep:
         keep(work, options, lines)
     print("soak: seed %d %s, %s" % (options.seed, "BROKEN" if broken else "ok", soak.summary()))
     shutil.rmtree(work)
