Intake: answers and the store's replies have files of their own

What is answered and logged moved to intake_answer.c, what the store replies and what becomes of requests that get no reply to intake_reply.c, what they share to intake_state.h. Pure moves; functions that are seen across the files got the module's prefix.

--- a/queue/intake.c
+++ b/queue/intake.c
@@ -1,94 +1,15 @@
-#include "intake.h"
+#include "intake_state.h"
 
-#include "caller_timeouts.h"
-#include "time_budget.h"
-
-#include <apr_ring.h>
 #include <string.h>
 
 enum
 {
   CALL_TIMEOUT_MS = 600,
-  RETRY_DELAY_MS = 80,
-  DEFAULT_CALLER_TIMEOUT_MS = 3000,
-  HTTP_OK = 200,
-  HTTP_BAD_REQUEST = 400,
-  HTTP_UNAUTHORIZED = 401,
-  HTTP_NOT_FOUND = 404,
-  HTTP_GONE = 410,
-  HTTP_UNAVAILABLE = 503,
-  HTTP_GATEWAY_TIMEOUT = 504
+  DEFAULT_CALLER_TIMEOUT_MS = 3000
 };
 
 static const gint64 milli_per_unit = 1000;
 
-#define INTAKE_COUNTERS(X)                                                     \
-  X (INTAKE_ACCEPTED, "accepted")                                              \
-  X (INTAKE_REPEATED, "repeated")                                              \
-  X (INTAKE_CANCELLED, "cancelled")                                            \
-  X (INTAKE_REFUSED, "refused")                                                \
-  X (INTAKE_OUTCOME_UNKNOWN, "unsure")                                         \
-  X (INTAKE_INVALID, "invalid")
-
-#define INTAKE_ENUM(kind, name) kind,
-typedef enum IntakeCounter
-{
-  INTAKE_COUNTERS (INTAKE_ENUM) N_INTAKE_COUNTERS
-} IntakeCounter;
-
-/* The store call that a pending request waits for. */
-typedef enum Stage
-{
-  STAGE_WRITE, /* write the job's record */
-  STAGE_READ,  /* read the job, to see whether it exists */
-  STAGE_CANCEL /* write the cancellation's record */
-} Stage;
-
-/* A request that waits for the store. */
-typedef struct Pending
-{
-  APR_RING_ENTRY (Pending) link;
-  gint64 request_id;
-  RequestOp op;
-  Stage stage;
-  char *job_id;
-  char *workspace;
-  GBytes *record;
-  gint64 call_id;
-  gboolean outcome_unknown; /* a write may have been executed, or still be */
-  guint attempts;
-  ClockMs received_at;
-  ClockMs call_started_at; /* of the last call */
-  ClockMs next_attempt_at; /* CLOCK_NEVER while a call is in flight */
-  TimeBudget budget;
-  ClockMs answer_deadline; /* latest time to send the answer */
-  ClockMs conf_age;        /* age of the configuration at RECEIVED_AT */
-} Pending;
-
-APR_RING_HEAD (PendingRing, Pending);
-
-struct Intake
-{
-  Effects *fx;
-  JobCache *job_cache;
-  Feed *feed;
-  const Waiting *waiting;
-  const StoreHealth *store_health;
-  gboolean
-      job_cache_complete; /* JOB_CACHE has the current state of every job */
-  IntakeDecodeJob decode_job;
-  ClockMs max_conf_age;
-  Conf *conf;
-  ClockMs now;
-  ClockMs wall;
-  ClockMs conf_age;  /* for the request being handled */
-  TimeBudget budget; /* of the request being handled */
-  CallerTimeouts timeouts;
-  struct PendingRing pending;
-  guint n_pending;
-  gint64 counters[N_INTAKE_COUNTERS];
-};
-
 /* Returns a new intake.  It stores jobs under JOB_CACHE's keys and passes the
    items that it reads or writes to FEED, which updates JOB_CACHE.  WAITING
    holds the numbers of waiting jobs, STORE_HEALTH when the store last answered
@@ -117,8 +38,9 @@
   return in;
 }
 
-static void
-pending_free (Intake *in, Pending *p)
+/* Frees P, which has been answered. */
+void
+intake_pending_free (Intake *in, Pending *p)
 {
   APR_RING_REMOVE (p, link);
   in->n_pending--;
@@ -136,7 +58,7 @@
   Pending *p, *next;
 
   APR_RING_FOREACH_SAFE (p, next, &in->pending, Pending, link)
-    pending_free (in, p);
+    intake_pending_free (in, p);
   conf_unref (in->conf);
   caller_timeouts_clear (&in->timeouts);
   g_free (in);
@@ -167,64 +89,6 @@
   in->job_cache_complete = job_cache_complete;
 }
 
-static void
-answer (Intake *in, gint64 request, const Answer *a)
-{
-  Answer full = *a;
-
-  full.request = request;
-  effects_answer (in->fx, &full);
-}
-
-static void
-refuse (Intake *in, gint64 request, int status, const char *why)
-{
-  in->counters[status == HTTP_BAD_REQUEST ? INTAKE_INVALID : INTAKE_REFUSED]++;
-  answer (in, request,
-          &(Answer) { .status = status, .body = ANSWER_ERROR, .text = why });
-}
-
-/* Refuses REQUEST, for which nothing has been stored, with status 503 and a
-   Retry-After of AFTER milliseconds. */
-static void
-refuse_temporarily (Intake *in, gint64 request, ClockMs after, const char *why)
-{
-  in->counters[INTAKE_REFUSED]++;
-  answer (in, request,
-          &(Answer) { .status = HTTP_UNAVAILABLE,
-                      .body = ANSWER_ERROR,
-                      .text = why,
-                      .may_retry = TRUE,
-                      .retry_after = after });
-}
-
-static void
-answer_state (Intake *in, gint64 request, const JobEntry *entry)
-{
-  answer (in, request,
-          &(Answer) { .status = HTTP_OK,
-                      .body = ANSWER_STATE,
-                      .text = spec_state_name (job_cache_state (entry)) });
-}
-
-static void
-log_outcome (Intake *in, const Pending *p, const char *event, int status)
-{
-  effects_log (in->fx,
-               "event=%s job=%s workspace=%s status=%d conf=%" G_GINT64_FORMAT
-               " conf_age_ms=%" CLOCK_MS_FORMAT " tries=%u",
-               event, p->job_id, p->workspace ? p->workspace : "", status,
-               in->conf ? in->conf->version : 0, p->conf_age, p->attempts);
-}
-
-/* Answers P with STATUS and an empty body, and frees it. */
-static void
-finish (Intake *in, Pending *p, int status)
-{
-  answer (in, p->request_id, &(Answer) { .status = status });
-  pending_free (in, p);
-}
-
 static KvCall *
 write_call (const Pending *p)
 {
@@ -265,8 +129,9 @@
   return call;
 }
 
-static void
-start_call (Intake *in, Pending *p)
+/* Sends the store call of P's stage. */
+void
+intake_start_call (Intake *in, Pending *p)
 {
   KvCall *call = p->stage == STAGE_WRITE  ? write_call (p)
                  : p->stage == STAGE_READ ? read_call (p)
@@ -289,7 +154,7 @@
 {
   p->stage = stage;
   p->attempts = 0;
-  start_call (in, p);
+  intake_start_call (in, p);
 }
 
 static ClockMs
@@ -379,13 +244,14 @@
   if (known && known->job)
     {
       in->counters[INTAKE_REPEATED]++;
-      answer (in, request->id, &(Answer) { .status = HTTP_OK });
+      intake_answer (in, request->id, &(Answer) { .status = HTTP_OK });
       return;
     }
   record = build_record (in, request, id, route, workspace);
   if (!record)
     {
-      refuse (in, request->id, HTTP_BAD_REQUEST, "the job cannot be read");
+      intake_refuse (in, request->id, HTTP_BAD_REQUEST,
+                     "the job cannot be read");
       return;
     }
   p = pending_new (in, request, id);
@@ -396,20 +262,20 @@
 
 /* Answers P, or goes on with its cancellation, now that its job, ENTRY, is
    known. */
-static void
-continue_with_job (Intake *in, Pending *p, const JobEntry *entry)
+void
+intake_continue (Intake *in, Pending *p, const JobEntry *entry)
 {
   JobState state = job_cache_state (entry);
 
   if (p->op == REQUEST_STATE)
     {
-      answer_state (in, p->request_id, entry);
-      pending_free (in, p);
+      intake_answer_state (in, p->request_id, entry);
+      intake_pending_free (in, p);
     }
   else if (entry->cancelled)
-    finish (in, p, HTTP_OK);
+    intake_finish (in, p, HTTP_OK);
   else if (spec_state_is_final (state))
-    finish (in, p, HTTP_GONE);
+    intake_finish (in, p, HTTP_GONE);
   else
     enter_stage (in, p, STAGE_CANCEL);
 }
@@ -430,7 +296,7 @@
   Pending *p = pending_new (in, request, id);
 
   if (entry && entry->job && is_current (in, entry))
-    continue_with_job (in, p, entry);
+    intake_continue (in, p, entry);
   else
     enter_stage (in, p, STAGE_READ);
 }
@@ -450,14 +316,15 @@
   const char *id = request->path + strlen (route->prefix);
 
   if (!*id && request->op == REQUEST_STATE)
-    answer (in, request->id,
-            &(Answer) { .status = HTTP_OK,
-                        .body = ANSWER_WAITING,
-                        .number = waiting_count (in->waiting, route->name) });
+    intake_answer (in, request->id,
+                   &(Answer) { .status = HTTP_OK,
+                               .body = ANSWER_WAITING,
+                               .number =
+                                   waiting_count (in->waiting, route->name) });
   else if (!is_job_id (id))
-    refuse (in, request->id, HTTP_BAD_REQUEST, "not a job's id");
+    intake_refuse (in, request->id, HTTP_BAD_REQUEST, "not a job's id");
   else if (!time_budget_allows_write (in->budget.remaining))
-    refuse_temporarily (in, request->id, 0, "too little time is left");
+    intake_refuse_temporarily (in, request->id, 0, "too little time is left");
   else if (request->op == REQUEST_SUBMIT)
     submit (in, request, id, route, workspace);
   else
@@ -493,38 +360,27 @@
                    "event=request_refused path=%s status=%d"
                    " conf_age_ms=%" CLOCK_MS_FORMAT,
                    request->path, HTTP_UNAVAILABLE, conf_age);
-      refuse_temporarily (in, request->id,
-                          time_budget_retry_after (&in->budget, FALSE),
-                          "configuration not confirmed");
+      intake_refuse_temporarily (in, request->id,
+                                 time_budget_retry_after (&in->budget, FALSE),
+                                 "configuration not confirmed");
       return;
     }
   route = conf_find_route (in->conf, request->host, request->path);
   if (!route)
     {
-      refuse (in, request->id, HTTP_NOT_FOUND, "no such queue");
+      intake_refuse (in, request->id, HTTP_NOT_FOUND, "no such queue");
       return;
     }
   if (request->token)
     workspace = conf_find_workspace_by_token (in->conf, request->token);
   if (!route->allows_anonymous && !workspace)
     {
-      refuse (in, request->id, HTTP_UNAUTHORIZED, "unknown token");
+      intake_refuse (in, request->id, HTTP_UNAUTHORIZED, "unknown token");
       return;
     }
   route_request (in, request, route, workspace);
 }
 
-static Pending *
-find_pending (Intake *in, gint64 call_id)
-{
-  Pending *p;
-
-  APR_RING_FOREACH (p, &in->pending, Pending, link)
-    if (p->call_id == call_id)
-      return p;
-  return NULL;
-}
-
 /* Drops REQUEST, whose caller has disconnected.  A write in flight may still
    be executed; the job is then accepted nevertheless. */
 void
@@ -535,227 +391,11 @@
   APR_RING_FOREACH (p, &in->pending, Pending, link)
     if (p->request_id == request)
       {
-        pending_free (in, p);
+        intake_pending_free (in, p);
         return;
       }
 }
 
-static void
-apply_write (Intake *in, const char *key, GBytes *value, gint64 revision)
-{
-  KvItem *item = kv_item_new (key, value, revision);
-
-  feed_apply (in->feed, item, in->fx);
-  kv_item_free (item);
-}
-
-static void
-on_written (Intake *in, Pending *p, gint64 revision)
-{
-  char *key = job_cache_spec_key (p->job_id);
-
-  in->counters[INTAKE_ACCEPTED]++;
-  log_outcome (in, p, "job_accepted", HTTP_OK);
-  apply_write (in, key, p->record, revision);
-  g_free (key);
-  finish (in, p, HTTP_OK);
-}
-
-static void
-apply_items (Intake *in, const KvReply *reply)
-{
-  guint i;
-
-  for (i = 0; reply->items && i < reply->items->len; i++)
-    {
-      const KvItem *item = g_ptr_array_index (reply->items, i);
-
-      if (item->value && item->revision > 0)
-        feed_apply (in->feed, item, in->fx);
-    }
-}
-
-static void
-on_cancelled (Intake *in, Pending *p, gint64 revision)
-{
-  char *key = job_cache_cancel_key (p->job_id);
-  GBytes *value = g_bytes_new_static ("1", 1);
-
-  in->counters[INTAKE_CANCELLED]++;
-  log_outcome (in, p, "cancel_accepted", HTTP_OK);
-  apply_write (in, key, value, revision);
-  g_bytes_unref (value);
-  g_free (key);
-  finish (in, p, HTTP_OK);
-}
-
-static void
-on_read (Intake *in, Pending *p, const KvReply *reply)
-{
-  const JobEntry *entry;
-
-  apply_items (in, reply);
-  entry = job_cache_find (in->job_cache, p->job_id);
-  if (entry && entry->job)
-    continue_with_job (in, p, entry);
-  else
-    finish (in, p, HTTP_GONE);
-}
-
-static void
-on_conflict (Intake *in, Pending *p, const KvReply *reply)
-{
-  const JobEntry *entry;
-
-  apply_items (in, reply);
-  if (p->stage == STAGE_WRITE)
-    {
-      log_outcome (in, p, p->outcome_unknown ? "job_accepted" : "job_known",
-                   HTTP_OK);
-      in->counters[p->outcome_unknown ? INTAKE_ACCEPTED : INTAKE_REPEATED]++;
-      finish (in, p, HTTP_OK);
-      return;
-    }
-  entry = job_cache_find (in->job_cache, p->job_id);
-  finish (in, p, entry && entry->cancelled ? HTTP_OK : HTTP_GONE);
-}
-
-/* Answers P, for which the store could not be reached, and frees it.  A write
-   that was sent may still be executed: the answer is then 504, and 503 only if
-   certainly nothing was written. */
-static void
-answer_store_failure (Intake *in, Pending *p)
-{
-  if (p->outcome_unknown)
-    {
-      in->counters[INTAKE_OUTCOME_UNKNOWN]++;
-      log_outcome (in, p, "request_refused", HTTP_GATEWAY_TIMEOUT);
-      refuse (in, p->request_id, HTTP_GATEWAY_TIMEOUT,
-              "the store did not answer");
-    }
-  else
-    {
-      log_outcome (in, p, "request_refused", HTTP_UNAVAILABLE);
-      refuse_temporarily (in, p->request_id,
-                          time_budget_retry_after (&p->budget, TRUE),
-                          "the store is not reached");
-    }
-  pending_free (in, p);
-}
-
-/* Answers P from the job cache, which may be out of date, if P asks for the
-   state of a job that the job cache has; else returns FALSE. */
-static gboolean
-answer_from_job_cache (Intake *in, Pending *p)
-{
-  const JobEntry *entry = job_cache_find (in->job_cache, p->job_id);
-
-  if (p->stage != STAGE_READ || p->op != REQUEST_STATE || !entry || !entry->job)
-    return FALSE;
-  continue_with_job (in, p, entry);
-  return TRUE;
-}
-
-/* Tells whether the caller of P, whose call has failed with STATUS, should try
-   another host: the store has answered no call of this host since P's call
-   began, and P has been tried here for long enough. */
-static gboolean
-should_try_other_host (const Intake *in, const Pending *p, KvStatus status)
-{
-  ClockMs span = time_budget_outage_wait (&p->budget, status == KV_REFUSED);
-
-  return in->store_health->last_success < p->call_started_at &&
-         in->now - p->received_at >= span;
-}
-
-static void
-on_failure (Intake *in, Pending *p, KvStatus status)
-{
-  if (answer_from_job_cache (in, p))
-    return;
-  if (status == KV_OUTCOME_UNKNOWN && p->stage != STAGE_READ)
-    p->outcome_unknown = TRUE;
-  if (in->now + RETRY_DELAY_MS >= p->answer_deadline ||
-      should_try_other_host (in, p, status))
-    answer_store_failure (in, p);
-  else
-    p->next_attempt_at = in->now + RETRY_DELAY_MS;
-}
-
-static void
-on_success (Intake *in, Pending *p, const KvReply *reply)
-{
-  if (p->stage == STAGE_WRITE)
-    on_written (in, p, reply->revision);
-  else if (p->stage == STAGE_READ && !kv_reply_is_list (reply))
-    on_failure (in, p, KV_OUTCOME_UNKNOWN);
-  else if (p->stage == STAGE_READ)
-    on_read (in, p, reply);
-  else
-    on_cancelled (in, p, reply->revision);
-}
-
-/* Handles REPLY if it belongs to one of IN's calls, else returns FALSE. */
-gboolean
-intake_on_kv_reply (Intake *in, const KvReply *reply)
-{
-  Pending *p = find_pending (in, reply->id);
-
-  if (!p)
-    return FALSE;
-  p->call_id = 0;
-  switch (reply->status)
-    {
-    case KV_OK:
-      on_success (in, p, reply);
-      break;
-    case KV_CONFLICT:
-      on_conflict (in, p, reply);
-      break;
-    case KV_MISSING:
-      finish (in, p, HTTP_GONE);
-      break;
-    default:
-      on_failure (in, p, reply->status);
-    }
-  return TRUE;
-}
-
-/* Repeats failed calls that are due, and answers requests whose deadline has
-   passed. */
-void
-intake_tick (Intake *in)
-{
-  Pending *p, *next;
-
-  APR_RING_FOREACH_SAFE (p, next, &in->pending, Pending, link)
-    {
-      if (p->next_attempt_at > in->now)
-        continue;
-      if (in->now >= p->answer_deadline)
-        answer_store_failure (in, p);
-      else
-        start_call (in, p);
-    }
-}
-
-/* Answers all pending requests, as the process is about to end.  A write in
-   flight may have been executed, or still be. */
-void
-intake_stop (Intake *in)
-{
-  Pending *p, *next;
-
-  APR_RING_FOREACH_SAFE (p, next, &in->pending, Pending, link)
-    {
-      if (answer_from_job_cache (in, p))
-        continue;
-      if (p->call_id && p->stage != STAGE_READ)
-        p->outcome_unknown = TRUE;
-      answer_store_failure (in, p);
-    }
-}
-
 /* Returns when intake_tick is due, or CLOCK_NEVER. */
 ClockMs
 intake_next_deadline (const Intake *in)
