Calls: a transfer that begins as another one is answered has its deadline at once

What callers saw: nothing reported; found in review. A call that libcurl doesn't end was ended up to 200 ms later than intended.

Cause: libcurl also starts transfers as it acts on a ready socket of another one. curl_loop_run armed the deadlines of new transfers only after libcurl's timer, so that such a transfer waited for that timer first: the 200 ms of its connection race, or the connect time-out.

Evidence, before: a trial line in curl_loop_run shows new transfers without a deadline, libcurl's timer being due in up to 172 ms (60 of 60 calls that began together with the answer to another one). Of 8 runs of the new test 5 failed, the last end being 156 to 169 ms beyond the bound; libcurl loses the time-out only in some calls.

Fix: the deadlines are armed in each run. A transfer that was added before the run has been started by then: libcurl asks for its timer at once when one is added.

After: 8 of 8 runs pass.

--- a/src/curl_loop.c
+++ b/src/curl_loop.c
@@ -140,7 +140,8 @@
   curl_multi_remove_handle (c->multi, t->easy);
 }
 
-/* Sets the timers of the transfers that libcurl has just started. */
+/* Sets the timers of the transfers that libcurl has just started, by its timer
+   or as the socket of another one was ready. */
 static void
 watch_started (CurlLoop *c)
 {
@@ -172,8 +173,8 @@
     {
       c->timer = CLOCK_NEVER;
       act (c, CURL_SOCKET_TIMEOUT, 0);
-      watch_started (c);
     }
+  watch_started (c);
   while ((m = curl_multi_info_read (c->multi, &left)))
     if (m->msg == CURLMSG_DONE)
       ops->ended (owner, m->easy_handle, m->data.result);
--- a/tests/fetch_test.cc
+++ b/tests/fetch_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <time.h>
 #include <unistd.h>
+#include <vector>
 
 extern "C"
 {
@@ -183,3 +184,108 @@
     EXPECT_EQ (count_ended_calls (n, connect_timeout + more, 1500), n)
         << more << " ms after the connect time-out";
 }
+
+/* Answers each request for /answer on LISTENER and stays silent to all others,
+   until LISTENER is shut down.  Adds the connections to OPEN. */
+static void
+serve_some (int listener, std::vector<int> *open)
+{
+  for (int fd; (fd = accept (listener, nullptr, nullptr)) >= 0;)
+    {
+      char request[2000];
+      ssize_t n = read (fd, request, sizeof request);
+      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+      if (std::string (request, std::max<ssize_t> (n, 0)).find ("/answer") !=
+          std::string::npos)
+        n = write (fd, answer.data (), answer.size ());
+      open->push_back (fd);
+    }
+}
+
+/* Calls to one kind of peer that have ended. */
+struct Ends
+{
+  Loop *loop;
+  int n = 0;
+  ClockMs last_at = 0;
+};
+
+static void
+note_end (void *owner, gint64 tag, const FetchReply *reply)
+{
+  Ends *ends = (Ends *)owner;
+
+  (void)tag;
+  (void)reply;
+  ends->n++;
+  ends->last_at = loop_now (ends->loop);
+}
+
+static const ClockMs call_timeout = 601;
+
+static void
+begin (Fetch *fetch, const std::string &url, FetchTraffic *traffic, Ends *ends)
+{
+  FetchCall call = {};
+
+  call.method = "GET";
+  call.url = url.c_str ();
+  call.timeout = call_timeout;
+  call.fresh = TRUE;
+  call.traffic = traffic;
+  call.done = note_end;
+  call.owner = ends;
+  fetch_start (fetch, &call);
+}
+
+/* libcurl also starts a transfer when the socket of another one is ready. */
+TEST (Fetch, CallThatBeginsAsAnotherIsAnsweredEndsAtItsTimeOut)
+{
+  const int n = 100;
+  int port;
+  int listener = listen_on_loopback (&port, 2 * n);
+  std::vector<int> open;
+  std::thread server (serve_some, listener, &open);
+  Loop *loop = loop_new ();
+  std::vector<Fetch *> fetches;
+  FetchTraffic traffic = {};
+  std::string base = "http://127.0.0.1:" + std::to_string (port);
+  Ends answered { loop }, ended { loop };
+  ClockMs began, longest_step = 0;
+  auto step = [&] {
+    ClockMs before = loop_now (loop);
+
+    loop_poll (loop, 5);
+    for (Fetch *f : fetches)
+      fetch_run (f);
+    longest_step = std::max (longest_step, loop_read_clock (loop) - before);
+  };
+
+  for (int i = 0; i < n; i++)
+    {
+      fetches.push_back (fetch_new (loop));
+      begin (fetches[i], base + "/answer", &traffic, &answered);
+      fetch_run (fetches[i]);
+    }
+  step ();
+  usleep (30000);
+  longest_step = 0;
+  began = loop_read_clock (loop);
+  for (Fetch *f : fetches)
+    begin (f, base + "/silent", &traffic, &ended);
+  while (ended.n < n && loop_now (loop) < began + 3 * call_timeout)
+    step ();
+  EXPECT_EQ (answered.n, n);
+  EXPECT_EQ (ended.n, n);
+  /* Ended by the loop itself 100 ms late, and noticed by the next step. */
+  EXPECT_LE (ended.last_at, began + call_timeout + 120 + 2 * longest_step);
+  for (Fetch *f : fetches)
+    fetch_free (f);
+  loop_free (loop);
+  shutdown (listener, SHUT_RDWR);
+  server.join ();
+  for (int fd : open)
+    close (fd);
+  close (listener);
+}
