Soak: cuts stand in the ledger; hopeless jobs that stand are in doubt

The check was wrong: runners 0 and 2 were cut off until 2646755 and 2647231, and cuts weren't in the ledger at all; nor was the rest of an injected fault when another one of the same port ended. LedgerTest.test_link_that_is_cut, which fails with the proxy as it was. Other jobs are judged at that time as before.

Jobs are drawn from a sequence of their own, so that a seed hands in the same ones.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """The soak's checks on fabricated logs: each is broken when it should be, and
 isn't where the rule has an exception."""
+import asyncio
 import os
 import sys
 import tempfile
@@ -13,7 +14,9 @@
 import standing
 from clients import COMPLETE, EOF, PARTIAL, RESET, Request
 from jobs import Job
-from ledger import NEVER, STORE, Ledger
+from ledger import NEVER, STORE, Ledger, now_ms
+from processes import free_ports
+from proxy import Link
 
 TERM_AT = 100000
 ACKED = 100000
@@ -223,6 +226,11 @@
         job = make_job(state="failed", final=self.UNTIL)
         self.assertEqual(self.judge([job], log)[0], 0)
 
+    def test_hopeless_job_that_stands_is_in_doubt(self):
+        job = make_job()
+        job.text = "ms=1000 failat=100"
+        self.assertEqual(self.judge([job], [])[:2], (0, 1))
+
     def test_without_room_for_it_twice(self):
         wide = make_job(dict(STEP, count=5, gang=True))
         self.assertEqual(self.judge([wide], [])[0], 0)
@@ -277,6 +285,20 @@
 
 
 class LedgerTest(unittest.TestCase):
+    def test_link_that_is_cut(self):
+        async def cut(kind, ledger):
+            link = Link(free_ports(1, 1).store, 1, ledger, "h0")
+            await link.cut_off(kind)
+            during = ledger.disrupted("h0", now_ms(), now_ms())
+            await link.heal()
+            await link.stop()
+            return during
+
+        for kind in "silent", "refuse", "one_way":
+            ledger = Ledger()
+            self.assertTrue(asyncio.run(cut(kind, ledger)))
+            self.assertEqual(ledger.open, {})
+
     def test_calm_spans(self):
         ledger = make_ledger((1000, 2000, "h0", "stop"), (7000, 8000, "runner 1", "away"),
                              (7500, 7600, "h0", "hup"))
--- a/tools/soak/jobs.py
+++ b/tools/soak/jobs.py
@@ -32,6 +32,11 @@
     def lasting(self):
         return any(step.get("perpetual") for step in self.steps)
 
+    @property
+    def hopeless(self):
+        """Fails whenever it runs; the rules count such a job as a disruption."""
+        return "failat=" in self.text and not self.lasting
+
     def body(self):
         return json.dumps({"spec": self.text, "steps": self.steps})
 
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -37,6 +37,7 @@
     async def cut_off(self, kind):
         """Cuts both ways: "silent", "refuse" (at once), or "one_way": what
         the target says is lost."""
+        self.ledger.begin(self.subject, self.kind)
         self.silent_in = kind in ("silent", "one_way")
         self.silent_out = kind == "silent"
         self.cut = None if kind == "one_way" else kind
@@ -46,7 +47,6 @@
 
     async def heal(self):
         """Ends every fault.  Connections that lost bytes are reset."""
-        self.ledger.end(self.subject, self.kind)
         lost = self.silent_out or self.silent_in
         self.delay = 0.0
         self.silent_out = self.silent_in = False
@@ -54,6 +54,7 @@
         await self.set_down(self.down)
         if lost:
             self.reset()
+        self.ledger.end(self.subject, self.kind)
 
     async def listen_as(self, cut):
         async with self.lock:
--- a/tools/soak/site_faults.py
+++ b/tools/soak/site_faults.py
@@ -136,10 +136,11 @@
         """Has the stand-in at PORT play FAULT, and waits until nothing of it
         is left."""
         self.soak.note("%s %s" % (subject, json.dumps(fault)))
-        self.soak.ledger.begin(subject, "inject")
+        kind = "inject %d" % rng.randrange(1 << 32)  # as others may overlap
+        self.soak.ledger.begin(subject, kind)
         fault["seed"] = rng.randrange(1 << 32)
         status, answer = await fetch(port, "POST", "/standin/fault", json.dumps(fault))
         if status == 400:
             raise ValueError(answer)
         await asyncio.sleep((fault["forMs"] + fault.get("lateMs", [0, 0])[1]) / 1000)
-        self.soak.ledger.end(subject, "inject")
+        self.soak.ledger.end(subject, kind)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -40,6 +40,7 @@
 class Soak:
     def __init__(self, options, work):
         self.rng = random.Random(options.seed)
+        self.job_rng = random.Random("%d/jobs" % options.seed)  # drawn from in their order only
         self.o = options
         self.work = work
         self.ports = (Ports(options.port, options.hosts, options.runners) if options.port
@@ -130,10 +131,10 @@
 
     def draw(self):
         active = sum(job.lasting and not job.cancelled for job in self.jobs.values())
-        lasting = self.rng.random() < LASTING_SHARE and active < MOST_LASTING
-        job = draw_job(self.rng, "%016x" % (len(self.jobs) + 1), lasting)
+        lasting = self.job_rng.random() < LASTING_SHARE and active < MOST_LASTING
+        job = draw_job(self.job_rng, "%016x" % (len(self.jobs) + 1), lasting)
         self.jobs[job.name] = job
-        return job, not lasting and self.rng.random() < CANCEL_SHARE
+        return job, not lasting and self.job_rng.random() < CANCEL_SHARE
 
     async def submit(self):
         job, cancel = self.draw()
@@ -305,15 +306,17 @@
     if broken:
         print("\n".join(lines))
     if options.keep:
-        keep(work, options, lines)
+        keep(work, options, lines, soak.ledger)
     print("soak: seed %d %s, %s" % (options.seed, "BROKEN" if broken else "ok", soak.summary()))
     shutil.rmtree(work)
     sys.exit(1 if broken else 0)
 
 
-def keep(work, options, lines):
+def keep(work, options, lines, ledger):
     with open(work + "/soak.log", "w", encoding="utf-8") as f:
         f.write("\n".join(lines) + "\n")
+    with open(work + "/ledger.log", "w", encoding="utf-8") as f:
+        f.writelines("%d %d %s %s\n" % tuple(span) for span in ledger.spans)
     shutil.copytree(work, "%s/seed-%d" % (options.keep, options.seed), dirs_exist_ok=True)
 
 
