Tests: the look at what stands passes over jobs that are over

The check of each simulated run looked at all steps of all jobs ten times a second of virtual time: QueueSearch.NothingStandsBesideFaultyWorkers ran for minutes in a plain build beside other work.

--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -306,6 +306,7 @@
     bool guaranteed = false;
     /* Whether the guarantee was kept has been decided. */
     bool guarantee_checked = false;
+    bool all_done = false; /* all steps of all occurrences */
     bool urgent = false;
     /* Submitted with workspace alpha's initial key. */
     bool own_workspace = false;
