--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -18,7 +18,6 @@
 
 struct Owner
 {
-  HttpServer *server = nullptr;
   std::vector<gint64> requests;
 };
 
@@ -116,7 +115,6 @@
       }
   };
 
-  owner.server = s;
   ASSERT_TRUE (http_server_listen (s, HTTP_LISTENER_CALLERS, "127.0.0.1", 0,
                                    nullptr));
   guint port = http_server_port (s, HTTP_LISTENER_CALLERS);
@@ -156,6 +154,36 @@
   loop_free (loop);
 }
 
+TEST (HttpServerStopped, ConnectionsThatWaitToBeAcceptedAreAnswered)
+{
+  Loop *loop = loop_new ();
+  Owner owner;
+  HttpServer *s = http_server_new (loop, &ops, &owner);
+  std::vector<int> fds;
+  int answered = 0;
+
+  ASSERT_TRUE (http_server_listen (s, HTTP_LISTENER_CALLERS, "127.0.0.1", 0,
+                                   nullptr));
+  for (int i = 0; i < 50; i++)
+    {
+      std::string text = post (10);
+
+      fds.push_back (connect_to (http_server_port (s, HTTP_LISTENER_CALLERS)));
+      EXPECT_GT (write (fds[i], text.data (), text.size ()), 0);
+    }
+  http_server_drain (s);
+  http_server_stop (s);
+  http_server_run (s);
+  http_server_free (s);
+  for (int fd : fds)
+    {
+      answered += count (read_to_end (fd), "HTTP/1.1 503") == 1;
+      close (fd);
+    }
+  EXPECT_EQ (answered, 50);
+  loop_free (loop);
+}
+
 INSTANTIATE_TEST_SUITE_P (Bodies,
                           HttpServerStop,
                           testing::Values (0, 10, 3000, 60000));
