Stop: all connections that wait to be accepted are accepted before a host stops listening

What callers saw: nothing reported; found in review. Callers that connected to a host as it ended were reset.

Cause: one run of the HTTP library accepts about ten connections; stop_listening made one run and closed the listener.

Evidence, before (40 callers connect and send a request as the drain begins): shell_standing_test.cc:80: answered Which is: 11, 40 expected [ FAILED ] ShellStop.ConnectionsThatWaitToBeAcceptedAreAnswered

Fix: the library runs while the listening socket has a connection waiting, MAX_LAST_ACCEPTS runs at most, as none is accepted at the limit of connections.

After: the six tests of ShellStop pass, in 4 of 4 runs.

--- a/src/http.c
+++ b/src/http.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <arpa/inet.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -12,6 +13,7 @@
 
 enum
 {
+  MAX_LAST_ACCEPTS = 200, /* runs of a listener that is closed */
   LISTEN_BACKLOG = 1024,
   MEMORY_PER_CONNECTION = 16 << 10, /* headers and answer's head */
   SPARE_CONNECTIONS = 64, /* accepted while the oldest idle ones close */
@@ -325,13 +327,27 @@
               listener_deadline (&h->operators));
 }
 
+/* Tells whether a connection to L waits to be accepted. */
+static gboolean
+has_waiting (const Listener *l)
+{
+  const union MHD_DaemonInfo *info =
+      MHD_get_daemon_info (l->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  struct pollfd p = { .fd = info->listen_fd, .events = POLLIN };
+
+  return poll (&p, 1, 0) == 1;
+}
+
 static void
 stop_listening (Listener *l)
 {
   int fd;
+  guint n;
 
-  /* Connections that were not accepted would be reset. */
-  MHD_run (l->daemon);
+  /* Connections that were not accepted would be reset.  A run accepts some of
+     them, and none at the limit of connections. */
+  for (n = 0; n < MAX_LAST_ACCEPTS && has_waiting (l); n++)
+    MHD_run (l->daemon);
   fd = MHD_quiesce_daemon (l->daemon);
   if (fd >= 0)
     close (fd);
--- a/tests/shell_standing_test.cc
+++ b/tests/shell_standing_test.cc
@@ -65,6 +65,21 @@
   EXPECT_EQ (rest (c).find ("HTTP/1.1 503"), 0U);
 }
 
+TEST_F (ShellStop, ConnectionsThatWaitToBeAcceptedAreAnswered)
+{
+  Io *io = start ();
+  std::vector<Peer> waiting;
+  int answered = 0;
+  io_drain (io);
+  for (int i = 0; i < 40; i++)
+    waiting.push_back (caller (post ("waiting")));
+  run_to_exit ();
+  end ();
+  for (Peer &c : waiting)
+    answered += rest (c).find ("HTTP/1.1 503") == 0U;
+  EXPECT_EQ (answered, 40);
+}
+
 TEST_F (ShellStop, RequestWhoseBodyIsStillComingIsAnswered)
 {
   Io *io = start ();
