Tests: a request after a drain is sent after five steps, not after 50 ms

A busy machine may take longer than the linger for 50 ms. Fails with a linger of 0 as before; 40 of 40 repetitions pass beside a load of 24.

--- a/tests/shell_standing_test.cc
+++ b/tests/shell_standing_test.cc
@@ -55,8 +55,7 @@
   EXPECT_EQ (answer (c).find ("HTTP/1.1 200"), 0U);
   c.in.clear ();
   io_drain (io);
-  for (gint64 end = g_get_monotonic_time () + 50000;
-       g_get_monotonic_time () < end && !io_done (io);)
+  for (int i = 0; i < 5; i++)
     step ();
   EXPECT_FALSE (io_done (io));
   c.send (post ("late"));
