--- a/queue/runs.c
+++ b/queue/runs.c
@@ -13,12 +13,13 @@
   /* With short round trips, all attempts fit into the time that a gang waits
      for its members. */
   START_ATTEMPTS = 4,
-  /* How long a start is tried that gets no connection: half of the time that a
-     gang waits for its members. */
-  CONNECTION_WAIT_MS = 1500,
   UNHEALTHY_EXCLUSION_MS = 1500
 };
 
+/* How long a start is tried that gets no connection, in milliseconds: half of
+   the time that a gang waits for its members. */
+const ClockMs runs_connection_wait = 1500;
+
 static void
 pending_call_free (gpointer p)
 {
@@ -182,6 +183,7 @@
   placement->start_sent = TRUE;
   placement->order_attempts++;
   placement->last_order_at = d->now;
+  placement->last_start_at = d->now;
   placement->retry_at = CLOCK_NEVER;
   placement->call_id = runs_send (d, call, placement);
   begin_on_sent (d, placement->task);
@@ -240,6 +242,7 @@
       task->index, placement->run, placement->worker->entry->id, reason);
   placement->state = PLACEMENT_STOPPING;
   placement->stop_acked = FALSE;
+  placement->stopping_at = d->now;
   send_stop (d, placement);
 }
 
@@ -385,6 +388,7 @@
 {
   placement->state = PLACEMENT_STOPPING;
   placement->stop_acked = FALSE;
+  placement->stopping_at = d->now;
   send_stop (d, placement);
 }
 
@@ -471,7 +475,7 @@
   const PoolWorker *w = placement->worker;
 
   return reply->refused && placement->state == PLACEMENT_STARTING &&
-         d->now - placement->started_at <= CONNECTION_WAIT_MS &&
+         d->now - placement->started_at <= runs_connection_wait &&
          call_limit_serves_others (&w->calls, placement->last_order_at);
 }
 
@@ -559,11 +563,18 @@
     }
 }
 
+/* Tells whether a stop with a reply of STATUS may not have been executed. */
+static gboolean
+is_stop_unsure (RunStatus status)
+{
+  return status == RUN_LOST || status == RUN_UNSENT ||
+         status == RUN_UNHEALTHY || status == RUN_OTHER_INCARNATION;
+}
+
 static void
 on_stop (Dispatch *d, WorkPlacement *placement, const RunReply *reply)
 {
-  if (reply->status == RUN_LOST || reply->status == RUN_UNSENT ||
-      reply->status == RUN_UNHEALTHY)
+  if (is_stop_unsure (reply->status))
     {
       /* The count also includes the start orders sent, so the delay of the
          first stop retry is longer after several starts. */
@@ -658,55 +669,12 @@
     }
 }
 
-/* Returns a start that has waited for W's clock since SINCE or before, and was
-   never sent, or NULL. */
-static WorkPlacement *
-find_unread (PoolWorker *w, ClockMs since)
-{
-  WorkPlacement *placement;
-
-  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    if (placement->awaits_reading && !placement->start_sent &&
-        placement->started_at <= since)
-      return placement;
-  return NULL;
-}
-
-/* Gives up the starts that have waited for a reading of W's clock since SINCE:
-   W has not answered.  Nothing was sent, so that their tasks can start
-   elsewhere. */
-static void
-drop_unread (Dispatch *d, PoolWorker *w, ClockMs since)
-{
-  WorkPlacement *placement;
-
-  while ((placement = find_unread (w, since)))
-    {
-      quarantine_exclude (d, w, quarantine_exclusion_span);
-      runs_end (d, placement, RUN_STOPPED, NULL);
-    }
-}
-
-/* Handles that W did not answer the hold that was to read its clock. */
-void
-runs_on_silent (Dispatch *d, PoolWorker *w)
-{
-  drop_unread (d, w, d->now);
-}
-
-/* Handles that W, which serves others, took no connection for its hold. */
-void
-runs_on_hold_refused (Dispatch *d, PoolWorker *w)
-{
-  drop_unread (d, w, d->now - CONNECTION_WAIT_MS);
-}
-
 /* Handles REPLY to the pending start or stop order O. */
 void
 runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply)
 {
   PoolWorker *w = pool_find (&d->pool, o->worker);
-  WorkPlacement *placement = o->placement;
+  WorkPlacement *placement;
 
   if (reply->status == RUN_FENCED)
     {
@@ -717,13 +685,12 @@
       d->lost_role = TRUE;
       return;
     }
+  /* Frees the placement, unless W has another address by now. */
   if (reply->status == RUN_OTHER_INCARNATION && w)
-    {
-      runs_on_other_worker (d, w, o);
-      return;
-    }
-  if (w)
+    runs_on_other_worker (d, w, o);
+  else if (w)
     grant_check_clock (d, w, reply);
+  placement = o->placement;
   if (!placement && w && o->op == RUN_STOP && reply->status == RUN_OK)
     pool_late_start_refused (w, o->task, o->run);
   if (!placement)
--- a/src/ask.c
+++ b/src/ask.c
@@ -6,7 +6,8 @@
 
 enum
 {
-  CANCEL_WAIT_MS = 1500 /* for the scheduler, before the record is marked */
+  CANCEL_WAIT_MS = 1500, /* for the scheduler, before the record is marked */
+  RECORD_WAIT_MS = 10000 /* for the store, before an asker is answered */
 };
 
 /* A question after a job, or its cancellation, that needs the store. */
@@ -20,6 +21,7 @@
   JobRecord *rec;     /* found; to be cancelled */
   gint64 revision;
   gboolean marking; /* the scheduler did not answer in time */
+  gint64 call;      /* the store call under way, 0: none */
   Timer timer;
 } Ask;
 
@@ -53,15 +55,34 @@
   ask_end (c, a);
 }
 
+/* The end of A's job is not in the store in time.  A peer finds that out by
+   itself. */
+static void
+asker_overdue (Core *c, Timer *t)
+{
+  JobAsker *a = t->owner;
+  Job *j = a->job;
+
+  core_add (c, COUNT_JOB_ANSWERS_OVERDUE, 1);
+  if (!a->peer)
+    submit_fail (c, a->conn, OUTCOME_UNKNOWN, 503, j->rec->id,
+                 "the store has not recorded the job's end yet, ask again");
+  g_ptr_array_remove (j->askers, a);
+}
+
 /* Adds CONN, of this host or of PEER, to those that are told the recorded end
    of J. */
 void
-ask_add_asker (Job *j, gint64 conn, const char *peer)
+ask_add_asker (Core *c, Job *j, gint64 conn, const char *peer)
 {
   JobAsker *a = g_new (JobAsker, 1);
 
-  *a = (JobAsker) { .conn = conn, .peer = g_strdup (peer) };
+  *a = (JobAsker) { .job = j,
+                    .conn = conn,
+                    .peer = g_strdup (peer),
+                    .timer = { .fire = asker_overdue, .owner = a } };
   g_ptr_array_add (j->askers, a);
+  core_arm (c, &a->timer, c->now + RECORD_WAIT_MS);
 }
 
 static gboolean
@@ -82,13 +103,14 @@
     hint_tell_origin (c, j);
   for (i = 0; i < j->askers->len; i++)
     {
-      const JobAsker *a = g_ptr_array_index (j->askers, i);
+      JobAsker *a = g_ptr_array_index (j->askers, i);
       char *json = job_to_json (j->rec);
       SchedKnown m = { .id = j->rec->id,
                        .cancel = 1,
                        .conn = a->conn,
                        .json = g_bytes_new (json, strlen (json)) };
 
+      core_stop (c, &a->timer);
       if (left && !a->peer)
         submit_fail (c, a->conn, OUTCOME_UNKNOWN, 503, j->rec->id,
                      "the scheduler is changing, ask again");
@@ -114,7 +136,7 @@
     return FALSE;
   if (cancel || end_unwritten (j))
     {
-      ask_add_asker (j, q->conn, NULL);
+      ask_add_asker (c, j, q->conn, NULL);
       if (cancel)
         sched_cancel (c, j);
     }
@@ -140,6 +162,7 @@
   Ask *a = owner;
 
   (void)arg;
+  a->call = 0;
   job_count_write (c, r);
   if (r->status == STORE_OK)
     {
@@ -170,7 +193,7 @@
   rec_set_str (&a->rec->writer, c->sched->writer);
   a->rec->write = ++c->sched->last_write;
   put.value = job_encode (a->rec);
-  store_submit (c, STORE_FOR_JOB, &put, on_marked, a, 0);
+  a->call = store_submit (c, STORE_FOR_JOB, &put, on_marked, a, 0);
   g_bytes_unref (put.value);
   g_free (key);
 }
@@ -235,6 +258,7 @@
   Ask *a = owner;
 
   (void)arg;
+  a->call = 0;
   if (r->status == STORE_OK && r->items.n)
     ask_found (c, a, store_first_item (r));
   else if (r->status == STORE_OK || r->status == STORE_MISSING)
@@ -263,7 +287,7 @@
     }
   key = job_key (g_ptr_array_index (a->domains, 0), a->id);
   get.key = key;
-  store_submit (c, STORE_FOR_JOB, &get, on_looked, a, 0);
+  a->call = store_submit (c, STORE_FOR_JOB, &get, on_looked, a, 0);
   g_free (key);
 }
 
@@ -291,6 +315,11 @@
                      "token");
       return;
     }
+  if (c->sched->closed)
+    {
+      submit_refuse (c, q->conn, 503, "this host is shutting down");
+      return;
+    }
   if (!*util_str (q->id) || ask_here (c, q, cancel))
     {
       if (!*util_str (q->id))
@@ -324,6 +353,27 @@
   ask (c, e->body, TRUE);
 }
 
+/* Ends all questions under way, for the host stops. */
+void
+ask_close (Core *c)
+{
+  GList *list = g_hash_table_get_values (c->sched->asks);
+  GList *l;
+
+  for (l = list; l; l = l->next)
+    {
+      Ask *a = l->data;
+
+      if (a->call)
+        store_forget (c, a->call);
+      submit_fail (c, a->conn,
+                   a->cancel && a->rec ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, 503,
+                   a->id, "this host is shutting down, ask again");
+      ask_end (c, a);
+    }
+  g_list_free (list);
+}
+
 /* Passes the scheduler's answer M to a cancellation on to its caller. */
 void
 ask_cancel_answered (Core *c, const SchedKnown *m)
--- a/src/req.c
+++ b/src/req.c
@@ -59,14 +59,15 @@
   q->other_cost.ms = REQ_COST_FIRST_MS;
   q->tick = (Timer) { .fire = req_on_tick };
   q->drain_bound = (Timer) { .fire = on_drain_bound };
-  q->probes = g_new0 (Timer, c->cfg->upstreams.n);
+  q->probers = g_new0 (UpstreamProber, c->cfg->upstreams.n);
   for (i = 0; i < c->cfg->upstreams.n; i++)
     {
       const ConfigUpstream *u = config_upstream (c->cfg, i);
       gboolean own = strcmp (u->domain, c->cfg->domain) == 0;
 
       route_set_limit (q->route, route_add (q->route, u->name, own), !own);
-      q->probes[i] = (Timer) { .fire = req_on_probe };
+      q->probers[i].timer =
+          (Timer) { .fire = req_on_probe, .owner = &q->probers[i] };
     }
   return q;
 }
@@ -94,7 +95,7 @@
   route_free (q->route);
   slots_free (q->slots);
   claim_free (q->claims);
-  g_free (q->probes);
+  g_free (q->probers);
   g_free (q);
 }
 
@@ -308,7 +309,9 @@
 {
   Request *r = t->owner;
 
-  if (r->state == REQUEST_RUNNING)
+  if (r->asking)
+    req_ask_overdue (c, r);
+  else if (r->state == REQUEST_RUNNING)
     req_ask_upstream (c, r);
   else if (r->state == REQUEST_FOLLOWING && r->claim)
     claim_follow (c, r);
@@ -457,6 +460,9 @@
     core_reply_json (c, q->conn, 202, r->id, req_explain (c, r->id));
   else if (r)
     req_attach (c, r, q->conn);
+  else if (c->req->closed)
+    req_reply (c, q->conn, NULL, OUTCOME_UNKNOWN, 503,
+               "this host is shutting down, ask another", NULL);
   else
     {
       claim_make_id (q->workspace, q->id, id);
--- a/src/req_state.h
+++ b/src/req_state.h
@@ -96,7 +96,8 @@
   guint n_tried;
   int tried[ROUTE_MAX_TRIED];
   guint ask_failures;
-  gboolean lost;         /* the present attempt's connection broke */
+  gboolean asking; /* its upstream was asked; STEP is the answer's bound */
+  gboolean lost;   /* the present attempt's connection broke */
   Outcome known_outcome; /* if no more is heard of it */
   ClaimValue *claim;     /* the newest that is known */
   gint64 claim_revision; /* 0: none is known */
@@ -110,6 +111,13 @@
 
 APR_RING_HEAD (RequestRing, Request);
 
+/* Asks an unreachable upstream whether it is back. */
+typedef struct UpstreamProber
+{
+  Timer timer;
+  gboolean probing; /* TIMER is the answer's bound */
+} UpstreamProber;
+
 struct Req
 {
   GHashTable *by_id;   /* to Request */
@@ -134,7 +142,7 @@
   gint64 spill_bytes;
   ClockMs spill_at;
   Timer tick;
-  Timer *probes; /* one an upstream */
+  UpstreamProber *probers; /* one an upstream */
   Timer drain_bound;
   gboolean closed; /* a drain's bound has passed: nothing starts */
 };
@@ -180,6 +188,7 @@
 void req_on_silence (Core *c, Timer *t);
 void req_stop_step (Core *c, Request *r);
 void req_ask_upstream (Core *c, Request *r);
+void req_ask_overdue (Core *c, Request *r);
 void req_cancel_upstream (Core *c, Request *r);
 
 void req_learn_result (Core *c, Request *r, UpstreamResult result);
--- a/src/sched.c
+++ b/src/sched.c
@@ -1,5 +1,7 @@
 #include "sched_state.h"
 
+#include "member.h"
+
 #include <string.h>
 
 enum
@@ -8,6 +10,7 @@
   SCHED_TICK_MS = 1000,          /* between looks at table and quarantines */
   SCHED_LIST_MS = 10000,         /* the least time between listings */
   SCHED_LIST_BYTES_PER_S = 2000, /* what listings may cost on average */
+  SCHED_LIST_SOON_MS = 1000,     /* after a host was lost */
   SCHED_ORPHAN_MS = 5000,    /* for the hosts to tell of jobs the store lost */
   SCHED_LIST_RETRY_MS = 500, /* while no listing has come */
   SCHED_BACKOFF_MS = 500,    /* after a first failed run, then doubled */
@@ -18,6 +21,7 @@
 static void plan_run (Core *c, Timer *t);
 static void tick (Core *c, Timer *t);
 static void on_ready_bound (Core *c, Timer *t);
+static void on_drain_bound (Core *c, Timer *t);
 
 static void
 worker_free (gpointer p)
@@ -70,6 +74,7 @@
   s->plan_timer.fire = plan_run;
   s->ready_timer.fire = on_ready_bound;
   s->tick_timer.fire = tick;
+  s->drain_bound.fire = on_drain_bound;
   for (i = 0; i < c->cfg->workers.n; i++)
     if (strcmp (config_worker (c->cfg, i)->domain, c->cfg->domain) == 0)
       add_worker (s, config_worker (c->cfg, i));
@@ -142,6 +147,27 @@
   return submit_busy (c) || role_is_held (c);
 }
 
+/* The bound of a drain has passed: callers are answered with what is known,
+   and the role is left as it is. */
+static void
+on_drain_bound (Core *c, Timer *t)
+{
+  (void)t;
+  c->sched->closed = TRUE;
+  submit_close (c);
+  ask_close (c);
+  if (role_is_held (c))
+    core_add (c, COUNT_ROLES_CUT_OFF, 1);
+  role_drain (c);
+}
+
+/* Takes the start of a drain. */
+void
+sched_on_drain (Core *c)
+{
+  core_arm (c, &c->sched->drain_bound, c->now + c->cfg->drain_ms);
+}
+
 /* Sees each step of time before anything else acts on it: a holder that
    was paused beyond its lease steps down first. */
 void
@@ -241,6 +267,17 @@
   core_set (c, COUNT_JOBS_WAITING, plan_n_waiting (s->plan));
 }
 
+/* Tells whether a gang of phase P is worth waiting for in a drain: one whose
+   placement only the store can record is left to the next scheduler while
+   the store is away. */
+static gboolean
+is_step (Core *c, JobPhase p)
+{
+  if (p == PHASE_INTENT)
+    return store_is_up (c);
+  return p != PHASE_WAITING && p != PHASE_RUN && p != PHASE_ENDED;
+}
+
 /* Tells whether a gang is between its placement and its start, or its
    stop. */
 static gboolean
@@ -251,21 +288,32 @@
 
   g_hash_table_iter_init (&it, c->sched->jobs);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      JobPhase p = ((Job *)value)->phase;
-
-      if (p != PHASE_WAITING && p != PHASE_RUN && p != PHASE_ENDED)
-        return TRUE;
-    }
+    if (is_step (c, ((Job *)value)->phase))
+      return TRUE;
   return FALSE;
 }
 
+/* Looks for jobs whose news a lost host may have taken with it, long before
+   the next listing if there are many records. */
+static void
+list_after_loss (Core *c)
+{
+  Sched *s = c->sched;
+  guint n_live = member_n_live (c);
+
+  if (n_live < s->n_live && s->list_timer.slot &&
+      s->list_timer.at > c->now + SCHED_LIST_SOON_MS)
+    core_arm (c, &s->list_timer, c->now + SCHED_LIST_SOON_MS);
+  s->n_live = n_live;
+}
+
 static void
 tick (Core *c, Timer *t)
 {
   Sched *s = c->sched;
 
   core_arm (c, t, c->now + SCHED_TICK_MS);
+  list_after_loss (c);
   rec_list_clear (sched_name_desc (), &s->role.full);
   sched_account (c, &s->role.full);
   plan_tick (s->plan, c->now);
@@ -360,6 +408,8 @@
   g_free (key);
   drop_key (c, j);
   gang_drop (c, j);
+  if (j->askers->len)
+    sched_notify_waiters (c, j);
   job_forget_write (c, j);
   core_stop (c, &j->timer);
   g_hash_table_remove (c->sched->jobs, j->rec->id);
@@ -381,7 +431,8 @@
   ClockMs span = (ClockMs)SCHED_BACKOFF_MS << MIN (j->rec->evidence.n - 1, 6);
 
   j->failed = FALSE;
-  plan_end (c->sched->plan, &j->fleet, c->now, FALSE);
+  if (j->planned)
+    plan_end (c->sched->plan, &j->fleet, c->now, FALSE);
   j->planned = FALSE;
   j->timer.fire = try_again;
   j->timer.owner = j;
@@ -396,8 +447,13 @@
   j->rec->state = JOB_QUEUED;
   if (j->failed)
     back_off (c, j);
-  else
+  else if (j->planned)
     plan_requeue (c->sched->plan, &j->fleet, c->now);
+  else
+    {
+      j->planned = TRUE;
+      plan_submit (c->sched->plan, &j->fleet);
+    }
   if (j->rec->cancel)
     gang_cancel (c, j);
   else if (j->rec->saved_ms || !j->rec->repeatable)
--- a/src/sched_event.h
+++ b/src/sched_event.h
@@ -72,6 +72,8 @@
   X (COUNT_JOB_RUNS, "job_runs_total", "Starts of jobs' gangs.")               \
   X (COUNT_JOB_UNDONE, "job_runs_undone_total",                                \
      "Gangs given up before or after their start.")                            \
+  X (COUNT_JOB_ANSWERS_OVERDUE, "job_answers_overdue_total",                   \
+     "Askers told that a job's end is not recorded yet.")                      \
   X (COUNT_JOB_WRITES, "job_record_writes_total",                              \
      "Writes of job records to the store.")                                    \
   X (COUNT_JOBS_WAITING, "jobs_waiting", "Jobs of the domain that wait.")      \
@@ -79,6 +81,8 @@
   X (COUNT_WORKER_CALLS, "worker_calls_total", "Calls made to workers.")       \
   X (COUNT_WORKER_STALE, "worker_stale_total",                                 \
      "Calls that workers refused for a lower term.")                           \
+  X (COUNT_WORKER_OVERDUE, "worker_calls_overdue_total",                       \
+     "Calls to workers that the host itself ended.")                           \
   X (COUNT_RECLAIMS, "reclaims_total", "Gangs taken off borrowed room.")       \
   X (COUNT_MOVES, "moves_total", "Gangs moved against fragmentation.")         \
   X (COUNT_QUARANTINES, "worker_quarantines_total",                            \
@@ -86,6 +90,8 @@
   X (COUNT_SCHEDULER, "scheduler", "1 while this host has the role.")          \
   X (COUNT_SCHEDULER_TERM, "scheduler_term", "The term of the role.")          \
   X (COUNT_TAKEOVERS, "scheduler_takeovers_total", "Times the role came.")     \
+  X (COUNT_ROLES_CUT_OFF, "scheduler_roles_cut_off_total",                     \
+     "Drains whose bound passed while gangs were being started or stopped.")   \
   X (COUNT_STEPDOWNS, "scheduler_stepdowns_total", "Times the role went.")
 
 #define SCHED_NOTES(X)                                                         \
