--- a/queue/standing.c
+++ b/queue/standing.c
@@ -13,15 +13,20 @@
   MAX_LINES = 16      /* at a look */
 };
 
-/* Returns since when PLACEMENT has stood still, as of a look at NOW. */
+/* Notes a change of PLACEMENT's state since the last look. */
+static void
+note_state (WorkPlacement *placement, ClockMs now)
+{
+  if (placement->seen_state == placement->state)
+    return;
+  placement->seen_state = placement->state;
+  placement->seen_state_at = now;
+}
+
+/* Returns since when PLACEMENT has stood still. */
 static ClockMs
-still_since (WorkPlacement *placement, ClockMs now)
+still_since (const WorkPlacement *placement)
 {
-  if (placement->seen_state != placement->state)
-    {
-      placement->seen_state = placement->state;
-      placement->seen_state_at = now;
-    }
   return placement->state == PLACEMENT_RUNNING
              ? MAX (placement->seen_state_at, placement->sampled_at)
              : placement->seen_state_at;
@@ -85,8 +90,12 @@
   for (i = 0; i < step->spec->count; i++)
     {
       WorkPlacement *placement = step->tasks[i].placement;
-      ClockMs since = placement ? still_since (placement, d->now) : d->now;
+      ClockMs since;
 
+      if (!placement)
+        continue;
+      note_state (placement, d->now);
+      since = still_since (placement);
       if (d->now - since < STANDING_MS)
         continue;
       s->n[placement->state]++;
--- a/src/http.c
+++ b/src/http.c
@@ -1,11 +1,11 @@
 #include "http.h"
 
 #include "http_state.h"
+#include "mhd.h"
 
 #include <errno.h>
 #include <netinet/in.h>
 #include <arpa/inet.h>
-#include <poll.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -327,17 +327,6 @@
               listener_deadline (&h->operators));
 }
 
-/* Tells whether a connection to L waits to be accepted. */
-static gboolean
-has_waiting (const Listener *l)
-{
-  const union MHD_DaemonInfo *info =
-      MHD_get_daemon_info (l->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  struct pollfd p = { .fd = info->listen_fd, .events = POLLIN };
-
-  return poll (&p, 1, 0) == 1;
-}
-
 static void
 stop_listening (Listener *l)
 {
@@ -346,7 +335,7 @@
 
   /* Connections that were not accepted would be reset.  A run accepts some of
      them, and none at the limit of connections. */
-  for (n = 0; n < MAX_LAST_ACCEPTS && has_waiting (l); n++)
+  for (n = 0; n < MAX_LAST_ACCEPTS && mhd_has_waiting (l->daemon); n++)
     MHD_run (l->daemon);
   fd = MHD_quiesce_daemon (l->daemon);
   if (fd >= 0)
