--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -454,6 +454,9 @@
    name JOB.OCCURRENCE.STEP. */
 std::string task_unit (const std::string &task, bool gang);
 
+/* How long a placement may be in a state other than running, in ms. */
+extern const ClockMs world_max_placement_stand;
+
 std::string world_body (const std::string &steps,
                         const std::string &text = "ms=1000");
 std::string
