--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -47,10 +48,20 @@
         self.file.flush()
 
 
+_ports = iter(random.sample(range(20000, 32000), 2000))
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """Below the ports that connections are made from."""
+    for port in _ports:
+        with socket.socket() as s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
+    raise NotRun("no free port")
 
 
 # HTTP
