Review: a script that is told to end ends its hosts

The stand-ins take SIGTERM as an interrupt, so that the entry hosts are ended as at any other end; before, they would have been left.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -735,4 +735,5 @@
             print("held")
         return EXIT_BROKEN if d.breaks else EXIT_HELD
 
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(asyncio.run(run()))
