Review: scripts end all hosts first, then wait for them

Two hosts were left of scripts that got SIGTERM while their hosts started, and were ended by their ids. The signal now cancels the play, and all hosts are killed before any is waited for.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -697,10 +697,12 @@
         return answer.get("state") if status == 200 and answer else status
 
     async def stop(self):
-        for host in self.hosts:
-            if host.process and host.process.returncode is None:
-                host.process.kill()
-                await host.process.wait()
+        started = [h.process for h in self.hosts if h.process]
+        for process in started:
+            if process.returncode is None:
+                process.kill()
+        for process in started:
+            await process.wait()
 
     def keep_logs(self):
         if os.environ.get("KEEP_LOGS"):
@@ -719,13 +721,15 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         d = Deployment(case, n_hosts)
         d.record.add("trouble" if trouble else "no trouble")
         try:
             if not os.path.exists(NODE):
                 raise NotRun("target/wagtailpass-node is not built")
             await asyncio.wait_for(play(d, trouble), 110)
-        except (NotRun, asyncio.TimeoutError) as e:
+        except (NotRun, asyncio.TimeoutError, asyncio.CancelledError) as e:
             d.record.add("not run:", repr(e))
             print("not run: %r" % e)
             return EXIT_NOT_RUN
@@ -739,5 +743,4 @@
             print("held")
         return EXIT_BROKEN if d.breaks else EXIT_HELD
 
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(asyncio.run(run()))
