Scheduler: the logs tell what a start to a restarted worker was reckoned by

No line said how old the reading of a worker's clock was that a start was reckoned from, which process answered, or whom a new scheduler waits for and until when.

worker_restarted has both processes' starts, the age of the reading and what was reckoned with, worker_clock_back the call, start_unanswered and lease_awaited are new, with three counters.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -292,7 +292,7 @@
       due_mark (d, w);
       count_reply (d, w, o, reply);
       if (reply->status == RUN_LOST)
-        grant_note_lost (w, o);
+        grant_note_lost (d, w, o);
     }
   if (o->op != RUN_POLL)
     runs_on_reply (d, o, reply);
@@ -452,6 +452,7 @@
       d->n_evicted);
   g_string_append_printf (text, "wagtailpass_scheduler_failure_spike %d\n",
                           failure_spike_since (&d->failure_spike) != 0);
+  grant_append_metrics (d, text);
   standing_append_metrics (d, text);
   delay_append_metrics (d, text);
 }
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -97,6 +97,14 @@
   RoomLook room;
 } DelayLook;
 
+/* What became of orders to workers that started again, for metrics. */
+typedef struct GrantCounts
+{
+  gint64 n_restarts;    /* processes that were found to be new */
+  gint64 n_clocks_back; /* answers by the clock of a process not heard before */
+  gint64 n_lost_starts; /* start orders without an answer */
+} GrantCounts;
+
 struct Dispatch
 {
   Effects *fx;
@@ -142,6 +150,7 @@
   DelayLook delays;
   gint64 n_starts;  /* runs started, for metrics */
   gint64 n_evicted; /* runs evicted for more urgent jobs, for metrics */
+  GrantCounts grants;
 };
 
 /* dispatch.c */
@@ -185,9 +194,13 @@
 /* grant.c */
 void grant_note_late_start (const Dispatch *d, const WorkPlacement *placement);
 gboolean grant_clock_is_recent (const Dispatch *d, const PoolWorker *w);
-void grant_check_clock (Dispatch *d, PoolWorker *w, const RunReply *reply);
-void grant_on_restart (Dispatch *d, PoolWorker *w);
-void grant_note_lost (PoolWorker *w, const PendingCall *call);
+void grant_check_clock (Dispatch *d,
+                        PoolWorker *w,
+                        const PendingCall *call,
+                        const RunReply *reply);
+void grant_on_restart (Dispatch *d, PoolWorker *w, gint64 born);
+void grant_note_lost (Dispatch *d, PoolWorker *w, const PendingCall *call);
+void grant_append_metrics (const Dispatch *d, GString *text);
 void grant_cancel_late_starts (Dispatch *d, PoolWorker *w);
 void grant_refuse_late_starts (Dispatch *d, PoolWorker *w);
 gint64 grant_lease_deadline (Dispatch *d, PoolWorker *w);
--- a/queue/former.c
+++ b/queue/former.c
@@ -163,6 +163,20 @@
          (w->wants_long_lease && !w->recorded_as_long);
 }
 
+/* Logs until when W, which is silent, may hold a lease of a former scheduler.
+ */
+static void
+log_awaited (const Dispatch *d, const PoolWorker *w)
+{
+  effects_log (d->fx,
+               "event=lease_awaited worker=%s left_ms=%" CLOCK_MS_FORMAT
+               " fence=%" G_GINT64_FORMAT " long=%d listed=%d born="
+               "%" G_GINT64_FORMAT,
+               w->entry->id, w->lease_expiry - d->now, w->former_fence,
+               w->long_lease_until > d->now, w->registered,
+               w->entry->incarnation);
+}
+
 /* Once, when most workers have answered: has the others recorded as silent. */
 void
 former_mark_silent (Dispatch *d)
@@ -174,7 +188,10 @@
   d->silent_marked = TRUE;
   for (i = 0; i < pool_size (&d->pool); i++)
     if (former_is_silent (d, pool_at (&d->pool, i)))
-      roster_mark_dirty (d, pool_at (&d->pool, i)->entry->id);
+      {
+        log_awaited (d, pool_at (&d->pool, i));
+        roster_mark_dirty (d, pool_at (&d->pool, i)->entry->id);
+      }
 }
 
 /* Returns when former_mark_silent is due. */
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -110,20 +110,27 @@
          (placement->state == PLACEMENT_STARTING && placement->call_id);
 }
 
-/* Handles that W's process was found to be a new one.  Stops the placements
+/* Handles that W's process was found to be a new one, which was BORN at that
+   Unix millisecond.  Stops the placements
    whose start order the new process may still execute.  What else became of
    the placements is told by its lists: each ends once a list that was asked
    for after its last answered order does not show it.  Deadlines by the clock
    of the process before mean nothing to the new one, whose clock began anew:
    they may have granted it the longest lease. */
 void
-grant_on_restart (Dispatch *d, PoolWorker *w)
+grant_on_restart (Dispatch *d, PoolWorker *w, gint64 born)
 {
   WorkPlacement *placement;
 
-  if (w->n_placements)
-    effects_log (d->fx, "event=worker_restarted worker=%s parts=%u",
-                 w->entry->id, w->n_placements);
+  d->grants.n_restarts++;
+  effects_log (
+      d->fx,
+      "event=worker_restarted worker=%s parts=%u born=%" G_GINT64_FORMAT
+      " was=%" G_GINT64_FORMAT " reading_age_ms=%" CLOCK_MS_FORMAT
+      " lease_left_ms=%" CLOCK_MS_FORMAT " recorded_long=%d",
+      w->entry->id, w->n_placements, born, w->incarnation,
+      d->now - w->worker_clock_at, w->lease_expiry - d->now,
+      w->recorded_as_long);
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     if (may_still_start (placement))
       runs_stop_unconfirmed_start (d, placement);
@@ -137,35 +144,77 @@
   w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
 }
 
-/* Compares what the clock in REPLY, an answer of W to an order, leaves of the
+/* Compares what the clock in REPLY, W's answer to CALL, leaves of the
    greatest deadline that W was sent with the lease that was reckoned with.  A
    clock that leaves more is that of a new process. */
 void
-grant_check_clock (Dispatch *d, PoolWorker *w, const RunReply *reply)
+grant_check_clock (Dispatch *d,
+                   PoolWorker *w,
+                   const PendingCall *call,
+                   const RunReply *reply)
 {
   ClockMs left = CLAMP (w->lease_deadline - reply->worker_clock, 0, max_lease);
   ClockMs lease_end = d->now + left + left * max_clock_lag_permille / 1000;
 
   if (!reply->worker_clock || lease_end <= w->lease_expiry)
     return;
+  d->grants.n_clocks_back++;
   effects_log (d->fx,
-               "event=worker_clock_back worker=%s longer_ms=%" CLOCK_MS_FORMAT,
-               w->entry->id, lease_end - w->lease_expiry);
+               "event=worker_clock_back worker=%s call=%s task=%s run="
+               "%" G_GINT64_FORMAT " longer_ms=%" CLOCK_MS_FORMAT
+               " reading_age_ms=%" CLOCK_MS_FORMAT " recorded_long=%d",
+               w->entry->id, run_op_name (call->op), call->task, call->run,
+               lease_end - w->lease_expiry, d->now - w->worker_clock_at,
+               w->recorded_as_long);
   w->lease_expiry = lease_end;
   w->poll_immediately = TRUE;
 }
 
+static void
+log_lost_start (Dispatch *d, const PoolWorker *w, const PendingCall *call)
+{
+  d->grants.n_lost_starts++;
+  effects_log_detail (
+      d->fx,
+      "event=start_unanswered worker=%s task=%s run=%" G_GINT64_FORMAT
+      " sent_ms_ago=%" CLOCK_MS_FORMAT " reading_age_ms=%" CLOCK_MS_FORMAT
+      " hold_out_ms=%" CLOCK_MS_FORMAT,
+      w->entry->id, call->task, call->run, d->now - call->sent_at,
+      call->sent_at - w->worker_clock_at,
+      w->poll_id ? d->now - w->poll_sent_at : 0);
+}
+
 /* Records that CALL to W got no answer: it may be executed late.  One that was
    sent to the former process would then grant the present one the longest
    lease. */
 void
-grant_note_lost (PoolWorker *w, const PendingCall *call)
+grant_note_lost (Dispatch *d, PoolWorker *w, const PendingCall *call)
 {
   if (!call->grants_lease)
     return;
+  if (call->op == RUN_START)
+    log_lost_start (d, w, call);
   w->late_grant_until =
       MAX (w->late_grant_until, call->sent_at + holds_late_order_window);
   if (call->sent_at < w->process_known_at)
     w->lease_expiry =
         MAX (w->lease_expiry, latest_end (w, w->late_grant_until, max_lease));
 }
+
+/* Appends to TEXT, one per line, what became of orders to workers that started
+   again. */
+void
+grant_append_metrics (const Dispatch *d, GString *text)
+{
+  g_string_append_printf (
+      text,
+      "wagtailpass_scheduler_worker_restarts_total %" G_GINT64_FORMAT "\n",
+      d->grants.n_restarts);
+  g_string_append_printf (
+      text, "wagtailpass_scheduler_clocks_back_total %" G_GINT64_FORMAT "\n",
+      d->grants.n_clocks_back);
+  g_string_append_printf (
+      text,
+      "wagtailpass_scheduler_unanswered_starts_total %" G_GINT64_FORMAT "\n",
+      d->grants.n_lost_starts);
+}
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -427,7 +427,7 @@
   if (!reply->incarnation || reply->incarnation == w->incarnation)
     return;
   if (w->incarnation)
-    grant_on_restart (d, w);
+    grant_on_restart (d, w, reply->incarnation);
   w->incarnation = reply->incarnation;
   if (w->pace.incarnation != w->incarnation)
     w->pace = (PoolPace) { .incarnation = w->incarnation };
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -691,7 +691,7 @@
   if (reply->status == RUN_OTHER_INCARNATION && w)
     runs_on_other_worker (d, w, o);
   else if (w)
-    grant_check_clock (d, w, reply);
+    grant_check_clock (d, w, o, reply);
   placement = o->placement;
   if (!placement && w && o->op == RUN_STOP && reply->status == RUN_OK)
     pool_late_start_refused (w, o->task, o->run);
--- a/src/why.c
+++ b/src/why.c
@@ -151,6 +151,8 @@
     { "worker_void", LINE_OF_WORKER },
     { "quarantine", LINE_OF_WORKER },
     { "worker_restarted", LINE_OF_WORKER },
+    { "worker_clock_back", LINE_OF_WORKER },
+    { "lease_awaited", LINE_OF_WORKER },
     { "worker_speed", LINE_OF_WORKER },
     { "reserve", LINE_OF_ALL },
     { "lines_dropped", LINE_OF_LOG },
