Tests: workers that restart silently take leases that nobody waits for

The simulated workers can now end silently: a poll that waits there stays without an answer until its time-out, where until now it failed after half a second or was answered by the next process.

--- /dev/null
+++ b/tests/queue_restart_test.cc
@@ -0,0 +1,183 @@
+#include "queue_world.h"
+
+#include <gtest/gtest.h>
+
+/* Workers that end silently and are back under their ids before any call to
+   them has failed: what was meant for the process before reaches the new one.
+ */
+
+/* Restarts worker I, whose entry stays that of the process before, while its
+   hold is under way. */
+static void
+restart_silently (QueueWorld &w, int i)
+{
+  w.abandon_polls (i);
+  w.crash_worker (i, true);
+  w.workers[i].alive = true;
+  w.workers[i].started_at = w.now ();
+  w.workers[i].incarnation = w.wall ();
+}
+
+static WorldJob
+one_task (const std::string &id, const std::string &text)
+{
+  return { "q0/" + id, world_body (world_step (1, 1000, 1), text) };
+}
+
+static void
+undrain (QueueWorld &w, int i)
+{
+  w.workers[i].draining = false;
+  w.workers[i].drain_started_at = CLOCK_NEVER;
+  w.put_worker (i);
+}
+
+/* A deployment of N_HOSTS and two workers.  The first runs a lasting task, so
+   that a hold is always under way there, when it restarts silently.  Then it is
+   sent the start of TASK, by the clock of the process before, and has begun
+   it. */
+struct SilentRestart
+{
+  explicit SilentRestart (int n_hosts, unsigned seed = 1) : w (n_hosts, 2, seed)
+  {
+    w.run (60000);
+    w.drain_worker (1);
+    w.run (500);
+    w.submit (w.scheduler (), one_task ("0000000000000501", "ms=60000"));
+    w.run (2400 + seed * 37 % 300);
+    restart_silently (w, 0);
+    scheduler = w.scheduler ();
+  }
+
+  void
+  start_on_new_process ()
+  {
+    w.submit (scheduler, one_task ("0000000000000502", "ms=9900"));
+    for (int i = 0; i < 200 && !w.workers[0].runs.count (task); i++)
+      w.run (1);
+    ASSERT_TRUE (w.workers[0].runs.count (task));
+  }
+
+  void
+  cut_off ()
+  {
+    w.workers[0].unreachable_until = w.now () + 30000;
+    undrain (w, 1);
+  }
+
+  void
+  expect_run_once_at_a_time ()
+  {
+    w.run (25000);
+    EXPECT_EQ (w.starts (task), 2);
+    w.expect_no_violations ();
+  }
+
+  const std::string task = "0000000000000502.0.0.0";
+  QueueWorld w;
+  int scheduler = 0;
+};
+
+TEST (QueueRestart, LeaseOfAProcessThatNeverAnsweredIsWaitedFor)
+{
+  SilentRestart r (1);
+
+  r.w.workers[0].lost_reply_rate = 1;
+  r.start_on_new_process ();
+  r.cut_off ();
+  r.expect_run_once_at_a_time ();
+}
+
+TEST (QueueRestart, SuccessorWaitsForTheLeaseThatItsPredecessorKnewToBeLong)
+{
+  for (ClockMs known = 200; known <= 800 && !HasFailure (); known += 100)
+    {
+      SilentRestart r (2);
+
+      SCOPED_TRACE (known);
+      r.start_on_new_process ();
+      r.w.run (known);
+      r.w.kill_host (r.scheduler);
+      r.cut_off ();
+      r.expect_run_once_at_a_time ();
+    }
+}
+
+TEST (QueueRestart, SuccessorWaitsForTheLeaseOfAProcessItsPredecessorNeverHeard)
+{
+  SilentRestart r (2);
+
+  r.start_on_new_process ();
+  r.w.kill_host (r.scheduler);
+  r.w.put_worker (0);
+  r.cut_off ();
+  r.expect_run_once_at_a_time ();
+}
+
+TEST (QueueRestart, SuccessorWaitsForTheLeaseOfAProcessThatNeverReportedItself)
+{
+  SilentRestart r (2);
+
+  r.start_on_new_process ();
+  r.w.kill_host (r.scheduler);
+  r.cut_off ();
+  r.expect_run_once_at_a_time ();
+}
+
+TEST (QueueRestart, SecondSuccessorWaitsForTheLeaseThatTheFirstKnewToBeLong)
+{
+  SilentRestart r (3);
+
+  r.start_on_new_process ();
+  r.w.run (300);
+  r.w.kill_host (r.scheduler);
+  r.cut_off ();
+  r.w.run (3500);
+  ASSERT_GE (r.w.scheduler (), 0);
+  r.w.kill_host (r.w.scheduler ());
+  r.expect_run_once_at_a_time ();
+}
+
+/* A worker that is the only one with room is back as another kind. */
+TEST (QueueRestart, StartThatWaitsForAReadingIsNotSentToAProcessOfAnotherKind)
+{
+  QueueWorld w (1, 1);
+  const std::string id = "0000000000000503";
+
+  w.run (4000);
+  restart_silently (w, 0);
+  w.workers[0].capacity.accelerators = 1;
+  w.run (2500);
+  w.submit (0, { "q0/" + id, world_body (world_step (1, 1000, 4)) });
+  w.run (700);
+  w.put_worker (0);
+  w.run (5000);
+  EXPECT_EQ (w.starts (id + ".0.0.0"), 0);
+  w.expect_no_violations ();
+}
+
+/* An entry of another writer gives the id the address of another worker. */
+TEST (QueueRestart,
+      RefusalAtAnAddressWhereAWorkerNeverAnsweredDoesNotEndItsRuns)
+{
+  QueueWorld w (1, 3);
+  const std::string id = "0000000000000504";
+
+  w.run (4000);
+  w.submit (0, one_task (id, "ms=9000"));
+  w.run (500);
+  int worker = -1;
+  for (int i = 0; i < 3; i++)
+    if (w.workers[i].runs.count (id + ".0.0.0"))
+      worker = i;
+  ASSERT_GE (worker, 0);
+  w.workers[worker].address = (worker + 1) % 3;
+  w.put_worker (worker);
+  w.workers[worker].address = -1;
+  w.run (3000);
+  w.put_worker (worker);
+  w.run (15000);
+  EXPECT_EQ (w.state_of (id), "completed");
+  EXPECT_EQ (w.starts (id + ".0.0.0"), 1);
+  w.expect_no_violations ();
+}
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -201,6 +201,7 @@
   void stop_host (int host);
   void crash_worker (int worker, bool listed);
   void reset_polls (int worker);
+  void abandon_polls (int worker);
   void restart_worker (int worker);
   void drain_worker (int worker);
   void remove_worker (int worker);
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -13,6 +13,8 @@
 /* No task may start when this time has passed since its cancel was
    acknowledged and since the last fault of a host or the store. */
 static const ClockMs max_cancel_ms = 3000;
+/* How long after its wait a poll that gets no answer times out. */
+static const ClockMs poll_margin_ms = 500;
 /* Delay of calls that are executed late, with late_call_rate. */
 static const ClockMs min_late_ms = 2000;
 static const ClockMs max_late_ms = 8000;
@@ -329,6 +331,20 @@
   std::erase_if (polls_, is_at_worker);
 }
 
+/* Leaves the polls that wait at a worker without an answer until they time
+   out, as when its process ends silently. */
+void
+QueueWorld::abandon_polls (int worker)
+{
+  auto is_at_worker = [worker] (const Poll &p) { return p.worker == worker; };
+
+  for (const Poll &p : polls_)
+    if (is_at_worker (p))
+      reply_run (p.host, p.incarnation, new_run_reply (p.id, RUN_LOST),
+                 p.deadline - now_ + poll_margin_ms);
+  std::erase_if (polls_, is_at_worker);
+}
+
 /* Closes all connections of HOST's current process to workers. */
 void
 QueueWorld::close_connections (int host)
