A scheduler records which workers may hold a longer lease than it gave

Cause (H2): a start that reached a worker's new process by the clock of the one before grants the longest lease, 10 s. The answer told the scheduler (worker_clock_back, worker_restarted), which then waited for it itself, but the records for its successor still said a normal lease, so that the successor waited 7.8 s.

Whatever raises what is reckoned with now also marks the worker as one that may hold the longest lease, until that is over; the record is written when that begins and when it ends, and a successor waits for the longest lease of just these workers. It takes the mark over from its predecessor's record, for its own successor.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -204,6 +204,7 @@
 void grant_cancel_late_starts (Dispatch *d, PoolWorker *w);
 void grant_refuse_late_starts (Dispatch *d, PoolWorker *w);
 gint64 grant_lease_deadline (Dispatch *d, PoolWorker *w);
+extern const ClockMs grant_longest_lease;
 
 /* due.c */
 void due_init (Dispatch *d);
--- a/queue/former.c
+++ b/queue/former.c
@@ -9,7 +9,7 @@
    run there, and until then starts no job that one of them may have started. So
    each scheduler records with the roster what a successor needs to know to wait
    no longer than it must: to which workers it has given no lease itself, and
-   which may hold a long one. */
+   which may hold a long one, or the longest. */
 
 enum
 {
@@ -101,14 +101,15 @@
   return r->fence;
 }
 
+/* Tells whether WORKERS, a list of LongLease, has the worker ID. */
 static gboolean
-may_have_long_lease (const GivenLeases *r, const char *id)
+names_worker (const RecList *workers, const char *id)
 {
   guint i;
 
-  for (i = 0; i < r->longer.n; i++)
+  for (i = 0; i < workers->n; i++)
     {
-      const LongLease *l = rec_list_at (long_lease_desc (), &r->longer, i);
+      const LongLease *l = rec_list_at (long_lease_desc (), workers, i);
 
       if (strcmp (l->id, id) == 0)
         return TRUE;
@@ -116,6 +117,18 @@
   return FALSE;
 }
 
+/* Returns the longest lease that the worker ID may have had of the schedulers
+   up to the one that wrote R, which is NULL if nothing is known of it. */
+static ClockMs
+possible_lease (const Dispatch *d, const GivenLeases *r, const char *id)
+{
+  if (r && names_worker (&r->longest, id))
+    return grant_longest_lease;
+  if (r && !names_worker (&r->longer, id))
+    return holds_normal_lease;
+  return longest_lease (d);
+}
+
 /* Sets until when W, a worker that RECORDS name, may hold a lease of a former
    scheduler. */
 void
@@ -123,16 +136,16 @@
 {
   const GivenLeases *r = predecessors_record (d, records);
   const char *id = w->entry->id;
-  ClockMs lease = longest_lease (d);
+  ClockMs lease = possible_lease (d, r, id);
   ClockMs ended_by;
 
   w->former_fence = r ? last_giver (r, id) : d->term.fence - 1;
-  if (r && !may_have_long_lease (r, id))
-    lease = holds_normal_lease;
   ended_by =
       MIN (term_ended_by (&d->term.history, w->former_fence), d->started_at);
   w->lease_expiry = lease_end (ended_by, lease);
-  if (lease > holds_normal_lease)
+  if (lease > holds_long_lease)
+    w->longest_lease_until = w->lease_expiry;
+  else if (lease > holds_normal_lease)
     w->long_lease_until = w->lease_expiry;
 }
 
@@ -153,14 +166,22 @@
   return w->in_roster || !w->recorded_as_silent;
 }
 
-/* Tells whether what is recorded of W's leases must change before it can get
-   the lease that it needs. */
+static gboolean
+may_hold_longest (const Dispatch *d, const PoolWorker *w)
+{
+  return d->now < w->longest_lease_until;
+}
+
+/* Tells whether what is recorded of W's leases must change: before it can get
+   the lease that it needs, or because a successor would wait too short or too
+   long for those that it may hold. */
 gboolean
 former_needs_write (const Dispatch *d, PoolWorker *w)
 {
   w->wants_long_lease = holds_wants_long_lease (d, w);
   return (w->recorded_as_silent && w->worker_clock_at) ||
-         (w->wants_long_lease && !w->recorded_as_long);
+         (w->wants_long_lease && !w->recorded_as_long) ||
+         w->recorded_as_longest != may_hold_longest (d, w);
 }
 
 /* Logs until when W, which is silent, may hold a lease of a former scheduler.
@@ -170,11 +191,11 @@
 {
   effects_log (d->fx,
                "event=lease_awaited worker=%s left_ms=%" CLOCK_MS_FORMAT
-               " fence=%" G_GINT64_FORMAT " long=%d listed=%d born="
-               "%" G_GINT64_FORMAT,
+               " fence=%" G_GINT64_FORMAT
+               " long=%d longest=%d listed=%d born=%" G_GINT64_FORMAT,
                w->entry->id, w->lease_expiry - d->now, w->former_fence,
-               w->long_lease_until > d->now, w->registered,
-               w->entry->incarnation);
+               w->long_lease_until > d->now, may_hold_longest (d, w),
+               w->registered, w->entry->incarnation);
 }
 
 /* Once, when most workers have answered: has the others recorded as silent. */
@@ -211,6 +232,7 @@
   w->recorded_as_long = w->wants_long_lease || d->now < w->long_lease_until;
   if (!w->recorded_as_long)
     w->may_get_long_lease = FALSE;
+  w->recorded_as_longest = may_hold_longest (d, w);
 }
 
 /* Handles that the record that was written last is in the store. */
@@ -227,6 +249,14 @@
     }
 }
 
+static void
+add_worker (RecList *workers, const PoolWorker *w)
+{
+  LongLease *l = rec_list_add (long_lease_desc (), workers);
+
+  rec_set_str (&l->id, w->entry->id);
+}
+
 /* Returns the record of the leases that this scheduler may have given, or may
    give until the next one. */
 GBytes *
@@ -249,11 +279,9 @@
           s->fence = w->former_fence;
         }
       if (w->recorded_as_long)
-        {
-          LongLease *l = rec_list_add (long_lease_desc (), &r->longer);
-
-          rec_set_str (&l->id, w->entry->id);
-        }
+        add_worker (&r->longer, w);
+      if (w->recorded_as_longest)
+        add_worker (&r->longest, w);
     }
   packed = rec_pack (given_leases_desc (), r);
   rec_free (given_leases_desc (), r);
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -13,7 +13,7 @@
 static const ClockMs reply_delay_margin = 150;
 
 /* Workers limit a lease to this many milliseconds. */
-static const ClockMs max_lease = 10000;
+const ClockMs grant_longest_lease = 10000;
 
 /* Greatest age in milliseconds of the reading of a worker's clock that a start
    is reckoned from: its process may have been replaced since.  As old as the
@@ -40,6 +40,15 @@
   return seen_until - w->worker_clock_at <= max_reading_age;
 }
 
+/* Records that W may hold a lease until END that was not reckoned with, as a
+   new process of it took the deadline by the clock of the one before. */
+static void
+extend_expiry (PoolWorker *w, ClockMs end)
+{
+  w->lease_expiry = MAX (w->lease_expiry, end);
+  w->longest_lease_until = MAX (w->longest_lease_until, end);
+}
+
 /* Returns the deadline of a lease of W that begins now, by W's clock: at most
    the lease's duration ahead, however slow that clock may be.  Updates W's
    lease expiry, the latest time at which the lease ends by the scheduler's
@@ -137,8 +146,8 @@
   grant_cancel_late_starts (d, w);
   w->process_known_at = d->now;
   w->lease_deadline = 0;
-  w->lease_expiry =
-      latest_end (w, MAX (d->now, w->late_grant_until), max_lease);
+  extend_expiry (w, latest_end (w, MAX (d->now, w->late_grant_until),
+                                grant_longest_lease));
   /* A late acknowledgement of the former process's ends would make the new one
      forget ends that it has not reported yet. */
   w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
@@ -153,7 +162,8 @@
                    const PendingCall *call,
                    const RunReply *reply)
 {
-  ClockMs left = CLAMP (w->lease_deadline - reply->worker_clock, 0, max_lease);
+  ClockMs left =
+      CLAMP (w->lease_deadline - reply->worker_clock, 0, grant_longest_lease);
   ClockMs lease_end = d->now + left + left * max_clock_lag_permille / 1000;
 
   if (!reply->worker_clock || lease_end <= w->lease_expiry)
@@ -166,7 +176,7 @@
                w->entry->id, run_op_name (call->op), call->task, call->run,
                lease_end - w->lease_expiry, d->now - w->worker_clock_at,
                w->recorded_as_long);
-  w->lease_expiry = lease_end;
+  extend_expiry (w, lease_end);
   w->poll_immediately = TRUE;
 }
 
@@ -197,8 +207,7 @@
   w->late_grant_until =
       MAX (w->late_grant_until, call->sent_at + holds_late_order_window);
   if (call->sent_at < w->process_known_at)
-    w->lease_expiry =
-        MAX (w->lease_expiry, latest_end (w, w->late_grant_until, max_lease));
+    extend_expiry (w, latest_end (w, w->late_grant_until, grant_longest_lease));
 }
 
 /* Appends to TEXT, one per line, what became of orders to workers that started
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -84,7 +84,11 @@
   gboolean wants_long_lease;   /* its runs last long */
   gboolean recorded_as_long;   /* so say the records that were written last */
   gboolean may_get_long_lease; /* so say the records in the store */
-  gboolean runs_known;         /* it has listed its runs to this scheduler */
+  /* Until then a process of it that was taken for the one before may hold the
+     longest lease. */
+  ClockMs longest_lease_until;
+  gboolean recorded_as_longest; /* so say the records that were written last */
+  gboolean runs_known;          /* it has listed its runs to this scheduler */
   /* All runs on it have ended, because their lease expired or its process was
      replaced.  That it can't be reached proves nothing. */
   gboolean lease_expired;
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -126,16 +126,18 @@
   INT (fence, 1, G_MAXINT64)
 REC_DECLARE (SilentWorker, silent_worker, SILENT_WORKER_FIELDS)
 
-/* A worker that may hold a long lease. */
+/* A worker that may hold a long lease, or the longest. */
 #define LONG_LEASE_FIELDS(INT, STR, BYTES, LIST) STR (id, 1, SPEC_MAX_NAME)
 REC_DECLARE (LongLease, long_lease, LONG_LEASE_FIELDS)
 
 /* The leases that the scheduler with FENCE may have given: normal ones to all
-   recorded workers but those listed. */
+   recorded workers but those listed.  Those under LONGEST may hold the longest
+   lease that any worker takes, whatever they were given. */
 #define GIVEN_LEASES_FIELDS(INT, STR, BYTES, LIST)                             \
   INT (fence, 1, G_MAXINT64)                                                   \
   LIST (silent, 0, SPEC_MAX_TASKS, silent_worker)                              \
-  LIST (longer, 0, SPEC_MAX_TASKS, long_lease)
+  LIST (longer, 0, SPEC_MAX_TASKS, long_lease)                                 \
+  LIST (longest, 0, SPEC_MAX_TASKS, long_lease)
 REC_DECLARE (GivenLeases, given_leases, GIVEN_LEASES_FIELDS)
 
 /* What was learned of a worker's pace: a logarithm in thousandths and its
