A successor knows that a worker's process is newer than the one that was heard

The roster names the process of each worker that the scheduler heard last. A successor that finds the entry of a newer one waits for the longest lease of this worker, however late it sees the entry, and hands that on in its own record. Records without the field are read as before.

SuccessorWaitsForTheLeaseOfAProcessItsPredecessorNeverHeard failed on the code before.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -148,6 +148,7 @@
       w->poll_immediately = TRUE;
       grant_cancel_late_starts (d, w);
     }
+  former_on_entry (d, w);
   due_mark (d, w);
   d->replan = TRUE;
 }
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -244,6 +244,7 @@
 ClockMs former_leases_end (const Dispatch *d);
 void
 former_load_worker (Dispatch *d, PoolWorker *w, const RosterRecords *records);
+void former_on_entry (const Dispatch *d, PoolWorker *w);
 gboolean former_is_silent (const Dispatch *d, const PoolWorker *w);
 gboolean former_may_give_lease (const PoolWorker *w);
 gboolean former_needs_write (const Dispatch *d, PoolWorker *w);
--- a/queue/former.c
+++ b/queue/former.c
@@ -129,6 +129,14 @@
   return longest_lease (d);
 }
 
+/* Returns a time by which the last scheduler that may have given W, which is
+   recorded, a lease had ended. */
+static ClockMs
+giver_ended_by (const Dispatch *d, const PoolWorker *w)
+{
+  return MIN (term_ended_by (&d->term.history, w->former_fence), d->started_at);
+}
+
 /* Sets until when W, a worker that RECORDS name, may hold a lease of a former
    scheduler. */
 void
@@ -137,18 +145,29 @@
   const GivenLeases *r = predecessors_record (d, records);
   const char *id = w->entry->id;
   ClockMs lease = possible_lease (d, r, id);
-  ClockMs ended_by;
 
   w->former_fence = r ? last_giver (r, id) : d->term.fence - 1;
-  ended_by =
-      MIN (term_ended_by (&d->term.history, w->former_fence), d->started_at);
-  w->lease_expiry = lease_end (ended_by, lease);
+  w->lease_expiry = lease_end (giver_ended_by (d, w), lease);
   if (lease > holds_long_lease)
     w->longest_lease_until = w->lease_expiry;
   else if (lease > holds_normal_lease)
     w->long_lease_until = w->lease_expiry;
 }
 
+/* Handles that W's entry is known, or another one.  If it is that of a newer
+   process than the one that a former scheduler heard, that process may have
+   taken the longest lease by the clock of the one before. */
+void
+former_on_entry (const Dispatch *d, PoolWorker *w)
+{
+  if (!w->former_incarnation || w->worker_clock_at || w->lease_expired ||
+      w->entry->incarnation <= w->former_incarnation)
+    return;
+  w->longest_lease_until =
+      lease_end (giver_ended_by (d, w), grant_longest_lease);
+  w->lease_expiry = MAX (w->lease_expiry, w->longest_lease_until);
+}
+
 /* Tells whether W has not answered this scheduler, so that it got no lease from
    it, and may still hold one of a former scheduler. */
 gboolean
@@ -172,6 +191,14 @@
   return d->now < w->longest_lease_until;
 }
 
+/* Returns the process of W that this scheduler, or else the one before, heard
+   last; 0: not known. */
+static gint64
+heard_incarnation (const PoolWorker *w)
+{
+  return w->incarnation ? w->incarnation : w->former_incarnation;
+}
+
 /* Tells whether what is recorded of W's leases must change: before it can get
    the lease that it needs, or because a successor would wait too short or too
    long for those that it may hold. */
@@ -181,7 +208,8 @@
   w->wants_long_lease = holds_wants_long_lease (d, w);
   return (w->recorded_as_silent && w->worker_clock_at) ||
          (w->wants_long_lease && !w->recorded_as_long) ||
-         w->recorded_as_longest != may_hold_longest (d, w);
+         w->recorded_as_longest != may_hold_longest (d, w) ||
+         w->recorded_incarnation != heard_incarnation (w);
 }
 
 /* Logs until when W, which is silent, may hold a lease of a former scheduler.
@@ -233,6 +261,7 @@
   if (!w->recorded_as_long)
     w->may_get_long_lease = FALSE;
   w->recorded_as_longest = may_hold_longest (d, w);
+  w->recorded_incarnation = heard_incarnation (w);
 }
 
 /* Handles that the record that was written last is in the store. */
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -77,6 +77,10 @@
   /* While RECORDED and not heard: of the last scheduler that may have given it
      a lease. */
   gint64 former_fence;
+  /* The process that the scheduler before heard last; 0: not known. */
+  gint64 former_incarnation;
+  /* The process that the records that were written last name. */
+  gint64 recorded_incarnation;
   /* The records that were written last, or are being written, say that this
      scheduler has given it no lease. */
   gboolean recorded_as_silent;
--- a/queue/roster.c
+++ b/queue/roster.c
@@ -122,6 +122,7 @@
   w = pool_find (&d->pool, recorded_worker->id);
   w->registered = FALSE;
   w->recorded = TRUE;
+  w->former_incarnation = recorded_worker->incarnation;
   former_load_worker (d, w, records);
 }
 
@@ -219,6 +220,7 @@
       rec_set_str (&r->address, w->entry->address);
       r->draining = w->entry->draining;
       former_on_write (d, w);
+      r->incarnation = w->recorded_incarnation;
       if (!w->recorded_as_silent)
         g_ptr_array_add (d->roster.in_flight_ids, g_strdup (w->entry->id));
     }
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -109,10 +109,13 @@
 /* A worker on which the scheduler may have started tasks.  The next scheduler
    must get a list of its runs, or wait until its lease has expired, even if
    the worker's own entry has been removed from the store. */
+/* A worker that the scheduler may have used.  INCARNATION is the start of the
+   process that it heard last, Unix milliseconds; 0: not known. */
 #define ROSTER_WORKER_FIELDS(INT, STR, BYTES, LIST)                            \
   STR (id, 1, SPEC_MAX_NAME)                                                   \
   STR (address, 1, SPEC_MAX_NAME)                                              \
-  INT (draining, 0, 1)
+  INT (draining, 0, 1)                                                         \
+  INT (incarnation, 0, G_MAXINT64)
 REC_DECLARE (RosterWorker, roster_worker, ROSTER_WORKER_FIELDS)
 
 #define ROSTER_FIELDS(INT, STR, BYTES, LIST)                                   \
