A start without an answer is waited for as long as any process may run it

Cause (H1): a hold under way counts as proof that the worker's process lives, but one that ends silently doesn't fail it. A start then reaches the next process by the clock of the one before and gets the longest lease, 10 s. If the worker is cut off before it answers, nothing tells the scheduler, which took the run for over after 5.65 s.

Each call that grants a lease now also notes until when a process that hasn't answered may hold what it took from it. A placement whose start nobody has confirmed, by an answer or a list, is waited for that long; all others on the worker as before, since they can only be with the process that confirmed them.

LeaseOfAProcessThatNeverAnsweredIsWaitedFor failed on the code before.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -168,6 +168,7 @@
                RunEnd how,
                const char *checkpoint);
 void runs_end_all_on_worker (Dispatch *d, PoolWorker *w, const char *reason);
+void runs_end_lapsed (Dispatch *d, PoolWorker *w);
 void runs_on_other_worker (Dispatch *d, PoolWorker *w, const PendingCall *call);
 void runs_on_reply (Dispatch *d, PendingCall *o, const RunReply *reply);
 void runs_stop_unconfirmed_start (Dispatch *d, WorkPlacement *placement);
@@ -204,6 +205,7 @@
 void grant_cancel_late_starts (Dispatch *d, PoolWorker *w);
 void grant_refuse_late_starts (Dispatch *d, PoolWorker *w);
 gint64 grant_lease_deadline (Dispatch *d, PoolWorker *w);
+ClockMs grant_run_expiry (const WorkPlacement *placement);
 extern const ClockMs grant_longest_lease;
 
 /* due.c */
--- a/queue/due.c
+++ b/queue/due.c
@@ -53,13 +53,15 @@
   ClockMs next = holds_next (d, w);
   const WorkPlacement *placement;
 
-  if (w->polls_unanswered && !w->lease_expired)
+  if (w->polls_unanswered && !w->lease_expired && d->now <= w->lease_expiry)
     next = MIN (next, w->lease_expiry + 1);
   if (w->n_placements > 0 && holds_evacuate_at (w) > d->now)
     next = MIN (next, holds_evacuate_at (w));
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     {
       next = MIN (next, placement->retry_at);
+      if (w->polls_unanswered)
+        next = MIN (next, MAX (grant_run_expiry (placement), d->now) + 1);
       next = MIN (next, unsent_deadline (placement));
     }
   return next;
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -31,7 +31,9 @@
 
 /* Tells whether W's clock was read so recently that a deadline by it is safe
    for a start.  A hold that was sent just after the reading, and has not
-   failed, is still with the process that was read. */
+   failed, is mostly still with the process that was read.  If that process has
+   ended silently, the next one takes the start for the longest lease, which
+   unheard_expiry reckons with. */
 gboolean
 grant_clock_is_recent (const Dispatch *d, const PoolWorker *w)
 {
@@ -63,12 +65,32 @@
 
   w->lease_expiry =
       MAX (w->lease_expiry, latest_end (w, w->worker_clock_at, span));
+  w->unheard_expiry =
+      MAX (w->unheard_expiry, latest_end (w, d->now, grant_longest_lease));
   w->lease_deadline = MAX (w->lease_deadline, w->worker_clock + span);
   if (holds_lease_duration (d, w) > holds_normal_lease)
     w->long_lease_until = w->lease_expiry;
   return w->worker_clock + span;
 }
 
+/* Tells whether PLACEMENT's start may be with a process of its worker that has
+   not answered: no answer and no list has confirmed it. */
+static gboolean
+may_run_unheard (const WorkPlacement *placement)
+{
+  return placement->start_sent && !placement->confirmed_call;
+}
+
+/* Returns the latest time at which PLACEMENT's run ends without a renewal. */
+ClockMs
+grant_run_expiry (const WorkPlacement *placement)
+{
+  const PoolWorker *w = placement->worker;
+
+  return may_run_unheard (placement) ? MAX (w->lease_expiry, w->unheard_expiry)
+                                     : w->lease_expiry;
+}
+
 /* Records on its worker that PLACEMENT, which is about to be freed, has an
    unconfirmed start order that may still be executed. */
 void
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -412,7 +412,7 @@
 holds_tick (Dispatch *d, PoolWorker *w)
 {
   if (w->polls_unanswered && d->now > w->lease_expiry && !w->lease_expired)
-    runs_end_all_on_worker (d, w, "lapsed");
+    runs_end_lapsed (d, w);
   if (holds_evacuate_at (w) <= d->now)
     evacuate_worker (d, w);
   if (holds_next (d, w) <= d->now)
@@ -484,7 +484,8 @@
 apply_list (Dispatch *d, PoolWorker *w, const RunReply *reply)
 {
   gboolean was_unresponsive = w->polls_unanswered > 0;
-  gboolean stale = w->lease_expired;
+  gboolean stale =
+      w->lease_expired || (was_unresponsive && d->now > w->lease_expiry);
   gboolean renew_now = FALSE;
 
   detect_restart (d, w, reply);
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -107,6 +107,9 @@
   CallLimit calls;         /* in flight */
   RttEstimate rtt;
   ClockMs lease_expiry; /* latest end of its runs without a renewal */
+  /* Latest end of what a process of it that has not answered may have taken
+     from the calls that were sent so far. */
+  ClockMs unheard_expiry;
   /* Greatest that its present process was sent, by the worker's clock. */
   gint64 lease_deadline;
   /* Until then a call without an answer may be executed and grant a lease. */
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -394,8 +394,8 @@
   send_stop (d, placement);
 }
 
-/* Returns for how many milliseconds a run on W may go on without a renewal;
-   negative once its lease has surely expired. */
+/* Returns for how many milliseconds a run on W that it has confirmed may go on
+   without a renewal; negative once its lease has surely expired. */
 static ClockMs
 lease_left (const Dispatch *d, const PoolWorker *w)
 {
@@ -417,7 +417,7 @@
       step->job->entry->id, step->occurrence, step->number,
       placement->task->index, placement->run, placement->worker->entry->id,
       work_placement_state_name (placement->state), reason,
-      lease_left (d, placement->worker));
+      grant_run_expiry (placement) - d->now);
 }
 
 /* Ends all placements on W, because its process has ended or its lease has
@@ -443,6 +443,39 @@
   w->lease_expired = TRUE;
 }
 
+static WorkPlacement *
+find_lapsed (const Dispatch *d, PoolWorker *w)
+{
+  WorkPlacement *placement;
+
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    if (grant_run_expiry (placement) < d->now)
+      return placement;
+  return NULL;
+}
+
+/* Ends the placements on W, which does not answer, whose leases have surely
+   expired. */
+void
+runs_end_lapsed (Dispatch *d, PoolWorker *w)
+{
+  WorkPlacement *placement;
+  guint n = 0;
+
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    n += grant_run_expiry (placement) >= d->now;
+  if (n == 0)
+    {
+      runs_end_all_on_worker (d, w, "lapsed");
+      return;
+    }
+  while ((placement = find_lapsed (d, w)))
+    {
+      log_given_up (d, placement, "lapsed");
+      runs_end (d, placement, RUN_LEASE_EXPIRED, NULL);
+    }
+}
+
 /* Handles that another worker answered CALL: if it has the address that W has
    now, W's process has ended. */
 void
