What was placed for a worker's former process isn't sent to the next one

Cause: an idle worker is back under its id as another kind. A start that waits for a reading of its clock is sent as soon as a list tells the clock, though that list is the new process's, whose entry isn't there yet. The same held of claims of room, and of a start that is repeated after the entry of the new process has come.

A restart, whether a list or the entry tells of it, now drops all placements of the worker that were not sent; they are placed anew, and not on a worker whose entry and whose list are of two processes. A clock read before the entry's process began is no recent reading.

Three tests of QueueUnreachable had a start sent to a process whose entry was never written; they now assert that none is, and let the entry come before they go on to the lease, which is as long as before.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -66,12 +66,13 @@
     p->batch_left -= MIN (n, p->batch_left);
 }
 
-/* Tells whether W's entry is that of its process before, so that its kind and
-   its room are not known. */
+/* Tells whether W's entry and its last list are of two processes, so that its
+   kind and its room, or its runs and its clock, are not known. */
 static gboolean
 has_stale_entry (const PoolWorker *w)
 {
-  return w->entry->incarnation && w->entry->incarnation < w->incarnation;
+  return w->entry->incarnation && w->incarnation &&
+         w->entry->incarnation != w->incarnation;
 }
 
 /* Tells whether W is there and answers, and stays. */
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -184,6 +184,7 @@
 /* unsent.c */
 void unsent_on_silent (Dispatch *d, PoolWorker *w);
 void unsent_on_hold_refused (Dispatch *d, PoolWorker *w);
+void unsent_on_restart (Dispatch *d, PoolWorker *w);
 ClockMs unsent_deadline (const WorkPlacement *placement);
 void unsent_give_up_overdue (Dispatch *d, PoolWorker *w);
 
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -39,6 +39,8 @@
 {
   ClockMs seen_until = w->poll_id ? w->poll_sent_at : d->now;
 
+  if (w->incarnation && w->entry->incarnation > w->incarnation)
+    return FALSE;
   return seen_until - w->worker_clock_at <= max_reading_age;
 }
 
@@ -166,6 +168,7 @@
     if (may_still_start (placement))
       runs_stop_unconfirmed_start (d, placement);
   grant_cancel_late_starts (d, w);
+  unsent_on_restart (d, w);
   w->process_known_at = d->now;
   w->lease_deadline = 0;
   extend_expiry (w, latest_end (w, MAX (d->now, w->late_grant_until),
--- a/queue/unsent.c
+++ b/queue/unsent.c
@@ -50,6 +50,28 @@
   drop_unread (d, w, d->now - runs_connection_wait);
 }
 
+static WorkPlacement *
+find_unsent (PoolWorker *w)
+{
+  WorkPlacement *placement;
+
+  APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
+    if (!placement->start_sent)
+      return placement;
+  return NULL;
+}
+
+/* Handles that W's process is a new one, which may be of another kind and have
+   less room: what was placed for the process before is placed anew. */
+void
+unsent_on_restart (Dispatch *d, PoolWorker *w)
+{
+  WorkPlacement *placement;
+
+  while ((placement = find_unsent (w)))
+    runs_end (d, placement, RUN_STOPPED, NULL);
+}
+
 /* Returns when PLACEMENT's start is given up if it has not been sent, or
    CLOCK_NEVER. */
 ClockMs
--- a/tests/queue_restart_test.cc
+++ b/tests/queue_restart_test.cc
@@ -148,7 +148,7 @@
   restart_silently (w, 0);
   w.workers[0].capacity.accelerators = 1;
   w.run (2500);
-  w.submit (0, { "q0/" + id, world_body (world_step (1, 1000, 4)) });
+  w.submit (0, { "q1/" + id, world_body (world_step (1, 1000, 4)) });
   w.run (700);
   w.put_worker (0);
   w.run (5000);
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -30,6 +30,18 @@
   return { "q0/" + id, world_body (world_step (1, 1000, 1), text) };
 }
 
+/* Runs W until the start of TASK would have been sent to workers that restarted
+   unnoticed.  None is sent before their entries tell of which kind they are
+   now; then they report themselves. */
+static void
+report_after_restart (QueueWorld &w, const std::string &task)
+{
+  w.run (300);
+  EXPECT_EQ (w.starts (task), 0);
+  for (int i = 0; i < (int)w.workers.size (); i++)
+    w.put_worker (i);
+}
+
 /* Runs W until TASK runs and its start has been answered.  Returns the
    worker. */
 static int
@@ -201,6 +213,7 @@
   for (int i = 0; i < 2; i++)
     restart_unnoticed (w, i);
   w.submit (0, one_task (id, "ms=9500"));
+  report_after_restart (w, id + ".0.0.0");
   int worker = run_until_started (w, id + ".0.0.0");
   ASSERT_GE (worker, 0);
   w.workers[worker].unreachable_until = w.now () + 30000;
@@ -219,6 +232,7 @@
     restart_unnoticed (w, i);
   w.run (2500);
   w.submit (0, one_task (id, "ms=9500"));
+  report_after_restart (w, id + ".0.0.0");
   int worker = run_until_started (w, id + ".0.0.0");
   ASSERT_GE (worker, 0);
   w.workers[worker].unreachable_until = w.now () + 30000;
@@ -409,6 +423,7 @@
   for (int i = 0; i < 2; i++)
     restart_unnoticed (w, i);
   w.submit (w.scheduler (), one_task (id, "ms=9900"));
+  report_after_restart (w, id + ".0.0.0");
   int worker = run_until_started (w, id + ".0.0.0");
   ASSERT_GE (worker, 0);
   w.workers[worker].unreachable_until = w.now () + 30000;
