421 from an address where a worker never answered doesn't end its runs

421 shows that another worker has the address now. That ends the process only where it had that address: the scheduler now remembers at which address the worker answered, and takes 421 from there, and only while the entry names it too, for the end. Otherwise the lease is waited for. The roster names that address, so that a successor knows it.

--- a/queue/holds.c
+++ b/queue/holds.c
@@ -480,8 +480,23 @@
       w->entry->id, exp (w->pace.log_slowness), sqrt (w->pace.variance));
 }
 
+/* Records that W answered at ADDRESS. */
 static void
-apply_list (Dispatch *d, PoolWorker *w, const RunReply *reply)
+note_address (Dispatch *d, PoolWorker *w, const char *address)
+{
+  if (g_strcmp0 (w->heard_address, address) == 0)
+    return;
+  g_free (w->heard_address);
+  w->heard_address = g_strdup (address);
+  if (w->listed)
+    roster_mark_dirty (d, w->entry->id);
+}
+
+static void
+apply_list (Dispatch *d,
+            PoolWorker *w,
+            const PendingCall *call,
+            const RunReply *reply)
 {
   gboolean was_unresponsive = w->polls_unanswered > 0;
   gboolean stale =
@@ -490,6 +505,7 @@
 
   detect_restart (d, w, reply);
   grant_refuse_late_starts (d, w);
+  note_address (d, w, call->address);
   w->worker_clock = reply->worker_clock;
   w->worker_clock_at = d->now;
   w->polls_unanswered = 0;
@@ -545,7 +561,7 @@
           effects_log (d->fx, "event=worker_back worker=%s", w->entry->id);
           d->replan = TRUE;
         }
-      apply_list (d, w, reply);
+      apply_list (d, w, call, reply);
     }
   else if (reply->status == RUN_FENCED)
     {
--- a/queue/pool.c
+++ b/queue/pool.c
@@ -150,6 +150,7 @@
 
   g_ptr_array_unref (w->late_starts);
   pool_entry_free (w->entry);
+  g_free (w->heard_address);
   g_free (w);
 }
 
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -97,6 +97,7 @@
      replaced.  That it can't be reached proves nothing. */
   gboolean lease_expired;
   gint64 incarnation;     /* the one that answered the last poll */
+  char *heard_address;    /* where it, or a recorded one, answered; or NULL */
   PoolResources used;     /* by placements that may run, or are stopping */
   PoolResources reserved; /* by placements that wait for free capacity */
   struct WorkPlacementRing placements;
--- a/queue/roster.c
+++ b/queue/roster.c
@@ -123,6 +123,7 @@
   w->registered = FALSE;
   w->recorded = TRUE;
   w->former_incarnation = recorded_worker->incarnation;
+  w->heard_address = g_strdup (recorded_worker->address);
   former_load_worker (d, w, records);
 }
 
@@ -217,7 +218,8 @@
         continue;
       r = rec_list_add (roster_worker_desc (), &roster->workers);
       rec_set_str (&r->id, w->entry->id);
-      rec_set_str (&r->address, w->entry->address);
+      rec_set_str (&r->address,
+                   w->heard_address ? w->heard_address : w->entry->address);
       r->draining = w->entry->draining;
       former_on_write (d, w);
       r->incarnation = w->recorded_incarnation;
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -477,12 +477,14 @@
 }
 
 /* Handles that another worker answered CALL: if it has the address that W has
-   now, W's process has ended. */
+   now, and W itself answered there before, W's process has ended.  An address
+   that W never answered at may stand in an entry of another writer. */
 void
 runs_on_other_worker (Dispatch *d, PoolWorker *w, const PendingCall *call)
 {
   w->runs_known = FALSE;
-  if (strcmp (call->address, w->entry->address) == 0)
+  if (strcmp (call->address, w->entry->address) == 0 &&
+      g_strcmp0 (call->address, w->heard_address) == 0)
     runs_end_all_on_worker (d, w, "other_life");
 }
 
