A successor has restarted workers refuse the late starts of its predecessor

Cause: a start that got no answer was carried out late, by its worker's next process. The scheduler that sent it had died, and what is known of unanswered starts was kept by the scheduler alone.

A start without an answer is now recorded with the roster when its loss is noticed, before the task can have ended elsewhere. A successor takes the list over: it looks after these workers as after its own late starts, and tells a process that is newer than the recorded one to refuse them. What concerns late starts moved to late.c.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -146,7 +146,7 @@
       holds_ignore_reply (d, w);
       w->next_poll = d->now;
       w->poll_immediately = TRUE;
-      grant_cancel_late_starts (d, w);
+      late_cancel_starts (d, w);
       unsent_on_restart (d, w);
     }
   former_on_entry (d, w);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -194,7 +194,6 @@
 void begin_on_confirmed (Dispatch *d, WorkTask *task);
 
 /* grant.c */
-void grant_note_late_start (const Dispatch *d, const WorkPlacement *placement);
 gboolean grant_clock_is_recent (const Dispatch *d, const PoolWorker *w);
 void grant_check_clock (Dispatch *d,
                         PoolWorker *w,
@@ -203,12 +202,17 @@
 void grant_on_restart (Dispatch *d, PoolWorker *w, gint64 born);
 void grant_note_lost (Dispatch *d, PoolWorker *w, const PendingCall *call);
 void grant_append_metrics (const Dispatch *d, GString *text);
-void grant_cancel_late_starts (Dispatch *d, PoolWorker *w);
-void grant_refuse_late_starts (Dispatch *d, PoolWorker *w);
 gint64 grant_lease_deadline (Dispatch *d, PoolWorker *w);
 ClockMs grant_run_expiry (const WorkPlacement *placement);
 extern const ClockMs grant_longest_lease;
 
+/* late.c */
+void late_note_start (const Dispatch *d, const WorkPlacement *placement);
+void late_cancel_starts (Dispatch *d, PoolWorker *w);
+void late_refuse_starts (Dispatch *d, PoolWorker *w);
+void late_record (const Dispatch *d, GivenLeases *r);
+void late_load (Dispatch *d, const GivenLeases *r);
+
 /* due.c */
 void due_init (Dispatch *d);
 void due_clear (Dispatch *d);
--- a/queue/former.c
+++ b/queue/former.c
@@ -312,6 +312,7 @@
       if (w->recorded_as_longest)
         add_worker (&r->longest, w);
     }
+  late_record (d, r);
   packed = rec_pack (given_leases_desc (), r);
   rec_free (given_leases_desc (), r);
   return packed;
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -1,8 +1,8 @@
 #include "dispatch_state.h"
 
-/* What a worker has been granted or sent and may still act on: its lease, and
-   orders without an answer that the platform may execute late, perhaps by a new
-   process of the worker. */
+/* What a worker has been granted and may still act on: its lease, and calls
+   that a new process of the worker may have taken by the clock of the one
+   before. */
 
 /* A worker's clock may run slow by up to this many permille of the time. */
 static const ClockMs max_clock_lag_permille = 30;
@@ -93,48 +93,6 @@
                                      : w->lease_expiry;
 }
 
-/* Records on its worker that PLACEMENT, which is about to be freed, has an
-   unconfirmed start order that may still be executed. */
-void
-grant_note_late_start (const Dispatch *d, const WorkPlacement *placement)
-{
-  PoolWorker *w = placement->worker;
-
-  pool_expire_late_starts (w, d->now);
-  if (placement->start_unconfirmed)
-    pool_add_late_start (w, work_task_name (placement->task), placement->run,
-                         placement->last_order_at + holds_late_order_window);
-}
-
-/* Has W, which has restarted and has no record of its former process's runs,
-   refuse the late starts; see grant_refuse_late_starts. */
-void
-grant_cancel_late_starts (Dispatch *d, PoolWorker *w)
-{
-  guint i;
-
-  for (i = 0; i < w->late_starts->len; i++)
-    pool_late_start_at (w, i)->unwanted = TRUE;
-  grant_refuse_late_starts (d, w);
-}
-
-/* Sends stop orders for the unwanted late starts of W.  Called until W has
-   confirmed each, as a stop may be lost too. */
-void
-grant_refuse_late_starts (Dispatch *d, PoolWorker *w)
-{
-  guint i;
-
-  pool_expire_late_starts (w, d->now);
-  for (i = 0; i < w->late_starts->len; i++)
-    {
-      const PoolLateStart *late = pool_late_start_at (w, i);
-
-      if (late->unwanted)
-        orphans_send_stop (d, w, late->task, late->run);
-    }
-}
-
 /* Returns whether a start order of PLACEMENT may still be executed. */
 static gboolean
 may_still_start (const WorkPlacement *placement)
@@ -144,12 +102,12 @@
 }
 
 /* Handles that W's process was found to be a new one, which was BORN at that
-   Unix millisecond.  Stops the placements
-   whose start order the new process may still execute.  What else became of
-   the placements is told by its lists: each ends once a list that was asked
-   for after its last answered order does not show it.  Deadlines by the clock
-   of the process before mean nothing to the new one, whose clock began anew:
-   they may have granted it the longest lease. */
+   Unix millisecond.  Stops the placements whose start order the new process may
+   still execute, and drops those that were not sent.  What else became of the
+   placements is told by its lists: each ends once a list that was asked for
+   after its last answered order does not show it.  Deadlines by the clock of
+   the process before mean nothing to the new one, whose clock began anew: they
+   may have granted it the longest lease. */
 void
 grant_on_restart (Dispatch *d, PoolWorker *w, gint64 born)
 {
@@ -167,7 +125,7 @@
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     if (may_still_start (placement))
       runs_stop_unconfirmed_start (d, placement);
-  grant_cancel_late_starts (d, w);
+  late_cancel_starts (d, w);
   unsent_on_restart (d, w);
   w->process_known_at = d->now;
   w->lease_deadline = 0;
@@ -228,7 +186,10 @@
   if (!call->grants_lease)
     return;
   if (call->op == RUN_START)
-    log_lost_start (d, w, call);
+    {
+      log_lost_start (d, w, call);
+      roster_mark_dirty (d, w->entry->id);
+    }
   w->late_grant_until =
       MAX (w->late_grant_until, call->sent_at + holds_late_order_window);
   if (call->sent_at < w->process_known_at)
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -428,6 +428,8 @@
     return;
   if (w->incarnation)
     grant_on_restart (d, w, reply->incarnation);
+  else if (reply->incarnation != w->former_incarnation)
+    late_cancel_starts (d, w);
   w->incarnation = reply->incarnation;
   if (w->pace.incarnation != w->incarnation)
     w->pace = (PoolPace) { .incarnation = w->incarnation };
@@ -504,7 +506,7 @@
   gboolean renew_now = FALSE;
 
   detect_restart (d, w, reply);
-  grant_refuse_late_starts (d, w);
+  late_refuse_starts (d, w);
   note_address (d, w, call->address);
   w->worker_clock = reply->worker_clock;
   w->worker_clock_at = d->now;
--- a/queue/pool.c
+++ b/queue/pool.c
@@ -41,17 +41,44 @@
   g_free (start);
 }
 
-/* Records that an order to start RUN of TASK may still be executed on W
-   until EXPIRES.  Takes ownership of TASK, the task's name. */
-void
-pool_add_late_start (PoolWorker *w, char *task, gint64 run, ClockMs expires)
+static void
+add_start (GPtrArray *starts, char *task, gint64 run, ClockMs expires)
 {
   PoolLateStart *start = g_new0 (PoolLateStart, 1);
 
   start->task = task;
   start->run = run;
   start->expires = expires;
-  g_ptr_array_add (w->late_starts, start);
+  g_ptr_array_add (starts, start);
+}
+
+/* Records that an order to start RUN of TASK may still be executed on W
+   until EXPIRES.  Takes ownership of TASK, the task's name. */
+void
+pool_add_late_start (PoolWorker *w, char *task, gint64 run, ClockMs expires)
+{
+  add_start (w->late_starts, task, run, expires);
+}
+
+/* Like pool_add_late_start, for the worker with the id WORKER, which need not
+   be in P. */
+void
+pool_add_late_start_of (Pool *p,
+                        const char *worker,
+                        const char *task,
+                        gint64 run,
+                        ClockMs expires)
+{
+  const PoolWorker *w = pool_find (p, worker);
+  GPtrArray *starts =
+      w ? w->late_starts : g_hash_table_lookup (p->departed, worker);
+
+  if (!starts)
+    {
+      starts = g_ptr_array_new_with_free_func (late_start_free);
+      g_hash_table_insert (p->departed, g_strdup (worker), starts);
+    }
+  add_start (starts, g_strdup (task), run, expires);
 }
 
 /* Returns the I-th late start of W. */
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -175,6 +175,11 @@
 void pool_remove (Pool *p, PoolWorker *w, ClockMs now);
 void
 pool_add_late_start (PoolWorker *w, char *task, gint64 run, ClockMs expires);
+void pool_add_late_start_of (Pool *p,
+                             const char *worker,
+                             const char *task,
+                             gint64 run,
+                             ClockMs expires);
 PoolLateStart *pool_late_start_at (const PoolWorker *w, guint i);
 void pool_expire_late_starts (PoolWorker *w, ClockMs now);
 void pool_late_start_refused (PoolWorker *w, const char *task, gint64 run);
--- a/queue/roster.c
+++ b/queue/roster.c
@@ -149,6 +149,7 @@
                                           &roster->workers, k),
                              records);
     }
+  late_load (d, records->given_leases);
 }
 
 /* Tells whether a former scheduler may have recorded the worker with id WORKER
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -362,7 +362,7 @@
   gint64 run = placement->run;
 
   detach_order (d, placement);
-  grant_note_late_start (d, placement);
+  late_note_start (d, placement);
   due_mark (d, w);
   work_task_set_checkpoint (task, checkpoint);
   /* Of a gang's run, the members that fail after the first are one failure. */
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -133,6 +133,13 @@
 #define LONG_LEASE_FIELDS(INT, STR, BYTES, LIST) STR (id, 1, SPEC_MAX_NAME)
 REC_DECLARE (LongLease, long_lease, LONG_LEASE_FIELDS)
 
+/* A start of RUN on WORKER that got no answer and may be executed late. */
+#define LATE_START_FIELDS(INT, STR, BYTES, LIST)                               \
+  STR (worker, 1, SPEC_MAX_NAME)                                               \
+  STR (task, 1, SPEC_MAX_NAME)                                                 \
+  INT (run, 1, G_MAXINT64)
+REC_DECLARE (LateStart, late_start, LATE_START_FIELDS)
+
 /* The leases that the scheduler with FENCE may have given: normal ones to all
    recorded workers but those listed.  Those under LONGEST may hold the longest
    lease that any worker takes, whatever they were given. */
@@ -140,7 +147,8 @@
   INT (fence, 1, G_MAXINT64)                                                   \
   LIST (silent, 0, SPEC_MAX_TASKS, silent_worker)                              \
   LIST (longer, 0, SPEC_MAX_TASKS, long_lease)                                 \
-  LIST (longest, 0, SPEC_MAX_TASKS, long_lease)
+  LIST (longest, 0, SPEC_MAX_TASKS, long_lease)                                \
+  LIST (late, 0, SPEC_MAX_TASKS, late_start)
 REC_DECLARE (GivenLeases, given_leases, GIVEN_LEASES_FIELDS)
 
 /* What was learned of a worker's pace: a logarithm in thousandths and its
--- a/tests/queue_unreachable_test.cc
+++ b/tests/queue_unreachable_test.cc
@@ -300,31 +300,54 @@
     }
 }
 
-/* The successor does not know which starts its predecessor sent in vain. */
+/* Has a start of a task carried out late, after the task has ended done, the
+   scheduler has changed and worker 0 has restarted unnoticed. */
+static void
+restart_before_a_late_start (QueueWorld &w, const std::string &id)
+{
+  w.run (3000);
+  w.workers[0].late_start_rate = 1;
+  w.submit (0, one_task (id, "ms=300"));
+  w.run (100);
+  w.workers[0].late_start_rate = 0;
+  for (int i = 0; i < 150 && !w.count_lines ("event=job_completed"); i++)
+    w.run (10);
+  ASSERT_EQ (w.count_lines ("event=job_completed"), 1);
+  w.kill_host (w.scheduler ());
+  w.run (2000);
+  restart_unnoticed (w, 0);
+}
+
 TEST (QueueUnreachable, LateStartOfAFormerSchedulerIsRefusedAfterARestart)
 {
   for (unsigned seed = 1; seed <= 40 && !HasFailure (); seed++)
     {
       QueueWorld w (2, 1, seed);
-      const std::string id = "0000000000000432";
 
       SCOPED_TRACE (seed);
-      w.run (3000);
-      w.workers[0].late_start_rate = 1;
-      w.submit (0, one_task (id, "ms=300"));
-      w.run (100);
-      w.workers[0].late_start_rate = 0;
-      for (int i = 0; i < 150 && !w.count_lines ("event=job_completed"); i++)
-        w.run (10);
-      ASSERT_EQ (w.count_lines ("event=job_completed"), 1);
-      w.kill_host (w.scheduler ());
-      w.run (2000);
-      restart_unnoticed (w, 0);
+      restart_before_a_late_start (w, "0000000000000432");
       w.run (15000);
       w.expect_no_violations ();
     }
 }
 
+TEST (QueueUnreachable,
+      LateStartOfAFormerSchedulerIsRefusedByAProcessThatWasHeard)
+{
+  for (unsigned seed = 1; seed <= 40 && !HasFailure (); seed++)
+    {
+      QueueWorld w (2, 1, seed);
+      const std::string id = "0000000000000433";
+
+      SCOPED_TRACE (seed);
+      restart_before_a_late_start (w, id);
+      w.run (510);
+      int before = w.starts (id + ".0.0.0");
+      w.run (15000);
+      EXPECT_EQ (w.starts (id + ".0.0.0"), before);
+    }
+}
+
 TEST (QueueUnreachable, LeaseThatALateCallGrantsAfterARestartIsWaitedFor)
 {
   const std::string id = "0000000000000403";
