A call without an answer casts doubt on the reading that starts are reckoned by

After a call without an answer starts wait until a list has told the clock again, and with it whether the process is another one. That doesn't close the case (a start on a new connection may be the first call that the new process gets), but no start is knowingly sent past the sign of a restart.

--- a/queue/former.c
+++ b/queue/former.c
@@ -64,8 +64,8 @@
 }
 
 /* Returns the latest time at which any lease of a former scheduler expires.
-   XXX: a worker that restarted while a hold was under way, which then failed to
-   tell, may hold the longest lease. */
+   XXX: a worker that restarted unnoticed, took a start just before its
+   scheduler died and never wrote its entry may hold the longest lease. */
 ClockMs
 former_leases_end (const Dispatch *d)
 {
@@ -217,13 +217,13 @@
 static void
 log_awaited (const Dispatch *d, const PoolWorker *w)
 {
-  effects_log (d->fx,
-               "event=lease_awaited worker=%s left_ms=%" CLOCK_MS_FORMAT
-               " fence=%" G_GINT64_FORMAT
-               " long=%d longest=%d listed=%d born=%" G_GINT64_FORMAT,
-               w->entry->id, w->lease_expiry - d->now, w->former_fence,
-               w->long_lease_until > d->now, may_hold_longest (d, w),
-               w->registered, w->entry->incarnation);
+  effects_log_detail (d->fx,
+                      "event=lease_awaited worker=%s left_ms=%" CLOCK_MS_FORMAT
+                      " fence=%" G_GINT64_FORMAT
+                      " long=%d longest=%d listed=%d born=%" G_GINT64_FORMAT,
+                      w->entry->id, w->lease_expiry - d->now, w->former_fence,
+                      w->long_lease_until > d->now, may_hold_longest (d, w),
+                      w->registered, w->entry->incarnation);
 }
 
 /* Once, when most workers have answered: has the others recorded as silent. */
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -39,7 +39,8 @@
 {
   ClockMs seen_until = w->poll_id ? w->poll_sent_at : d->now;
 
-  if (w->incarnation && w->entry->incarnation > w->incarnation)
+  if (w->clock_in_doubt ||
+      (w->incarnation && w->entry->incarnation > w->incarnation))
     return FALSE;
   return seen_until - w->worker_clock_at <= max_reading_age;
 }
@@ -183,6 +184,7 @@
 void
 grant_note_lost (Dispatch *d, PoolWorker *w, const PendingCall *call)
 {
+  w->clock_in_doubt = TRUE;
   if (!call->grants_lease)
     return;
   if (call->op == RUN_START)
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -510,6 +510,7 @@
   note_address (d, w, call->address);
   w->worker_clock = reply->worker_clock;
   w->worker_clock_at = d->now;
+  w->clock_in_doubt = FALSE;
   w->polls_unanswered = 0;
   w->ends_acked = MAX (w->ends_acked, w->ends_ack_sent);
   run_list_apply_ends (d, w, reply, stale);
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -105,6 +105,8 @@
   GPtrArray *late_starts;  /* of PoolLateStart */
   gint64 worker_clock;     /* last reading of the worker's own clock */
   ClockMs worker_clock_at; /* latest time at which that was read */
+  /* A call has got no answer since: its process may have been replaced. */
+  gboolean clock_in_doubt;
   CallLimit calls;         /* in flight */
   RttEstimate rtt;
   ClockMs lease_expiry; /* latest end of its runs without a renewal */
--- a/tests/queue_restart_test.cc
+++ b/tests/queue_restart_test.cc
@@ -138,6 +138,24 @@
   r.expect_run_once_at_a_time ();
 }
 
+TEST (QueueRestart, StartAfterAnUnansweredOneIsNotReckonedByTheFormerClock)
+{
+  SilentRestart r (1);
+  const WorldWorker &o = r.w.workers[0];
+
+  r.w.workers[0].loses_orders = true;
+  r.w.submit (0, one_task ("0000000000000502", "ms=9900"));
+  r.w.run (300);
+  r.w.workers[0].loses_orders = false;
+  r.w.run (1000);
+  EXPECT_EQ (r.w.starts (r.task), 0);
+  r.w.put_worker (0);
+  for (int i = 0; i < 4000 && !o.runs.count (r.task); i++)
+    r.w.run (1);
+  ASSERT_TRUE (o.runs.count (r.task));
+  EXPECT_LT (o.lease_deadline, r.w.now () - o.started_at + 6000);
+}
+
 /* A worker that is the only one with room is back as another kind. */
 TEST (QueueRestart, StartThatWaitsForAReadingIsNotSentToAProcessOfAnotherKind)
 {
