A worker that left a start unanswered is asked for its list at once

Starts wait for a new reading after a call without an answer, up to a second and more where a hold is under way, perhaps at a process that has ended. The hold is now asked again at once, and grants no lease by a clock that may be another process's.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -230,6 +230,7 @@
 gboolean holds_is_overdue (const Dispatch *d, const PoolWorker *w);
 ClockMs holds_next (const Dispatch *d, const PoolWorker *w);
 void holds_ignore_reply (Dispatch *d, PoolWorker *w);
+void holds_ask_again (Dispatch *d, PoolWorker *w);
 gboolean holds_runs_are_known (const PoolWorker *w);
 ClockMs holds_evacuate_at (const PoolWorker *w);
 ClockMs holds_lease_duration (const Dispatch *d, const PoolWorker *w);
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -191,6 +191,7 @@
     {
       log_lost_start (d, w, call);
       roster_mark_dirty (d, w->entry->id);
+      holds_ask_again (d, w);
     }
   w->late_grant_until =
       MAX (w->late_grant_until, call->sent_at + holds_late_order_window);
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -289,6 +289,18 @@
   finish_hold (d, w);
 }
 
+/* Has W asked for its list at once, in place of the hold that may be under way
+   and wait, perhaps at a process that has ended. */
+void
+holds_ask_again (Dispatch *d, PoolWorker *w)
+{
+  if (w->polls_unanswered)
+    return;
+  holds_ignore_reply (d, w);
+  w->next_poll = d->now;
+  w->poll_immediately = TRUE;
+}
+
 /* Tells whether W's process may be another one than that whose list was seen
    last. */
 static gboolean
@@ -343,9 +355,9 @@
   gboolean unsaved = has_unsaved_ends (d, w);
 
   /* The lease of an unresponsive worker is not renewed, so that it expires at a
-     known time. */
-  if (w->runs_known && !w->polls_unanswered && d->may_send_orders &&
-      needs_lease (w) && former_may_give_lease (w))
+     known time; nor one by a clock that may be another process's. */
+  if (w->runs_known && !w->polls_unanswered && !w->clock_in_doubt &&
+      d->may_send_orders && needs_lease (w) && former_may_give_lease (w))
     call->lease_deadline = grant_lease_deadline (d, w);
   call->urgent = delays_urgent_start (w);
   call->ack = ack_to_send (w, unsaved);
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -107,7 +107,7 @@
   ClockMs worker_clock_at; /* latest time at which that was read */
   /* A call has got no answer since: its process may have been replaced. */
   gboolean clock_in_doubt;
-  CallLimit calls;         /* in flight */
+  CallLimit calls; /* in flight */
   RttEstimate rtt;
   ClockMs lease_expiry; /* latest end of its runs without a renewal */
   /* Latest end of what a process of it that has not answered may have taken
