--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -98,10 +98,17 @@
   bool loses_orders = false;    /* its starts and stops are lost */
   bool refuses_polls = false;   /* refuses the connections of polls */
   gint64 incarnation = 1;       /* after a restart: its time, Unix ms */
-  gint64 fence = 0;             /* highest seen */
-  double clock_rate = 1.0;      /* relative to virtual time */
-  ClockMs started_at = 0;       /* when its own clock read 0 */
-  gint64 lease_deadline = 0;    /* on its own clock; 0: none */
+  /* Since when its process's entry, or an answer of it, has been there for the
+     scheduler to see that it is a new one. */
+  ClockMs known_since = 0;
+  bool has_other_capacity = false; /* than the process before */
+  /* Calls to the process before are not executed late by the next one until
+     the scheduler can have told it to refuse them. */
+  bool spares_new_process = false;
+  gint64 fence = 0;          /* highest seen */
+  double clock_rate = 1.0;   /* relative to virtual time */
+  ClockMs started_at = 0;    /* when its own clock read 0 */
+  gint64 lease_deadline = 0; /* on its own clock; 0: none */
   gint64 last_end_number = 0;
   std::map<std::string, WorldRun> runs;
   /* Highest run that was stopped or has ended, by task. */
@@ -202,6 +209,7 @@
   void crash_worker (int worker, bool listed);
   void reset_polls (int worker);
   void abandon_polls (int worker);
+  void begin_worker (int worker);
   void restart_worker (int worker);
   void drain_worker (int worker);
   void remove_worker (int worker);
@@ -367,6 +375,8 @@
   void tick_work ();
   void tick_leases ();
   gint64 worker_clock (const WorldWorker &w) const;
+  void note_known (WorldWorker &w);
+  bool is_known_for (const WorldWorker &w, ClockMs span) const;
   bool is_reachable (const WorldWorker &w) const;
   void check_start (const WorldWorker &w,
                     const WorldRun &r,
