--- a/tests/queue_restart_test.cc
+++ b/tests/queue_restart_test.cc
@@ -13,9 +13,7 @@
 {
   w.abandon_polls (i);
   w.crash_worker (i, true);
-  w.workers[i].alive = true;
-  w.workers[i].started_at = w.now ();
-  w.workers[i].incarnation = w.wall ();
+  w.begin_worker (i);
 }
 
 static WorldJob
@@ -181,3 +179,48 @@
   EXPECT_EQ (w.starts (id + ".0.0.0"), 1);
   w.expect_no_violations ();
 }
+
+TEST (QueueRestart, SuccessorThatHearsTheNewProcessWaitsForItsLease)
+{
+  SilentRestart r (2);
+
+  r.start_on_new_process ();
+  r.w.kill_host (r.scheduler);
+  for (int i = 0; i < 6000 && !r.w.count_lines ("event=adopted"); i++)
+    r.w.run (1);
+  ASSERT_EQ (r.w.count_lines ("event=adopted"), 1);
+  r.w.run (300);
+  r.cut_off ();
+  r.expect_run_once_at_a_time ();
+}
+
+TEST (QueueRestart, LostStartIsNotRepeatedByAReadingFromBeforeIt)
+{
+  SilentRestart r (2);
+
+  r.w.workers[0].unreachable_until = r.w.now () + 400;
+  r.w.submit (r.scheduler, one_task ("0000000000000502", "ms=9900"));
+  for (int i = 0; i < 2000 && !r.w.workers[0].runs.count (r.task); i++)
+    r.w.run (1);
+  r.w.kill_host (r.scheduler);
+  r.cut_off ();
+  r.w.run (25000);
+  r.w.expect_no_violations ();
+}
+
+/* The hold that would tell of the process waits at the one before. */
+TEST (QueueRestart, AnswerThatShowsANewProcessHoldsOtherStartsBack)
+{
+  SilentRestart r (1);
+
+  r.w.workers[0].capacity.accelerators = 1;
+  r.start_on_new_process ();
+  ASSERT_FALSE (r.w.has_violation ("LIMIT"));
+  r.w.run (20);
+  ASSERT_GE (r.w.count_lines ("event=worker_clock_back"), 1);
+  r.w.submit (r.scheduler, one_task ("0000000000000503", "ms=1000"));
+  r.w.run (1000);
+  r.w.put_worker (0);
+  r.w.run (2000);
+  r.w.expect_no_violations ();
+}
