--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -240,6 +240,7 @@
   workers[i].drain_started_at = CLOCK_NEVER;
   workers[i].incarnation = wall_ + now_;
   workers[i].known_since = CLOCK_NEVER;
+  workers[i].reached_at = CLOCK_NEVER;
   workers[i].has_other_capacity = false;
 }
 
