A successor that hears a newer process waits for the longest lease it may hold

Cause: the first list of a worker was not compared with the process that the predecessor had heard, only the entry was, and that only before the first list. A first list of another process than the recorded one now counts as a restart: the longest lease from then on, which is recorded for the next successor too.

SuccessorThatHearsTheNewProcessWaitsForItsLease failed on the code before.

--- a/queue/grant.c
+++ b/queue/grant.c
@@ -137,6 +137,16 @@
   w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
 }
 
+/* Handles that the first list of W is of a newer process than the one that a
+   former scheduler heard.  That scheduler's calls may have granted it the
+   longest lease, and starts of it may still be executed. */
+void
+grant_on_former_restart (Dispatch *d, PoolWorker *w)
+{
+  extend_expiry (w, latest_end (w, d->now, grant_longest_lease));
+  late_cancel_starts (d, w);
+}
+
 /* Compares what the clock in REPLY, W's answer to CALL, leaves of the
    greatest deadline that W was sent with the lease that was reckoned with.  A
    clock that leaves more is that of a new process. */
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -440,8 +440,8 @@
     return;
   if (w->incarnation)
     grant_on_restart (d, w, reply->incarnation);
-  else if (reply->incarnation != w->former_incarnation)
-    late_cancel_starts (d, w);
+  else if (w->recorded && reply->incarnation != w->former_incarnation)
+    grant_on_former_restart (d, w);
   w->incarnation = reply->incarnation;
   if (w->pace.incarnation != w->incarnation)
     w->pace = (PoolPace) { .incarnation = w->incarnation };
