An answer that shows a new process holds other starts back

An answer by another clock now casts doubt on the reading, as a call without an answer does, and the worker is asked for its list at once. A call without an answer does so only where the clock has not been read since it was sent: a process that has answered later was not replaced then.

--- a/queue/grant.c
+++ b/queue/grant.c
@@ -171,7 +171,8 @@
                lease_end - w->lease_expiry, d->now - w->worker_clock_at,
                w->recorded_as_long);
   extend_expiry (w, lease_end);
-  w->poll_immediately = TRUE;
+  w->clock_in_doubt = TRUE;
+  holds_ask_again (d, w);
 }
 
 static void
@@ -188,20 +189,31 @@
       w->poll_id ? d->now - w->poll_sent_at : 0);
 }
 
+/* Tells whether W's clock has been read since CALL reached it at the latest, so
+   that CALL was not lost with the process that was read before. */
+static gboolean
+was_read_after (const PoolWorker *w, const PendingCall *call)
+{
+  return w->worker_clock_at > call->sent_at + rtt_bound (&w->rtt);
+}
+
 /* Records that CALL to W got no answer: it may be executed late.  One that was
    sent to the former process would then grant the present one the longest
    lease. */
 void
 grant_note_lost (Dispatch *d, PoolWorker *w, const PendingCall *call)
 {
-  w->clock_in_doubt = TRUE;
+  if (call->op != RUN_POLL && !was_read_after (w, call))
+    {
+      w->clock_in_doubt = TRUE;
+      holds_ask_again (d, w);
+    }
   if (!call->grants_lease)
     return;
   if (call->op == RUN_START)
     {
       log_lost_start (d, w, call);
       roster_mark_dirty (d, w->entry->id);
-      holds_ask_again (d, w);
     }
   w->late_grant_until =
       MAX (w->late_grant_until, call->sent_at + holds_late_order_window);
