Failed runs are recorded only where attempts are limited

Cause: count_failed_run added the run before it asked for `perpetual`. The numbers serve only to count attempts once each, and such tasks have no limit of them; neither have jobs without `attempts`.

The run is logged and the job saved as before.

--- a/queue/runs.c
+++ b/queue/runs.c
@@ -286,6 +286,8 @@
     stop_step (d, step, reason);
 }
 
+/* Counts that RUN of TASK failed, once, where the number of attempts is
+   limited. The last one fails its job. */
 static void
 count_failed_run (Dispatch *d, WorkTask *task, gint64 run)
 {
@@ -293,7 +295,7 @@
   gint64 max_attempts = job->entry->job->attempts;
   guint attempts;
 
-  if (!work_task_add_failure (task, run))
+  if (work_task_limits_attempts (task) && !work_task_add_failure (task, run))
     return;
   attempts = work_task_attempts (task);
   save_mark_dirty (d, job);
@@ -303,8 +305,8 @@
       " attempts=%u most=%" G_GINT64_FORMAT,
       job->entry->id, task->step->occurrence, task->step->number, task->index,
       run, attempts, max_attempts);
-  if (max_attempts > 0 && attempts >= max_attempts &&
-      !task->step->spec->perpetual && !spec_state_is_final (job->state))
+  if (work_task_limits_attempts (task) && attempts >= max_attempts &&
+      !spec_state_is_final (job->state))
     dispatch_set_job_state (d, job, JOB_FAILED);
 }
 
--- a/queue/work.c
+++ b/queue/work.c
@@ -294,13 +294,25 @@
   return task->step->spec->gang ? &task->step->tasks[0] : task;
 }
 
-/* Adds RUN to the failed runs of TASK.  Returns FALSE if it is one already. */
+/* Tells whether TASK may fail only so often.  The failed runs of one
+   that always starts again are not counted: their number has no bound. */
+gboolean
+work_task_limits_attempts (const WorkTask *task)
+{
+  return !task->step->spec->perpetual &&
+         task->step->job->entry->job->attempts > 0;
+}
+
+/* Adds RUN to the failed runs of TASK.  Returns FALSE if it is one already, or
+   if they are not counted, see work_task_limits_attempts. */
 gboolean
 work_task_add_failure (WorkTask *task, gint64 run)
 {
   WorkTask *owner = shared_state_of (task);
   guint i;
 
+  if (!work_task_limits_attempts (task))
+    return FALSE;
   if (!owner->failed_runs)
     owner->failed_runs = g_array_new (FALSE, FALSE, sizeof (gint64));
   for (i = 0; i < owner->failed_runs->len; i++)
--- a/queue/work.h
+++ b/queue/work.h
@@ -161,6 +161,7 @@
 gboolean work_step_is_done (const WorkStep *step);
 void work_task_set_done (WorkTask *task);
 gboolean work_task_add_failure (WorkTask *task, gint64 run);
+gboolean work_task_limits_attempts (const WorkTask *task);
 guint work_task_attempts (const WorkTask *task);
 gboolean work_task_is_urgent (const WorkTask *task);
 void work_task_set_failed_on (WorkTask *task, PoolWorker *w, ClockMs now);
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -751,3 +751,12 @@
     n += i.first.rfind (prefix, 0) == 0;
   return n;
 }
+
+/* Returns the value under KEY, empty if there is none. */
+std::string
+QueueWorld::record (const std::string &key) const
+{
+  auto it = items_.find (key);
+
+  return it == items_.end () ? "" : it->second.value;
+}
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -232,6 +232,7 @@
     return (int)started_.size ();
   }
   int n_keys (const std::string &prefix) const;
+  std::string record (const std::string &key) const;
   void expect_all_final ();
   void expect_no_violations ();
   int count_lines (const std::string &part) const;
