A progress record is no longer than the store takes

Cause: the record holds the checkpoint of each task that has no placement, with no bound on the sum. One of more than the settings' `valueBytes` is refused.

A longer record lacks checkpoints, those first that save the least estimated work for their length: a task's core-milliseconds, or its gang's, times the progress at which the checkpoint was reported (half, where a former scheduler stored it). Ties go by the task's number. A task without a checkpoint starts anew. What is done, what has failed and the job's state always stay.

Tests: the simulated store refuses longer values.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -19,13 +19,15 @@
 };
 
 /* Creates the scheduler of TERM.  JOB_CACHE and ROSTER must have been loaded
-   completely within this term.  The caller keeps ownership of both and of FX;
+   completely within this term.  The store takes values of MAX_STORE_VALUE
+   bytes; 0: unknown.  The caller keeps ownership of JOB_CACHE, ROSTER and FX;
    FX and JOB_CACHE must outlive the scheduler. */
 Dispatch *
 dispatch_new (Effects *fx,
               JobCache *job_cache,
               const RosterRecords *roster,
               const DispatchTerm *term,
+              gsize max_store_value,
               ClockMs now,
               ClockMs wall)
 {
@@ -46,6 +48,7 @@
   pace_init (&d->pace);
   due_init (d);
   APR_RING_INIT (&d->jobs, WorkJob, link);
+  d->save.max_value = max_store_value;
   d->save.in_flight_jobs = g_ptr_array_new ();
   d->save.in_flight_values =
       g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
--- a/queue/dispatch.h
+++ b/queue/dispatch.h
@@ -27,6 +27,7 @@
                         JobCache *job_cache,
                         const RosterRecords *roster,
                         const DispatchTerm *term,
+                        gsize max_store_value,
                         ClockMs now,
                         ClockMs wall);
 void dispatch_free (Dispatch *d);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -35,7 +35,8 @@
   GPtrArray *in_flight_values; /* GBytes, the progress record of each job */
   ClockMs next_at;             /* earliest time of the next transaction */
   guint64 last_order;          /* highest WorkJob::save_order assigned so far */
-  GQueue dirty; /* WorkJob waiting to be saved, in ascending save_order */
+  GQueue dirty;    /* WorkJob waiting to be saved, in ascending save_order */
+  gsize max_value; /* bytes that the store takes; 0: unknown */
 } ProgressSave;
 
 /* Writes of the worker roster; see roster.c. */
--- a/queue/node.c
+++ b/queue/node.c
@@ -39,6 +39,7 @@
   JobCache *job_cache;
   Waiting waiting;
   StoreHealth store_health;
+  gsize max_store_value; /* bytes; 0: unknown */
   Conf *conf;
   Term term;
   Intake *intake;
@@ -231,6 +232,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   n->job_cache = job_cache_new (on_job_cache_changed, n);
   term_init (&n->term, s->holder_name, s->min_store_lease);
+  n->max_store_value = s->max_store_value;
   waiting_init (&n->waiting);
   store_health_init (&n->store_health, now);
   n->next_job_cache_reset = now + JOB_CACHE_RESET_INTERVAL_MS;
@@ -336,8 +338,8 @@
   GHashTableIter i;
   gpointer id, value;
 
-  n->dispatch =
-      dispatch_new (&n->fx, n->job_cache, &n->roster, &term, n->now, n->wall);
+  n->dispatch = dispatch_new (&n->fx, n->job_cache, &n->roster, &term,
+                              n->max_store_value, n->now, n->wall);
   intake_set_job_cache_complete (n->intake, TRUE);
   if (n->conf)
     dispatch_on_conf (n->dispatch, n->conf);
--- a/queue/node.h
+++ b/queue/node.h
@@ -34,6 +34,7 @@
   ClockMs claim_delay;     /* before claiming the role; larger on small hosts */
   gint64 link_bytes_per_s; /* of the host's network link; 0: unknown */
   ClockMs min_store_lease; /* the store refuses a shorter one */
+  gsize max_store_value;   /* bytes; a longer one is refused; 0: unknown */
 } NodeSettings;
 
 Node *node_new (const NodeSettings *s,
--- a/queue/save.c
+++ b/queue/save.c
@@ -1,4 +1,5 @@
 #include "dispatch_state.h"
+#include "progress.h"
 
 enum
 {
@@ -52,21 +53,69 @@
   return !oldest || oldest->save_order > order;
 }
 
+/* Tells whether VALUE may be written by the same call as the values in flight:
+   all together are no longer than one value may be. */
+static gboolean
+has_room_for (const ProgressSave *s, GBytes *value)
+{
+  gsize n = g_bytes_get_size (value);
+  guint i;
+
+  for (i = 0; i < s->in_flight_values->len; i++)
+    n += g_bytes_get_size (g_ptr_array_index (s->in_flight_values, i));
+  return s->in_flight_values->len == 0 || s->max_value == 0 ||
+         n <= s->max_value;
+}
+
+/* Returns JOB's record, no longer than the store takes if that is possible, and
+   logs when checkpoints begin to be left out. */
+static GBytes *
+pack_record (Dispatch *d, WorkJob *job)
+{
+  gsize max = d->save.max_value;
+  guint n_left_out;
+  GBytes *value = progress_pack (job, d->wall, max, &n_left_out);
+
+  if (n_left_out && !job->n_left_out)
+    effects_log (
+        d->fx,
+        "event=checkpoints_left_out job=%s n=%u max_bytes=%" G_GSIZE_FORMAT,
+        job->entry->id, n_left_out, max);
+  job->n_left_out = n_left_out;
+  return value;
+}
+
+/* Adds JOB, the head of the queue, to the jobs in flight.  Returns FALSE if no
+   more may be added to them, be it that JOB has to wait for the next call. */
+static gboolean
+dequeue_job (Dispatch *d, WorkJob *job)
+{
+  ProgressSave *s = &d->save;
+  GBytes *value;
+
+  value = pack_record (d, job);
+  if (!has_room_for (s, value))
+    {
+      g_bytes_unref (value);
+      return FALSE;
+    }
+  g_queue_pop_head (&s->dirty);
+  job->saving = TRUE;
+  job->save_again = FALSE;
+  g_ptr_array_add (s->in_flight_jobs, job);
+  g_ptr_array_add (s->in_flight_values, value);
+  return TRUE;
+}
+
 static void
 dequeue_jobs (Dispatch *d)
 {
   ProgressSave *s = &d->save;
 
   while (s->in_flight_jobs->len < JOBS_PER_CALL &&
-         !g_queue_is_empty (&s->dirty))
-    {
-      WorkJob *job = g_queue_pop_head (&s->dirty);
-
-      job->saving = TRUE;
-      job->save_again = FALSE;
-      g_ptr_array_add (s->in_flight_jobs, job);
-      g_ptr_array_add (s->in_flight_values, work_job_progress (job, d->wall));
-    }
+         !g_queue_is_empty (&s->dirty) &&
+         dequeue_job (d, g_queue_peek_head (&s->dirty)))
+    continue;
 }
 
 static void
--- a/queue/work.c
+++ b/queue/work.c
@@ -37,14 +37,6 @@
   return step;
 }
 
-/* Returns how many tasks of STEP complete separately: a gang completes as
-   one unit. */
-static guint
-n_units (const WorkStep *step)
-{
-  return step->spec->gang ? 1 : (guint)step->spec->count;
-}
-
 static void
 restore_task (WorkJob *job, const ProgressTask *saved)
 {
@@ -80,7 +72,7 @@
   if (!step || !saved->done)
     return;
   bits = g_bytes_get_data (saved->done, &n);
-  for (i = 0; i < n_units (step) && i / BITS_PER_BYTE < n; i++)
+  for (i = 0; i < work_step_n_units (step) && i / BITS_PER_BYTE < n; i++)
     if (bits[i / BITS_PER_BYTE] & 1U << i % BITS_PER_BYTE)
       work_task_set_done (&step->tasks[i]);
 }
@@ -221,6 +213,14 @@
   return task->step->job->entry->job->priority == 0;
 }
 
+/* Returns how many tasks of STEP complete separately: a gang completes as
+   one unit. */
+guint
+work_step_n_units (const WorkStep *step)
+{
+  return step->spec->gang ? 1 : (guint)step->spec->count;
+}
+
 /* Returns how many tasks of STEP are neither done nor placed. */
 guint
 work_step_unplaced (const WorkStep *step)
@@ -352,6 +352,7 @@
     return;
   g_free (owner->checkpoint);
   owner->checkpoint = g_strdup (checkpoint);
+  owner->checkpoint_percent = task->placement ? task->placement->percent : 0;
 }
 
 /* Returns the name that identifies TASK in calls to workers,
@@ -488,70 +489,3 @@
   task->step->job->n_placements--;
   g_free (placement);
 }
-
-/* Adds what is to be stored of TASK to P.  The checkpoint of a placed task is
-   not stored: its worker reports it in polls. */
-static void
-save_task (Progress *p, const WorkStep *step, const WorkTask *task)
-{
-  ProgressTask *saved;
-  gboolean keep = !task->placement && task->checkpoint;
-  guint i;
-
-  if (task->done || (!work_task_attempts (task) && !keep))
-    return;
-  saved = rec_list_add (progress_task_desc (), &p->tasks);
-  saved->occurrence = step->occurrence;
-  saved->step = step->number;
-  saved->index = task->index;
-  for (i = 0; i < work_task_attempts (task); i++)
-    {
-      ProgressRun *failed = rec_list_add (progress_run_desc (), &saved->failed);
-
-      failed->run = g_array_index (task->failed_runs, gint64, i);
-    }
-  if (keep)
-    rec_set_str (&saved->checkpoint, task->checkpoint);
-}
-
-static void
-save_step (Progress *p, const WorkStep *step)
-{
-  guint8 *bits;
-  ProgressStep *saved;
-  gsize n;
-  guint i;
-
-  for (i = 0; i < n_units (step); i++)
-    save_task (p, step, &step->tasks[i]);
-  if (step->n_done == 0)
-    return;
-  n = (n_units (step) + BITS_PER_BYTE - 1) / BITS_PER_BYTE;
-  bits = g_malloc0 (n);
-  for (i = 0; i < n_units (step); i++)
-    if (step->tasks[i].done)
-      bits[i / BITS_PER_BYTE] |= (guint8)(1U << i % BITS_PER_BYTE);
-  saved = rec_list_add (progress_step_desc (), &p->steps);
-  saved->occurrence = step->occurrence;
-  saved->step = step->number;
-  saved->done = g_bytes_new_take (bits, n);
-}
-
-/* Returns the progress of JOB, serialized for the store.  WALL is the Unix
-   time in milliseconds. */
-GBytes *
-work_job_progress (const WorkJob *job, ClockMs wall)
-{
-  Progress *p = rec_new (progress_desc ());
-  WorkStep *step;
-  GBytes *packed;
-
-  p->state = job->state;
-  p->ended_ms = spec_state_is_final (job->state) ? wall : 0;
-  if (!spec_state_is_final (job->state))
-    APR_RING_FOREACH (step, &job->steps, WorkStep, link)
-      save_step (p, step);
-  packed = rec_pack (progress_desc (), p);
-  rec_free (progress_desc (), p);
-  return packed;
-}
--- a/queue/work.h
+++ b/queue/work.h
@@ -64,10 +64,11 @@
   WorkStep *step;
   guint index;
   gboolean done;
-  gboolean confirmed;  /* its worker has confirmed a start of it */
-  GArray *failed_runs; /* of gint64; for a gang, in its first task only */
-  gint64 last_run;     /* highest run number so far */
-  char *checkpoint;    /* NULL for none; for a gang, in its first task */
+  gboolean confirmed;        /* its worker has confirmed a start of it */
+  GArray *failed_runs;       /* of gint64; for a gang, in its first task only */
+  gint64 last_run;           /* highest run number so far */
+  char *checkpoint;          /* NULL for none; for a gang, in its first task */
+  double checkpoint_percent; /* progress when it was reported; 0: unknown */
   WorkPlacement *placement;
   PoolWorker *failed_on;   /* where it last failed; may dangle: only compared */
   ClockMs last_failure_at; /* when it last failed or stalled; 0: never */
@@ -139,6 +140,7 @@
   guint64 save_order;  /* position in the save queue; 0: not queued */
   gboolean saving;     /* a write of its progress is in flight */
   gboolean save_again; /* it changed during that write */
+  guint n_left_out;    /* checkpoints that did not fit in its record */
   gboolean guaranteed; /* urgent and within its workspace's guarantee */
   ClockMs known_since; /* to this scheduler */
   ClockMs chosen_at;   /* workers were chosen for its first tasks; 0: not yet */
@@ -157,6 +159,7 @@
 WorkStep *work_job_step (const WorkJob *job, guint occurrence, guint number);
 gboolean work_job_is_complete (const WorkJob *job);
 gboolean work_step_is_ready (const WorkStep *step);
+guint work_step_n_units (const WorkStep *step);
 guint work_step_unplaced (const WorkStep *step);
 gboolean work_step_is_done (const WorkStep *step);
 void work_task_set_done (WorkTask *task);
@@ -181,6 +184,5 @@
 void work_placement_set_state (WorkPlacement *placement, PlacementState state);
 void work_placement_free (WorkPlacement *placement);
 const char *work_placement_state_name (PlacementState state);
-GBytes *work_job_progress (const WorkJob *job, ClockMs wall);
 
 #endif
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -678,7 +678,7 @@
       "7000,"
       "7015],\"limits\":{\"cpuShare\":0.12},\"bounds\":{\"revokeMs\":5000,"
       "\"graceS\":6.5},\"platform\":{\"address\":\"10.2.0.7:8524\","
-      "\"ttlMinMs\":1300},\"new\":{}"
+      "\"ttlMinMs\":1300,\"valueBytes\":70000},\"new\":{}"
       "}";
   BootSettings *b = boot_parse (text.data (), text.size (), &findings);
 
@@ -687,6 +687,7 @@
   EXPECT_EQ (b->metrics_port, 7000u);
   EXPECT_EQ (b->termination_grace, 6500);
   EXPECT_EQ (b->min_store_lease, 1300);
+  EXPECT_EQ (b->max_store_value, 70000u);
   EXPECT_DOUBLE_EQ (b->cores, 0.12);
   EXPECT_STREQ (b->store_address, "10.2.0.7:8524");
   boot_free (b);
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -174,7 +174,8 @@
                      3700,
                      0,
                      link_.known_to_hosts ? link_.bytes_per_s : 0,
-                     min_store_lease };
+                     min_store_lease,
+                     store_value_is_known ? max_store_value : 0 };
 
   h.name = "h" + std::to_string (i);
   step_budget_init (&h.budget);
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -240,9 +240,12 @@
 
   std::vector<WorldHost> hosts;
   std::vector<WorldWorker> workers;
-  WorldProcessor processor;            /* of each host */
-  ClockMs store_down_until = 0;        /* drops calls without executing them */
-  ClockMs min_store_lease = 0;         /* the store refuses shorter ones */
+  WorldProcessor processor;         /* of each host */
+  ClockMs store_down_until = 0;     /* drops calls without executing them */
+  ClockMs min_store_lease = 0;      /* the store refuses shorter ones */
+  gsize max_store_value = 0;        /* bytes; longer ones are refused */
+  bool store_value_is_known = true; /* hosts are configured with that */
+  int n_refused_values = 0;
   bool pause_leases_in_outage = false; /* leases don't age while it lasts */
   double store_reply_loss_rate = 0;    /* executed writes without a reply */
   /* A start or stop with a lower fence than an earlier call, hence from a
@@ -332,6 +335,7 @@
   void store_call (int host, const KvCall *call);
   void store_execute (const KvCall *call, KvReply *reply);
   void store_txn (const KvCall *call, KvReply *reply);
+  bool has_too_long_value (const KvCall *call) const;
   void write (const std::string &key, const std::string &value, gint64 lease);
   void erase (const std::string &key);
   void answer_watches ();
--- a/tests/queue_world_store.cc
+++ b/tests/queue_world_store.cc
@@ -46,6 +46,21 @@
   return item;
 }
 
+/* Whether CALL writes a value that is longer than the store takes. */
+bool
+QueueWorld::has_too_long_value (const KvCall *call) const
+{
+  for (guint i = 0; i < call->writes->len; i++)
+    {
+      const KvWrite &w = g_array_index (call->writes, KvWrite, i);
+
+      if (max_store_value && w.value &&
+          g_bytes_get_size (w.value) > max_store_value)
+        return true;
+    }
+  return false;
+}
+
 /* Applies the writes if all preconditions hold; otherwise returns the current
    items of the preconditions' keys. */
 void
@@ -73,6 +88,12 @@
   if (!ok)
     return;
   g_ptr_array_set_size (reply->items, 0);
+  if (has_too_long_value (call))
+    {
+      n_refused_values++;
+      reply->status = KV_REFUSED;
+      return;
+    }
   for (guint i = 0; i < call->writes->len; i++)
     {
       const KvWrite &w = g_array_index (call->writes, KvWrite, i);
