A job's record that the store refuses holds up no other job

Cause: 400 was KV_REFUSED like 429 and 503. save.c repeated the transaction as it was, five times a second, wrote nothing else meanwhile, and took no end of any job for stored.

400 and 413 are now KV_INVALID: not executed, and no use in repeating it. The jobs of such a transaction are written apart. One that is refused by itself is logged and counted, and tried again after 1 s, doubling up to 32 s, each time with half of the bytes; its final state is written at once. Time-outs, 429 and 503 are handled as before, since such a call may have been executed or may succeed.

A worker may forget an end only once it is stored, so that ends on workers that list one of the refused job wait, and those on others don't. The pool therefore records the jobs of the ends that a worker has listed.

Tests: on the code before, RecordLongerThanTheStoreTakesHoldsUpNoOtherJob and RecordThatNeverFitsHoldsUpNoOtherJob leave ten jobs of others `queued`; both pass now. JobsOfARefusedTransactionAreWrittenApart and EndsOfARefusedRecordAreNotLostWithTheScheduler are new.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -50,6 +50,7 @@
   APR_RING_INIT (&d->jobs, WorkJob, link);
   d->save.max_value = max_store_value;
   d->save.in_flight_jobs = g_ptr_array_new ();
+  d->save.refused = g_ptr_array_new ();
   d->save.in_flight_values =
       g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   g_queue_init (&d->save.dirty);
@@ -84,6 +85,7 @@
   g_ptr_array_unref (d->roster.in_flight_ids);
   g_ptr_array_unref (d->save.in_flight_jobs);
   g_ptr_array_unref (d->save.in_flight_values);
+  g_ptr_array_unref (d->save.refused);
   g_queue_clear (&d->save.dirty);
   g_queue_clear (&d->first_hold_queue);
   g_clear_pointer (&d->pending_calls, g_hash_table_unref);
@@ -456,6 +458,7 @@
       d->n_evicted);
   g_string_append_printf (text, "wagtailpass_scheduler_failure_spike %d\n",
                           failure_spike_since (&d->failure_spike) != 0);
+  save_append_metrics (d, text);
   grant_append_metrics (d, text);
   standing_append_metrics (d, text);
   delay_append_metrics (d, text);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -35,8 +35,10 @@
   GPtrArray *in_flight_values; /* GBytes, the progress record of each job */
   ClockMs next_at;             /* earliest time of the next transaction */
   guint64 last_order;          /* highest WorkJob::save_order assigned so far */
-  GQueue dirty;    /* WorkJob waiting to be saved, in ascending save_order */
-  gsize max_value; /* bytes that the store takes; 0: unknown */
+  GQueue dirty;       /* WorkJob waiting to be saved, in ascending save_order */
+  GPtrArray *refused; /* WorkJob whose record the store refused by itself */
+  gsize max_value;    /* bytes that the store takes; 0: unknown */
+  gint64 n_refused;   /* records refused by themselves, for metrics */
 } ProgressSave;
 
 /* Writes of the worker roster; see roster.c. */
@@ -260,7 +262,8 @@
 void save_remove_job (Dispatch *d, WorkJob *job);
 void save_tick (Dispatch *d);
 gboolean save_on_reply (Dispatch *d, const KvReply *reply);
-gboolean save_is_durable (const Dispatch *d, guint64 order);
+gboolean save_is_durable (const Dispatch *d, const PoolWorker *w);
+void save_append_metrics (const Dispatch *d, GString *text);
 ClockMs save_next (const Dispatch *d);
 
 /* roster.c */
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -135,8 +135,7 @@
 static gboolean
 has_unsaved_ends (const Dispatch *d, const PoolWorker *w)
 {
-  return w->ends_applied > w->ends_acked &&
-         !save_is_durable (d, w->ends_applied_save);
+  return w->ends_applied > w->ends_acked && !save_is_durable (d, w);
 }
 
 /* An unresponsive worker is polled until it replies, even after its lease has
@@ -436,6 +435,7 @@
   w->ends_applied = 0;
   w->ends_acked = 0;
   w->ends_ack_sent = 0;
+  g_array_set_size (w->unacked_ends, 0);
   w->worker_clock_at = 0;
   w->consecutive_failures = 0;
 }
@@ -493,6 +493,7 @@
   w->worker_clock_at = d->now;
   w->polls_unanswered = 0;
   w->ends_acked = MAX (w->ends_acked, w->ends_ack_sent);
+  pool_drop_acked_ends (w);
   run_list_apply_ends (d, w, reply, stale);
   orphans_forget (d, w);
   run_list_apply_runs (d, w, reply);
--- a/queue/kv.c
+++ b/queue/kv.c
@@ -168,9 +168,13 @@
 kv_status_name (KvStatus status)
 {
   static const char *const names[] = {
-    [KV_OK] = "ok",           [KV_CONFLICT] = "conflict",
-    [KV_MISSING] = "missing", [KV_COMPACTED] = "compacted",
-    [KV_REFUSED] = "refused", [KV_OUTCOME_UNKNOWN] = "lost",
+    [KV_OK] = "ok",
+    [KV_CONFLICT] = "conflict",
+    [KV_MISSING] = "missing",
+    [KV_COMPACTED] = "compacted",
+    [KV_REFUSED] = "refused",
+    [KV_INVALID] = "invalid",
+    [KV_OUTCOME_UNKNOWN] = "lost",
   };
 
   return names[status];
--- a/queue/kv.h
+++ b/queue/kv.h
@@ -24,7 +24,8 @@
   KV_CONFLICT,       /* a precondition of the transaction failed */
   KV_MISSING,        /* no such item or lease */
   KV_COMPACTED,      /* changes after the watch's revision were compacted */
-  KV_REFUSED,        /* certainly not executed */
+  KV_REFUSED,        /* certainly not executed; may be repeated */
+  KV_INVALID,        /* not executed, and will not be if it is repeated */
   KV_OUTCOME_UNKNOWN /* may have been executed, or may still be */
 } KvStatus;
 
--- a/queue/pool.c
+++ b/queue/pool.c
@@ -143,12 +143,59 @@
   return FALSE;
 }
 
+static PoolUnackedEnd *
+unacked_end_at (const PoolWorker *w, guint i)
+{
+  return &g_array_index (w->unacked_ends, PoolUnackedEnd, i);
+}
+
+/* Records that W has listed the end numbered SEQUENCE, of a run of the job with
+   id JOB. */
+void
+pool_add_unacked_end (PoolWorker *w, gint64 sequence, const char *job)
+{
+  PoolUnackedEnd end = { .sequence = sequence, .job = g_str_hash (job) };
+  guint n = w->unacked_ends->len;
+
+  if (n && unacked_end_at (w, n - 1)->job == end.job)
+    unacked_end_at (w, n - 1)->sequence = sequence;
+  else
+    g_array_append_val (w->unacked_ends, end);
+}
+
+/* Forgets the ends of W that it may have dropped, as they are acknowledged. */
+void
+pool_drop_acked_ends (PoolWorker *w)
+{
+  guint n = 0;
+
+  while (n < w->unacked_ends->len &&
+         unacked_end_at (w, n)->sequence <= w->ends_acked)
+    n++;
+  g_array_remove_range (w->unacked_ends, 0, n);
+}
+
+/* Tells whether W may have listed an end of a run of the job with id JOB that
+   is not acknowledged. */
+gboolean
+pool_has_unacked_end_of (const PoolWorker *w, const char *job)
+{
+  guint hash = g_str_hash (job);
+  guint i;
+
+  for (i = 0; i < w->unacked_ends->len; i++)
+    if (unacked_end_at (w, i)->job == hash)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 worker_free (gpointer p)
 {
   PoolWorker *w = p;
 
   g_ptr_array_unref (w->late_starts);
+  g_array_unref (w->unacked_ends);
   pool_entry_free (w->entry);
   g_free (w);
 }
@@ -258,6 +305,7 @@
       call_limit_init (&w->calls);
       APR_RING_INIT (&w->placements, WorkPlacement, on_worker);
       w->late_starts = g_ptr_array_new_with_free_func (late_start_free);
+      w->unacked_ends = g_array_new (FALSE, FALSE, sizeof (PoolUnackedEnd));
     }
   w->entry = entry;
   w->registered = TRUE;
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -64,6 +64,13 @@
   double variance;     /* of that; 0 before the first sample */
 } PoolPace;
 
+/* The job of an end that a worker has listed, but not been acknowledged. */
+typedef struct PoolUnackedEnd
+{
+  gint64 sequence; /* number of the end */
+  guint job;       /* hash of the job's id */
+} PoolUnackedEnd;
+
 /* Each run that ends on a worker is numbered there in increasing order.  The
    worker keeps these records until the scheduler acknowledges them in a
    poll, which also renews the worker's lease. */
@@ -117,6 +124,7 @@
   gint64 ends_applied;      /* last end that was processed here */
   /* Until then a hold that was lost may be executed and acknowledge ends. */
   ClockMs late_ack_until;
+  GArray *unacked_ends; /* of PoolUnackedEnd, by ascending number */
   /* Sequence number of the save that makes ENDS_APPLIED durable. */
   guint64 ends_applied_save;
   gint64 poll_id; /* of the poll in flight; 0 for none */
@@ -172,6 +180,9 @@
 void
 pool_add_late_start (PoolWorker *w, char *task, gint64 run, ClockMs expires);
 PoolLateStart *pool_late_start_at (const PoolWorker *w, guint i);
+void pool_add_unacked_end (PoolWorker *w, gint64 sequence, const char *job);
+void pool_drop_acked_ends (PoolWorker *w);
+gboolean pool_has_unacked_end_of (const PoolWorker *w, const char *job);
 void pool_expire_late_starts (PoolWorker *w, ClockMs now);
 void pool_late_start_refused (PoolWorker *w, const char *task, gint64 run);
 gboolean pool_has_unwanted_late_start (const PoolWorker *w);
--- a/queue/run_list.c
+++ b/queue/run_list.c
@@ -182,6 +182,8 @@
                       " worker=%s how=%s known=%d stale=%d",
                       e->task, e->run, w->entry->id, run_end_name (e->how),
                       placement != NULL, stale);
+  if (task)
+    pool_add_unacked_end (w, e->sequence, task->step->job->entry->id);
   if (placement)
     runs_end (d, placement, e->how, e->checkpoint);
   else if (task)
--- a/queue/save.c
+++ b/queue/save.c
@@ -9,15 +9,33 @@
   MIN_INTERVAL_MS = 40,       /* batches runs that end close together */
   FULL_LINK_INTERVAL_MS = 80, /* while the host's link is saturated */
   CALL_TIMEOUT_MS = 900,
-  RETRY_MS = 200
+  RETRY_MS = 200,
+  REFUSED_RETRY_MS = 1000,   /* doubles with each refusal */
+  MAX_REFUSED_DOUBLINGS = 5, /* so it is 32 s at most */
+  /* A refused record is tried again with so much less of what may be left out:
+     the store may count bytes in another way than the settings. */
+  REFUSED_SIZE_DIVISOR = 2
 };
 
-/* Queues JOB for saving of its progress. */
+static int
+compare_orders (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const WorkJob *x = a;
+  const WorkJob *y = b;
+
+  (void)data;
+  return x->save_order < y->save_order ? -1 : x->save_order > y->save_order;
+}
+
+/* Queues JOB for saving of its progress.  One whose record was refused waits
+   for its next try, but not with a final state: that record is short. */
 void
 save_mark_dirty (Dispatch *d, WorkJob *job)
 {
   ProgressSave *s = &d->save;
 
+  if (spec_state_is_final (job->state))
+    job->retry_save_at = d->now;
   if (job->saving)
     {
       /* save_order belongs to the oldest change that is not in flight yet. */
@@ -37,20 +55,52 @@
 save_remove_job (Dispatch *d, WorkJob *job)
 {
   g_queue_remove (&d->save.dirty, job);
+  g_ptr_array_remove (d->save.refused, job);
 }
 
-/* Tells whether all changes with a save_order up to ORDER are in the store.
-   FALSE while jobs are in flight or wait for a retry, since a change up to
-   ORDER may be among them. */
+/* Tells whether all that W's ends have changed is in the store.  FALSE while
+   jobs are in flight or wait for a retry, since such a change may be among
+   them.  A job whose record is refused counts only if W has an end of it. */
 gboolean
-save_is_durable (const Dispatch *d, guint64 order)
+save_is_durable (const Dispatch *d, const PoolWorker *w)
 {
   const ProgressSave *s = &d->save;
   const WorkJob *oldest = g_queue_peek_head ((GQueue *)&s->dirty);
+  guint i;
 
-  if (s->call_id || s->in_flight_jobs->len)
+  if (s->call_id || s->in_flight_jobs->len ||
+      (oldest && oldest->save_order <= w->ends_applied_save))
     return FALSE;
-  return !oldest || oldest->save_order > order;
+  for (i = 0; i < s->refused->len; i++)
+    {
+      const WorkJob *job = g_ptr_array_index (s->refused, i);
+
+      if (job->save_order <= w->ends_applied_save &&
+          pool_has_unacked_end_of (w, job->entry->id))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Queues the refused jobs again whose next try is due. */
+static void
+requeue_refused (Dispatch *d)
+{
+  ProgressSave *s = &d->save;
+  guint i = 0;
+
+  while (i < s->refused->len)
+    {
+      WorkJob *job = g_ptr_array_index (s->refused, i);
+
+      if (job->retry_save_at > d->now)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index (s->refused, i);
+      g_queue_insert_sorted (&s->dirty, job, compare_orders, NULL);
+    }
 }
 
 /* Tells whether VALUE may be written by the same call as the values in flight:
@@ -72,7 +122,7 @@
 static GBytes *
 pack_record (Dispatch *d, WorkJob *job)
 {
-  gsize max = d->save.max_value;
+  gsize max = job->max_record ? job->max_record : d->save.max_value;
   guint n_left_out;
   GBytes *value = progress_pack (job, d->wall, max, &n_left_out);
 
@@ -93,6 +143,8 @@
   ProgressSave *s = &d->save;
   GBytes *value;
 
+  if (job->save_apart && s->in_flight_jobs->len)
+    return FALSE;
   value = pack_record (d, job);
   if (!has_room_for (s, value))
     {
@@ -102,9 +154,10 @@
   g_queue_pop_head (&s->dirty);
   job->saving = TRUE;
   job->save_again = FALSE;
+  job->write_order = job->save_order;
   g_ptr_array_add (s->in_flight_jobs, job);
   g_ptr_array_add (s->in_flight_values, value);
-  return TRUE;
+  return !job->save_apart;
 }
 
 static void
@@ -150,6 +203,7 @@
 
   if (s->call_id || s->next_at > d->now)
     return;
+  requeue_refused (d);
   if (s->in_flight_jobs->len == 0)
     dequeue_jobs (d);
   if (s->in_flight_jobs->len == 0)
@@ -159,16 +213,6 @@
                                        FULL_LINK_INTERVAL_MS);
 }
 
-static int
-compare_orders (gconstpointer a, gconstpointer b, gpointer data)
-{
-  const WorkJob *x = a;
-  const WorkJob *y = b;
-
-  (void)data;
-  return x->save_order < y->save_order ? -1 : x->save_order > y->save_order;
-}
-
 /* Ends the save of the jobs in flight.  A job that changed meanwhile is
    inserted in ascending save_order, because save_is_durable reads the queue's
    head. */
@@ -183,6 +227,8 @@
       WorkJob *job = g_ptr_array_index (s->in_flight_jobs, i);
 
       job->saving = FALSE;
+      job->save_apart = FALSE;
+      job->n_refusals = 0;
       if (job->save_again)
         g_queue_insert_sorted (&s->dirty, job, compare_orders, NULL);
       else
@@ -277,6 +323,54 @@
   update_revisions (d, reply);
 }
 
+/* Plans the next try of JOB, whose record VALUE was refused by itself. */
+static void
+on_record_refused (Dispatch *d, WorkJob *job, GBytes *value)
+{
+  ProgressSave *s = &d->save;
+  gboolean has_ended = job->save_again && spec_state_is_final (job->state);
+  ClockMs pause = (ClockMs)REFUSED_RETRY_MS
+                  << MIN (job->n_refusals, MAX_REFUSED_DOUBLINGS);
+
+  s->n_refused++;
+  job->n_refusals++;
+  job->max_record = MAX (g_bytes_get_size (value) / REFUSED_SIZE_DIVISOR, 1);
+  job->retry_save_at = has_ended ? d->now : d->now + pause;
+  g_ptr_array_add (s->refused, job);
+  effects_log (d->fx,
+               "event=progress_refused job=%s bytes=%" G_GSIZE_FORMAT
+               " refusals=%u retry_in_ms=%" CLOCK_MS_FORMAT,
+               job->entry->id, g_bytes_get_size (value), job->n_refusals,
+               job->retry_save_at - d->now);
+}
+
+/* Handles that the store refuses the transaction in flight for good: its jobs
+   are written apart, so that only one whose own record is refused waits. */
+static void
+on_invalid (Dispatch *d)
+{
+  ProgressSave *s = &d->save;
+  gboolean alone = s->in_flight_jobs->len == 1;
+  guint i;
+
+  for (i = 0; i < s->in_flight_jobs->len; i++)
+    {
+      WorkJob *job = g_ptr_array_index (s->in_flight_jobs, i);
+
+      job->saving = FALSE;
+      job->save_apart = TRUE;
+      job->save_order = job->write_order;
+      if (alone)
+        on_record_refused (d, job, g_ptr_array_index (s->in_flight_values, i));
+      else
+        g_queue_insert_sorted (&s->dirty, job, compare_orders, NULL);
+      job->save_again = FALSE;
+    }
+  g_ptr_array_set_size (s->in_flight_jobs, 0);
+  g_ptr_array_set_size (s->in_flight_values, 0);
+  due_mark_unacked (d);
+}
+
 /* Handles REPLY if it answers the transaction in flight.  Returns whether it
    does. */
 gboolean
@@ -291,6 +385,8 @@
     on_stored (d, reply->revision);
   else if (reply->status == KV_CONFLICT)
     on_conflict (d, reply);
+  else if (reply->status == KV_INVALID)
+    on_invalid (d);
   else
     {
       effects_log (d->fx, "event=save_failed jobs=%u status=%s",
@@ -305,9 +401,26 @@
 save_next (const Dispatch *d)
 {
   const ProgressSave *s = &d->save;
+  ClockMs next = CLOCK_NEVER;
+  guint i;
 
-  if (s->call_id ||
-      (s->in_flight_jobs->len == 0 && g_queue_is_empty ((GQueue *)&s->dirty)))
+  if (s->call_id)
     return CLOCK_NEVER;
-  return s->next_at;
+  if (s->in_flight_jobs->len || !g_queue_is_empty ((GQueue *)&s->dirty))
+    return s->next_at;
+  for (i = 0; i < s->refused->len; i++)
+    next = MIN (next, ((const WorkJob *)g_ptr_array_index (s->refused, i))
+                          ->retry_save_at);
+  return MAX (next, s->next_at);
+}
+
+/* Appends what the store refuses to TEXT, one metric per line. */
+void
+save_append_metrics (const Dispatch *d, GString *text)
+{
+  g_string_append_printf (
+      text,
+      "wagtailpass_scheduler_refused_jobs %u\n"
+      "wagtailpass_scheduler_progress_refused_total %" G_GINT64_FORMAT "\n",
+      d->save.refused->len, d->save.n_refused);
 }
--- a/queue/work.h
+++ b/queue/work.h
@@ -140,9 +140,14 @@
   guint64 save_order;  /* position in the save queue; 0: not queued */
   gboolean saving;     /* a write of its progress is in flight */
   gboolean save_again; /* it changed during that write */
-  guint n_left_out;    /* checkpoints that did not fit in its record */
-  gboolean guaranteed; /* urgent and within its workspace's guarantee */
-  ClockMs known_since; /* to this scheduler */
+  guint64 write_order; /* its save_order when that write began */
+  gboolean save_apart; /* by a write of its own: one with others was refused */
+  guint n_refusals;    /* of its record by itself, since it was stored */
+  ClockMs retry_save_at; /* with N_REFUSALS: when to write it again */
+  gsize max_record;      /* bytes that the store may take; 0: as usual */
+  guint n_left_out;      /* checkpoints that did not fit in its record */
+  gboolean guaranteed;   /* urgent and within its workspace's guarantee */
+  ClockMs known_since;   /* to this scheduler */
   ClockMs chosen_at;   /* workers were chosen for its first tasks; 0: not yet */
   ClockMs sent_at;     /* its last start order was sent */
   guint n_confirmed;   /* of its tasks that are CONFIRMED */
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -364,7 +364,8 @@
 }
 
 /* KV_REFUSED promises that the store did not execute the call: the request was
-   not sent, or the store replied 429 or 503.  A lost call may have been
+   not sent, or the store replied 429 or 503.  KV_INVALID promises besides that
+   it will not be executed if it is repeated.  A lost call may have been
    executed, so its outcome is unknown. */
 TEST (PlatformKvClient, HttpOutcomeMapsToKvStatus)
 {
@@ -376,6 +377,7 @@
   } cases[] = {
     { FETCH_ANSWERED, 200, KV_OK },        { FETCH_ANSWERED, 404, KV_MISSING },
     { FETCH_ANSWERED, 410, KV_COMPACTED }, { FETCH_ANSWERED, 412, KV_CONFLICT },
+    { FETCH_ANSWERED, 400, KV_INVALID },   { FETCH_ANSWERED, 413, KV_INVALID },
     { FETCH_ANSWERED, 429, KV_REFUSED },   { FETCH_ANSWERED, 503, KV_REFUSED },
     { FETCH_UNSENT, 0, KV_REFUSED },       { FETCH_LOST, 0, KV_OUTCOME_UNKNOWN }
   };
--- a/tests/queue_progress_test.cc
+++ b/tests/queue_progress_test.cc
@@ -10,6 +10,7 @@
 /* The progress records of jobs, and what the store makes of them. */
 
 static const char waiting_id[] = "0000000000000701";
+static const char recurring_id[] = "0000000000000702";
 static const char lasting_id[] = "0000000000000703";
 
 static std::string
@@ -54,6 +55,22 @@
   w.run (12000);
 }
 
+/* Submits ten jobs of one task each to rack r0 and waits until they have
+   ended. */
+static void
+expect_other_jobs_end (QueueWorld &w)
+{
+  for (int i = 0; i < 10; i++)
+    w.submit (0, { "q1/000000000000080" + std::to_string (i),
+                   world_body (step_on ("r0", 1), "ms=300") });
+  w.run (6000);
+  for (int i = 0; i < 4; i++)
+    EXPECT_TRUE (w.workers[i].unacked_ends.empty ()) << i;
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (w.state_of ("000000000000080" + std::to_string (i)),
+               "completed");
+}
+
 TEST (QueueProgress, CheckpointsBeyondWhatTheStoreTakesAreLeftOut)
 {
   QueueWorld w (0, 5);
@@ -64,6 +81,7 @@
   EXPECT_GT (stored.size (), 3500u);
   EXPECT_EQ (w.n_refused_values, 0);
   EXPECT_EQ (w.count_lines ("event=checkpoints_left_out"), 1);
+  expect_other_jobs_end (w);
   w.put_worker (4);
   w.workers[4].alive = true;
   w.run (30000);
@@ -71,6 +89,80 @@
   w.expect_no_violations ();
 }
 
+TEST (QueueProgress, RecordLongerThanTheStoreTakesHoldsUpNoOtherJob)
+{
+  QueueWorld w (0, 5);
+
+  start_hosts (w, 4000, false);
+  make_checkpoints_wait (w);
+  EXPECT_GT (w.n_refused_values, 0);
+  expect_other_jobs_end (w);
+  EXPECT_GT (w.record (progress_key (waiting_id)).size (), 1000u);
+  EXPECT_GT (w.count_lines ("event=progress_refused"), 0);
+  w.expect_no_violations ();
+}
+
+TEST (QueueProgress, JobsOfARefusedTransactionAreWrittenApart)
+{
+  QueueWorld w (0, 5);
+
+  start_hosts (w, 4000, false);
+  for (int i = 0; i < 5; i++)
+    w.submit (0, { "q1/000000000000085" + std::to_string (i),
+                   world_body (step_on ("r0", 1), "ms=9000") });
+  make_checkpoints_wait (w);
+  int n = w.count_lines ("event=progress_refused");
+  EXPECT_EQ (w.count_lines ("event=progress_refused job=" +
+                            std::string (waiting_id)),
+             n);
+  EXPECT_GT (w.n_refused_values, n);
+  for (int i = 0; i < 5; i++)
+    EXPECT_EQ (w.state_of ("000000000000085" + std::to_string (i)),
+               "completed");
+  w.expect_no_violations ();
+}
+
+/* Nothing of this record may be left out. */
+TEST (QueueProgress, RecordThatNeverFitsHoldsUpNoOtherJob)
+{
+  QueueWorld w (0, 5);
+  std::string body = world_body (step_on ("r1", 1), "ms=50");
+
+  start_hosts (w, 800, true);
+  body.insert (body.size () - 1,
+               ",\"runCount\":400,\"intervalMs\":50,\"firstRunMs\":" +
+                   std::to_string (w.wall ()));
+  w.submit (0, { std::string ("q1/") + recurring_id, body });
+  w.run (9000);
+  EXPECT_GT (w.n_refused_values, 0);
+  EXPECT_FALSE (w.workers[4].unacked_ends.empty ());
+  expect_other_jobs_end (w);
+  EXPECT_LT (w.n_refused_values, 20);
+  w.run (30000);
+  EXPECT_EQ (w.state_of (recurring_id), "completed");
+  EXPECT_TRUE (w.workers[4].unacked_ends.empty ());
+  w.expect_no_violations ();
+}
+
+/* The successor knows only what is stored and what workers list. */
+TEST (QueueProgress, EndsOfARefusedRecordAreNotLostWithTheScheduler)
+{
+  QueueWorld w (0, 5);
+  std::string body = world_body (step_on ("r1", 1), "ms=50");
+
+  start_hosts (w, 800, true);
+  body.insert (body.size () - 1,
+               ",\"runCount\":200,\"intervalMs\":50,\"firstRunMs\":" +
+                   std::to_string (w.wall ()));
+  w.submit (0, { std::string ("q1/") + recurring_id, body });
+  w.run (8000);
+  EXPECT_GT (w.n_refused_values, 0);
+  w.kill_host (w.scheduler ());
+  w.run (40000);
+  EXPECT_EQ (w.state_of (recurring_id), "completed");
+  w.expect_no_violations ();
+}
+
 TEST (QueueProgress, FailuresOfALastingTaskDoNotGrowItsRecord)
 {
   QueueWorld w (2, 5);
--- a/tests/queue_world_store.cc
+++ b/tests/queue_world_store.cc
@@ -91,7 +91,7 @@
   if (has_too_long_value (call))
     {
       n_refused_values++;
-      reply->status = KV_REFUSED;
+      reply->status = KV_INVALID;
       return;
     }
   for (guint i = 0; i < call->writes->len; i++)
