--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -19,13 +19,15 @@
 };
 
 /* Creates the scheduler of TERM.  JOB_CACHE and ROSTER must have been loaded
-   completely within this term.  The caller keeps ownership of both and of FX;
+   completely within this term.  The store takes values of MAX_STORE_VALUE
+   bytes; 0: unknown.  The caller keeps ownership of JOB_CACHE, ROSTER and FX;
    FX and JOB_CACHE must outlive the scheduler. */
 Dispatch *
 dispatch_new (Effects *fx,
               JobCache *job_cache,
               const RosterRecords *roster,
               const DispatchTerm *term,
+              gsize max_store_value,
               ClockMs now,
               ClockMs wall)
 {
@@ -46,7 +48,9 @@
   pace_init (&d->pace);
   due_init (d);
   APR_RING_INIT (&d->jobs, WorkJob, link);
+  d->save.max_value = max_store_value;
   d->save.in_flight_jobs = g_ptr_array_new ();
+  d->save.refused = g_ptr_array_new ();
   d->save.in_flight_values =
       g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   g_queue_init (&d->save.dirty);
@@ -81,6 +85,7 @@
   g_ptr_array_unref (d->roster.in_flight_ids);
   g_ptr_array_unref (d->save.in_flight_jobs);
   g_ptr_array_unref (d->save.in_flight_values);
+  g_ptr_array_unref (d->save.refused);
   g_queue_clear (&d->save.dirty);
   g_queue_clear (&d->first_hold_queue);
   g_clear_pointer (&d->pending_calls, g_hash_table_unref);
@@ -454,6 +459,7 @@
       d->n_evicted);
   g_string_append_printf (text, "wagtailpass_scheduler_failure_spike %d\n",
                           failure_spike_since (&d->failure_spike) != 0);
+  save_append_metrics (d, text);
   grant_append_metrics (d, text);
   standing_append_metrics (d, text);
   delay_append_metrics (d, text);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -364,7 +364,8 @@
 }
 
 /* KV_REFUSED promises that the store did not execute the call: the request was
-   not sent, or the store replied 429 or 503.  A lost call may have been
+   not sent, or the store replied 429 or 503.  KV_INVALID promises besides that
+   it will not be executed if it is repeated.  A lost call may have been
    executed, so its outcome is unknown. */
 TEST (PlatformKvClient, HttpOutcomeMapsToKvStatus)
 {
@@ -376,6 +377,7 @@
   } cases[] = {
     { FETCH_ANSWERED, 200, KV_OK },        { FETCH_ANSWERED, 404, KV_MISSING },
     { FETCH_ANSWERED, 410, KV_COMPACTED }, { FETCH_ANSWERED, 412, KV_CONFLICT },
+    { FETCH_ANSWERED, 400, KV_INVALID },   { FETCH_ANSWERED, 413, KV_INVALID },
     { FETCH_ANSWERED, 429, KV_REFUSED },   { FETCH_ANSWERED, 503, KV_REFUSED },
     { FETCH_UNSENT, 0, KV_REFUSED },       { FETCH_LOST, 0, KV_OUTCOME_UNKNOWN }
   };
@@ -678,7 +680,7 @@
       "7000,"
       "7015],\"limits\":{\"cpuShare\":0.12},\"bounds\":{\"revokeMs\":5000,"
       "\"graceS\":6.5},\"platform\":{\"address\":\"10.2.0.7:8524\","
-      "\"ttlMinMs\":1300},\"new\":{}"
+      "\"ttlMinMs\":1300,\"valueBytes\":70000},\"new\":{}"
       "}";
   BootSettings *b = boot_parse (text.data (), text.size (), &findings);
 
@@ -687,6 +689,7 @@
   EXPECT_EQ (b->metrics_port, 7000u);
   EXPECT_EQ (b->termination_grace, 6500);
   EXPECT_EQ (b->min_store_lease, 1300);
+  EXPECT_EQ (b->max_store_value, 70000u);
   EXPECT_DOUBLE_EQ (b->cores, 0.12);
   EXPECT_STREQ (b->store_address, "10.2.0.7:8524");
   boot_free (b);
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -175,7 +175,8 @@
                      3700,
                      0,
                      link_.known_to_hosts ? link_.bytes_per_s : 0,
-                     min_store_lease };
+                     min_store_lease,
+                     store_value_is_known ? max_store_value : 0 };
 
   h.name = "h" + std::to_string (i);
   step_budget_init (&h.budget);
@@ -762,3 +763,12 @@
     n += i.first.rfind (prefix, 0) == 0;
   return n;
 }
+
+/* Returns the value under KEY, empty if there is none. */
+std::string
+QueueWorld::record (const std::string &key) const
+{
+  auto it = items_.find (key);
+
+  return it == items_.end () ? "" : it->second.value;
+}
