Tests: a simulated deployment may have several services

QueueWorld::add_service adds a service with workers and routes of its own. A start on a worker of another service than its queue's is a violation (ROUTE), and the invariant that a task does not stand beside free room counts the workers of its service alone. With one service nothing changes: what the simulated store holds is the same text.

--- a/tests/queue_rules.cc
+++ b/tests/queue_rules.cc
@@ -135,13 +135,15 @@
 void
 QueueWorld::check_route (const WorldWorker &w,
                          const WorldRun &r,
-                         const SpecJob &spec)
+                         const SubmittedJob &job)
 {
   const SpecStep *step =
-      spec_job_step (&spec, (guint)task_name_number (r.task, 2));
+      spec_job_step (job.spec.get (), (guint)task_name_number (r.task, 2));
   std::string label = step->label ? step->label : "";
   int n_of_step = 0;
 
+  if (w.service != job.service)
+    violation ("ROUTE service " + r.task);
   if (!label.empty () && label != "a" && label != w.rack)
     violation ("ROUTE label " + r.task);
   for (auto &other : w.runs)
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -120,18 +120,25 @@
                       const std::string &token,
                       const std::string &extra)
 {
-  std::string routes;
-
-  for (int p = 0; p < 3; p++)
-    routes += std::string (p ? "," : "") + "{\"name\":\"q" +
-              std::to_string (p) + "\",\"host\":\"h.example\",\"prefix\":\"/q" +
-              std::to_string (p) +
-              "/\",\"service\":\"render\",\"priority\":" + std::to_string (p) +
-              ",\"attempts\":3,\"stretch\":3.0,\"targetLatencyMs\":1000}";
+  std::string routes, services;
+  std::set<std::string> names;
+
+  for (auto &r : route_services)
+    {
+      routes += std::string (routes.empty () ? "" : ",") + "{\"name\":\"" +
+                r.first + "\",\"host\":\"h.example\",\"prefix\":\"/" + r.first +
+                "/\",\"service\":\"" + r.second +
+                "\",\"priority\":" + r.first.substr (1) +
+                ",\"attempts\":3,\"stretch\":3.0,\"targetLatencyMs\":1000}";
+      names.insert (r.second);
+    }
+  for (auto &name : names)
+    services += std::string (services.empty () ? "" : ",") + "{\"name\":\"" +
+                name + "\"}";
   write ("op/config",
          "{\"version\":" + std::to_string (version) + ",\"routes\":[" + routes +
-             extra +
-             "],\"services\":[{\"name\":\"render\"}],\"tenants\":[{\"name\":"
+             extra + "],\"services\":[" + services +
+             "],\"tenants\":[{\"name\":"
              "\"alpha\",\"apiKeys\":[\"" +
              token + "\"],\"guaranteed\":{\"gpu\":16}}" + extra_tenants_json +
              "],\"limits\":{}}",
@@ -144,7 +151,7 @@
   const WorldWorker &w = workers[i];
 
   write ("servers/" + w.id,
-         "{\"service\":\"render\",\"address\":\"10.0.0." +
+         "{\"service\":\"" + w.service + "\",\"address\":\"10.0.0." +
              std::to_string (w.address < 0 ? i : w.address) +
              ":1\",\"zone\":\"z\",\"state\":\"" +
              (w.draining ? "draining" : "ready") + "\",\"capacity\":{\"cpu\":" +
@@ -580,7 +587,9 @@
 {
   SubmittedJob &j = jobs_[job.id.substr (job.id.find ('/') + 1)];
   std::string id = job.id.substr (job.id.find ('/') + 1);
+  auto route = route_services.find (job.id.substr (0, job.id.find ('/')));
 
+  j.service = route == route_services.end () ? "render" : route->second;
   j.body = job.body;
   j.urgent = job.id[1] == '0';
   j.own_workspace = token == "key";
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -73,6 +73,7 @@
 struct WorldWorker
 {
   std::string id;
+  std::string service = "render";
   std::string rack;
   int address = -1; /* number of its address, N of 10.0.0.N; -1: its own */
   bool alive = true;
@@ -206,6 +207,7 @@
   void drain_worker (int worker);
   void remove_worker (int worker);
   void put_worker (int worker);
+  void add_service (gint64 conf_version, const std::string &name, int n);
   void drop_worker_entry (int worker);
   bool has_worker_entry (int worker) const;
   void put_conf (gint64 version,
@@ -252,6 +254,11 @@
   /* Calls that get no reply of any kind, though their time-out passes. */
   double store_endless_call_rate = 0;
   std::string extra_tenants_json; /* ",{...}", appended by put_conf */
+  /* The service of each route that put_conf writes; the number in a route's
+     name is its priority. */
+  std::map<std::string, std::string> route_services { { "q0", "render" },
+                                                      { "q1", "render" },
+                                                      { "q2", "render" } };
   ClockMs longest_stand = 0; /* of a task that could run; see check_standing */
   std::string longest_stand_task;
   std::vector<std::string> violations;
@@ -300,6 +307,7 @@
     ClockMs accepted_at = CLOCK_NEVER;
     ClockMs cancelled_at = CLOCK_NEVER;
     std::string body;
+    std::string service; /* which its workers must have */
     gint64 attempts = 4;
     std::string final_state;
     std::shared_ptr<SpecJob> spec; /* NULL if the body is invalid */
@@ -393,7 +401,8 @@
   void on_accepted (SubmittedJob &job);
   void read_spec (SubmittedJob &job);
   void check_order (const WorldRun &r, const SpecJob &spec);
-  void check_route (const WorldWorker &w, const WorldRun &r, const SpecJob &s);
+  void
+  check_route (const WorldWorker &w, const WorldRun &r, const SubmittedJob &j);
   void check_drain (const WorldWorker &w, const WorldRun &r);
   void check_state (const std::string &id, const WorldAnswer &answer);
   void check_reclaim ();
@@ -404,7 +413,7 @@
                           int n);
   bool is_running (const std::string &task) const;
   bool has_ended (const std::string &id);
-  bool has_room_twice (const SpecStep *step) const;
+  bool has_room_twice (const SpecStep *step, const std::string &service) const;
 
   ClockMs last_work_at_ = 0;  /* last update of work_done */
   ClockMs last_fault_at_ = 0; /* of a host, its connections or the store */
--- a/tests/queue_world_standing.cc
+++ b/tests/queue_world_standing.cc
@@ -67,10 +67,12 @@
          2 * used.accelerators <= total.accelerators;
 }
 
-/* Tells whether the workers that have had no fault for long have room for twice
-   the tasks of STEP, in one rack if it asks for one, and are half free. */
+/* Tells whether the workers of SERVICE that have had no fault for long have
+   room for twice the tasks of STEP, in one rack if it asks for one, and are
+   half free. */
 bool
-QueueWorld::has_room_twice (const SpecStep *step) const
+QueueWorld::has_room_twice (const SpecStep *step,
+                            const std::string &service) const
 {
   const PoolResources need = { step->cpu_milli, step->mem_mb,
                                step->accelerators };
@@ -84,7 +86,7 @@
       PoolResources room = w.capacity;
 
       if ((w.last_fault_at >= 0 && now_ - w.last_fault_at < calm_ms) ||
-          !has_worker_entry ((int)i) ||
+          !has_worker_entry ((int)i) || w.service != service ||
           (!label.empty () && label != "a" && label != w.rack))
         continue;
       pool_resources_add (&total, &w.capacity);
@@ -114,7 +116,7 @@
                                int n)
 {
   const SpecStep *step = spec_job_step (job.spec.get (), (guint)n);
-  bool has_room = has_room_twice (step);
+  bool has_room = has_room_twice (step, job.service);
 
   for (int i = 0; i < (int)step->count; i++)
     {
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -75,7 +75,7 @@
   if (job->second.spec)
     {
       check_order (r, *job->second.spec);
-      check_route (w, r, *job->second.spec);
+      check_route (w, r, job->second);
       if (text != (job->second.spec->text ? job->second.spec->text : ""))
         violation ("UNASKED with another text " + r.task);
     }
@@ -637,3 +637,25 @@
     }
   std::erase_if (polls_, [] (const Poll &p) { return p.id == 0; });
 }
+
+/* Adds N workers of a service NAME of their own, in racks of their own, and
+   routes to it, whose names are its first letter and their priority, by a
+   configuration of the given version. */
+void
+QueueWorld::add_service (gint64 conf_version, const std::string &name, int n)
+{
+  for (int p = 0; p < 3; p++)
+    route_services[name.substr (0, 1) + std::to_string (p)] = name;
+  put_conf (conf_version, "key");
+  for (int i = 0; i < n; i++)
+    {
+      WorldWorker w;
+
+      w.id = name + std::to_string (i);
+      w.service = name;
+      w.rack = name + "-r" + std::to_string (i / 4);
+      w.clock_rate = 1.0 - 0.02 * chance ();
+      workers.push_back (w);
+      put_worker ((int)workers.size () - 1);
+    }
+}
