The room kept for urgent work is counted by service

Cause: the demand of urgent work, the room kept for it, the room that is free, and whether half of the capacity is in use, which is the way out of the reserve after 1.5 s, were summed over all workers, though a step can run only on those of its service. The same sums let a second, idle service stand for the reserve of a busy one, so that urgent gangs found it full.

Each service has its own reserve and room now (service.c); room.c sums them up in a pass. What a service lacks or has free no longer acts on another. The line event=reserve names the service; the gauges are sums over all services.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -13,25 +13,30 @@
   MAX_LAG_MS = 150
 };
 
-/* Tells whether N_TASKS of STEP may be placed without using room that is
-   reserved for urgent work.  Urgent work may use all, and so may what is
-   overdue. */
+/* Tells whether N_TASKS of STEP may be placed without using room of its service
+   that is reserved for urgent work.  Urgent work may use all, and so may what
+   is overdue. */
 static gboolean
 fits_outside_reserve (const Pass *p, const WorkStep *step, guint n_tasks)
 {
-  if (step->job->entry->job->priority == 0 || p->reserved_workers <= 0.0 ||
+  const ServiceRoom *room = p->room;
+
+  if (step->job->entry->job->priority == 0 || room->reserved_workers <= 0.0 ||
       delay_is_overdue (step, p->d->now))
     return TRUE;
-  return p->free_workers -
-             n_tasks * reserve_need_fraction (&step->need, &p->largest) >=
-         p->reserved_workers;
+  return room->free_workers -
+             n_tasks * reserve_need_fraction (&step->need, &room->largest) >=
+         room->reserved_workers;
 }
 
 /* Subtracts the room of N_TASKS of STEP, just placed, from the free room. */
 static void
 subtract_free (Pass *p, const WorkStep *step, guint n_tasks)
 {
-  p->free_workers -= n_tasks * reserve_need_fraction (&step->need, &p->largest);
+  ServiceRoom *room = p->room;
+
+  room->free_workers -=
+      n_tasks * reserve_need_fraction (&step->need, &room->largest);
 }
 
 /* Tells whether this host's link can take another order now, and records in P
@@ -89,78 +94,24 @@
   return assign_is_heard (w) && w->excluded_until <= d->now;
 }
 
-static gboolean
-is_quarantined (const Dispatch *d, const PoolWorker *w)
-{
-  return w->quarantined_until > d->now;
-}
-
-/* Raises each resource of MAX to at least that of ROOM. */
-static void
-raise_to_max (PoolResources *max, const PoolResources *room)
-{
-  max->cpu_milli = MAX (max->cpu_milli, room->cpu_milli);
-  max->mem_mb = MAX (max->mem_mb, room->mem_mb);
-  max->accelerators = MAX (max->accelerators, room->accelerators);
-}
-
-static void
-add_free (PoolResources *total, const PoolResources *room)
-{
-  total->cpu_milli += MAX (room->cpu_milli, 0);
-  total->mem_mb += MAX (room->mem_mb, 0);
-  total->accelerators += MAX (room->accelerators, 0);
-}
-
-/* Fills in P's sums over the workers that are heard. */
-static void
-sum_workers (Pass *p)
-{
-  const Pool *pool = &p->d->pool;
-  guint i;
-
-  for (i = 0; i < pool_size (pool); i++)
-    {
-      const PoolWorker *w = pool_at (pool, i);
-      PoolResources room = pool_available (w);
-
-      if (!assign_is_heard (w))
-        continue;
-      pool_resources_add (&p->total, &w->entry->capacity);
-      pool_resources_add (&p->used, &w->used);
-      add_free (&p->free, &room);
-    }
-}
-
-/* Fills in P's candidates and its counts of free and reserved room. */
+/* Fills in P's candidates. */
 static void
-collect_workers (Pass *p)
+collect_candidates (Pass *p)
 {
   const Pool *pool = &p->d->pool;
   guint i;
 
   p->candidates = g_new0 (FitWorker, pool_size (pool) + 1);
-  for (i = 0; i < pool_size (pool); i++)
-    raise_to_max (&p->largest, &pool_at (pool, i)->entry->capacity);
   for (i = 0; i < pool_size (pool); i++)
     {
       PoolWorker *w = pool_at (pool, i);
       PoolResources room = pool_available (w);
 
-      if (!assign_is_usable (p->d, w))
-        continue;
-      if (is_quarantined (p->d, w))
-        p->has_quarantined = TRUE;
-      else
-        {
-          p->n_usable++;
-          p->free_workers += reserve_free_fraction (&room, &p->largest);
-        }
-      if (pool_resources_fit (&room, &p->min_need))
+      if (assign_is_usable (p->d, w) &&
+          pool_resources_fit (&room, &p->min_need))
         p->candidates[p->n_candidates++] =
             (FitWorker) { .worker = w, .room = room };
     }
-  p->reserved_workers = reserve_size (&p->d->reserve, p->d->now, p->n_usable);
 }
 
 /* Updates the candidates' free room after an eviction has claimed some. */
@@ -411,17 +362,18 @@
              : d->now;
 }
 
-/* Records STEP's need as urgent demand, once per step, if it is urgent.  Work
-   that had come before this scheduler is no sign of what comes next. */
+/* Records STEP's need as urgent demand of S, its service, once per step, if it
+   is urgent.  Work that had come before this scheduler is no sign of what comes
+   next. */
 static void
-record_urgent_demand (Pass *p, WorkStep *step)
+record_urgent_demand (const Dispatch *d, Service *s, WorkStep *step)
 {
-  double need = reserve_need_fraction (&step->need, &p->largest);
+  double need = reserve_need_fraction (&step->need, &s->room.largest);
 
   if (step->demand_counted || step->job->entry->job->priority > 0)
     return;
   step->demand_counted = TRUE;
-  reserve_record_demand (&p->d->reserve, p->d->now, arrival (p->d, step),
+  reserve_record_demand (&s->reserve, d->now, arrival (d, step),
                          need * (double)step->spec->count);
 }
 
@@ -491,7 +443,10 @@
 static void
 place_step (Pass *p, WorkStep *step)
 {
-  record_urgent_demand (p, step);
+  Service *s = choose_service (p->d, step->job);
+
+  p->room = &s->room;
+  record_urgent_demand (p->d, s, step);
   delay_note (p, step,
               step->spec->gang ? place_gang (p, step) : place_tasks (p, step));
 }
@@ -527,11 +482,14 @@
 
   claims_resolve (d);
   share_mark_guaranteed (&d->jobs, d->conf);
-  sum_workers (&p);
+  room_sum_heard (d);
   ranked = waiting_steps (&p);
   p.min_need = smallest_need (ranked);
   if (ranked->len)
-    collect_workers (&p);
+    {
+      room_count_usable (d);
+      collect_candidates (&p);
+    }
   p.first = first_overdue (d, ranked);
   if (p.first)
     place_step (&p, p.first);
@@ -542,8 +500,6 @@
       if (step != p.first)
         place_step (&p, step);
     }
-  if (ranked->len)
-    delay_end_pass (&p);
   if (p.link_full)
     {
       d->replan = TRUE;
--- a/queue/choose.c
+++ b/queue/choose.c
@@ -78,13 +78,14 @@
 }
 
 /* Returns the service that must run JOB: its route's, or else its own. */
-static const char *
-service_for_job (const Dispatch *d, const WorkJob *job)
+Service *
+choose_service (const Dispatch *d, const WorkJob *job)
 {
   const ConfRoute *route =
       conf_find_route_by_name (d->conf, job->entry->job->route);
 
-  return route ? route->service : job->entry->job->service;
+  return service_get (d->services,
+                      route ? route->service : job->entry->job->service);
 }
 
 /* Returns when a run of any task of STEP last failed or stalled, or 0. */
@@ -129,8 +130,9 @@
 choose_request (const Dispatch *d, const WorkStep *step, guint count)
 {
   const SpecStep *spec = step->spec;
+  const Service *s = choose_service (d, step->job);
 
-  return (FitRequest) { .service = service_for_job (d, step->job),
+  return (FitRequest) { .service = s->name,
                         .need = step->need,
                         .count = count,
                         .max_per_worker = (guint)spec->max_per_worker,
@@ -231,7 +233,7 @@
 {
   FitRequest rq = choose_request (p->d, step, (guint)step->spec->count);
 
-  if (!p->has_quarantined || is_feasible_when_idle (p, step, &rq))
+  if (!p->room->has_quarantined || is_feasible_when_idle (p, step, &rq))
     return FALSE;
   rq.ignore_racks = TRUE;
   if (is_feasible (p, &rq, step->job->entry->job->priority))
@@ -339,7 +341,7 @@
 static gboolean
 admit_only_worker (const Pass *p, const WorkTask *task, FitRequest *rq)
 {
-  if ((!rq->excluded_worker && !p->has_quarantined) ||
+  if ((!rq->excluded_worker && !p->room->has_quarantined) ||
       has_other_worker (p, rq, task->step->job->entry->job->priority) ||
       failed_within (p, task, failed_worker_wait (task, FALSE)))
     return FALSE;
--- a/queue/delay.c
+++ b/queue/delay.c
@@ -118,22 +118,23 @@
   return cause;
 }
 
-/* Tells whether less than half of the workers' capacity is in use, as
-   spec_cores counts it. */
+/* Tells whether less than half of ROOM's capacity is in use, as spec_cores
+   counts it. */
 static gboolean
-is_half_free (const Pass *p)
+is_half_free (const ServiceRoom *room)
 {
-  return 2 * spec_cores (p->used.cpu_milli, p->used.accelerators) <
-         spec_cores (p->total.cpu_milli, p->total.accelerators);
+  return 2 * spec_cores (room->used.cpu_milli, room->used.accelerators) <
+         spec_cores (room->total.cpu_milli, room->total.accelerators);
 }
 
 /* Tells whether STEP must not stand beside free room: a lasting task, or a job
-   of which nothing runs while half of the workers' room is free. */
+   of which nothing runs while half of its service's room is free. */
 static gboolean
-must_not_stand (const Pass *p, const WorkStep *step)
+must_not_stand (const Dispatch *d, const WorkStep *step)
 {
   return step->spec->perpetual ||
-         (step->job->n_placements == 0 && is_half_free (p));
+         (step->job->n_placements == 0 &&
+          is_half_free (&choose_service (d, step->job)->room));
 }
 
 /* Tells whether STEP has been held for so long that nothing but want of room
@@ -170,7 +171,7 @@
 is_probe_due (const Pass *p, const WorkStep *step)
 {
   ClockMs interval =
-      must_not_stand (p, step) ? PROBE_INTERVAL_MS : SLOW_PROBE_INTERVAL_MS;
+      must_not_stand (p->d, step) ? PROBE_INTERVAL_MS : SLOW_PROBE_INTERVAL_MS;
 
   return !step->delay.probed_at ||
          p->d->now - step->delay.probed_at >= interval;
@@ -188,7 +189,7 @@
   FitRequest one = request_for_room (d, step, unit_size (step));
   FitRequest twice = request_for_room (d, step, HELD_ROOMS * unit_size (step));
 
-  if (!must_not_stand (p, step) || !fit_feasible (&twice, workers, n))
+  if (!must_not_stand (d, step) || !fit_feasible (&twice, workers, n))
     end_hold (p->d, step);
   else if (!delay->held_since)
     delay->held_since = d->now;
@@ -199,13 +200,15 @@
 }
 
 /* Looks whether there is room for STEP, and corrects CAUSE by what it finds.
-   Where all workers together have no room, which is when most steps wait, it
-   doesn't look at each. */
+   Where all workers of its service together have no room, which is when most
+   steps wait, it doesn't look at each. */
 static DelayCause
 probe (Pass *p, WorkStep *step, DelayCause cause)
 {
+  const ServiceRoom *room = &choose_service (p->d, step->job)->room;
+
   step->delay.probed_at = p->d->now;
-  if (pool_resources_count (&p->free, &step->need) >= unit_size (step))
+  if (pool_resources_count (&room->free, &step->need) >= unit_size (step))
     return probe_workers (p, step, cause);
   end_hold (p->d, step);
   return cause;
@@ -259,6 +262,22 @@
                d->now - step->job->accepted_at);
 }
 
+/* Logs the room of each of D's services in which tasks wait for what is kept
+   for urgent work. */
+static void
+log_reserves (Dispatch *d)
+{
+  const Service *s;
+
+  APR_RING_FOREACH (s, &d->services->all, Service, link)
+    if (s->n_reserve_delayed)
+      effects_log (d->fx,
+                   "event=reserve service=%s size=%.2f free=%.2f usable=%u "
+                   "delayed=%u",
+                   s->name, s->room.reserved_workers, s->room.free_workers,
+                   s->room.n_usable, s->n_reserve_delayed);
+}
+
 static void
 look_at_step (Dispatch *d, const WorkStep *step, DelayLook *look, guint *lines)
 {
@@ -268,6 +287,9 @@
   if (delay->cause == DELAY_NONE)
     return;
   look->n_tasks[delay->cause] += work_step_unplaced (step);
+  if (delay->cause == DELAY_RESERVE)
+    choose_service (d, step->job)->n_reserve_delayed +=
+        work_step_unplaced (step);
   look->longest_hold = MAX (look->longest_hold, held);
   if (*lines == 0 || held < LONG_HOLD_MS || delay->cause == DELAY_FORMER)
     return;
@@ -280,9 +302,9 @@
 delay_tick (Dispatch *d)
 {
   DelayLook look = { .next_look = d->now + LOOK_INTERVAL_MS,
-                     .next_log = d->delays.next_log,
-                     .room = d->delays.room };
+                     .next_log = d->delays.next_log };
   guint lines = 0;
+  Service *s;
   WorkJob *job;
   WorkStep *step;
 
@@ -293,32 +315,24 @@
       lines = MAX_LINES;
       look.next_log = d->now + LOG_INTERVAL_MS;
     }
+  APR_RING_FOREACH (s, &d->services->all, Service, link)
+    s->n_reserve_delayed = 0;
   APR_RING_FOREACH (job, &d->jobs, WorkJob, link)
     if (!spec_state_is_final (job->state))
       APR_RING_FOREACH (step, &job->steps, WorkStep, link)
         look_at_step (d, step, &look, &lines);
-  if (lines && look.n_tasks[DELAY_RESERVE])
-    effects_log (d->fx,
-                 "event=reserve size=%.2f free=%.2f usable=%u delayed=%u",
-                 look.room.reserved, look.room.free, look.room.n_usable,
-                 look.n_tasks[DELAY_RESERVE]);
+  if (lines)
+    log_reserves (d);
   d->delays = look;
 }
 
-/* Keeps what P found of the workers' room for the next look. */
-void
-delay_end_pass (Pass *p)
-{
-  p->d->delays.room = (RoomLook) { .n_usable = p->n_usable,
-                                   .free = p->free_workers,
-                                   .reserved = p->reserved_workers };
-}
-
-/* Appends the counts of the last look to TEXT, one per line. */
+/* Appends the counts of the last look, and the room of all services together,
+   to TEXT, one per line. */
 void
 delay_append_metrics (const Dispatch *d, GString *text)
 {
   const DelayLook *look = &d->delays;
+  ServiceRoom room = service_total_room (d->services);
   guint i;
 
   for (i = DELAY_NONE + 1; i < N_DELAY_CAUSES; i++)
@@ -329,9 +343,9 @@
       text, "wagtailpass_scheduler_longest_hold_ms %" CLOCK_MS_FORMAT "\n",
       look->longest_hold);
   g_string_append_printf (text, "wagtailpass_scheduler_usable_workers %u\n",
-                          look->room.n_usable);
+                          room.n_usable);
   g_string_append_printf (text, "wagtailpass_scheduler_free_workers %.3f\n",
-                          look->room.free);
+                          room.free_workers);
   g_string_append_printf (text, "wagtailpass_scheduler_reserved_workers %.3f\n",
-                          look->room.reserved);
+                          room.reserved_workers);
 }
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -43,6 +43,7 @@
   d->may_send_orders = TRUE;
   d->replan = TRUE;
   pool_init (&d->pool);
+  d->services = service_table_new ();
   pace_init (&d->pace);
   due_init (d);
   APR_RING_INIT (&d->jobs, WorkJob, link);
@@ -88,6 +89,7 @@
   waiting_clear_save (d);
   due_clear (d);
   pace_clear (&d->pace);
+  service_table_free (d->services);
   pool_clear (&d->pool);
   conf_unref (d->conf);
   g_free (d);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -5,8 +5,8 @@
 #include "fit.h"
 #include "failure_spike.h"
 #include "pace.h"
-#include "reserve.h"
 #include "roster.h"
+#include "service.h"
 #include "work.h"
 
 /* State and functions shared by the scheduler's modules only. */
@@ -79,14 +79,6 @@
   guint n_partial_gangs;       /* that neither start nor stop */
 } Standing;
 
-/* The workers' room at the last pass, in workers as large as the largest. */
-typedef struct RoomLook
-{
-  guint n_usable; /* out of quarantine */
-  double free;
-  double reserved; /* for urgent work */
-} RoomLook;
-
 /* What was found at the last look at what is delayed; see delay.c. */
 typedef struct DelayLook
 {
@@ -94,7 +86,6 @@
   ClockMs next_log;
   guint n_tasks[N_DELAY_CAUSES];
   ClockMs longest_hold; /* of a step that must not stand beside free room */
-  RoomLook room;
 } DelayLook;
 
 /* What became of orders to workers that started again, for metrics. */
@@ -125,7 +116,7 @@
   GHashTable *orphans;
   ProgressSave save;
   RosterSave roster;
-  Reserve reserve;
+  ServiceTable *services;
   FailureSpike failure_spike;
   PaceModel pace;
   WaitingSave waiting;
@@ -298,6 +289,7 @@
 FitRequest
 choose_request (const Dispatch *d, const WorkStep *step, guint count);
 FitTrust choose_min_trust (const Dispatch *d, const WorkTask *task);
+Service *choose_service (const Dispatch *d, const WorkJob *job);
 
 /* claims.c */
 void claims_resolve (Dispatch *d);
--- a/queue/pass.h
+++ b/queue/pass.h
@@ -13,25 +13,22 @@
   guint n_candidates;
   PoolResources min_need; /* least amount of each resource that a task needs */
   guint evictions;
-  gboolean has_quarantined; /* some usable worker is in quarantine */
-  gboolean link_full;       /* the pass stopped short and must be repeated */
-  guint batch_left;         /* tasks that are not urgent and may start */
-  gboolean batch_held;      /* some of them may not start yet */
-  PoolResources largest;    /* largest amount of each resource on any worker */
-  PoolResources total;      /* capacity of the workers that are heard */
-  PoolResources used;       /* of it, in use */
-  PoolResources free;       /* of it, free for placement, on any worker */
-  guint n_usable;           /* usable workers, out of quarantine */
+  gboolean link_full;  /* the pass stopped short and must be repeated */
+  guint batch_left;    /* tasks that are not urgent and may start */
+  gboolean batch_held; /* some of them may not start yet */
+  /* Of the step that is being placed. */
+  ServiceRoom *room;
   /* Lasting and overdue: placed first, however short the link, the processor
      and the room for urgent work are. */
   WorkStep *first;
-  double free_workers;     /* free room of usable workers, in workers */
-  double reserved_workers; /* of it, the part kept for urgent work */
 } Pass;
 
+/* room.c */
+void room_sum_heard (Dispatch *d);
+void room_count_usable (Dispatch *d);
+
 /* delay.c */
 void delay_note (Pass *p, WorkStep *step, DelayCause cause);
-void delay_end_pass (Pass *p);
 gboolean delay_is_overdue (const WorkStep *step, ClockMs now);
 
 /* choose.c */
--- a/tests/queue_reserve_test.cc
+++ b/tests/queue_reserve_test.cc
@@ -64,14 +64,17 @@
 }
 
 /* Submits an urgent gang every half second for 30 seconds, while three times as
-   many other jobs are waiting as the fleet can run. */
+   many other jobs are waiting as their service can run, beside another service
+   of N_IDLE workers. */
 static OverloadResult
-run_overload ()
+run_overload (int n_idle)
 {
   QueueWorld w (3, 24);
   OverloadResult r;
   int n_jobs = 0;
 
+  if (n_idle)
+    w.add_service (2, "lab", n_idle);
   w.run (3000);
   for (int i = 0; i < 60; i++)
     {
@@ -103,7 +106,17 @@
    the other jobs keep most of the fleet: none of them is evicted in vain. */
 TEST (QueueReserve, UrgentGangsStartAtOnceDuringOverload)
 {
-  OverloadResult r = run_overload ();
+  OverloadResult r = run_overload (0);
+
+  ASSERT_GE (r.waits_ms.size (), 60u);
+  EXPECT_LE (r.waits_ms[r.waits_ms.size () * 8 / 10], 50);
+  EXPECT_LE (r.stops, 60);
+  EXPECT_GE (r.other_jobs_completed, 20);
+}
+
+TEST (QueueReserve, IdleWorkersOfAnotherServiceAreTakenForRoomOfUrgentGangs)
+{
+  OverloadResult r = run_overload (24);
 
   ASSERT_GE (r.waits_ms.size (), 60u);
   EXPECT_LE (r.waits_ms[r.waits_ms.size () * 8 / 10], 50);
@@ -238,27 +251,74 @@
   w.expect_no_violations ();
 }
 
-TEST (QueueReserve, JobStandsBesideRoomKeptInAServiceThatIsHalfFree)
+/* Returns whether a job has begun in W 3 s after it came, beside urgent work
+   that keeps coming.  The service whose routes begin with LETTER has eight
+   workers, of which 56 of 64 cores and no accelerators are in use. */
+static bool
+begins_in_half_free_service (QueueWorld &w, const std::string &letter)
 {
-  QueueWorld w (2, 8);
   const std::string id = "f200000000000000";
-  bool stood = true; /* 3 s after it came */
+  bool begun = false;
 
-  w.run (3000);
-  /* 56 of 64 cores of each worker, and none of its accelerators. */
-  w.submit (0, { numbered ("q2", "e", 0),
+  w.submit (0, { numbered (letter + "2", "e", 0),
                  world_body (world_step (56, 8000, 0), "ms=60000") });
   for (int i = 1; i <= 80; i++)
     {
-      w.submit (0, { numbered ("q0", "d", i),
+      w.submit (0, { numbered (letter + "0", "d", i),
                      world_body (world_step (2, 1000, 1), "ms=500") });
       if (i == 40)
-        w.submit (1, { "q1/" + id,
+        w.submit (1, { letter + "1/" + id,
                        world_body (world_step (4, 1000, 1), "ms=60000") });
       w.run (250);
       if (i == 52)
-        stood = w.state_of (id) != "running";
+        begun = w.state_of (id) == "running";
+    }
+  return begun;
+}
+
+TEST (QueueReserve, JobStandsBesideRoomKeptInAServiceThatIsHalfFree)
+{
+  QueueWorld w (2, 8);
+
+  w.run (3000);
+  EXPECT_TRUE (begins_in_half_free_service (w, "q"));
+  w.expect_no_violations ();
+}
+
+TEST (QueueReserve, JobStandsBesideRoomKeptAsAnotherServiceIsFull)
+{
+  QueueWorld w (2, 8);
+
+  w.add_service (2, "lab", 8);
+  w.run (3000);
+  w.submit (0, { numbered ("q2", "f", 0),
+                 world_body (world_step (8, 64000, 8), "ms=60000") });
+  w.run (1000);
+  EXPECT_TRUE (begins_in_half_free_service (w, "l"));
+  w.expect_no_violations ();
+}
+
+TEST (QueueReserve, JobOfAnIdleServiceStandsForUrgentWorkOfABusyOne)
+{
+  QueueWorld w (2, 6);
+  const std::string id = "f300000000000000";
+  std::string state; /* 3 s after it came */
+
+  w.add_service (2, "lab", 2);
+  w.run (3000);
+  w.submit (0, { numbered ("q1", "e", 0),
+                 world_body (world_step (6, 24000, 8), "ms=100000") });
+  for (int i = 1; i <= 20; i++)
+    {
+      w.submit (0, { numbered ("q0", "d", i),
+                     world_body (world_step (4, 32000, 0), "ms=400") });
+      if (i == 4)
+        w.submit (1, { "l1/" + id,
+                       world_body (world_step (2, 16000, 1), "ms=500") });
+      w.run (1000);
+      if (i == 6)
+        state = w.state_of (id);
     }
-  EXPECT_FALSE (stood);
+  EXPECT_EQ (state, "completed");
   w.expect_no_violations ();
 }
