A failure spike is that of a service

While many runs of one service failed, a last attempt in another waited up to 6 s for a worker proved good since; and the runs of a busy service hid that many of a smaller one failed, so that its gangs lost their last attempts on bad workers.

Cause: one count of failed and of all ended runs, over all services. Each service has its own now, to which a run counts by its worker. A worker that only the roster names has not told its service; its runs count to the service of their job.

--- a/queue/choose.c
+++ b/queue/choose.c
@@ -109,7 +109,7 @@
 }
 
 /* Returns the least trust that the workers of TASK, or of its gang, must have.
-   During a failure spike, a task's last attempt waits up to
+   During a failure spike of its service, a task's last attempt waits up to
    PROVEN_WORKER_WAIT_MS for a worker on which a run has succeeded since the
    spike began. */
 FitTrust
@@ -120,7 +120,7 @@
       step->spec->gang ? last_failure_or_stall (step) : task->last_failure_at;
 
   if (attempts_left (task) != 1 || !unlucky ||
-      !failure_spike_since (&d->failure_spike))
+      !failure_spike_since (&choose_service (d, step->job)->failure_spike))
     return FIT_ANY;
   return d->now < unlucky + PROVEN_WORKER_WAIT_MS ? FIT_PROVEN_SINCE : FIT_ANY;
 }
@@ -138,7 +138,7 @@
                         .max_per_worker = (guint)spec->max_per_worker,
                         .label = spec->label,
                         .data_rack = spec->rack,
-                        .proven_since = failure_spike_since (&d->failure_spike),
+                        .proven_since = failure_spike_since (&s->failure_spike),
                         .now = d->now,
                         .prefer_fast = step->job->entry->job->priority == 0,
                         .same_rack = spec->same_rack && spec->gang };
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -454,7 +454,7 @@
       text, "wagtailpass_scheduler_evictions_total %" G_GINT64_FORMAT "\n",
       d->n_evicted);
   g_string_append_printf (text, "wagtailpass_scheduler_failure_spike %d\n",
-                          failure_spike_since (&d->failure_spike) != 0);
+                          service_any_failure_spike (d->services));
   grant_append_metrics (d, text);
   standing_append_metrics (d, text);
   delay_append_metrics (d, text);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -3,7 +3,6 @@
 
 #include "dispatch.h"
 #include "fit.h"
-#include "failure_spike.h"
 #include "pace.h"
 #include "roster.h"
 #include "service.h"
@@ -117,7 +116,6 @@
   ProgressSave save;
   RosterSave roster;
   ServiceTable *services;
-  FailureSpike failure_spike;
   PaceModel pace;
   WaitingSave waiting;
   PaceSave pace_save;
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -346,6 +346,16 @@
   stop_step (d, step, "gang_broken");
 }
 
+/* Returns the service in which a run of JOB has ended on W.  A worker that only
+   the roster names has not told its own. */
+static Service *
+service_of_run (const Dispatch *d, const PoolWorker *w, const WorkJob *job)
+{
+  const char *name = w->entry->service;
+
+  return service_get (d->services, *name ? name : job->entry->job->service);
+}
+
 /* Frees PLACEMENT, whose run has ended, or never began, with the result HOW.
    Records the result for its worker and, by runs_apply_end, for its task and
    job, and updates its gang.  CHECKPOINT is where the next run continues; NULL
@@ -367,7 +377,8 @@
   work_task_set_checkpoint (task, checkpoint);
   /* Of a gang's run, the members that fail after the first are one failure. */
   if (how == RUN_DONE || (how == RUN_FAILED && !step->stopping_gang))
-    failure_spike_record (&d->failure_spike, d->now, how == RUN_FAILED);
+    failure_spike_record (&service_of_run (d, w, step->job)->failure_spike,
+                          d->now, how == RUN_FAILED);
   if (how == RUN_FAILED)
     {
       work_task_set_failed_on (task, w, d->now);
--- a/queue/service.c
+++ b/queue/service.c
@@ -45,6 +45,18 @@
   return s;
 }
 
+/* Tells whether any service of T has a failure spike. */
+gboolean
+service_any_failure_spike (const ServiceTable *t)
+{
+  const Service *s;
+
+  APR_RING_FOREACH (s, &t->all, Service, link)
+    if (failure_spike_since (&s->failure_spike))
+      return TRUE;
+  return FALSE;
+}
+
 /* Returns the sums over T's services of what is counted in workers. */
 ServiceRoom
 service_total_room (const ServiceTable *t)
--- a/queue/service.h
+++ b/queue/service.h
@@ -1,6 +1,7 @@
 #ifndef SERVICE_H
 #define SERVICE_H
 
+#include "failure_spike.h"
 #include "reserve.h"
 
 /* What the scheduler counts for each service by itself.  A step runs only on
@@ -28,6 +29,7 @@
   APR_RING_ENTRY (Service) link;
   char *name;
   Reserve reserve;
+  FailureSpike failure_spike; /* of the runs on its workers */
   ServiceRoom room;
   guint n_reserve_delayed; /* tasks that wait for reserved room */
 } Service;
@@ -41,6 +43,7 @@
 ServiceTable *service_table_new (void);
 void service_table_free (ServiceTable *t);
 Service *service_get (ServiceTable *t, const char *name);
+gboolean service_any_failure_spike (const ServiceTable *t);
 ServiceRoom service_total_room (const ServiceTable *t);
 
 #endif
