--- a/tests/queue_failed_worker_test.cc
+++ b/tests/queue_failed_worker_test.cc
@@ -137,3 +137,39 @@
   EXPECT_EQ (w.state_of ("480000"), "completed");
   w.expect_no_violations ();
 }
+
+TEST (QueueFailedWorker, BadWorkerIsUsedAsJobsOfAnotherServiceFail)
+{
+  QueueWorld w (2, 12);
+
+  w.add_service (2, "lab", 5);
+  w.run (3000);
+  w.workers[12].fails_all = true;
+  w.workers[12].fails_after = 200;
+  for (int i = 0; i < 40; i++)
+    {
+      w.submit (0, { "q1/" + std::to_string (480000 + i),
+                     world_body (world_step (4, 16000, 2), "ms=200 fail") });
+      if (i >= 10) /* most workers of the other service have failed */
+        w.submit (0, { "l1/" + std::to_string (490000 + i),
+                       world_body (world_step (5, 16000, 8), "ms=500") });
+      w.run (250);
+    }
+  EXPECT_GE (w.count_lines ("event=quarantine worker=lab0 "), 1);
+  EXPECT_EQ (w.count_lines ("event=quarantine worker=w"), 0);
+}
+
+TEST (QueueFailedWorker, WorkersAreBlamedForFailingJobsBesideAnotherService)
+{
+  QueueWorld w (2, 20);
+
+  w.add_service (2, "lab", 2);
+  w.run (3000);
+  for (int i = 0; i < 20; i++)
+    {
+      w.submit (0, { "l1/" + std::to_string (480000 + i),
+                     world_body (world_step (2, 16000, 2), "ms=200 fail") });
+      w.run (250);
+    }
+  EXPECT_EQ (w.count_lines ("event=quarantine "), 0);
+}
