The fullest rack is told by the accelerators of the step's service

A gang that asks for one rack takes the one with the fewest free accelerators that fits it, which keeps large free areas for later gangs. Accelerators of other services in the rack counted too, so that the rack which they left free looked emptier. Only those of the step's service count now.

Test: QueueFit.AcceleratorsOfAnotherServiceHideTheFullestRack failed on the code before.

--- a/queue/fit.c
+++ b/queue/fit.c
@@ -98,14 +98,19 @@
   return n;
 }
 
+/* Returns the free accelerators on those workers of G that are of RQ's
+   service. */
 static gint64
-range_free_accelerators (const FitWorker *workers, WorkerRange g)
+range_free_accelerators (const FitRequest *rq,
+                         const FitWorker *workers,
+                         WorkerRange g)
 {
   gint64 sum = 0;
   guint i;
 
   for (i = g.from; i < g.to; i++)
-    sum += MAX (workers[i].room.accelerators, 0);
+    if (strcmp (workers[i].worker->entry->service, rq->service) == 0)
+      sum += MAX (workers[i].room.accelerators, 0);
   return sum;
 }
 
@@ -200,8 +205,8 @@
 
   if (pace_a != pace_b)
     return pace_a < pace_b;
-  return range_free_accelerators (workers, a) <
-         range_free_accelerators (workers, b);
+  return range_free_accelerators (rq, workers, a) <
+         range_free_accelerators (rq, workers, b);
 }
 
 /* Finds the preferred rack that has room for all of RQ's tasks.  Returns FALSE
@@ -230,11 +235,11 @@
 
 /* Chooses a worker for each of RQ's tasks from the N in WORKERS, which are
    sorted by rack, and subtracts the room they take from WORKERS.  If the tasks
-   must share a rack, takes the rack that has the fewest free accelerators and
-   fits them all; otherwise considers all workers.  Then takes workers in the
-   order of is_better_fit.  With many wide gangs on few racks this keeps large
-   free areas for later gangs.  Returns FALSE, with nothing taken, when not all
-   tasks fit. */
+   must share a rack, takes the rack that has the fewest free accelerators of
+   their service and fits them all; otherwise considers all workers.  Then takes
+   workers in the order of is_better_fit.  With many wide gangs on few racks
+   this keeps large free areas for later gangs.  Returns FALSE, with nothing
+   taken, when not all tasks fit. */
 gboolean
 fit_place (const FitRequest *rq,
            FitWorker *workers,
