--- a/queue/choose.c
+++ b/queue/choose.c
@@ -78,13 +78,14 @@
 }
 
 /* Returns the service that must run JOB: its route's, or else its own. */
-static const char *
-service_for_job (const Dispatch *d, const WorkJob *job)
+Service *
+choose_service (const Dispatch *d, const WorkJob *job)
 {
   const ConfRoute *route =
       conf_find_route_by_name (d->conf, job->entry->job->route);
 
-  return route ? route->service : job->entry->job->service;
+  return service_get (d->services,
+                      route ? route->service : job->entry->job->service);
 }
 
 /* Returns when a run of any task of STEP last failed or stalled, or 0. */
@@ -108,7 +109,7 @@
 }
 
 /* Returns the least trust that the workers of TASK, or of its gang, must have.
-   During a failure spike, a task's last attempt waits up to
+   During a failure spike of its service, a task's last attempt waits up to
    PROVEN_WORKER_WAIT_MS for a worker on which a run has succeeded since the
    spike began. */
 FitTrust
@@ -119,7 +120,7 @@
       step->spec->gang ? last_failure_or_stall (step) : task->last_failure_at;
 
   if (attempts_left (task) != 1 || !unlucky ||
-      !failure_spike_since (&d->failure_spike))
+      !failure_spike_since (&choose_service (d, step->job)->failure_spike))
     return FIT_ANY;
   return d->now < unlucky + PROVEN_WORKER_WAIT_MS ? FIT_PROVEN_SINCE : FIT_ANY;
 }
@@ -129,14 +130,15 @@
 choose_request (const Dispatch *d, const WorkStep *step, guint count)
 {
   const SpecStep *spec = step->spec;
+  const Service *s = choose_service (d, step->job);
 
-  return (FitRequest) { .service = service_for_job (d, step->job),
+  return (FitRequest) { .service = s->name,
                         .need = step->need,
                         .count = count,
                         .max_per_worker = (guint)spec->max_per_worker,
                         .label = spec->label,
                         .data_rack = spec->rack,
-                        .proven_since = failure_spike_since (&d->failure_spike),
+                        .proven_since = failure_spike_since (&s->failure_spike),
                         .now = d->now,
                         .prefer_fast = step->job->entry->job->priority == 0,
                         .same_rack = spec->same_rack && spec->gang };
@@ -231,7 +233,7 @@
 {
   FitRequest rq = choose_request (p->d, step, (guint)step->spec->count);
 
-  if (!p->has_quarantined || is_feasible_when_idle (p, step, &rq))
+  if (!p->room->has_quarantined || is_feasible_when_idle (p, step, &rq))
     return FALSE;
   rq.ignore_racks = TRUE;
   if (is_feasible (p, &rq, step->job->entry->job->priority))
@@ -339,7 +341,7 @@
 static gboolean
 admit_only_worker (const Pass *p, const WorkTask *task, FitRequest *rq)
 {
-  if ((!rq->excluded_worker && !p->has_quarantined) ||
+  if ((!rq->excluded_worker && !p->room->has_quarantined) ||
       has_other_worker (p, rq, task->step->job->entry->job->priority) ||
       failed_within (p, task, failed_worker_wait (task, FALSE)))
     return FALSE;
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -45,6 +45,7 @@
   d->may_send_orders = TRUE;
   d->replan = TRUE;
   pool_init (&d->pool);
+  d->services = service_table_new ();
   pace_init (&d->pace);
   due_init (d);
   APR_RING_INIT (&d->jobs, WorkJob, link);
@@ -93,6 +94,7 @@
   waiting_clear_save (d);
   due_clear (d);
   pace_clear (&d->pace);
+  service_table_free (d->services);
   pool_clear (&d->pool);
   conf_unref (d->conf);
   g_free (d);
@@ -458,7 +460,7 @@
       text, "wagtailpass_scheduler_evictions_total %" G_GINT64_FORMAT "\n",
       d->n_evicted);
   g_string_append_printf (text, "wagtailpass_scheduler_failure_spike %d\n",
-                          failure_spike_since (&d->failure_spike) != 0);
+                          service_any_failure_spike (d->services));
   save_append_metrics (d, text);
   grant_append_metrics (d, text);
   standing_append_metrics (d, text);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -3,10 +3,9 @@
 
 #include "dispatch.h"
 #include "fit.h"
-#include "failure_spike.h"
 #include "pace.h"
-#include "reserve.h"
 #include "roster.h"
+#include "service.h"
 #include "work.h"
 
 /* State and functions shared by the scheduler's modules only. */
@@ -82,14 +81,6 @@
   guint n_partial_gangs;       /* that neither start nor stop */
 } Standing;
 
-/* The workers' room at the last pass, in workers as large as the largest. */
-typedef struct RoomLook
-{
-  guint n_usable; /* out of quarantine */
-  double free;
-  double reserved; /* for urgent work */
-} RoomLook;
-
 /* What was found at the last look at what is delayed; see delay.c. */
 typedef struct DelayLook
 {
@@ -97,7 +88,6 @@
   ClockMs next_log;
   guint n_tasks[N_DELAY_CAUSES];
   ClockMs longest_hold; /* of a step that must not stand beside free room */
-  RoomLook room;
 } DelayLook;
 
 /* What became of orders to workers that started again, for metrics. */
@@ -128,8 +118,7 @@
   GHashTable *orphans;
   ProgressSave save;
   RosterSave roster;
-  Reserve reserve;
-  FailureSpike failure_spike;
+  ServiceTable *services;
   PaceModel pace;
   WaitingSave waiting;
   PaceSave pace_save;
@@ -311,6 +300,7 @@
 FitRequest
 choose_request (const Dispatch *d, const WorkStep *step, guint count);
 FitTrust choose_min_trust (const Dispatch *d, const WorkTask *task);
+Service *choose_service (const Dispatch *d, const WorkJob *job);
 
 /* claims.c */
 void claims_resolve (Dispatch *d);
