Tests: a task that begins twice under one run is seen

The check that a job which must not be repeated runs at most once counted the numbers of its runs. A worker's new process that carries out a start which the process before it had carried out begins the same run again, and the check did not see that: JobsRunAtMostOnceCatchesARunThatBeginsTwice fails without the new count.

--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -231,6 +231,7 @@
   std::set<gint64> once_jobs;                /* conns of such jobs */
   std::map<gint64, int> job_parts;           /* by conn */
   std::map<std::string, std::set<int> > job_starts;           /* runs, by job */
+  std::map<std::pair<std::string, int>, int> tasks_begun;     /* by job, part */
   std::map<std::string, ClockMs> leaving_since;               /* of upstreams */
   std::map<std::pair<std::string, gint64>, gint64> revisions; /* seen */
   std::vector<std::string> late_sends; /* to upstreams that had left */
--- a/tests/fixture_worker.cc
+++ b/tests/fixture_worker.cc
@@ -58,6 +58,15 @@
   return WORKER_OK;
 }
 
+/* Tells whether C would have a task begin that is only reserved. */
+bool
+begins (FakeWorker &w, const WorkerCall &c)
+{
+  const Lease *l = c.op == WORKER_START ? find_lease (w, c) : nullptr;
+
+  return l && l->state == LEASE_RESERVED;
+}
+
 WorkerStatus
 stop (FakeWorker &w, const WorkerCall &c)
 {
@@ -158,7 +167,11 @@
       r->status = call.term < w.term ? WORKER_STALE : WORKER_OK;
       w.term = std::max (w.term, call.term);
       if (r->status == WORKER_OK)
-        r->status = apply (w, call, now);
+        {
+          tasks_begun[{ call.job, static_cast<int> (call.part) }] +=
+              begins (w, call);
+          r->status = apply (w, call, now);
+        }
       if (r->status == WORKER_OK && call.op == WORKER_START)
         job_starts[call.job].insert (static_cast<int> (call.run));
       if (r->status == WORKER_OK && !w.lossy)
--- a/tests/invariants.cc
+++ b/tests/invariants.cc
@@ -131,6 +131,10 @@
       if (w.job_starts.count (job) && w.job_starts[job].size () > 1)
         return "job " + job + " was started " +
                std::to_string (w.job_starts[job].size ()) + " times";
+      for (auto &[task, n] : w.tasks_begun)
+        if (task.first == job && n > 1)
+          return "job " + job + " began " + std::to_string (n) +
+                 " times on workers";
     }
   return "";
 }
--- a/tests/invariants_test.cc
+++ b/tests/invariants_test.cc
@@ -99,6 +99,17 @@
   EXPECT_NE (invariants::jobs_run_at_most_once (w), "");
 }
 
+TEST_F (InvariantsTest, JobsRunAtMostOnceCatchesARunThatBeginsTwice)
+{
+  w.once_jobs.insert (1);
+  reply (1, OUTCOME_ANSWERED, "job1");
+  w.tasks_begun[{ "job1", 0 }] = 1;
+  w.tasks_begun[{ "job1", 1 }] = 1;
+  EXPECT_EQ (invariants::jobs_run_at_most_once (w), "");
+  w.tasks_begun[{ "job1", 1 }] = 2;
+  EXPECT_NE (invariants::jobs_run_at_most_once (w), "");
+}
+
 TEST_F (InvariantsTest, AcceptedJobsAreKeptCatchesALostRecord)
 {
   w.job_parts[1] = 1;
--- a/tests/sched_fixture.cc
+++ b/tests/sched_fixture.cc
@@ -5,6 +5,13 @@
 #include "sched.h"
 }
 
+const WorkerCall *
+worker_call (const Event &e)
+{
+  return e.kind == FX_WORKER_CALL ? static_cast<const WorkerCall *> (e.body)
+                                  : nullptr;
+}
+
 JobWorld::JobWorld (guint32 seed,
                     int hosts,
                     int n_workers,
@@ -78,6 +85,16 @@
   return q;
 }
 
+CallerJob
+JobWorld::once_job (int n_parts, ClockMs run_ms)
+{
+  CallerJob q = job_of (n_parts, 8, run_ms);
+
+  q.repeatable = 0;
+  q.key = "once";
+  return q;
+}
+
 gint64
 JobWorld::submit (CallerJob q, const std::string &host)
 {
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+/* Returns the call to a worker that E is, or NULL. */
+const WorkerCall *worker_call (const Event &e);
+
 /* A domain with hosts h0.., workers w0.. in racks of 4 under leases of 9 s,
    and the invariants of jobs, checked after every event. */
 class JobWorld : public World
@@ -18,6 +21,8 @@
             bool kept = true);
 
   CallerJob job_of (int parts, int accelerators, ClockMs run_ms);
+  /* A job that must not be repeated, with whole workers. */
+  CallerJob once_job (int parts, ClockMs run_ms);
   gint64 submit (CallerJob q, const std::string &host = "");
   std::string accepted (gint64 conn, ClockMs span = 5000);
   std::string submit_wait (CallerJob q, const std::string &host = "");
--- a/tests/sched_standing_test.cc
+++ b/tests/sched_standing_test.cc
@@ -7,24 +7,6 @@
 
 const char *const table = "workspace,weight,guarantee\nalpha,1,2x8\n";
 
-/* A job that must not be repeated. */
-CallerJob
-once_job (JobWorld &w, int parts, ClockMs run_ms)
-{
-  CallerJob q = w.job_of (parts, 8, run_ms);
-
-  q.repeatable = 0;
-  q.key = "once";
-  return q;
-}
-
-const WorkerCall *
-worker_call (const Event &e)
-{
-  return e.kind == FX_WORKER_CALL ? static_cast<const WorkerCall *> (e.body)
-                                  : nullptr;
-}
-
 struct SchedStanding : testing::TestWithParam<int>
 {
   void
@@ -61,7 +43,7 @@
 
   begin (w);
   silence_worker_at (w, op, &silent);
-  CallerJob q = once_job (w, 1, 4000);
+  CallerJob q = w.once_job (1, 4000);
   q.checkpointable = 1;
   std::string id = w.submit_wait (q);
   ASSERT_NE (id, "");
@@ -150,7 +132,7 @@
   begin (w);
   h = w.scheduler ();
   std::string id =
-      w.submit_wait (once_job (w, 1, 30000), h == "h0" ? "h1" : "h0");
+      w.submit_wait (w.once_job (1, 30000), h == "h0" ? "h1" : "h0");
   ASSERT_NE (id, "");
   ASSERT_TRUE (w.wait_state (id, "running", 5000));
   w.run (2000);
@@ -178,7 +160,7 @@
   JobWorld w (5, 2, 1);
 
   begin (w);
-  std::string id = w.submit_wait (once_job (w, 1, 8000));
+  std::string id = w.submit_wait (w.once_job (1, 8000));
   ASSERT_NE (id, "");
   ASSERT_TRUE (w.wait_state (id, "running", 5000));
   w.run (1000);
@@ -195,7 +177,7 @@
   JobWorld w (5, 2, 1);
 
   begin (w);
-  std::string id = w.submit_wait (once_job (w, 1, 600000));
+  std::string id = w.submit_wait (w.once_job (1, 600000));
   ASSERT_NE (id, "");
   ASSERT_TRUE (w.wait_state (id, "running", 5000));
   w.tap = [] (Node &, const Event &e) { return is_stop (e); };
@@ -216,7 +198,7 @@
   std::string first = w.submit_wait (w.job_of (1, 8, 4000));
   for (int i = 0; i < 4; i++)
     {
-      CallerJob q = once_job (w, 1, 1000);
+      CallerJob q = w.once_job (1, 1000);
       std::string key = "once " + std::to_string (i);
 
       q.key = key.c_str ();
@@ -325,7 +307,7 @@
   begin (w);
   std::string h = w.scheduler ();
   std::string id =
-      w.submit_wait (once_job (w, 1, 4000), h == "h0" ? "h1" : "h0");
+      w.submit_wait (w.once_job (1, 4000), h == "h0" ? "h1" : "h0");
   ASSERT_NE (id, "");
   w.store.silent = true;
   w.run (3000);
