wagtailpassd: a report asked for before a start doesn't end it

Callers would see a job that must not be repeated end as unknown, and any other started again, beside a worker that runs it: a worker is asked for all its leases, is given a start meanwhile, and the answer to the older question comes last.

Cause: check_missing took each running part that the report doesn't have for one that has ended, whether or not it was asked for before the part's start.

A part keeps the number of the last call sent when its worker said that it runs. Only reports asked for by a later call can tell that it doesn't. Calls are numbered in the order in which they are sent, so no clock is compared. A process that has forgotten the part is found by the next renewal, as before.

--- a/src/gang_lease.c
+++ b/src/gang_lease.c
@@ -69,7 +69,7 @@
       break;
     case LEASE_RUNNING:
       if (p->state == PART_STARTING || p->state == PART_RESERVED)
-        p->state = PART_RUNNING;
+        gang_part_started (c, p);
       break;
     case LEASE_DONE:
       p->state = PART_DONE;
--- a/src/gang_part.c
+++ b/src/gang_part.c
@@ -180,6 +180,15 @@
     }
 }
 
+/* Notes that P's worker has said that it runs P.  Only what the worker is asked
+   from now on can tell that it doesn't any more. */
+void
+gang_part_started (Core *c, Part *p)
+{
+  p->state = PART_RUNNING;
+  p->known_by = c->sched->last_call;
+}
+
 static void
 on_part_ok (Core *c, Part *p, WorkerOp op)
 {
@@ -192,8 +201,8 @@
         p->state = PART_RESERVED;
       break;
     case WORKER_START:
-      if (p->state == PART_STARTING)
-        p->state = PART_RUNNING;
+      if (p->state == PART_STARTING || p->state == PART_RUNNING)
+        gang_part_started (c, p);
       break;
     case WORKER_STOP:
       gang_part_release (c, p);
--- a/src/lease.c
+++ b/src/lease.c
@@ -135,23 +135,33 @@
          c->cfg->worker_timeout_ms + LEASE_ANSWER_GRACE_MS;
 }
 
-/* Returns a part in STATE that W did not list and so does not have. */
+/* Tells whether a report that W was asked for by CALL is newer than what is
+   known of P. */
+static gboolean
+is_report_newer (const Core *c, const Worker *w, const Part *p, gint64 call)
+{
+  if (p->state == PART_STOPPING)
+    return is_stop_settled (c, w, p);
+  return call > p->known_by;
+}
+
+/* Returns a part in STATE that W did not list, asked by CALL, and so does not
+   have. */
 static Part *
-unlisted (const Core *c, Worker *w, PartState state)
+unlisted (const Core *c, Worker *w, PartState state, gint64 call)
 {
   Part *p = NULL;
 
   APR_RING_FOREACH (p, &w->parts, Part, link)
     {
-      if (p->state == state && !p->listed &&
-          (state != PART_STOPPING || is_stop_settled (c, w, p)))
+      if (p->state == state && !p->listed && is_report_newer (c, w, p, call))
         return p;
     }
   return NULL;
 }
 
 /* Handles parts that are missing from their worker's report: they have
-   ended. */
+   ended, unless they were started after it was asked for. */
 static void
 check_missing (Core *c, Worker *w, const WorkerReply *r)
 {
@@ -168,12 +178,12 @@
       if (p)
         p->listed = TRUE;
     }
-  while ((p = unlisted (c, w, PART_RUNNING)))
+  while ((p = unlisted (c, w, PART_RUNNING, r->call)))
     {
       p->state = PART_GONE;
       gang_broken (c, p->job, p, FALSE, "a worker lost a part");
     }
-  while ((p = unlisted (c, w, PART_STOPPING)))
+  while ((p = unlisted (c, w, PART_STOPPING, r->call)))
     gang_part_ended (c, p);
 }
 
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -71,6 +71,7 @@
   gint64 count;
   PartState state;
   gint64 call;       /* in flight, 0: none */
+  gint64 known_by;   /* the last call sent when its start was known, 0: never */
   ClockMs lease_end; /* the worker holds nothing for it after this */
   ClockMs stop_since;
   gint64 progress_ms;
