wagtailpassd: a start that a predecessor recorded late is heeded

Callers would see TWICE: a job that must not be repeated runs on two workers. A scheduler has reserved its room, loses the store and the other hosts, and finds the store again 0.6 s after its successor has read the records. It records the start and starts the job before it learns that its role is gone; the successor, which doesn't reach that worker, places the job again.

Cause: the successor had read placed, that is never started. Its next write of the record met the newer one, running, and job_settle put its own in its place.

Evidence: SchedRestart.StartOfAPredecessorThatIsRecordedLateIsNotRepeated, new, failed on the code before (two starts).

A record that says running, by another process, now ends the job as unknown where it waits, is about to be placed or is being undone to wait again. A start follows its record, and each record is written over a known revision: either the successor's write comes first, and the predecessor yields, or it meets the start.

--- a/src/gang.c
+++ b/src/gang.c
@@ -499,6 +499,39 @@
     gang_undo (c, j, JOB_CANCELLED, "cancelled");
 }
 
+/* Tells whether what this scheduler does with J takes for granted that no part
+   of it was ever started. */
+static gboolean
+is_taken_for_unstarted (const Job *j)
+{
+  return j->phase == PHASE_WAITING || j->phase == PHASE_INTENT ||
+         (j->phase == PHASE_UNDO && j->verdict == JOB_QUEUED);
+}
+
+/* Takes the news that another scheduler has recorded a start of J, which must
+   not be repeated: J ends as unknown if it was to be started here. */
+void
+gang_take_start (Core *c, Job *j)
+{
+  const char *reason = "a scheduler that is gone has started it";
+
+  if (!is_taken_for_unstarted (j) || gang_may_repeat (j))
+    return;
+  if (j->phase == PHASE_INTENT)
+    {
+      gang_undo (c, j, JOB_UNKNOWN, reason);
+      return;
+    }
+  j->verdict = JOB_UNKNOWN;
+  if (j->phase == PHASE_WAITING)
+    {
+      core_stop (c, &j->timer);
+      leave_plan (c, j, FALSE);
+      j->phase = PHASE_ENDED;
+    }
+  gang_end (c, j, JOB_UNKNOWN, reason);
+}
+
 /* Takes the end of J that somebody else recorded; FOUND becomes J's. */
 void
 gang_take_end (Core *c, Job *j, JobRecord *found)
--- a/src/gang.h
+++ b/src/gang.h
@@ -22,6 +22,7 @@
 void gang_on_unwritten (Core *c, Job *j);
 void gang_undo (Core *c, Job *j, JobState verdict, const char *reason);
 void gang_cancel (Core *c, Job *j);
+void gang_take_start (Core *c, Job *j);
 void gang_take_end (Core *c, Job *j, JobRecord *found);
 void gang_save (Core *c, Job *j);
 void gang_drop (Core *c, Job *j);
--- a/src/job.c
+++ b/src/job.c
@@ -314,9 +314,19 @@
   write_next (c);
 }
 
+/* Tells whether FOUND says that a scheduler other than this process may have
+   started the job. */
+static gboolean
+is_started_by_another (const Core *c, const JobRecord *found)
+{
+  return found->state == JOB_RUNNING &&
+         strcmp (util_str (found->writer), c->sched->writer) != 0;
+}
+
 /* Merges J with ITEM, which the store has instead of this host's last write, or
-   NULL if the key was deleted.  The first recorded end and a cancellation win;
-   otherwise the scheduler's own record is kept. */
+   NULL if the key was deleted.  The first recorded end and a cancellation win,
+   and a start by another scheduler is heeded; otherwise the scheduler's own
+   record is kept. */
 void
 job_settle (Core *c, Job *j, const StoreItem *item)
 {
@@ -341,6 +351,8 @@
   j->unwritten = TRUE;
   if (found)
     role_note_term (c, found->term);
+  if (found && is_started_by_another (c, found))
+    gang_take_start (c, j);
   if (found && found->cancel && !j->rec->cancel)
     {
       j->rec->cancel = 1;
--- a/tests/sched_restart_test.cc
+++ b/tests/sched_restart_test.cc
@@ -1,5 +1,10 @@
 #include "sched_fixture.h"
 
+extern "C"
+{
+#include "job.h"
+}
+
 /* What a worker said, or was asked, in one life of its process is used in
    another; a successor doesn't know what its predecessor has started. */
 namespace
@@ -15,6 +20,23 @@
   return call && call->op == op && call->worker == worker;
 }
 
+/* Tells whether E puts a record of a job in STATE into the store. */
+bool
+writes_state (const Event &e, JobState state)
+{
+  auto *call = static_cast<const StoreCall *> (e.body);
+  JobRecord *r;
+  bool is;
+
+  if (e.kind != FX_STORE_CALL || call->op != STORE_PUT ||
+      !g_str_has_prefix (call->key, "jobs/"))
+    return false;
+  r = job_decode (call->value);
+  is = r && r->state == state;
+  job_record_free (r);
+  return is;
+}
+
 struct SchedRestart : testing::Test
 {
   void
@@ -58,4 +80,49 @@
 
 INSTANTIATE_TEST_SUITE_P (Repeatable, SchedRestartReport, testing::Bool ());
 
+TEST_F (SchedRestart, StartOfAPredecessorThatIsRecordedLateIsNotRepeated)
+{
+  JobWorld w (3, 3, 2);
+  std::string former, seat;
+  bool lost = false;
+
+  begin (w);
+  w.run (400);
+  former = w.scheduler ();
+  w.tap = [&] (Node &n, const Event &e) {
+    if (lost || n.name != former || !writes_state (e, JOB_RUNNING))
+      return false;
+    lost = true;
+    return true;
+  };
+  std::string id =
+      w.submit_wait (w.once_job (1, 4000), former == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.run_until ([&] { return lost; }, 5000));
+  for (auto &[name, worker] : w.workers)
+    {
+      if (!worker.leases.empty ())
+        seat = name;
+      else
+        w.cut (former, name);
+    }
+  w.cut (former, "store");
+  for (auto &[name, node] : w.nodes)
+    if (name != former)
+      {
+        w.cut (name, former);
+        w.cut (former, name);
+        w.cut (name, seat);
+      }
+  ASSERT_TRUE (w.run_until ([&] { return w.total (COUNT_TAKEOVERS) > 1; },
+                            9000));
+  w.run (640);
+  w.cut (former, "store", false);
+  ASSERT_TRUE (w.run_until ([&] { return !w.job_starts[id].empty (); }, 2000))
+      << w.story ();
+  w.run (40000);
+  EXPECT_EQ (w.job_starts[id].size (), 1U);
+  EXPECT_EQ (w.state (id), "unknown") << w.story ();
+}
+
 } // namespace
