wagtailpassd: news of a job gives way to its newer record

Callers would see a repeatable job begin a second time on another worker while the first still runs it, and the progress of its last checkpoint lost: the scheduler dies, the host that took the job tells its successor of it before the successor has read the records, and the worker can't be reached just then.

Cause: the news is the record as it was accepted. When the listing came, job_settle took it for the successor's own word and wrote it over what the predecessor had recorded: seats, number of runs, checkpoint. The job then waited, was placed at once, under the number of the run that went on, instead of being waited for.

Until the successor takes the jobs over, a newer record replaces the news. Jobs that must not be repeated didn't have this fault: their news isn't taken before the records are read.

--- a/src/sched.c
+++ b/src/sched.c
@@ -300,6 +300,52 @@
   job_free (j);
 }
 
+/* Tells whether the record of J, of which only a host has told, gives way to
+   FOUND: nothing has been done with J here. */
+static gboolean
+gives_way (const Core *c, const Job *j, const JobRecord *found)
+{
+  return !c->sched->ready && j->phase == PHASE_WAITING &&
+         !job_state_ended ((JobState)found->state) &&
+         found->term <= c->sched->role.term;
+}
+
+/* Tells whether the store has lost what came after R, by which R's job may
+   have been started. */
+static gboolean
+is_behind (const Core *c, const JobRecord *r)
+{
+  return c->sched->went_back && r->state <= JOB_PLACED;
+}
+
+/* Makes REC, which becomes J's, the record of J. */
+static void
+replace_record (Core *c, Job *j, JobRecord *rec, gint64 revision)
+{
+  job_record_free (j->rec);
+  j->rec = rec;
+  j->revision = revision;
+  j->lost = is_behind (c, rec);
+  fill_fleet_job (c, j);
+}
+
+/* Takes the record R of J, which becomes its own, from ITEM of the store. */
+static void
+see_again (Core *c, Job *j, JobRecord *r, const StoreItem *item)
+{
+  gboolean newer = !j->writing && !j->unwritten && item->revision > j->revision;
+
+  j->listed = TRUE;
+  if (newer && gives_way (c, j, r))
+    {
+      replace_record (c, j, r, item->revision);
+      return;
+    }
+  job_record_free (r);
+  if (newer)
+    job_settle (c, j, item);
+}
+
 /* Takes the record VALUE that the store has, or had, at REVISION. */
 void
 sched_job_seen (Core *c, GBytes *value, gint64 revision)
@@ -313,17 +359,15 @@
   j = g_hash_table_lookup (s->jobs, r->id);
   if (j)
     {
-      StoreItem item = { .key = "", .revision = revision, .value = value };
-
-      j->listed = TRUE;
-      job_record_free (r);
-      if (!j->writing && !j->unwritten && revision > j->revision)
-        job_settle (c, j, &item);
+      see_again (c, j, r,
+                 &(StoreItem) { .key = "",
+                                .revision = revision,
+                                .value = value });
       return;
     }
   j = sched_job_add (c, r, revision);
   j->listed = TRUE;
-  j->lost = s->went_back && r->state <= JOB_PLACED;
+  j->lost = is_behind (c, r);
   if (s->ready)
     adopt_job (c, j);
 }
--- a/tests/sched_restart_test.cc
+++ b/tests/sched_restart_test.cc
@@ -1,5 +1,7 @@
 #include "sched_fixture.h"
 
+#include <algorithm>
+
 extern "C"
 {
 #include "job.h"
@@ -47,6 +49,20 @@
     ASSERT_TRUE (w.wait_scheduler (5000));
     w.run (3000);
   }
+
+  bool
+  wait_ready (JobWorld &w, const std::string &former)
+  {
+    return w.run_until (
+        [&] {
+          return std::any_of (w.notes.begin (), w.notes.end (),
+                              [&] (const Note &n) {
+                                return n.kind == NOTE_ROLE_READY &&
+                                       n.host != former;
+                              });
+        },
+        9000);
+  }
 };
 
 /* The answer of a whole report comes after that of a start that is newer. */
@@ -125,4 +141,38 @@
   EXPECT_EQ (w.state (id), "unknown") << w.story ();
 }
 
+TEST_F (SchedRestart, RunIsNotStartedAgainForNewsThatIsOlderThanItsRecord)
+{
+  JobWorld w (3, 3, 2);
+  std::string former, seat;
+
+  begin (w);
+  former = w.scheduler ();
+  std::string id =
+      w.submit_wait (w.job_of (1, 8, 20000), former == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.run_until ([&] { return !w.job_starts[id].empty (); }, 5000));
+  w.run (4000);
+  for (auto &[name, worker] : w.workers)
+    if (!worker.leases.empty ())
+      seat = name;
+  w.kill (former);
+  for (auto &[name, node] : w.nodes)
+    w.cut (name, seat);
+  w.tap = [&w] (Node &n, const Event &e) {
+    if (e.kind != FX_STORE_CALL ||
+        static_cast<const StoreCall *> (e.body)->op != STORE_LIST)
+      return false;
+    w.store.delay = 600;
+    w.carry_out (n, e);
+    w.store.delay = 2;
+    return true;
+  };
+  ASSERT_TRUE (wait_ready (w, former));
+  for (auto &[name, node] : w.nodes)
+    w.cut (name, seat, false);
+  EXPECT_TRUE (w.wait_state (id, "done", 60000)) << w.story ();
+  EXPECT_EQ ((w.tasks_begun[{ id, 0 }]), 1);
+}
+
 } // namespace
