wagtailpassd: a reservation that a newer report lacks isn't taken over

Callers would see a job that must not be repeated end as unknown, though nothing of it ran: the scheduler dies between its reservation and its start, the worker's process is replaced while the successor waits for other workers' reports, and the successor starts what the process before had reserved.

Cause: leases of jobs that aren't taken over yet were noted at each report and never dropped, so that one process's reservation outlived its next report.

Evidence: SchedRestart.ReservationOfAnEarlierProcessIsNotTakenOver, new, failed on the code before (unknown, "a reservation lapsed").

A whole report now drops the noted reservations of its worker that it doesn't have. The successor's term keeps its predecessor from starting them afterwards. Noted leases that were started stay: they prove that the job has begun, and the next renewal finds that they are gone.

--- a/src/lease.c
+++ b/src/lease.c
@@ -82,9 +82,9 @@
   return NULL;
 }
 
-/* Notes lease L on W, of a job that is not known. */
+/* Notes lease L on W, of a job that is not known, as listed for CALL. */
 static void
-add_orphan (Core *c, Worker *w, const WorkerLease *l)
+add_orphan (Core *c, Worker *w, const WorkerLease *l, gint64 call)
 {
   GHashTable *orphans = c->sched->orphans;
   GPtrArray *list = g_hash_table_lookup (orphans, l->job);
@@ -94,6 +94,7 @@
     {
       rec_free (worker_lease_desc (), o->lease);
       o->lease = rec_copy (worker_lease_desc (), l);
+      o->listed_by = call;
       return;
     }
   if (!list)
@@ -104,12 +105,46 @@
   o = g_new (Orphan, 1);
   *o = (Orphan) { .worker = w,
                   .lease = rec_copy (worker_lease_desc (), l),
-                  .seen = c->now };
+                  .seen = c->now,
+                  .listed_by = call };
   g_ptr_array_add (list, o);
 }
 
+/* Drops from LIST the reservations on W that its report on CALL doesn't have:
+   they have lapsed, or its process is a new one.  What has been started stays,
+   as proof of that.  Returns whether LIST is empty then. */
+static gboolean
+drop_unlisted_reservations (GPtrArray *list, const Worker *w, gint64 call)
+{
+  guint i;
+
+  for (i = list->len; i-- > 0;)
+    {
+      const Orphan *o = g_ptr_array_index (list, i);
+
+      if (o->worker == w && o->lease->state == LEASE_RESERVED &&
+          o->listed_by != call)
+        g_ptr_array_remove_index (list, i);
+    }
+  return list->len == 0;
+}
+
+/* Forgets the reservations of unknown jobs that W's report R doesn't have. */
+static void
+check_orphans (Core *c, const Worker *w, const WorkerReply *r)
+{
+  GHashTableIter it;
+  gpointer list;
+
+  g_hash_table_iter_init (&it, c->sched->orphans);
+  while (g_hash_table_iter_next (&it, NULL, &list))
+    if (drop_unlisted_reservations (list, w, r->call))
+      g_hash_table_iter_remove (&it);
+}
+
+/* Takes lease L, as W listed it for CALL. */
 static void
-take_lease (Core *c, Worker *w, const WorkerLease *l)
+take_lease (Core *c, Worker *w, const WorkerLease *l, gint64 call)
 {
   Part *p = find_part (c, l, w);
 
@@ -123,7 +158,7 @@
   else if (c->sched->ready && g_hash_table_contains (c->sched->jobs, l->job))
     lease_stop (c, w, l);
   else
-    add_orphan (c, w, l);
+    add_orphan (c, w, l, call);
 }
 
 /* Tells whether nothing that was sent to W before P was to be stopped can
@@ -410,7 +445,8 @@
   w->silent = 0;
   w->renewed = c->now;
   for (i = 0; i < r->leases.n; i++)
-    take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i));
+    take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i),
+                r->call);
   if (op == WORKER_RENEW && has_forgotten (w, r))
     {
       lease_report (c, w);
@@ -421,6 +457,7 @@
   if (op == WORKER_REPORT)
     {
       check_missing (c, w, r);
+      check_orphans (c, w, r);
       if (!w->reported && c->sched->reports_due > 0)
         c->sched->reports_due--;
       w->reported = TRUE;
@@ -484,7 +521,8 @@
     {
       w = g_hash_table_lookup (s->worker_by_name, util_str (r->worker));
       for (i = 0; r->call == 0 && w && i < r->leases.n; i++)
-        take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i));
+        take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i),
+                    r->call);
       return;
     }
   call = *p;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -153,7 +153,8 @@
 {
   Worker *worker;
   WorkerLease *lease;
-  ClockMs seen; /* first */
+  ClockMs seen;     /* first */
+  gint64 listed_by; /* the call that last had it listed, 0: unasked */
 } Orphan;
 
 struct Sched
--- a/tests/sched_restart_test.cc
+++ b/tests/sched_restart_test.cc
@@ -175,4 +175,36 @@
   EXPECT_EQ ((w.tasks_begun[{ id, 0 }]), 1);
 }
 
+TEST_F (SchedRestart, ReservationOfAnEarlierProcessIsNotTakenOver)
+{
+  JobWorld w (5, 3, 2);
+  std::string former, seat;
+
+  begin (w);
+  former = w.scheduler ();
+  w.tap = [&] (Node &n, const Event &e) {
+    if (n.name != former || !writes_state (e, JOB_RUNNING))
+      return false;
+    w.at (w.now, [&] { w.kill (former); });
+    return true;
+  };
+  std::string id =
+      w.submit_wait (w.once_job (1, 4000), former == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.run_until ([&] { return !w.nodes.at (former).core; }, 5000));
+  for (auto &[name, worker] : w.workers)
+    if (!worker.leases.empty ())
+      seat = name;
+  w.tap = [&] (Node &, const Event &e) {
+    const WorkerCall *call = worker_call (e);
+
+    return call && call->worker != seat;
+  };
+  ASSERT_TRUE (w.run_until ([&] { return w.total (COUNT_TAKEOVERS) > 0; },
+                            9000));
+  w.run (100);
+  w.workers[seat].reboot ();
+  EXPECT_TRUE (w.wait_state (id, "done", 60000)) << w.story ();
+}
+
 } // namespace
