wagtailpassd: a reservation in a worker's new process isn't started again

Callers would see TWICE: a job that must not be repeated begins a second time. The answer to a reservation is lost, the second one is granted and the job starts; the worker starts again under its id, and its new process carries out the first reservation late.

Cause: a worker that lists only a reservation for a running part was told to start it. That is right for a part that was taken for running while its worker was silent; if the worker has said that it ran, the reservation is another process's.

Where the start is known and the list is newer, the part is lost: the job ends as unknown, or waits again if it may be repeated. A list that is older than the start says nothing.

The same reservation listed to a successor that hasn't heard of the run is still open.

--- a/src/adopt.c
+++ b/src/adopt.c
@@ -39,6 +39,8 @@
                  : l->state == LEASE_DONE    ? PART_DONE
                  : l->state == LEASE_SAVED   ? PART_SAVED
                                              : PART_GONE;
+      if (p->state == PART_RUNNING)
+        gang_part_started (c, p);
       n += l->state <= LEASE_DONE;
     }
   return n;
--- a/src/gang.h
+++ b/src/gang.h
@@ -29,7 +29,7 @@
 
 /* For lease.c and adopt.c. */
 void gang_on_part_answer (Core *c, Part *p, WorkerOp op, const WorkerReply *r);
-void gang_apply_lease (Core *c, Part *p, const WorkerLease *l);
+void gang_apply_lease (Core *c, Part *p, const WorkerLease *l, gint64 call);
 void gang_part_started (Core *c, Part *p);
 void gang_part_ended (Core *c, Part *p);
 void gang_part_call (Core *c, Part *p, WorkerOp op);
--- a/src/gang_lease.c
+++ b/src/gang_lease.c
@@ -41,9 +41,26 @@
   return TRUE;
 }
 
-/* Applies L, the state of P's lease as its worker reported it. */
+/* P counts as running, and its worker, asked by CALL, has only a reservation
+   for it.  If P was taken for running while its worker was silent, it is
+   started now.  If it did run, its worker has a new process, which got the
+   reservation late. */
+static void
+on_only_reserved (Core *c, Part *p, gint64 call)
+{
+  if (p->known_by == 0 && !p->call && p->job->phase <= PHASE_RUN)
+    gang_part_call (c, p, WORKER_START);
+  else if (p->known_by > 0 && call > p->known_by)
+    {
+      p->state = PART_GONE;
+      gang_broken (c, p->job, p, FALSE, "a worker lost a part");
+    }
+}
+
+/* Applies L, the state of P's lease as its worker reported it, asked by CALL,
+   or 0 if by itself. */
 void
-gang_apply_lease (Core *c, Part *p, const WorkerLease *l)
+gang_apply_lease (Core *c, Part *p, const WorkerLease *l, gint64 call)
 {
   Job *j = p->job;
 
@@ -63,9 +80,11 @@
     case LEASE_RESERVED:
       if (p->state == PART_RESERVING)
         p->state = PART_RESERVED;
-      else if (p->state == PART_RUNNING && !p->call && j->phase <= PHASE_RUN)
-        /* It was taken for running while its worker was silent. */
-        gang_part_call (c, p, WORKER_START);
+      else if (p->state == PART_RUNNING)
+        {
+          on_only_reserved (c, p, call);
+          return;
+        }
       break;
     case LEASE_RUNNING:
       if (p->state == PART_STARTING || p->state == PART_RESERVED)
--- a/src/lease.c
+++ b/src/lease.c
@@ -153,7 +153,7 @@
     {
       if (l->state <= LEASE_RUNNING)
         p->lease_end = c->now + c->cfg->worker_lease_ms;
-      gang_apply_lease (c, p, l);
+      gang_apply_lease (c, p, l, call);
     }
   else if (c->sched->ready && g_hash_table_contains (c->sched->jobs, l->job))
     lease_stop (c, w, l);
--- a/tests/sched_restart_test.cc
+++ b/tests/sched_restart_test.cc
@@ -14,6 +14,14 @@
 
 const char *const table = "workspace,weight,guarantee\nalpha,1,2x8\n";
 
+using EventCopy = std::shared_ptr<Event>;
+
+EventCopy
+copy_of (const Event &e)
+{
+  return { event_new (e.kind, e.at, e.peer, e.body), event_free };
+}
+
 bool
 is_call (const Event &e, WorkerOp op, const std::string &worker)
 {
@@ -207,4 +215,37 @@
   EXPECT_TRUE (w.wait_state (id, "done", 60000)) << w.story ();
 }
 
+TEST_F (SchedRestart, LateReservationInANewProcessIsNotStarted)
+{
+  JobWorld w (7, 1, 1);
+  EventCopy late;
+
+  begin (w);
+  w.tap = [&] (Node &n, const Event &e) {
+    if (late || !is_call (e, WORKER_RESERVE, "w0"))
+      return false;
+    late = copy_of (e);
+    w.at (w.now + 1, [&w, &n, late] {
+      auto *call = static_cast<const WorkerCall *> (late->body);
+      WorkerReply lost = {};
+
+      lost.call = call->call;
+      lost.worker = call->worker;
+      lost.op = call->op;
+      lost.status = WORKER_LOST;
+      lost.reason = "";
+      w.feed (n.name, EV_WORKER_REPLY, &lost);
+    });
+    return true;
+  };
+  std::string id = w.submit_wait (w.once_job (1, 60000));
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.run_until ([&] { return !w.job_starts[id].empty (); }, 5000));
+  w.run (500);
+  w.workers["w0"].reboot ();
+  w.carry_out (w.nodes.at ("h0"), *late);
+  EXPECT_TRUE (w.wait_state (id, "unknown", 30000)) << w.story ();
+  EXPECT_EQ ((w.tasks_begun[{ id, 0 }]), 1);
+}
+
 } // namespace
