wagtailpassd: a successor doesn't start what may have run in an earlier process

Callers would see TWICE: a job that must not be repeated begins a second time. The answer to a reservation is lost, the second one is granted, the job starts; then the scheduler dies and the worker starts again under its id, and its new process carries out the first reservation late.

Cause: the successor finds the job recorded as running and its part reserved, and takes that for a start that its predecessor didn't come to. Nothing in a worker's answer tells which process of it granted a reservation.

Evidence: SchedRestart.LateReservationInANewProcessIsNotStartedByASuccessor and .LateReservationInANewProcessIsNotStartedWhenItIsHeardOf, new, both failed on the code before (the task began twice).

Such a job ends as unknown. The price: it also does so if its scheduler died after the record of the start and before the start reached the worker. A job that may be repeated, or that is recorded only as placed, goes on as before.

--- a/src/adopt.c
+++ b/src/adopt.c
@@ -150,6 +150,16 @@
   return gone;
 }
 
+/* Tells whether J, which must not be repeated, is recorded as started while a
+   part is only reserved.  That part may have run in an earlier process of its
+   worker, whose new process got the reservation late. */
+static gboolean
+may_have_run_before (const Job *j)
+{
+  return j->rec->state == JOB_RUNNING && !gang_may_repeat (j) &&
+         gang_count (j, PART_RESERVED) > 0;
+}
+
 static void
 complete_or_undo (Core *c, Job *j, guint found)
 {
@@ -160,6 +170,8 @@
   j->phase = PHASE_START;
   if (n_saved == j->n_parts)
     gang_saved (c, j);
+  else if (may_have_run_before (j))
+    gang_undo (c, j, JOB_UNKNOWN, "it may have run in an earlier process");
   else if (!started && ((!j->rec->repeatable &&
                          gang_count (j, PART_RESERVED) < j->n_parts) ||
                         (gone && found == 0)))
--- a/src/gang_lease.c
+++ b/src/gang_lease.c
@@ -43,14 +43,17 @@
 
 /* P counts as running, and its worker, asked by CALL, has only a reservation
    for it.  If P was taken for running while its worker was silent, it is
-   started now.  If it did run, its worker has a new process, which got the
-   reservation late. */
+   started now, unless it must not be repeated.  If it did run, its worker has a
+   new process, which got the reservation late. */
 static void
 on_only_reserved (Core *c, Part *p, gint64 call)
 {
-  if (p->known_by == 0 && !p->call && p->job->phase <= PHASE_RUN)
-    gang_part_call (c, p, WORKER_START);
-  else if (p->known_by > 0 && call > p->known_by)
+  if (p->known_by == 0 && gang_may_repeat (p->job))
+    {
+      if (!p->call && p->job->phase <= PHASE_RUN)
+        gang_part_call (c, p, WORKER_START);
+    }
+  else if (p->known_by == 0 || call > p->known_by)
     {
       p->state = PART_GONE;
       gang_broken (c, p->job, p, FALSE, "a worker lost a part");
--- a/tests/sched_restart_test.cc
+++ b/tests/sched_restart_test.cc
@@ -215,29 +215,39 @@
   EXPECT_TRUE (w.wait_state (id, "done", 60000)) << w.story ();
 }
 
-TEST_F (SchedRestart, LateReservationInANewProcessIsNotStarted)
+/* Has the first reservation that a worker is asked for come LATE: its answer
+   is lost at once. */
+void
+lose_reservation (JobWorld &w, EventCopy *late)
 {
-  JobWorld w (7, 1, 1);
-  EventCopy late;
+  w.tap = [&w, late] (Node &n, const Event &e) {
+    const WorkerCall *call = worker_call (e);
 
-  begin (w);
-  w.tap = [&] (Node &n, const Event &e) {
-    if (late || !is_call (e, WORKER_RESERVE, "w0"))
+    if (*late || !call || call->op != WORKER_RESERVE)
       return false;
-    late = copy_of (e);
+    *late = copy_of (e);
     w.at (w.now + 1, [&w, &n, late] {
-      auto *call = static_cast<const WorkerCall *> (late->body);
+      auto *lost_call = static_cast<const WorkerCall *> ((*late)->body);
       WorkerReply lost = {};
 
-      lost.call = call->call;
-      lost.worker = call->worker;
-      lost.op = call->op;
+      lost.call = lost_call->call;
+      lost.worker = lost_call->worker;
+      lost.op = lost_call->op;
       lost.status = WORKER_LOST;
       lost.reason = "";
       w.feed (n.name, EV_WORKER_REPLY, &lost);
     });
     return true;
   };
+}
+
+TEST_F (SchedRestart, LateReservationInANewProcessIsNotStarted)
+{
+  JobWorld w (7, 1, 1);
+  EventCopy late;
+
+  begin (w);
+  lose_reservation (w, &late);
   std::string id = w.submit_wait (w.once_job (1, 60000));
   ASSERT_NE (id, "");
   ASSERT_TRUE (w.run_until ([&] { return !w.job_starts[id].empty (); }, 5000));
@@ -248,4 +258,47 @@
   EXPECT_EQ ((w.tasks_begun[{ id, 0 }]), 1);
 }
 
+TEST_F (SchedRestart, LateReservationInANewProcessIsNotStartedByASuccessor)
+{
+  JobWorld w (7, 3, 1);
+  EventCopy late;
+
+  begin (w);
+  std::string former = w.scheduler ();
+  lose_reservation (w, &late);
+  std::string id =
+      w.submit_wait (w.once_job (1, 60000), former == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.run_until ([&] { return !w.job_starts[id].empty (); }, 5000));
+  w.run (500);
+  w.kill (former);
+  w.workers["w0"].reboot ();
+  w.carry_out (w.nodes.at (former), *late);
+  EXPECT_TRUE (w.wait_state (id, "unknown", 30000)) << w.story ();
+  EXPECT_EQ ((w.tasks_begun[{ id, 0 }]), 1);
+}
+
+TEST_F (SchedRestart, LateReservationInANewProcessIsNotStartedWhenItIsHeardOf)
+{
+  JobWorld w (7, 3, 1);
+  EventCopy late;
+
+  begin (w);
+  std::string former = w.scheduler ();
+  lose_reservation (w, &late);
+  std::string id =
+      w.submit_wait (w.once_job (1, 60000), former == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.run_until ([&] { return !w.job_starts[id].empty (); }, 5000));
+  w.run (500);
+  w.kill (former);
+  w.workers["w0"].reboot ();
+  w.carry_out (w.nodes.at (former), *late);
+  w.workers["w0"].down = true;
+  ASSERT_TRUE (wait_ready (w, former));
+  w.workers["w0"].down = false;
+  EXPECT_TRUE (w.wait_state (id, "unknown", 30000)) << w.story ();
+  EXPECT_EQ ((w.tasks_begun[{ id, 0 }]), 1);
+}
+
 } // namespace
