wagtailpassd: search with restarted workers and late calls, and what was found

SchedRestartSearch plays calls to workers that are carried out or answered up to 2.5 s late, in any order, while workers start again under their ids and schedulers die or are cut off.

--- a/tests/sched_restart_test.cc
+++ b/tests/sched_restart_test.cc
@@ -301,4 +301,133 @@
   EXPECT_EQ ((w.tasks_begun[{ id, 0 }]), 1);
 }
 
+TEST_F (SchedRestart, LateStartOfAPredecessorIsRefusedByANewProcess)
+{
+  JobWorld w (7, 3, 2);
+  EventCopy late;
+
+  begin (w);
+  std::string former = w.scheduler ();
+  w.tap = [&] (Node &, const Event &e) {
+    const WorkerCall *call = worker_call (e);
+
+    if (late || !call || call->op != WORKER_START)
+      return false;
+    late = copy_of (e);
+    return true;
+  };
+  std::string id =
+      w.submit_wait (w.once_job (1, 60000), former == "h0" ? "h1" : "h0");
+  ASSERT_NE (id, "");
+  ASSERT_TRUE (w.run_until ([&] { return late != nullptr; }, 5000));
+  w.kill (former);
+  w.workers[static_cast<WorkerCall *> (late->body)->worker].reboot ();
+  w.run (500);
+  w.carry_out (w.nodes.at (former), *late);
+  EXPECT_TRUE (w.wait_state (id, "unknown", 30000)) << w.story ();
+  EXPECT_EQ ((w.tasks_begun[{ id, 0 }]), 0);
+}
+
+/* Calls to workers are carried out and answered late, in any order, while
+   workers start again and schedulers die or are cut off. */
+struct SchedRestartSearch : testing::TestWithParam<int>
+{
+};
+
+/* Carries out a call of N to a worker late, or has its answer come late. */
+void
+delay_call (JobWorld &w, Node &n, const Event &e)
+{
+  FakeWorker &worker = w.workers[worker_call (e)->worker];
+  EventCopy late = copy_of (e);
+
+  if (w.random (2))
+    {
+      worker.delay = 1 + w.random (2500);
+      w.carry_out (n, e);
+      worker.delay = 1;
+    }
+  else
+    w.at (w.now + w.random (2500), [&w, &n, late] { w.carry_out (n, *late); });
+}
+
+void
+cut_off (JobWorld &w, const std::string &host, bool on)
+{
+  w.cut (host, "store", on);
+  for (auto &[name, node] : w.nodes)
+    if (name != host)
+      {
+        w.cut (host, name, on);
+        w.cut (name, host, on);
+      }
+}
+
+void
+draw_restart (JobWorld &w)
+{
+  std::string worker = "w" + std::to_string (w.random (4));
+  std::string host = w.scheduler ();
+
+  w.workers[worker].reboot ();
+  if (host.empty ())
+    return;
+  if (w.random (2))
+    {
+      w.kill (host);
+      w.at (w.now + 4000, [&w, host] { w.restart (host); });
+    }
+  else
+    {
+      cut_off (w, host, true);
+      w.at (w.now + 3000 + w.random (2000),
+            [&w, host] { cut_off (w, host, false); });
+    }
+  for (auto &[name, node] : w.nodes)
+    if (name != host)
+      w.cut (name, worker);
+  w.at (w.now + 3000 + w.random (9000), [&w, worker] {
+    for (auto &[name, node] : w.nodes)
+      w.cut (name, worker, false);
+  });
+}
+
+TEST_P (SchedRestartSearch, WhatMustNotBeRepeatedBeginsOnce)
+{
+  JobWorld w (static_cast<guint32> (GetParam ()), 3, 4);
+  ClockMs end;
+
+  w.start ();
+  w.load_table (table);
+  ASSERT_TRUE (w.wait_scheduler (5000));
+  end = w.now + 40000;
+  w.tap = [&] (Node &n, const Event &e) {
+    if (!worker_call (e) || w.now > end || w.random (1000) >= 150)
+      return false;
+    delay_call (w, n, e);
+    return true;
+  };
+  for (ClockMs at = w.now + 2000; at < end; at += 9000)
+    w.at (at + w.random (3000), [&w] { draw_restart (w); });
+  for (int i = 0; i < 8; i++)
+    {
+      CallerJob q = w.once_job (1 + i % 2, 2000 + w.random (8000));
+      std::string key = "key " + std::to_string (i);
+
+      q.repeatable = i % 4 == 3;
+      q.key = q.repeatable ? "" : key.c_str ();
+      w.accepted (w.submit (q, "h" + std::to_string (i % 3)), 14000);
+      w.run (w.random (3000));
+    }
+  w.run_until ([&] { return w.now >= end; }, 60000);
+  EXPECT_TRUE (w.quiet (120000)) << w.story ();
+}
+
+INSTANTIATE_TEST_SUITE_P (Seeds, SchedRestartSearch, testing::Range (0, 60));
+
+/* What must not be repeated began twice. */
+INSTANTIATE_TEST_SUITE_P (Regressions,
+                          SchedRestartSearch,
+                          testing::Values (1547, 1597, 1869));
+
 } // namespace
