--- a/src/gang.h
+++ b/src/gang.h
@@ -22,13 +22,15 @@
 void gang_on_unwritten (Core *c, Job *j);
 void gang_undo (Core *c, Job *j, JobState verdict, const char *reason);
 void gang_cancel (Core *c, Job *j);
+void gang_take_start (Core *c, Job *j);
 void gang_take_end (Core *c, Job *j, JobRecord *found);
 void gang_save (Core *c, Job *j);
 void gang_drop (Core *c, Job *j);
 
 /* For lease.c and adopt.c. */
 void gang_on_part_answer (Core *c, Part *p, WorkerOp op, const WorkerReply *r);
-void gang_apply_lease (Core *c, Part *p, const WorkerLease *l);
+void gang_apply_lease (Core *c, Part *p, const WorkerLease *l, gint64 call);
+void gang_part_started (Core *c, Part *p);
 void gang_part_ended (Core *c, Part *p);
 void gang_part_call (Core *c, Part *p, WorkerOp op);
 void gang_add_evidence (Job *j, const char *worker, const char *reason);
--- a/src/lease.c
+++ b/src/lease.c
@@ -82,9 +82,9 @@
   return NULL;
 }
 
-/* Notes lease L on W, of a job that is not known. */
+/* Notes lease L on W, of a job that is not known, as listed for CALL. */
 static void
-add_orphan (Core *c, Worker *w, const WorkerLease *l)
+add_orphan (Core *c, Worker *w, const WorkerLease *l, gint64 call)
 {
   GHashTable *orphans = c->sched->orphans;
   GPtrArray *list = g_hash_table_lookup (orphans, l->job);
@@ -94,6 +94,7 @@
     {
       rec_free (worker_lease_desc (), o->lease);
       o->lease = rec_copy (worker_lease_desc (), l);
+      o->listed_by = call;
       return;
     }
   if (!list)
@@ -104,12 +105,46 @@
   o = g_new (Orphan, 1);
   *o = (Orphan) { .worker = w,
                   .lease = rec_copy (worker_lease_desc (), l),
-                  .seen = c->now };
+                  .seen = c->now,
+                  .listed_by = call };
   g_ptr_array_add (list, o);
 }
 
+/* Drops from LIST the reservations on W that its report on CALL doesn't have:
+   they have lapsed, or its process is a new one.  What has been started stays,
+   as proof of that.  Returns whether LIST is empty then. */
+static gboolean
+drop_unlisted_reservations (GPtrArray *list, const Worker *w, gint64 call)
+{
+  guint i;
+
+  for (i = list->len; i-- > 0;)
+    {
+      const Orphan *o = g_ptr_array_index (list, i);
+
+      if (o->worker == w && o->lease->state == LEASE_RESERVED &&
+          o->listed_by != call)
+        g_ptr_array_remove_index (list, i);
+    }
+  return list->len == 0;
+}
+
+/* Forgets the reservations of unknown jobs that W's report R doesn't have. */
 static void
-take_lease (Core *c, Worker *w, const WorkerLease *l)
+check_orphans (Core *c, const Worker *w, const WorkerReply *r)
+{
+  GHashTableIter it;
+  gpointer list;
+
+  g_hash_table_iter_init (&it, c->sched->orphans);
+  while (g_hash_table_iter_next (&it, NULL, &list))
+    if (drop_unlisted_reservations (list, w, r->call))
+      g_hash_table_iter_remove (&it);
+}
+
+/* Takes lease L, as W listed it for CALL. */
+static void
+take_lease (Core *c, Worker *w, const WorkerLease *l, gint64 call)
 {
   Part *p = find_part (c, l, w);
 
@@ -118,12 +153,12 @@
     {
       if (l->state <= LEASE_RUNNING)
         p->lease_end = c->now + c->cfg->worker_lease_ms;
-      gang_apply_lease (c, p, l);
+      gang_apply_lease (c, p, l, call);
     }
   else if (c->sched->ready && g_hash_table_contains (c->sched->jobs, l->job))
     lease_stop (c, w, l);
   else
-    add_orphan (c, w, l);
+    add_orphan (c, w, l, call);
 }
 
 /* Tells whether nothing that was sent to W before P was to be stopped can
@@ -135,23 +170,33 @@
          c->cfg->worker_timeout_ms + LEASE_ANSWER_GRACE_MS;
 }
 
-/* Returns a part in STATE that W did not list and so does not have. */
+/* Tells whether a report that W was asked for by CALL is newer than what is
+   known of P. */
+static gboolean
+is_report_newer (const Core *c, const Worker *w, const Part *p, gint64 call)
+{
+  if (p->state == PART_STOPPING)
+    return is_stop_settled (c, w, p);
+  return call > p->known_by;
+}
+
+/* Returns a part in STATE that W did not list, asked by CALL, and so does not
+   have. */
 static Part *
-unlisted (const Core *c, Worker *w, PartState state)
+unlisted (const Core *c, Worker *w, PartState state, gint64 call)
 {
   Part *p = NULL;
 
   APR_RING_FOREACH (p, &w->parts, Part, link)
     {
-      if (p->state == state && !p->listed &&
-          (state != PART_STOPPING || is_stop_settled (c, w, p)))
+      if (p->state == state && !p->listed && is_report_newer (c, w, p, call))
         return p;
     }
   return NULL;
 }
 
 /* Handles parts that are missing from their worker's report: they have
-   ended. */
+   ended, unless they were started after it was asked for. */
 static void
 check_missing (Core *c, Worker *w, const WorkerReply *r)
 {
@@ -168,12 +213,12 @@
       if (p)
         p->listed = TRUE;
     }
-  while ((p = unlisted (c, w, PART_RUNNING)))
+  while ((p = unlisted (c, w, PART_RUNNING, r->call)))
     {
       p->state = PART_GONE;
       gang_broken (c, p->job, p, FALSE, "a worker lost a part");
     }
-  while ((p = unlisted (c, w, PART_STOPPING)))
+  while ((p = unlisted (c, w, PART_STOPPING, r->call)))
     gang_part_ended (c, p);
 }
 
@@ -400,7 +445,8 @@
   w->silent = 0;
   w->renewed = c->now;
   for (i = 0; i < r->leases.n; i++)
-    take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i));
+    take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i),
+                r->call);
   if (op == WORKER_RENEW && has_forgotten (w, r))
     {
       lease_report (c, w);
@@ -411,6 +457,7 @@
   if (op == WORKER_REPORT)
     {
       check_missing (c, w, r);
+      check_orphans (c, w, r);
       if (!w->reported && c->sched->reports_due > 0)
         c->sched->reports_due--;
       w->reported = TRUE;
@@ -474,7 +521,8 @@
     {
       w = g_hash_table_lookup (s->worker_by_name, util_str (r->worker));
       for (i = 0; r->call == 0 && w && i < r->leases.n; i++)
-        take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i));
+        take_lease (c, w, rec_list_at (worker_lease_desc (), &r->leases, i),
+                    r->call);
       return;
     }
   call = *p;
