Lost stops don't hide that a worker is cut off

Cause: since each order without an answer replaced the hold under way, which so never failed. Only the first sign that the clock may be another process's asks for the list now. An answer by another clock also has the new process refuse late starts at once.

--- a/queue/grant.c
+++ b/queue/grant.c
@@ -137,6 +137,18 @@
   w->excluded_until = MAX (w->excluded_until, w->late_ack_until);
 }
 
+/* Has W's clock read again before any start is reckoned by it: its process may
+   be another one.  Only the first sign of that has W asked for its list: to ask
+   at each would keep the hold that was sent from failing. */
+static void
+doubt_clock (Dispatch *d, PoolWorker *w)
+{
+  if (w->clock_in_doubt)
+    return;
+  w->clock_in_doubt = TRUE;
+  holds_ask_again (d, w);
+}
+
 /* Handles that the first list of W is of a newer process than the one that a
    former scheduler heard.  That scheduler's calls may have granted it the
    longest lease, and starts of it may still be executed. */
@@ -171,8 +183,8 @@
                lease_end - w->lease_expiry, d->now - w->worker_clock_at,
                w->recorded_as_long);
   extend_expiry (w, lease_end);
-  w->clock_in_doubt = TRUE;
-  holds_ask_again (d, w);
+  late_cancel_starts (d, w);
+  doubt_clock (d, w);
 }
 
 static void
@@ -204,10 +216,7 @@
 grant_note_lost (Dispatch *d, PoolWorker *w, const PendingCall *call)
 {
   if (call->op != RUN_POLL && !was_read_after (w, call))
-    {
-      w->clock_in_doubt = TRUE;
-      holds_ask_again (d, w);
-    }
+    doubt_clock (d, w);
   if (!call->grants_lease)
     return;
   if (call->op == RUN_START)
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -289,15 +289,18 @@
 }
 
 /* Has W asked for its list at once, in place of the hold that may be under way
-   and wait, perhaps at a process that has ended. */
+   and wait, perhaps at a process that has ended.  Where W takes no more calls,
+   the hold is left: one that is ignored would keep its connection. */
 void
 holds_ask_again (Dispatch *d, PoolWorker *w)
 {
   if (w->polls_unanswered)
     return;
+  w->poll_immediately = TRUE;
+  if (!call_limit_allows (&w->calls))
+    return;
   holds_ignore_reply (d, w);
   w->next_poll = d->now;
-  w->poll_immediately = TRUE;
 }
 
 /* Tells whether W's process may be another one than that whose list was seen
--- a/tests/queue_restart_test.cc
+++ b/tests/queue_restart_test.cc
@@ -154,6 +154,43 @@
   EXPECT_LT (o.lease_deadline, r.w.now () - o.started_at + 6000);
 }
 
+TEST (QueueRestart, LostStopsDoNotHideThatAWorkerIsCutOff)
+{
+  QueueWorld w (1, 2);
+  const std::string id = "0000000000000505", job = "0000000000000506";
+
+  w.run (3000);
+  w.drain_worker (1);
+  w.run (500);
+  w.submit (0,
+            { "q0/" + job, world_body (world_step (4, 1000, 1), "ms=60000") });
+  w.submit (0, one_task (id, "ms=9000"));
+  w.run (2000);
+  undrain (w, 1);
+  w.workers[0].unreachable_until = w.now () + 60000;
+  w.cancel (0, job);
+  w.run (8000);
+  EXPECT_EQ (w.starts (id + ".0.0.0"), 2);
+}
+
+TEST (QueueRestart,
+      SuccessorWaitsForALostStartOfAProcessThatNeverReportedItself)
+{
+  for (ClockMs known = 500; known <= 700 && !HasFailure (); known += 100)
+    {
+      SilentRestart r (2);
+
+      SCOPED_TRACE (known);
+      r.w.workers[0].lost_reply_rate = 1;
+      r.start_on_new_process ();
+      r.w.workers[0].unreachable_until = r.w.now () + 30000;
+      r.w.run (known);
+      r.w.kill_host (r.scheduler);
+      r.cut_off ();
+      r.expect_run_once_at_a_time ();
+    }
+}
+
 /* A worker that is the only one with room is back as another kind. */
 TEST (QueueRestart, StartThatWaitsForAReadingIsNotSentToAProcessOfAnotherKind)
 {
