A lease that a newer process may hold counts from the loss, and from its entry

A start that is carried out just before its time-out gives a new process 10 s from then, not from the sending: what is waited for counts from when the answer was given up. An entry of a newer process is recorded as a sign of the longest lease at once, not only when the process has been heard. A start without an answer is no longer recorded as late for its task's whole run, but as long as it may be carried out.

--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -153,8 +153,7 @@
       holds_ignore_reply (d, w);
       w->next_poll = d->now;
       w->poll_immediately = TRUE;
-      late_cancel_starts (d, w);
-      unsent_on_restart (d, w);
+      grant_on_newer_entry (d, w);
     }
   former_on_entry (d, w);
   due_mark (d, w);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -192,6 +192,7 @@
                         const PendingCall *call,
                         const RunReply *reply);
 void grant_on_restart (Dispatch *d, PoolWorker *w, gint64 born);
+void grant_on_newer_entry (Dispatch *d, PoolWorker *w);
 void grant_on_former_restart (Dispatch *d, PoolWorker *w);
 void grant_note_lost (Dispatch *d, PoolWorker *w, const PendingCall *call);
 void grant_append_metrics (const Dispatch *d, GString *text);
--- a/queue/grant.c
+++ b/queue/grant.c
@@ -149,6 +149,16 @@
   holds_ask_again (d, w);
 }
 
+/* Handles that W's entry is of a newer process than its last list, which may
+   have taken the longest lease by the clock of the one before. */
+void
+grant_on_newer_entry (Dispatch *d, PoolWorker *w)
+{
+  extend_expiry (w, latest_end (w, d->now, grant_longest_lease));
+  late_cancel_starts (d, w);
+  unsent_on_restart (d, w);
+}
+
 /* Handles that the first list of W is of a newer process than the one that a
    former scheduler heard.  That scheduler's calls may have granted it the
    longest lease, and starts of it may still be executed. */
@@ -219,6 +229,8 @@
     doubt_clock (d, w);
   if (!call->grants_lease)
     return;
+  w->unheard_expiry =
+      MAX (w->unheard_expiry, latest_end (w, d->now, grant_longest_lease));
   if (call->op == RUN_START)
     {
       log_lost_start (d, w, call);
--- a/queue/late.c
+++ b/queue/late.c
@@ -79,7 +79,8 @@
         add_to_record (r, w->entry->id, late->task, late->run);
     }
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
-    if (placement->start_unconfirmed)
+    if (placement->start_unconfirmed &&
+        placement->last_start_at + holds_late_order_window > d->now)
       {
         char *name = work_task_name (placement->task);
 
