Soak: runners that restart silently, then the scheduler is killed and they are cut off

Its restarts ended the hosts' connections, so that no call to the former process stood.

The test of the proxy's link is new.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -337,6 +337,37 @@
             self.assertTrue(all(job.attempts == of.attempts for job, _ in jobs))
 
 
+class EchoServer:
+    """A target of a link."""
+
+    def __init__(self, port):
+        self.port, self.server, self.writers = port, None, []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        while data := await reader.read(1):
+            writer.write(data)
+        writer.close()
+
+    def end(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+
+async def call(port):
+    return await asyncio.open_connection("127.0.0.1", port)
+
+
+async def echo(connection):
+    reader, writer = connection
+    writer.write(b"x")
+    return await reader.read(1)
+
+
 class LinkTest(unittest.TestCase):
     def test_latency_is_of_each_piece_not_of_all(self):
         async def carry():
@@ -368,6 +399,29 @@
         self.assertGreaterEqual(min(took), 99)
         self.assertLess(max(took), 220)
 
+    def test_target_that_crashes_silently(self):
+        async def crash():
+            ports = free_ports(1, 1)
+            port, target = ports.runner_link(0), EchoServer(ports.store)
+            await target.start()
+            link = Link(port, ports.store, Ledger(), "h0")
+            await link.start()
+            waits, sends = await call(port), await call(port)
+            self.assertEqual([await echo(waits), await echo(sends)], [b"x", b"x"])
+            link.lose_target()
+            target.end()
+            late = asyncio.create_task(echo(await call(port)))
+            await asyncio.sleep(0.1)
+            self.assertFalse(late.done())
+            await target.start()
+            self.assertEqual([await late, await echo(sends)], [b"x", b""])
+            with self.assertRaises(TimeoutError):
+                await asyncio.wait_for(waits[0].read(1), 0.1)
+            await link.stop()
+            target.end()
+
+        asyncio.run(asyncio.wait_for(crash(), 5))
+
 
 class LedgerTest(unittest.TestCase):
     def test_link_that_is_cut(self):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,16 +5,19 @@
 import signal
 import time
 
+from crashes import CRASH_SERIES, Crashes
 from site_faults import ALONE, SITE_SERIES, SiteFaults
 
 STALL_S = (0.05, 0.9)
+REVIVE_S = (0.2, 2)
 SITE_PAUSE_S = (1, 4)  # between series that concern the site
 
 HOST_SERIES = ["host_down", "host_pause", "host_stall", "link_trouble"]
 RUNNER_SERIES = ["drain", "restart", "cut", "stall", "drain_cut", "restart_cut", "cut_restart",
                  "drain_kill", "cut_kill", "cut_stall", "drain_cut_kill", "restart_stall",
                  "stutter_cut"]
-GROUPS = {"hosts": HOST_SERIES, "runners": RUNNER_SERIES, "site": SITE_SERIES}
+GROUPS = {"hosts": HOST_SERIES, "runners": RUNNER_SERIES, "crashes": CRASH_SERIES,
+          "site": SITE_SERIES}
 HOST_SHARE = 0.35
 GROUP_S = 4  # of faults, before a stretch of calm
 
@@ -25,7 +28,7 @@
     return [s for s in series if s in names]
 
 
-class Faults(SiteFaults):
+class Faults(Crashes, SiteFaults):
     def __init__(self, soak, seed, only=None, calm_s=0):
         """Plays the series that ONLY names, all of them without it, at once or
         in groups with CALM_S between them."""
@@ -35,7 +38,7 @@
         self.calm_s = calm_s
         self.of_hosts = chosen(HOST_SERIES, only)
         self.of_runners = chosen(RUNNER_SERIES, only)
-        self.of_site = chosen(SITE_SERIES, only)
+        self.of_site = chosen(SITE_SERIES + CRASH_SERIES, only)
         self.rng = random.Random(seed)
         self.site_rng = random.Random("%d/site" % seed)
         self.victims = set()  # processes that a series is about
@@ -76,12 +79,13 @@
             await self.wait(rng.uniform(*SITE_PAUSE_S))
             left = left or rng.sample(self.of_site, len(self.of_site))
             name = left.pop()
-            while len(lanes) > (0 if name in ALONE else 1):
+            alone = name in ALONE or name in CRASH_SERIES
+            while len(lanes) > (0 if alone else 1):
                 _, lanes = await asyncio.wait(lanes, return_when=asyncio.FIRST_COMPLETED)
             lane = asyncio.create_task(self.begin_site(random.Random(rng.random()), name))
             self.series.append(lane)
             lanes.add(lane)
-            if name in ALONE:
+            if alone:
                 await lane
 
     async def begin_site(self, rng, name):
@@ -166,11 +170,14 @@
         if rng.random() < 0.3:
             await self.stall_series(rng, host, 6)
         else:
-            await host.end()
-            await self.wait(rng.uniform(0.2, 2))
-            await host.revive()
+            await self.kill_host(rng, host, REVIVE_S)
         self.victims.discard(host)
 
+    async def kill_host(self, rng, host, revive_s):
+        await host.end()
+        await self.wait(rng.uniform(*revive_s))
+        await host.revive()
+
     # Runners.
 
     async def drain(self, rng, runner):
--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -140,6 +140,14 @@
         await self.end()
         await self.set_down(True)
 
+    async def crash_silently(self):
+        """Like crash, but hosts don't see their connections end."""
+        self.lives[-1][2] = now_ms()
+        self.ledger.begin(self.subject, "away")
+        for link in self.links:
+            link.lose_target()
+        await self.end()
+
     def drain(self):
         self.drained_at = time.monotonic()
         self.ledger.begin(self.subject, "away")
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -3,6 +3,7 @@
 import socket
 
 MOST_ON_THE_WAY = 64  # pieces that a connection holds in each direction
+RETRY_S = 0.01  # between attempts to reach a target that has crashed silently
 
 
 class Link:
@@ -21,6 +22,8 @@
         self.cut = None  # "silent" or "refuse": what becomes of connections
         self.down = False  # nobody listens at the target
         self.writers = set()
+        self.crashes = 0  # silent ones: connections from before the last carry nothing
+        self.awaits_target = False  # new connections wait until the target listens
         self.server = None
         self.hole = []  # sockets that keep a full queue, so that calls to it hang
         self.lock = asyncio.Lock()
@@ -48,10 +51,19 @@
         if kind == "refuse":
             self.reset()
 
+    def lose_target(self):
+        """Plays a target whose machine is gone without a word.  New connections
+        wait until it listens again; open ones are silent, and end once the
+        caller sends something to a machine that is back."""
+        self.ledger.begin(self.subject, self.kind)
+        self.crashes += 1
+        self.awaits_target = True
+
     async def heal(self):
         """Ends every fault.  Connections that lost bytes are reset."""
         lost = self.silent_out or self.silent_in
         self.delay = 0.0
+        self.awaits_target = False
         self.silent_out = self.silent_in = False
         self.cut = None
         await self.set_down(self.down)
@@ -96,30 +108,47 @@
 
     async def accept(self, reader, writer):
         try:
-            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+            far_reader, far_writer = await self.reach_target()
         except OSError:
             writer.transport.abort()
             return
         self.writers |= {writer, far_writer}
-        await asyncio.gather(self.pump(reader, far_writer, "silent_out"),
-                             self.pump(far_reader, writer, "silent_in"))
+        await asyncio.gather(self.pump(reader, far_writer, "silent_out", self.crashes),
+                             self.pump(far_reader, writer, "silent_in", self.crashes))
+        for w in writer, far_writer:
+            w.close()
         self.writers -= {writer, far_writer}
 
-    async def pump(self, reader, writer, silent):
-        """Carries bytes one way: each piece comes out its delay after it went in."""
+    async def reach_target(self):
+        while True:
+            try:
+                opened = await asyncio.open_connection("127.0.0.1", self.target)
+                self.awaits_target = False
+                return opened
+            except OSError:
+                if not self.awaits_target:
+                    raise
+            await asyncio.sleep(RETRY_S)
+
+    async def pump(self, reader, writer, silent, crashes):
+        """Carries bytes one way: each piece comes out its delay after it went in.
+        The connection was opened after the target's crash number CRASHES."""
         on_the_way = asyncio.Queue(MOST_ON_THE_WAY)
-        delivery = asyncio.create_task(self.deliver(on_the_way, writer, silent))
+        delivery = asyncio.create_task(self.deliver(on_the_way, writer, silent, crashes))
         now = asyncio.get_running_loop().time
         try:
             while data := await reader.read(65536):
+                if crashes != self.crashes and not self.awaits_target:
+                    break
                 await on_the_way.put((now() + self.latency + self.delay, data))
         except (ConnectionError, OSError):
             pass
         await on_the_way.put((now() + self.latency + self.delay, None))
         await delivery
-        writer.close()
+        if crashes == self.crashes:
+            writer.close()
 
-    async def deliver(self, on_the_way, writer, silent):
+    async def deliver(self, on_the_way, writer, silent, crashes):
         """Writes what is due, up to the end that None marks.  What can't be
         written any more is taken off the way all the same."""
         now = asyncio.get_running_loop().time
@@ -129,7 +158,7 @@
                 return
             await asyncio.sleep(max(0, due - now()))
             try:
-                if not getattr(self, silent):
+                if crashes == self.crashes and not getattr(self, silent):
                     writer.write(data)
                     await writer.drain()
             except (ConnectionError, OSError):
