Records of workers that are out of the roster aren't written over and over

By reading: once the lease of a silent worker that was recorded as long has expired, the worker is out of the roster, while what is recorded of it never changes again; its shard was written at each look at it, once a second while its entry stands. What concerns its leases now asks for a write only while it is in. Also, a worker that any former scheduler recorded as one that may hold the longest lease is waited for like that, if the record is not the direct predecessor's too (found by the review, by reading).

--- a/queue/former.c
+++ b/queue/former.c
@@ -117,12 +117,15 @@
   return FALSE;
 }
 
-/* Returns the longest lease that the worker ID may have had of the schedulers
-   up to the one that wrote R, which is NULL if nothing is known of it. */
+/* Returns the longest lease that the worker ID may have had of former
+   schedulers, by RECORDS. */
 static ClockMs
-possible_lease (const Dispatch *d, const GivenLeases *r, const char *id)
+possible_lease (const Dispatch *d, const RosterRecords *records, const char *id)
 {
-  if (r && names_worker (&r->longest, id))
+  const GivenLeases *last = records->given_leases;
+  const GivenLeases *r = predecessors_record (d, records);
+
+  if (last && names_worker (&last->longest, id))
     return grant_longest_lease;
   if (r && !names_worker (&r->longer, id))
     return holds_normal_lease;
@@ -144,7 +147,7 @@
 {
   const GivenLeases *r = predecessors_record (d, records);
   const char *id = w->entry->id;
-  ClockMs lease = possible_lease (d, r, id);
+  ClockMs lease = possible_lease (d, records, id);
 
   w->former_fence = r ? last_giver (r, id) : d->term.fence - 1;
   w->lease_expiry = lease_end (giver_ended_by (d, w), lease);
--- a/queue/roster.c
+++ b/queue/roster.c
@@ -187,11 +187,13 @@
 }
 
 /* Marks W's shard as needing a write if W has to be added or taken out, or if
-   what is recorded of its leases must change. */
+   it is in and what is recorded of its leases must change. */
 void
 roster_update_worker (Dispatch *d, PoolWorker *w)
 {
-  if (!former_needs_write (d, w) && may_have_runs (w) == w->listed)
+  gboolean must_change = former_needs_write (d, w) && may_have_runs (w);
+
+  if (!must_change && may_have_runs (w) == w->listed)
     return;
   w->listed = may_have_runs (w);
   if (!has_dirty_shard (&d->roster))
