Settings of evacuation, cold workers and checkpoints reach the scheduler

Cause: the parts of docs/heavy-load.md are switched on by the deployment's settings, which boot.c did not read: evacuateMs, coldOverage, coldSlack, checkpointIntervalS, restoreMs, the domains, memoryMb and maxFds. Change: Bounds in NodeSettings and in the scheduler; no decision uses them yet.

--- /dev/null
+++ b/queue/bounds.h
@@ -0,0 +1,19 @@
+#ifndef BOUNDS_H
+#define BOUNDS_H
+
+#include "clock.h"
+
+/* What the deployment's settings say of its operations and of its workers.  A
+   value of 0 means that the deployment does not name it; decisions that need it
+   are then switched off. */
+typedef struct Bounds
+{
+  ClockMs evacuation;  /* no start in a domain later than this after its
+                          evacuation was requested */
+  double cold_overage; /* load of cold workers, relative to warm ones */
+  double cold_slack;   /* tasks on cold workers of a domain beyond that */
+  ClockMs checkpoint_interval; /* work between two checkpoints of a run */
+  ClockMs restore;             /* to resume a run from a checkpoint */
+} Bounds;
+
+#endif
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -28,6 +28,7 @@
               const RosterRecords *roster,
               const DispatchTerm *term,
               gsize max_store_value,
+              const Bounds *bounds,
               ClockMs now,
               ClockMs wall)
 {
@@ -38,6 +39,7 @@
   d->fx = fx;
   d->job_cache = job_cache;
   d->term = *term;
+  d->bounds = *bounds;
   d->now = now;
   d->wall = wall;
   d->started_at = now;
--- a/queue/dispatch.h
+++ b/queue/dispatch.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_H
 #define DISPATCH_H
 
+#include "bounds.h"
 #include "job_cache.h"
 #include "conf.h"
 #include "effects.h"
@@ -28,6 +29,7 @@
                         const RosterRecords *roster,
                         const DispatchTerm *term,
                         gsize max_store_value,
+                        const Bounds *bounds,
                         ClockMs now,
                         ClockMs wall);
 void dispatch_free (Dispatch *d);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -103,6 +103,7 @@
   Effects *fx;
   JobCache *job_cache;
   DispatchTerm term;
+  Bounds bounds;
   Conf *conf;
   ClockMs now;        /* on the host's clock, like the times below */
   ClockMs wall;       /* Unix time in milliseconds */
--- a/queue/node.c
+++ b/queue/node.c
@@ -40,6 +40,8 @@
   Waiting waiting;
   StoreHealth store_health;
   gsize max_store_value; /* bytes; 0: unknown */
+  Bounds bounds;
+  char **domains; /* names of all failure domains; NULL: not known */
   Conf *conf;
   Term term;
   Intake *intake;
@@ -233,6 +235,8 @@
   n->job_cache = job_cache_new (on_job_cache_changed, n);
   term_init (&n->term, s->holder_name, s->min_store_lease);
   n->max_store_value = s->max_store_value;
+  n->bounds = s->bounds;
+  n->domains = g_strdupv ((char **)s->domains);
   waiting_init (&n->waiting);
   store_health_init (&n->store_health, now);
   n->next_job_cache_reset = now + JOB_CACHE_RESET_INTERVAL_MS;
@@ -260,6 +264,7 @@
   g_hash_table_unref (n->worker_values);
   g_hash_table_unref (n->unreadable_workers);
   conf_unref (n->conf);
+  g_strfreev (n->domains);
   g_rand_free (n->rng);
   effects_clear (&n->fx);
   in_flight_clear (&n->in_flight);
@@ -339,7 +344,7 @@
   gpointer id, value;
 
   n->dispatch = dispatch_new (&n->fx, n->job_cache, &n->roster, &term,
-                              n->max_store_value, n->now, n->wall);
+                              n->max_store_value, &n->bounds, n->now, n->wall);
   intake_set_job_cache_complete (n->intake, TRUE);
   if (n->conf)
     dispatch_on_conf (n->dispatch, n->conf);
--- a/queue/node.h
+++ b/queue/node.h
@@ -1,6 +1,7 @@
 #ifndef NODE_H
 #define NODE_H
 
+#include "bounds.h"
 #include "conf.h"
 #include "effects.h"
 #include "intake.h"
@@ -35,6 +36,9 @@
   gint64 link_bytes_per_s; /* of the host's network link; 0: unknown */
   ClockMs min_store_lease; /* the store refuses a shorter one */
   gsize max_store_value;   /* bytes; a longer one is refused; 0: unknown */
+  Bounds bounds;
+  /* Names of all failure domains, NULL-terminated, or NULL; copied. */
+  const char *const *domains;
 } NodeSettings;
 
 Node *node_new (const NodeSettings *s,
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -678,8 +678,12 @@
       "\"front\":"
       "\"10.1.0.19:8521\",\"readiness\":\"10.1.0.19:8523\"},\"portRange\":["
       "7000,"
-      "7015],\"limits\":{\"cpuShare\":0.12},\"bounds\":{\"revokeMs\":5000,"
-      "\"graceS\":6.5},\"platform\":{\"address\":\"10.2.0.7:8524\","
+      "7015],\"limits\":{\"cpuShare\":0.12,\"memoryMb\":160,"
+      "\"maxFds\":4100},\"zones\":{\"z\":\"r\",\"y\":\"r\"},"
+      "\"bounds\":{\"revokeMs\":5000,\"evacuateMs\":5000,"
+      "\"coldOverage\":1.5,\"coldSlack\":5,\"checkpointIntervalS\":2,"
+      "\"restoreMs\":600,\"graceS\":6.5},\"platform\":{\"address\":\"10.2.0.7:"
+      "8524\","
       "\"ttlMinMs\":1300,\"valueBytes\":70000},\"new\":{}"
       "}";
   BootSettings *b = boot_parse (text.data (), text.size (), &findings);
@@ -691,6 +695,14 @@
   EXPECT_EQ (b->min_store_lease, 1300);
   EXPECT_EQ (b->max_store_value, 70000u);
   EXPECT_DOUBLE_EQ (b->cores, 0.12);
+  EXPECT_EQ (b->memory_bytes, 160 << 20);
+  EXPECT_EQ (b->max_descriptors, 4100u);
+  EXPECT_STREQ ((char *)b->domains->pdata[1], "y");
+  EXPECT_EQ (b->bounds.evacuation, 5000);
+  EXPECT_DOUBLE_EQ (b->bounds.cold_overage, 1.5);
+  EXPECT_DOUBLE_EQ (b->bounds.cold_slack, 5.0);
+  EXPECT_EQ (b->bounds.checkpoint_interval, 2000);
+  EXPECT_EQ (b->bounds.restore, 600);
   EXPECT_STREQ (b->store_address, "10.2.0.7:8524");
   boot_free (b);
 }
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -154,7 +154,7 @@
   write ("servers/" + w.id,
          "{\"service\":\"" + w.service + "\",\"address\":\"10.0.0." +
              std::to_string (w.address < 0 ? i : w.address) +
-             ":1\",\"zone\":\"z\",\"state\":\"" +
+             ":1\",\"zone\":\"" + w.domain + "\",\"state\":\"" +
              (w.draining ? "draining" : "ready") + "\",\"capacity\":{\"cpu\":" +
              std::to_string (w.capacity.cpu_milli) +
              ",\"memMb\":" + std::to_string (w.capacity.mem_mb) +
@@ -183,7 +183,9 @@
                      0,
                      link_.known_to_hosts ? link_.bytes_per_s : 0,
                      min_store_lease,
-                     store_value_is_known ? max_store_value : 0 };
+                     store_value_is_known ? max_store_value : 0,
+                     bounds,
+                     domains };
 
   h.name = "h" + std::to_string (i);
   step_budget_init (&h.budget);
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -75,6 +75,7 @@
   std::string id;
   std::string service = "render";
   std::string rack;
+  std::string domain = "z";
   int address = -1; /* number of its address, N of 10.0.0.N; -1: its own */
   bool alive = true;
   bool draining = false;
@@ -251,11 +252,13 @@
 
   std::vector<WorldHost> hosts;
   std::vector<WorldWorker> workers;
-  WorldProcessor processor;         /* of each host */
-  ClockMs store_down_until = 0;     /* drops calls without executing them */
-  ClockMs min_store_lease = 0;      /* the store refuses shorter ones */
-  gsize max_store_value = 0;        /* bytes; longer ones are refused */
-  bool store_value_is_known = true; /* hosts are configured with that */
+  WorldProcessor processor;     /* of each host */
+  ClockMs store_down_until = 0; /* drops calls without executing them */
+  ClockMs min_store_lease = 0;  /* the store refuses shorter ones */
+  gsize max_store_value = 0;    /* bytes; longer ones are refused */
+  Bounds bounds {};             /* of the hosts that start from now on */
+  const char *const *domains = nullptr; /* the same; NULL-terminated */
+  bool store_value_is_known = true;     /* hosts are configured with that */
   int n_refused_values = 0;
   bool pause_leases_in_outage = false; /* leases don't age while it lasts */
   double store_reply_loss_rate = 0;    /* executed writes without a reply */
