An emptied worker that drains is taken out of the roster

Cause: a successor waits for the leases of all recorded workers that don't answer before it starts jobs that its predecessor knew. Change: a worker that drains, has no start left and no end unacknowledged is no longer listed. Result: QueueTakeover.EmptiedWorkersThatHaveLeftAreNotWaitedFor failed before.

--- a/queue/roster.c
+++ b/queue/roster.c
@@ -171,11 +171,24 @@
   return FALSE;
 }
 
+/* Tells whether W drains and has been emptied: no start, answered or not, is
+   left there, and it has been told that all its ends are stored.  It gets no
+   new starts, so a successor need not wait for it once it has left. */
+static gboolean
+is_emptied (const Dispatch *d, const PoolWorker *w)
+{
+  return w->entry->draining && w->runs_known && w->n_placements == 0 &&
+         w->late_starts->len == 0 && w->ends_applied <= w->ends_acked &&
+         !orphans_are_on (d, w);
+}
+
 /* Tells whether runs may be on W: it has answered this scheduler, which may
    have used it since, or a former one may have used it. */
 static gboolean
-may_have_runs (const PoolWorker *w)
+may_have_runs (const Dispatch *d, const PoolWorker *w)
 {
+  if (is_emptied (d, w))
+    return FALSE;
   return w->worker_clock_at || (w->recorded && !w->lease_expired);
 }
 
@@ -191,11 +204,11 @@
 void
 roster_update_worker (Dispatch *d, PoolWorker *w)
 {
-  gboolean must_change = former_needs_write (d, w) && may_have_runs (w);
+  gboolean must_change = former_needs_write (d, w) && may_have_runs (d, w);
 
-  if (!must_change && may_have_runs (w) == w->listed)
+  if (!must_change && may_have_runs (d, w) == w->listed)
     return;
-  w->listed = may_have_runs (w);
+  w->listed = may_have_runs (d, w);
   if (!has_dirty_shard (&d->roster))
     d->roster.next_at = MAX (d->roster.next_at, d->now + JOIN_BATCH_MS);
   roster_mark_dirty (d, w->entry->id);
@@ -215,7 +228,7 @@
 
       if (roster_shard_of (w->entry->id) != shard)
         continue;
-      w->listed = may_have_runs (w);
+      w->listed = may_have_runs (d, w);
       w->in_roster = w->in_roster && w->listed;
       if (!w->listed)
         continue;
--- a/tests/queue_takeover_test.cc
+++ b/tests/queue_takeover_test.cc
@@ -144,3 +144,30 @@
       w.expect_no_violations ();
     }
 }
+
+/* Workers that are taken away at short notice have been emptied in time; the
+   scheduler is killed before their entries are gone for long. */
+TEST (QueueTakeover, EmptiedWorkersThatHaveLeftAreNotWaitedFor)
+{
+  QueueWorld w (3, 5);
+
+  w.run (3000);
+  fill (w, "ms=3500");
+  w.run (200);
+  for (int i = 0; i < 2; i++)
+    w.drain_worker (i);
+  w.run (2400);
+  submit_waiting (w, other_host (w));
+  w.run (300);
+  for (int i = 0; i < 2; i++)
+    {
+      w.drop_worker_entry (i);
+      lose_worker (w, i);
+    }
+  w.kill_host (w.scheduler ());
+  w.run (takeover_ms - 5775);
+  EXPECT_EQ (w.starts ("520000.0.0.0"), 1);
+  w.run (30000);
+  EXPECT_EQ (w.state_of ("510000"), "completed");
+  w.expect_no_violations ();
+}
