An emptied worker leaves the roster before its last end is acknowledged

Change: ends that are stored are enough; noted once, as a save that is under way for other jobs says nothing of a worker that is already emptied.

--- a/queue/roster.c
+++ b/queue/roster.c
@@ -171,25 +171,26 @@
   return FALSE;
 }
 
-/* Tells whether W drains and has been emptied: no start, answered or not, is
-   left there, and it has been told that all its ends are stored.  It gets no
-   new starts, so a successor need not wait for it once it has left. */
-static gboolean
-is_emptied (const Dispatch *d, const PoolWorker *w)
+/* Notes whether W drains and has been emptied: no start, answered or not, is
+   left there, and all ends that it listed are stored.  It gets no new starts,
+   so a successor need not wait for it once it has left. */
+static void
+note_emptied (const Dispatch *d, PoolWorker *w)
 {
-  return w->entry->draining && w->runs_known && w->n_placements == 0 &&
-         w->late_starts->len == 0 && w->ends_applied <= w->ends_acked &&
-         !orphans_are_on (d, w);
+  if (!w->entry->draining || !w->runs_known || w->n_placements > 0 ||
+      w->late_starts->len > 0 || orphans_are_on (d, w))
+    w->emptied = FALSE;
+  else if (w->ends_applied <= w->ends_acked || save_is_durable (d, w))
+    w->emptied = TRUE;
 }
 
 /* Tells whether runs may be on W: it has answered this scheduler, which may
    have used it since, or a former one may have used it. */
 static gboolean
-may_have_runs (const Dispatch *d, const PoolWorker *w)
+may_have_runs (const PoolWorker *w)
 {
-  if (is_emptied (d, w))
-    return FALSE;
-  return w->worker_clock_at || (w->recorded && !w->lease_expired);
+  return !w->emptied &&
+         (w->worker_clock_at || (w->recorded && !w->lease_expired));
 }
 
 /* Marks the shard of the worker with id WORKER as needing a write. */
@@ -204,11 +205,13 @@
 void
 roster_update_worker (Dispatch *d, PoolWorker *w)
 {
-  gboolean must_change = former_needs_write (d, w) && may_have_runs (d, w);
+  gboolean must_change;
 
-  if (!must_change && may_have_runs (d, w) == w->listed)
+  note_emptied (d, w);
+  must_change = former_needs_write (d, w) && may_have_runs (w);
+  if (!must_change && may_have_runs (w) == w->listed)
     return;
-  w->listed = may_have_runs (d, w);
+  w->listed = may_have_runs (w);
   if (!has_dirty_shard (&d->roster))
     d->roster.next_at = MAX (d->roster.next_at, d->now + JOIN_BATCH_MS);
   roster_mark_dirty (d, w->entry->id);
@@ -228,7 +231,7 @@
 
       if (roster_shard_of (w->entry->id) != shard)
         continue;
-      w->listed = may_have_runs (d, w);
+      w->listed = may_have_runs (w);
       w->in_roster = w->in_roster && w->listed;
       if (!w->listed)
         continue;
