Evacuation of a failure domain: what is in flight is withdrawn

Every host now takes the requests from its watch on op/ and keeps the set of evacuated domains (queue/evacuation.c, evacuation_feed.c). The scheduler marks the workers of these domains; assign_is_heard, and with it all placement and all counts of capacity, leaves them out. queue/withdraw.c takes back starts that have not left the host, stops those whose retry would be due and gangs that are not confirmed as a whole. A new term lists op/ before its scheduler exists. No start is sent while a request of evacuateMs less 1 s ago could be unknown. Without bounds.evacuateMs nothing changes.

holds_evacuate_at and evacuate_worker, which empty a worker that drains, are renamed to holds_drain_stop_at and stop_draining.

The rule check EVAC of the simulated deployment accepts no late start but those of calls that are executed late. RECLAIM counts from when evacuations last left less than the guarantee in service, since it can't be met before.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -80,11 +80,11 @@
          w->entry->incarnation != w->incarnation;
 }
 
-/* Tells whether W is there and answers, and stays. */
+/* Tells whether W is there and answers, stays, and is in service. */
 gboolean
 assign_is_heard (const PoolWorker *w)
 {
-  return w->registered && w->runs_known && w->in_roster &&
+  return w->registered && w->runs_known && w->in_roster && !w->evacuated &&
          !w->entry->draining && !w->polls_unanswered && !has_stale_entry (w);
 }
 
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -20,8 +20,9 @@
 
 /* Creates the scheduler of TERM.  JOB_CACHE and ROSTER must have been loaded
    completely within this term.  The store takes values of MAX_STORE_VALUE
-   bytes; 0: unknown.  The caller keeps ownership of JOB_CACHE, ROSTER and FX;
-   FX and JOB_CACHE must outlive the scheduler. */
+   bytes; 0: unknown.  The caller keeps ownership of JOB_CACHE, ROSTER, FX and
+   EVACUATIONS, the domains that are evacuated; all but ROSTER must outlive the
+   scheduler. */
 Dispatch *
 dispatch_new (Effects *fx,
               JobCache *job_cache,
@@ -29,6 +30,7 @@
               const DispatchTerm *term,
               gsize max_store_value,
               const Bounds *bounds,
+              const EvacuationSet *evacuations,
               ClockMs now,
               ClockMs wall)
 {
@@ -40,6 +42,8 @@
   d->job_cache = job_cache;
   d->term = *term;
   d->bounds = *bounds;
+  d->evacuations = evacuations;
+  d->unsettled = g_ptr_array_new_with_free_func (g_free);
   d->now = now;
   d->wall = wall;
   d->started_at = now;
@@ -86,6 +90,7 @@
   while (!APR_RING_EMPTY (&d->jobs, WorkJob, link))
     remove_job (d, APR_RING_FIRST (&d->jobs));
   g_ptr_array_unref (d->roster.in_flight_ids);
+  g_ptr_array_unref (d->unsettled);
   g_ptr_array_unref (d->save.in_flight_jobs);
   g_ptr_array_unref (d->save.in_flight_values);
   g_ptr_array_unref (d->save.refused);
@@ -158,6 +163,7 @@
       grant_on_newer_entry (d, w);
     }
   former_on_entry (d, w);
+  withdraw_on_entry (d, w);
   due_mark (d, w);
   d->replan = TRUE;
 }
@@ -178,6 +184,29 @@
   d->replan = TRUE;
 }
 
+/* Handles that DOMAIN was evacuated; IS_NAMED tells whether the settings name
+   it.  Returns how many registered workers it has. */
+guint
+dispatch_on_evacuation (Dispatch *d, const char *domain, gboolean is_named)
+{
+  return withdraw_on_evacuation (d, domain, is_named);
+}
+
+/* Handles that DOMAIN is back in service after LASTED milliseconds. */
+void
+dispatch_on_evacuation_ended (Dispatch *d, const char *domain, ClockMs lasted)
+{
+  withdraw_on_evacuation_ended (d, domain, lasted);
+}
+
+/* Tells D that each request to evacuate a domain that was written more than AGE
+   milliseconds ago is known.  With too great an age no start is sent. */
+void
+dispatch_set_evacuations_age (Dispatch *d, ClockMs age)
+{
+  withdraw_set_age (d, age);
+}
+
 /* Returns the scheduler's state of ENTRY's job; creates it if absent. */
 WorkJob *
 dispatch_ensure_job (Dispatch *d, JobEntry *entry)
@@ -398,16 +427,23 @@
   waiting_tick (d);
   pace_save_tick (d);
   purge_tick (d);
+  withdraw_tick (d);
   standing_tick (d);
   delay_tick (d);
   reap (d);
 }
 
+static gboolean
+may_place (const Dispatch *d)
+{
+  return d->may_send_orders && !d->starts_held;
+}
+
 /* Runs a placement pass if one is due.  Returns whether it was. */
 gboolean
 dispatch_plan (Dispatch *d)
 {
-  if (d->lost_role || !d->conf || !d->may_send_orders)
+  if (d->lost_role || !d->conf || !may_place (d))
     return FALSE;
   if ((!d->replan || d->now < d->next_plan) &&
       d->now < d->next_plan + PLAN_MAX_INTERVAL_MS)
@@ -438,7 +474,7 @@
 {
   ClockMs next = MAX (d->next_occurrences, d->now + 1);
 
-  if (d->replan && d->may_send_orders)
+  if (d->replan && may_place (d))
     next = MIN (next, MAX (d->next_plan, d->now + 1));
   next = MIN (next, MAX (save_next (d), d->now + 1));
   next = MIN (next, MAX (roster_next (d), d->now + 1));
@@ -465,5 +501,6 @@
   save_append_metrics (d, text);
   grant_append_metrics (d, text);
   standing_append_metrics (d, text);
+  withdraw_append_metrics (d, text);
   delay_append_metrics (d, text);
 }
--- a/queue/dispatch.h
+++ b/queue/dispatch.h
@@ -5,6 +5,7 @@
 #include "job_cache.h"
 #include "conf.h"
 #include "effects.h"
+#include "evacuation.h"
 #include "node_load.h"
 #include "pool.h"
 #include "roster.h"
@@ -30,6 +31,7 @@
                         const DispatchTerm *term,
                         gsize max_store_value,
                         const Bounds *bounds,
+                        const EvacuationSet *evacuations,
                         ClockMs now,
                         ClockMs wall);
 void dispatch_free (Dispatch *d);
@@ -40,6 +42,11 @@
 void dispatch_on_conf (Dispatch *d, Conf *conf);
 void dispatch_on_worker (Dispatch *d, PoolEntry *entry);
 void dispatch_on_worker_gone (Dispatch *d, const char *id);
+guint
+dispatch_on_evacuation (Dispatch *d, const char *domain, gboolean is_named);
+void
+dispatch_on_evacuation_ended (Dispatch *d, const char *domain, ClockMs lasted);
+void dispatch_set_evacuations_age (Dispatch *d, ClockMs age);
 void dispatch_on_job_entry (Dispatch *d, JobEntry *entry);
 void dispatch_on_run_reply (Dispatch *d, const RunReply *reply);
 gboolean dispatch_on_kv_reply (Dispatch *d, const KvReply *reply);
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -104,6 +104,9 @@
   JobCache *job_cache;
   DispatchTerm term;
   Bounds bounds;
+  const EvacuationSet *evacuations; /* the host's */
+  GPtrArray *unsettled; /* char *, evacuated domains with outstanding starts */
+  gboolean starts_held; /* a request to evacuate may not be known here */
   Conf *conf;
   ClockMs now;        /* on the host's clock, like the times below */
   ClockMs wall;       /* Unix time in milliseconds */
@@ -141,8 +144,9 @@
   ClockMs next_scarcity;    /* next count of scarce connections */
   Standing standing;
   DelayLook delays;
-  gint64 n_starts;  /* runs started, for metrics */
-  gint64 n_evicted; /* runs evicted for more urgent jobs, for metrics */
+  gint64 n_starts;    /* runs started, for metrics */
+  gint64 n_evicted;   /* runs evicted for more urgent jobs, for metrics */
+  gint64 n_withdrawn; /* placements in evacuated domains, for metrics */
   GrantCounts grants;
 };
 
@@ -154,6 +158,7 @@
 /* runs.c */
 void runs_start (Dispatch *d, WorkPlacement *placement);
 void runs_stop (Dispatch *d, WorkPlacement *placement, const char *reason);
+void runs_stop_unit (Dispatch *d, WorkPlacement *placement, const char *reason);
 void runs_stop_job (Dispatch *d, WorkJob *job, const char *reason);
 void runs_stop_other_runs (Dispatch *d, WorkTask *task, gint64 run);
 void runs_end (Dispatch *d,
@@ -169,6 +174,7 @@
 void runs_send_queued (Dispatch *d, PoolWorker *w);
 void runs_stop_stalled (Dispatch *d, WorkPlacement *placement);
 void runs_apply_end (Dispatch *d, WorkTask *task, gint64 run, RunEnd how);
+gsize runs_start_bytes (const WorkPlacement *placement);
 ClockMs runs_order_timeout (const PoolWorker *w);
 gint64 runs_send (Dispatch *d, RunCall *call, WorkPlacement *placement);
 void runs_stop_incomplete_gangs (Dispatch *d);
@@ -181,6 +187,17 @@
 ClockMs unsent_deadline (const WorkPlacement *placement);
 void unsent_give_up_overdue (Dispatch *d, PoolWorker *w);
 
+/* withdraw.c */
+guint withdraw_from_worker (Dispatch *d, PoolWorker *w);
+void withdraw_on_entry (Dispatch *d, PoolWorker *w);
+guint
+withdraw_on_evacuation (Dispatch *d, const char *domain, gboolean is_named);
+void
+withdraw_on_evacuation_ended (Dispatch *d, const char *domain, ClockMs lasted);
+void withdraw_set_age (Dispatch *d, ClockMs age);
+void withdraw_tick (Dispatch *d);
+void withdraw_append_metrics (const Dispatch *d, GString *text);
+
 /* begin.c */
 void begin_on_chosen (Dispatch *d, WorkJob *job);
 void begin_on_sent (Dispatch *d, WorkTask *task);
@@ -227,7 +244,7 @@
 void holds_ignore_reply (Dispatch *d, PoolWorker *w);
 void holds_ask_again (Dispatch *d, PoolWorker *w);
 gboolean holds_runs_are_known (const PoolWorker *w);
-ClockMs holds_evacuate_at (const PoolWorker *w);
+ClockMs holds_drain_stop_at (const PoolWorker *w);
 ClockMs holds_lease_duration (const Dispatch *d, const PoolWorker *w);
 gboolean holds_is_long_step (const SpecStep *spec);
 gboolean holds_wants_long_lease (const Dispatch *d, const PoolWorker *w);
--- a/queue/due.c
+++ b/queue/due.c
@@ -55,8 +55,8 @@
 
   if (w->polls_unanswered && !w->lease_expired && d->now <= w->lease_expiry)
     next = MIN (next, w->lease_expiry + 1);
-  if (w->n_placements > 0 && holds_evacuate_at (w) > d->now)
-    next = MIN (next, holds_evacuate_at (w));
+  if (w->n_placements > 0 && holds_drain_stop_at (w) > d->now)
+    next = MIN (next, holds_drain_stop_at (w));
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     {
       next = MIN (next, placement->retry_at);
@@ -86,6 +86,7 @@
   WorkPlacement *placement;
   ClockMs next;
 
+  withdraw_from_worker (d, w);
   if (!holds_is_overdue (d, w))
     runs_send_queued (d, w);
   holds_tick (d, w);
--- a/queue/effects.c
+++ b/queue/effects.c
@@ -152,6 +152,46 @@
   e->span = span;
 }
 
+/* Returns the link in QUEUE of the call to a worker with the number ID, or
+   NULL. */
+static GList *
+find_run (const GQueue *queue, gint64 id)
+{
+  GList *i;
+
+  for (i = queue->head; i; i = i->next)
+    {
+      const Effect *e = i->data;
+
+      if (e->kind == EFFECT_RUN && e->run->id == id)
+        return i;
+    }
+  return NULL;
+}
+
+/* Removes the call to a worker with the number ID if it has not been popped.
+   Returns whether it was removed. */
+gboolean
+effects_cancel_run (Effects *fx, gint64 id)
+{
+  GQueue *queue = &fx->later_calls;
+  GList *i = find_run (queue, id);
+  Effect *e;
+
+  if (!i)
+    {
+      queue = &fx->queue;
+      i = find_run (queue, id);
+    }
+  if (!i)
+    return FALSE;
+  e = i->data;
+  link_remove_bytes (&fx->link, fx->now, link_run_call_bytes (e->run));
+  effect_free (e);
+  g_queue_delete_link (queue, i);
+  return TRUE;
+}
+
 /* Removes and returns the oldest effect, or NULL.  The caller frees it. */
 Effect *
 effects_pop (Effects *fx)
--- a/queue/effects.h
+++ b/queue/effects.h
@@ -86,6 +86,7 @@
     G_GNUC_PRINTF (2, 3);
 void effects_measure (Effects *fx, Measure measure, ClockMs span);
 void effects_drop_later_calls (Effects *fx);
+gboolean effects_cancel_run (Effects *fx, gint64 id);
 Effect *effects_pop (Effects *fx);
 Effect *effects_pop_later_call (Effects *fx);
 guint effects_n_later_calls (const Effects *fx);
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -392,7 +392,7 @@
 /* Returns when all remaining runs on W, if it drains, have to be stopped.  The
    report of a run that ends later might be lost when W leaves. */
 ClockMs
-holds_evacuate_at (const PoolWorker *w)
+holds_drain_stop_at (const PoolWorker *w)
 {
   return w->entry->draining ? w->leaves_at - DRAIN_MARGIN_MS : CLOCK_NEVER;
 }
@@ -411,7 +411,7 @@
 }
 
 static void
-evacuate_worker (Dispatch *d, PoolWorker *w)
+stop_draining (Dispatch *d, PoolWorker *w)
 {
   WorkPlacement *placement;
 
@@ -427,8 +427,8 @@
 {
   if (w->polls_unanswered && d->now > w->lease_expiry && !w->lease_expired)
     runs_end_lapsed (d, w);
-  if (holds_evacuate_at (w) <= d->now)
-    evacuate_worker (d, w);
+  if (holds_drain_stop_at (w) <= d->now)
+    stop_draining (d, w);
   if (holds_next (d, w) <= d->now)
     send_or_queue (d, w);
 }
--- a/queue/node.c
+++ b/queue/node.c
@@ -42,6 +42,7 @@
   gsize max_store_value; /* bytes; 0: unknown */
   Bounds bounds;
   char **domains; /* names of all failure domains; NULL: not known */
+  EvacuationFeed evacuations;
   Conf *conf;
   Term term;
   Intake *intake;
@@ -60,6 +61,45 @@
   return n->claim_delay + g_rand_int_range (n->rng, 0, CLAIM_JITTER_MS);
 }
 
+/* Tells whether the settings name DOMAIN. */
+static gboolean
+is_named_domain (const Node *n, const char *domain)
+{
+  return n->domains &&
+         g_strv_contains ((const char *const *)n->domains, domain);
+}
+
+/* Tells whether a request to evacuate DOMAIN can be meant: the settings name
+   it, or it has N_WORKERS.  Hosts without the scheduler know no workers; where
+   the settings name no domain, they can't tell. */
+static gboolean
+is_known_domain (const Node *n, const char *domain, guint n_workers)
+{
+  return is_named_domain (n, domain) || n_workers > 0 ||
+         (!n->dispatch && (!n->domains || !n->domains[0]));
+}
+
+static void
+on_evacuation_item (Node *n, const KvItem *item)
+{
+  const char *domain = evacuation_feed_domain (&n->evacuations, item->key);
+  ClockMs lasted;
+  EvacuationChange change =
+      evacuation_feed_on_item (&n->evacuations, item, n->now, &lasted);
+  guint n_workers = 0;
+
+  if (change == EVACUATION_BEGUN)
+    {
+      if (n->dispatch)
+        n_workers = dispatch_on_evacuation (n->dispatch, domain,
+                                            is_named_domain (n, domain));
+      if (!is_known_domain (n, domain, n_workers))
+        evacuation_feed_note_unknown (&n->evacuations, domain);
+    }
+  else if (change == EVACUATION_ENDED && n->dispatch)
+    dispatch_on_evacuation_ended (n->dispatch, domain, lasted);
+}
+
 static void
 on_conf_item (void *owner, const KvItem *item)
 {
@@ -67,6 +107,12 @@
   Findings findings;
   Conf *conf;
 
+  if (n->bounds.evacuation &&
+      evacuation_feed_domain (&n->evacuations, item->key))
+    {
+      on_evacuation_item (n, item);
+      return;
+    }
   if (item->deleted || strcmp (item->key, n->codec->conf_key) != 0)
     return;
   findings_init (&findings);
@@ -236,6 +282,8 @@
   term_init (&n->term, s->holder_name, s->min_store_lease);
   n->max_store_value = s->max_store_value;
   n->bounds = s->bounds;
+  evacuation_feed_init (&n->evacuations, codec->evacuation_prefix,
+                        codec->check_evacuation, &n->fx);
   n->domains = g_strdupv ((char **)s->domains);
   waiting_init (&n->waiting);
   store_health_init (&n->store_health, now);
@@ -263,6 +311,7 @@
   roster_records_clear (&n->roster);
   g_hash_table_unref (n->worker_values);
   g_hash_table_unref (n->unreadable_workers);
+  evacuation_feed_clear (&n->evacuations);
   conf_unref (n->conf);
   g_strfreev (n->domains);
   g_rand_free (n->rng);
@@ -343,8 +392,9 @@
   GHashTableIter i;
   gpointer id, value;
 
-  n->dispatch = dispatch_new (&n->fx, n->job_cache, &n->roster, &term,
-                              n->max_store_value, &n->bounds, n->now, n->wall);
+  n->dispatch =
+      dispatch_new (&n->fx, n->job_cache, &n->roster, &term, n->max_store_value,
+                    &n->bounds, &n->evacuations.set, n->now, n->wall);
   intake_set_job_cache_complete (n->intake, TRUE);
   if (n->conf)
     dispatch_on_conf (n->dispatch, n->conf);
@@ -360,15 +410,40 @@
         dispatch_on_worker (n->dispatch, entry);
       findings_clear (&findings);
     }
+  g_hash_table_iter_init (&i, n->evacuations.set.closed);
+  while (g_hash_table_iter_next (&i, &id, NULL))
+    dispatch_on_evacuation (n->dispatch, id, is_named_domain (n, id));
   effects_log (&n->fx,
                "event=role_taken fence=%" G_GINT64_FORMAT " workers=%u jobs=%u",
                term.fence, g_hash_table_size (n->worker_values),
                g_hash_table_size (job_cache_entries (n->job_cache)));
 }
 
+/* Has what the scheduler of the term that has begun must know listed anew. */
+static void
+relist_for_term (Node *n)
+{
+  n->relisting = TRUE;
+  feed_relist (&n->job_cache_feed);
+  feed_relist (&n->worker_feed);
+  feed_relist (&n->roster_feed);
+  if (n->bounds.evacuation)
+    feed_relist (&n->conf_feed);
+}
+
+/* Tells whether that has been listed. */
+static gboolean
+is_listed_for_term (const Node *n)
+{
+  return n->job_cache_feed.list_complete && n->worker_feed.list_complete &&
+         n->roster_feed.list_complete &&
+         (n->conf_feed.list_complete || !n->bounds.evacuation);
+}
+
 /* Starts the scheduler when a term has begun, and stops it when the term has
    ended.  Jobs, workers and roster are listed anew first, since the previous
-   holder may have written until just before the new term. */
+   holder may have written until just before the new term, and so are requests
+   to evacuate. */
 static void
 sync_dispatch_with_term (Node *n)
 {
@@ -384,14 +459,8 @@
   else if (!is_holder)
     n->relisting = FALSE;
   else if (!n->dispatch && !n->relisting)
-    {
-      n->relisting = TRUE;
-      feed_relist (&n->job_cache_feed);
-      feed_relist (&n->worker_feed);
-      feed_relist (&n->roster_feed);
-    }
-  else if (!n->dispatch && n->job_cache_feed.list_complete &&
-           n->worker_feed.list_complete && n->roster_feed.list_complete)
+    relist_for_term (n);
+  else if (!n->dispatch && is_listed_for_term (n))
     start_dispatch (n);
 }
 
@@ -508,7 +577,11 @@
   intake_tick (n->intake);
   reset_unused_job_cache (n);
   if (n->dispatch)
-    dispatch_tick (n->dispatch);
+    {
+      dispatch_set_evacuations_age (n->dispatch,
+                                    feed_age (&n->conf_feed, n->now));
+      dispatch_tick (n->dispatch);
+    }
 }
 
 /* Places waiting tasks if that is due; to be called after node_tick.  Returns
@@ -654,6 +727,7 @@
                           job_cache_n_unreadable (n->job_cache));
   g_string_append_printf (text, "wagtailpass_is_scheduler %d\n",
                           n->dispatch != NULL);
+  evacuation_feed_append_metrics (&n->evacuations, text);
   in_flight_append_metrics (&n->in_flight, text, n->now);
   intake_append_metrics (n->intake, text);
   if (n->dispatch)
--- a/queue/node.h
+++ b/queue/node.h
@@ -4,6 +4,7 @@
 #include "bounds.h"
 #include "conf.h"
 #include "effects.h"
+#include "evacuation_feed.h"
 #include "intake.h"
 #include "node_load.h"
 #include "pool.h"
@@ -17,14 +18,18 @@
 /* Keys and decoders of the data that other programs write to the store. */
 typedef struct NodeCodec
 {
-  const char *conf_prefix;    /* followed for configuration changes */
-  const char *conf_key;       /* the configuration; begins with CONF_PREFIX */
-  const char *workers_prefix; /* followed by each worker's id */
+  const char *conf_prefix; /* followed for configuration changes */
+  const char *conf_key;    /* the configuration; begins with CONF_PREFIX */
+  const char *evacuation_prefix; /* followed by the domain to evacuate; begins
+                                    with CONF_PREFIX */
+  const char *workers_prefix;    /* followed by each worker's id */
   Conf *(*decode_conf) (GBytes *value, Findings *findings);
   PoolEntry *(*decode_worker) (const char *id,
                                GBytes *value,
                                Findings *findings);
   IntakeDecodeJob decode_job;
+  /* Checks the value of a request to evacuate. */
+  EvacuationCheck check_evacuation;
 } NodeCodec;
 
 typedef struct NodeSettings
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -81,6 +81,7 @@
   gboolean recorded;   /* a former scheduler may have used it */
   gboolean listed;     /* in the last roster that was written or is due */
   gboolean in_roster;  /* the roster in the store contains it */
+  gboolean evacuated;  /* so is its domain: it gets no starts */
   /* While RECORDED and not heard: of the last scheduler that may have given it
      a lease. */
   gint64 former_fence;
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -136,9 +136,9 @@
          !grant_clock_is_recent (d, placement->worker);
 }
 
-/* Returns the size of PLACEMENT's start on the link. */
-static gsize
-start_bytes (const WorkPlacement *placement)
+/* Returns the size of PLACEMENT's start on the link, in bytes. */
+gsize
+runs_start_bytes (const WorkPlacement *placement)
 {
   return link_order_bytes (placement->task->step->job->entry->job->text,
                            checkpoint_of (placement->task));
@@ -152,7 +152,7 @@
   PoolWorker *w = placement->worker;
 
   if (!placement->awaits_reading)
-    link_add_bytes (&d->fx->link, d->now, start_bytes (placement));
+    link_add_bytes (&d->fx->link, d->now, runs_start_bytes (placement));
   placement->awaits_reading = TRUE;
   placement->order_queued = TRUE;
   placement->retry_at = CLOCK_NEVER;
@@ -161,11 +161,23 @@
   due_mark (d, w);
 }
 
+/* Tells whether PLACEMENT's start may be sent now. */
+static gboolean
+may_send_start (const Dispatch *d, const WorkPlacement *placement)
+{
+  return d->may_send_orders && !d->starts_held && !placement->worker->evacuated;
+}
+
 static void
 send_start (Dispatch *d, WorkPlacement *placement)
 {
   RunCall *call;
 
+  if (!may_send_start (d, placement))
+    {
+      placement->retry_at = d->now + ORDER_RETRY_MS;
+      return;
+    }
   if (needs_clock_reading (d, placement))
     {
       await_clock_reading (d, placement);
@@ -174,7 +186,7 @@
   if (!can_send_order (placement))
     return;
   if (placement->awaits_reading)
-    link_remove_bytes (&d->fx->link, d->now, start_bytes (placement));
+    link_remove_bytes (&d->fx->link, d->now, runs_start_bytes (placement));
   placement->awaits_reading = FALSE;
   call = placement_call (RUN_START, placement);
   call->text = g_strdup (placement->task->step->job->entry->job->text);
@@ -503,8 +515,8 @@
 
 /* Stops PLACEMENT, and with it the rest of its gang, which would wait for it in
    vain. */
-static void
-stop_unit (Dispatch *d, WorkPlacement *placement, const char *reason)
+void
+runs_stop_unit (Dispatch *d, WorkPlacement *placement, const char *reason)
 {
   WorkStep *step = placement->task->step;
 
@@ -564,7 +576,7 @@
   if (placement->state == PLACEMENT_STOPPING)
     return;
   if (placement->order_attempts > 1 || placement->start_unconfirmed)
-    stop_unit (d, placement, "start_unsure");
+    runs_stop_unit (d, placement, "start_unsure");
   else
     runs_end (d, placement, RUN_STOPPED, NULL);
 }
@@ -578,7 +590,7 @@
   if (placement->order_attempts >= START_ATTEMPTS)
     {
       quarantine_exclude (d, placement->worker, quarantine_exclusion_span);
-      stop_unit (d, placement, "start_unanswered");
+      runs_stop_unit (d, placement, "start_unanswered");
       return;
     }
   placement->retry_at = d->now + ORDER_RETRY_MS;
@@ -672,10 +684,8 @@
 {
   if (placement->retry_at > d->now)
     return;
-  if (placement->state == PLACEMENT_STARTING && d->may_send_orders)
+  if (placement->state == PLACEMENT_STARTING)
     send_start (d, placement);
-  else if (placement->state == PLACEMENT_STARTING)
-    placement->retry_at = d->now + ORDER_RETRY_MS;
   else if (placement->state == PLACEMENT_STOPPING)
     send_stop (d, placement);
   else
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -227,6 +227,8 @@
   void force_start (int worker,
                     const std::string &task,
                     const std::string &text = "ms=1000");
+  void evacuate (const std::string &domain, const std::string &value = "{}");
+  void end_evacuation (const std::string &domain);
   void forge_completed (const std::string &id);
   void forge_deletion (const std::string &id);
   void forge_record (const std::string &key, const std::string &value);
@@ -424,7 +426,9 @@
   void
   check_route (const WorldWorker &w, const WorldRun &r, const SubmittedJob &j);
   void check_drain (const WorldWorker &w, const WorldRun &r);
+  void check_evacuation (const WorldWorker &w, const WorldRun &r);
   void check_state (const std::string &id, const WorldAnswer &answer);
+  bool is_guarantee_in_service () const;
   void check_reclaim ();
   void check_standing ();
   void check_step_stands (const std::string &id,
@@ -465,6 +469,11 @@
   /* Includes completions that aren't acknowledged yet. */
   std::set<std::string> completed_units_;
   std::map<std::string, SubmittedJob> jobs_;
+  /* When the requests were written, by domain. */
+  std::map<std::string, ClockMs> evacuated_;
+  bool executes_late_ = false; /* the call at hand */
+  /* When evacuations last left less than the guarantee in service. */
+  ClockMs last_short_at_ = 0;
   std::multimap<std::string, ClockMs> started_;
   /* Times of acknowledged ends: failures by task, completions by unit. */
   std::multimap<std::string, ClockMs> acked_failures_;
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -107,6 +107,7 @@
         violation ("UNASKED with another text " + r.task);
     }
   check_drain (w, r);
+  check_evacuation (w, r);
   for (const WorldWorker &o : workers)
     if (&o != &w && o.alive && o.runs.count (r.task))
       violation ("TWICE at once " + r.task + " on " + o.id + " and " + w.id);
@@ -497,8 +498,10 @@
         bool spared =
             w.spares_new_process && w.incarnation != process && !is_told (w);
 
+        executes_late_ = true;
         if (is_reachable (w) && !spared)
           execute_worker_call (w, *call, reply.get ());
+        executes_late_ = false;
       });
       reply_run (host, incarnation, new_run_reply (raw->id, RUN_LOST),
                  raw->timeout);
