--- a/queue/choose.c
+++ b/queue/choose.c
@@ -350,6 +350,34 @@
   return TRUE;
 }
 
+/* Tells whether RQ's data rack has workers for its task, all of them in
+   evacuated domains. */
+static gboolean
+data_rack_is_evacuated (const Pass *p, const FitRequest *rq)
+{
+  const Pool *pool = &p->d->pool;
+  FitRequest any = *rq;
+  gboolean found = FALSE;
+  guint i;
+
+  if (!*rq->data_rack || !evacuation_is_any_closed (p->d->evacuations))
+    return FALSE;
+  any.trust = FIT_ANY;
+  any.allow_quarantined = TRUE;
+  for (i = 0; i < pool_size (pool); i++)
+    {
+      const PoolWorker *w = pool_at (pool, i);
+
+      if (g_strcmp0 (w->entry->rack, rq->data_rack) != 0 ||
+          !fit_is_eligible (&any, w))
+        continue;
+      if (assign_is_heard (w))
+        return FALSE;
+      found = found || w->evacuated;
+    }
+  return found;
+}
+
 /* Chooses a worker for TASK, of at least MIN_TRUST: another one than that on
    which it failed lately, unless no other can ever run it. */
 gboolean
@@ -366,7 +394,8 @@
     rq.excluded_worker = task->failed_on;
   rq.trust = task->last_failure_at ? FIT_PROVEN_SINCE : FIT_ANY;
   rq.ignore_racks =
-      *rq.data_rack && age_ms > RACK_WAIT_MS + step->spec->estimate_ms;
+      (*rq.data_rack && age_ms > RACK_WAIT_MS + step->spec->estimate_ms) ||
+      data_rack_is_evacuated (p, &rq);
   if (place_by_trust (p, &rq, min_trust, chosen))
     return TRUE;
   rq.trust = min_trust;
--- a/queue/evacuation.c
+++ b/queue/evacuation.c
@@ -28,6 +28,13 @@
   return domain ? g_hash_table_lookup (set->closed, domain) : NULL;
 }
 
+/* Tells whether any domain is evacuated. */
+gboolean
+evacuation_is_any_closed (const EvacuationSet *set)
+{
+  return g_hash_table_size (set->closed) > 0;
+}
+
 /* Tells whether DOMAIN, which may be NULL, is evacuated. */
 gboolean
 evacuation_is_closed (const EvacuationSet *set, const char *domain)
--- a/queue/evacuation.h
+++ b/queue/evacuation.h
@@ -23,6 +23,7 @@
                            const char *domain,
                            const KvItem *item,
                            ClockMs now);
+gboolean evacuation_is_any_closed (const EvacuationSet *set);
 gboolean evacuation_is_closed (const EvacuationSet *set, const char *domain);
 const Evacuation *evacuation_find (const EvacuationSet *set,
                                    const char *domain);
--- a/queue/feed.c
+++ b/queue/feed.c
@@ -186,7 +186,10 @@
   guint i;
 
   if (!f->page_after_key)
-    f->list_revision = reply->revision;
+    {
+      f->list_revision = reply->revision;
+      f->list_started_at = reply->call_started_at;
+    }
   for (i = 0; reply->items && i < reply->items->len; i++)
     {
       const KvItem *item = g_ptr_array_index (reply->items, i);
@@ -205,7 +208,8 @@
   f->revision = f->list_revision;
   f->listing = FALSE;
   f->list_complete = TRUE;
-  f->current_as_of = reply->call_started_at;
+  /* Keys of the first pages may have changed since. */
+  f->current_as_of = MAX (f->current_as_of, f->list_started_at);
 }
 
 static void
--- a/queue/feed.h
+++ b/queue/feed.h
@@ -22,6 +22,7 @@
   gint64 call_id;             /* of the call in flight; 0 if none */
   char *page_after_key;    /* last key of the previous page; NULL: first page */
   gint64 list_revision;    /* store revision of the listing's first page */
+  ClockMs list_started_at; /* when the call for that page was sent */
   GHashTable *revisions;   /* existing key to its revision, gint64 */
   GHashTable *listed_keys; /* set of the keys seen in the current listing */
   gint64 revision;         /* watch for changes after this store revision */
--- a/tests/queue_feed_test.cc
+++ b/tests/queue_feed_test.cc
@@ -36,7 +36,9 @@
   // Replies to the feed's next call with items for KEYS at store revision
   // REVISION.
   void
-  reply_with (gint64 revision, const std::vector<const char *> &keys)
+  reply_with (gint64 revision,
+              const std::vector<const char *> &keys,
+              bool has_more = false)
   {
     KvReply reply {};
     GBytes *value = g_bytes_new_static ("x", 1);
@@ -47,6 +49,7 @@
     reply.status = KV_OK;
     reply.revision = revision;
     reply.call_started_at = now;
+    reply.has_more = has_more;
     reply.items = g_ptr_array_new_with_free_func (kv_item_free);
     for (const char *key : keys)
       g_ptr_array_add (reply.items, kv_item_new (key, value, 7));
@@ -78,6 +81,14 @@
   EXPECT_EQ (n_deleted, 1);
 }
 
+/* A key of the first page may change while the second one is read. */
+TEST_F (FeedTest, AgeOfAListingCountsFromItsFirstPage)
+{
+  reply_with (9, { "a/1" }, true);
+  reply_with (9, { "a/2" });
+  EXPECT_EQ (feed_age (&feed, now), 1000);
+}
+
 /* Owners parse a key from the end of the prefix on, without checking the
    prefix. */
 TEST_F (FeedTest, KeysOutsideThePrefixAreIgnored)
--- a/tests/queue_search_test.cc
+++ b/tests/queue_search_test.cc
@@ -42,8 +42,13 @@
   /* Only the first workers have faults, and neither hosts nor the store: what
      could run must not stand. */
   bool faulty_workers = false;
+  /* Domains are evacuated and returned to service, and hosts' watches of what
+     operators write are cut off at times. */
+  bool evacuations = false;
 };
 
+static const char *const evacuable_domains[] = { "a", "b", "c", nullptr };
+
 class RandomRun
 {
 public:
@@ -54,6 +59,8 @@
     world.reorder_calls = o.reorder_calls;
     for (WorldWorker &w : world.workers)
       w.max_connections = o.max_connections;
+    if (o.evacuations)
+      world.enable_evacuations (evacuable_domains, N_WORKERS / 3);
     if (!o.two_workspaces)
       return;
     world.extra_tenants_json = ",{\"name\":\"beta\",\"apiKeys\":[\"beta-key\"],"
@@ -80,6 +87,8 @@
           submit ();
         if (chance (0.1))
           cancel ();
+        if (options.evacuations && chance (0.15))
+          toggle_evacuation ();
         if (options.faulty_workers && chance (0.25))
           inject_worker_fault ();
         else if (!options.faulty_workers &&
@@ -306,6 +315,27 @@
       }
   }
 
+  /* Evacuates a domain or returns it to service, if the store is there for the
+     operator, or cuts a host off from such requests. */
+  void
+  toggle_evacuation ()
+  {
+    const char *domain = evacuable_domains[random_below (3)];
+
+    if (chance (0.2))
+      world.hosts[random_below (N_HOSTS)].operators_silent_until =
+          world.now () + 500 + random_below (9000);
+    else if (world.now () < world.store_down_until)
+      return;
+    else if (evacuated.erase (domain))
+      world.end_evacuation (domain);
+    else
+      {
+        world.evacuate (domain);
+        evacuated.insert (domain);
+      }
+  }
+
   /* Restarts two workers, each at the address that the other had. */
   void
   swap_addresses (int a, int b)
@@ -375,10 +405,13 @@
     world.store_down_until = 0;
     world.store_reply_loss_rate = 0;
     world.store_late_write_rate = 0;
+    for (const std::string &domain : evacuated)
+      world.end_evacuation (domain);
     for (int i = 0; i < N_HOSTS; i++)
       {
         world.hosts[i].frozen = false;
         world.hosts[i].store_refuses_until = 0;
+        world.hosts[i].operators_silent_until = 0;
         if (!world.hosts[i].node)
           world.start_host (i);
       }
@@ -408,6 +441,7 @@
   /* By worker: its last heartbeat before a cut, and when it exits; 0: not. */
   ClockMs last_heartbeat[N_WORKERS] = {};
   ClockMs leaves_at[N_WORKERS] = {};
+  std::set<std::string> evacuated;
   int n_jobs = 0;
   std::vector<std::string> ids;
 };
@@ -551,3 +585,18 @@
   for (unsigned seed : { 230, 650 })
     run_seeds (seed, seed + 1, { .reorder_calls = true, .real_workers = true });
 }
+
+/* A successor, or a host that is back, must know the requests before it starts
+   anything. */
+TEST (QueueSearch, InvariantsHoldWhileDomainsAreEvacuated)
+{
+  run_seeds_from_environment ({ .evacuations = true });
+}
+
+TEST (QueueSearch, InvariantsHoldWhileDomainsOfRealWorkersAreEvacuated)
+{
+  run_seeds_from_environment ({ .reorder_calls = true,
+                                .two_workspaces = true,
+                                .real_workers = true,
+                                .evacuations = true });
+}
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -133,6 +133,8 @@
   ClockMs store_silent_until = 0;  /* its calls to the store are lost */
   /* Its renewals, and watches of the scheduler's keys, are lost. */
   ClockMs role_silent_until = 0;
+  /* Its calls for what operators write are lost. */
+  ClockMs operators_silent_until = 0;
   ClockMs wall_offset = 0; /* error of its wall clock */
   int incarnation = 0;
   double link_free_at = 0; /* when its queued bytes are sent */
@@ -217,6 +219,7 @@
   void drain_worker (int worker);
   void remove_worker (int worker);
   void put_worker (int worker);
+  void enable_evacuations (const char *const *names, int n_workers);
   void add_service (gint64 conf_version, const std::string &name, int n);
   void drop_worker_entry (int worker);
   bool has_worker_entry (int worker) const;
@@ -354,6 +357,7 @@
   void apply_effect (int host, Effect *e);
   void record_answer (int host, const Answer &a);
   bool store_drops_calls (int host) const;
+  bool store_drops_key (int host, const std::string &key) const;
   void store_call (int host, const KvCall *call);
   void store_execute (const KvCall *call, KvReply *reply);
   void store_txn (const KvCall *call, KvReply *reply);
--- a/tests/queue_world_store.cc
+++ b/tests/queue_world_store.cc
@@ -249,6 +249,13 @@
   return now_ < store_down_until || now_ < hosts[host].store_silent_until;
 }
 
+/* Whether calls of HOST for KEY, or keys under it, are lost. */
+bool
+QueueWorld::store_drops_key (int host, const std::string &key) const
+{
+  return now_ < hosts[host].operators_silent_until && key.rfind ("op/", 0) == 0;
+}
+
 void
 QueueWorld::store_call (int host, const KvCall *raw)
 {
@@ -268,6 +275,7 @@
     reply_kv (host, incarnation, id, new_reply (sent, KV_OUTCOME_UNKNOWN),
               timeout);
   if (store_drops_calls (host) ||
+      store_drops_key (host, raw->key ? raw->key : "") ||
       (now_ < hosts[host].role_silent_until &&
        (raw->op == KV_LEASE_RENEW ||
         (raw->op == KV_WATCH &&
@@ -348,7 +356,7 @@
     {
       auto reply = new_reply (w.sent_at);
 
-      if (store_drops_calls (w.host) ||
+      if (store_drops_calls (w.host) || store_drops_key (w.host, w.prefix) ||
           (now_ < hosts[w.host].role_silent_until &&
            w.prefix.rfind ("wagtailpass/scheduler", 0) == 0))
         {
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -341,6 +341,27 @@
     }
 }
 
+/* Restarts the hosts with evacuations, of the domains NAMES.  Each has the next
+   N_WORKERS workers; the last one has the rest. */
+void
+QueueWorld::enable_evacuations (const char *const *names, int n_workers)
+{
+  int n_names = (int)g_strv_length ((char **)names);
+
+  bounds.evacuation = 5000;
+  domains = names;
+  for (int i = 0; i < (int)workers.size (); i++)
+    {
+      workers[i].domain = names[std::min (i / n_workers, n_names - 1)];
+      put_worker (i);
+    }
+  for (int i = 0; i < (int)hosts.size (); i++)
+    {
+      kill_host (i);
+      start_host (i);
+    }
+}
+
 /* Resets the connections of the polls that wait at a worker, as when its
    process ends. */
 void
