Cold workers: warm ones first, and a ramp for domains that come back

Cause: a worker's entry says for how long it remains slow after its start. The field was checked and dropped, so that urgent work went to domains that came back cold, and was late there. Fit prefers warm workers, then those with the least time left. The room for urgent work is kept on warm workers. Pace and slowness learn nothing from cold ones.

--- a/queue/assign.c
+++ b/queue/assign.c
@@ -34,9 +34,11 @@
 subtract_free (Pass *p, const WorkStep *step, guint n_tasks)
 {
   ServiceRoom *room = p->room;
+  double need = reserve_need_fraction (&step->need, &room->largest);
 
-  room->free_workers -=
-      n_tasks * reserve_need_fraction (&step->need, &room->largest);
+  room->free_workers -= (n_tasks - p->n_cold_started) * need;
+  room->free_cold -= p->n_cold_started * need;
+  p->n_cold_started = 0;
 }
 
 /* Tells whether this host's link can take another order now, and records in P
@@ -111,7 +113,9 @@
       if (assign_is_usable (p->d, w) &&
           pool_resources_fit (&room, &p->min_need))
         p->candidates[p->n_candidates++] =
-            (FitWorker) { .worker = w, .room = room };
+            (FitWorker) { .worker = w,
+                          .room = room,
+                          .cold = cold_ramp_find (p->ramp, w) };
     }
 }
 
@@ -123,6 +127,8 @@
 
   for (i = 0; i < p->n_candidates; i++)
     p->candidates[i].room = pool_available (p->candidates[i].worker);
+  if (p->ramp)
+    cold_ramp_recount (p->ramp);
 }
 
 /* Evicts less urgent work for STEP, within the limits on evictions. */
@@ -181,6 +187,8 @@
       work_placement_new (task, w, run, PLACEMENT_STARTING);
 
   placement->came_first = task->step == p->first;
+  p->n_cold_started +=
+      p->room->cold_is_apart && cold_time_left (w, p->d->now) > 0;
   runs_start (p->d, placement);
 }
 
@@ -196,17 +204,31 @@
 }
 
 /* Returns what keeps N_TASKS of STEP from being placed, wherever there may be
-   room for them, or DELAY_NONE. */
+   room for them, or DELAY_NONE.  What does not fit outside the reserve may
+   still use cold workers. */
 static DelayCause
 find_obstacle (Pass *p, const WorkStep *step, guint n_tasks)
 {
+  p->cold_only = FALSE;
   if (step == p->first)
     return DELAY_NONE;
   if (!check_link (p))
     return DELAY_LINK;
   if (!check_processor (p, step))
     return DELAY_PROCESSOR;
-  return fits_outside_reserve (p, step, n_tasks) ? DELAY_NONE : DELAY_RESERVE;
+  if (fits_outside_reserve (p, step, n_tasks))
+    return DELAY_NONE;
+  p->cold_only = p->room->cold_is_apart;
+  return p->cold_only ? DELAY_NONE : DELAY_RESERVE;
+}
+
+/* Returns what delays a step for which no worker was found. */
+static DelayCause
+cause_without_worker (const Pass *p)
+{
+  if (p->cold_only)
+    return DELAY_RESERVE;
+  return p->held_by_ramp ? DELAY_COLD : DELAY_ROOM;
 }
 
 /* Places STEP, a gang.  Returns what delays it. */
@@ -227,7 +249,7 @@
     }
   else
     {
-      cause = DELAY_ROOM;
+      cause = cause_without_worker (p);
       if (step->job->entry->job->priority == 0)
         evict_and_refresh (p, step);
     }
@@ -283,7 +305,7 @@
         }
       else
         {
-          cause = DELAY_ROOM;
+          cause = cause_without_worker (p);
           has_room =
               min_trust != FIT_ANY || choose_waits_after_failure (p, task);
         }
@@ -440,16 +462,42 @@
   return first;
 }
 
-/* Places STEP in P, and notes what delays it. */
+/* Tells whether STEP is placed again in P's second round. */
+static gboolean
+has_second_round (const Pass *p, const WorkStep *step)
+{
+  return p->suitable_only && step->job->entry->job->priority > 0;
+}
+
+/* Places STEP in P, and notes what delays it, unless another round follows. */
 static void
 place_step (Pass *p, WorkStep *step)
 {
   Service *s = choose_service (p->d, step->job);
+  DelayCause cause;
 
   p->room = &s->room;
   record_urgent_demand (p->d, s, step);
-  delay_note (p, step,
-              step->spec->gang ? place_gang (p, step) : place_tasks (p, step));
+  cause = step->spec->gang ? place_gang (p, step) : place_tasks (p, step);
+  if (cause == DELAY_NONE || !has_second_round (p, step))
+    delay_note (p, step, cause);
+}
+
+/* Gives the cold workers that the first round left to what has not found one
+   that suits it. */
+static void
+place_on_other_cold (Pass *p, const GArray *ranked)
+{
+  guint i;
+
+  p->suitable_only = FALSE;
+  for (i = 0; i < ranked->len; i++)
+    {
+      WorkStep *step = g_array_index (ranked, RankedStep, i).step;
+
+      if (step->job->entry->job->priority > 0 && is_waiting (step))
+        place_step (p, step);
+    }
 }
 
 /* Returns the least amount of each resource that a waiting task needs. */
@@ -489,6 +537,8 @@
   if (ranked->len)
     {
       room_count_usable (d);
+      p.ramp = cold_domains_ramp (d);
+      p.suitable_only = p.ramp != NULL;
       collect_candidates (&p);
     }
   p.first = first_overdue (d, ranked);
@@ -501,6 +551,8 @@
       if (step != p.first)
         place_step (&p, step);
     }
+  if (p.ramp)
+    place_on_other_cold (&p, ranked);
   if (p.link_full)
     {
       d->replan = TRUE;
@@ -509,6 +561,7 @@
     }
   if (p.batch_held)
     d->replan = TRUE;
+  cold_ramp_free (p.ramp);
   g_free (p.candidates);
   g_array_unref (ranked);
 }
--- a/queue/choose.c
+++ b/queue/choose.c
@@ -43,12 +43,16 @@
   return room;
 }
 
-/* Tells whether RQ, of a job of PRIORITY, would fit once all that does not last
-   has ended. */
+/* Tells whether RQ, of a job of PRIORITY, would fit on workers that are cold
+   for MAX_WARM_UP at most once all that does not last has ended. */
 static gboolean
-is_feasible (const Pass *p, const FitRequest *rq, gint64 priority)
+is_feasible (const Pass *p,
+             const FitRequest *rq,
+             gint64 priority,
+             ClockMs max_warm_up)
 {
   const Pool *pool = &p->d->pool;
+  FitRequest idle = *rq;
   FitWorker *usable = g_new0 (FitWorker, pool_size (pool) + 1);
   gboolean feasible;
   guint n = 0;
@@ -60,7 +64,10 @@
         .worker = pool_at (pool, i),
         .room = room_when_idle (pool_at (pool, i), priority),
       };
-  feasible = fit_feasible (rq, usable, n);
+  idle.ramp = NULL;
+  idle.min_warm_up = 0;
+  idle.max_warm_up = max_warm_up;
+  feasible = fit_feasible (&idle, usable, n);
   g_free (usable);
   return feasible;
 }
@@ -72,7 +79,8 @@
 {
   if (step->fits_idle_fleet_until > p->d->now)
     return step->fits_idle_fleet;
-  step->fits_idle_fleet = is_feasible (p, rq, step->job->entry->job->priority);
+  step->fits_idle_fleet =
+      is_feasible (p, rq, step->job->entry->job->priority, CLOCK_NEVER);
   step->fits_idle_fleet_until = p->d->now + FEASIBILITY_TTL_MS;
   return step->fits_idle_fleet;
 }
@@ -141,9 +149,25 @@
                         .proven_since = failure_spike_since (&s->failure_spike),
                         .now = d->now,
                         .prefer_fast = step->job->entry->job->priority == 0,
+                        .max_warm_up = CLOCK_NEVER,
                         .same_rack = spec->same_rack && spec->gang };
 }
 
+/* Like choose_request, for the candidates of P: with the cold workers that STEP
+   may use in it. */
+static FitRequest
+request_in_pass (const Pass *p, const WorkStep *step, guint count)
+{
+  FitRequest rq = choose_request (p->d, step, count);
+
+  rq.min_warm_up = p->cold_only ? 1 : 0;
+  rq.ramp = p->ramp;
+  rq.beyond_ramp = p->beyond_ramp;
+  if (p->suitable_only && step->job->entry->job->priority > 0)
+    rq.max_warm_up = cold_longest_suitable (step->spec);
+  return rq;
+}
+
 static void
 reset_placed (Pass *p)
 {
@@ -206,7 +230,7 @@
 static gboolean
 choose_gang_workers (Pass *p, WorkStep *step, PoolWorker **chosen)
 {
-  FitRequest rq = choose_request (p->d, step, (guint)step->spec->count);
+  FitRequest rq = request_in_pass (p, step, (guint)step->spec->count);
   ClockMs age_ms = p->d->now - step->job->accepted_at;
   FitTrust min_trust = may_use_slow_workers (p, step) ? FIT_ANY : FIT_NOT_SLOW;
 
@@ -231,12 +255,12 @@
 static gboolean
 choose_with_quarantined (Pass *p, WorkStep *step, PoolWorker **chosen)
 {
-  FitRequest rq = choose_request (p->d, step, (guint)step->spec->count);
+  FitRequest rq = request_in_pass (p, step, (guint)step->spec->count);
 
   if (!p->room->has_quarantined || is_feasible_when_idle (p, step, &rq))
     return FALSE;
   rq.ignore_racks = TRUE;
-  if (is_feasible (p, &rq, step->job->entry->job->priority))
+  if (is_feasible (p, &rq, step->job->entry->job->priority, CLOCK_NEVER))
     return FALSE;
   rq.allow_quarantined = TRUE;
   reset_placed (p);
@@ -281,10 +305,9 @@
   return fit_place (&rq, p->candidates, p->n_candidates, chosen);
 }
 
-/* Chooses workers for all tasks of STEP, a gang, into CHOSEN, which has room
-   for one each.  Returns FALSE, with nothing taken, if there are none. */
-gboolean
-choose_for_gang (Pass *p, WorkStep *step, PoolWorker **chosen)
+/* Chooses workers for all tasks of STEP, a gang, as P's ramp lets it. */
+static gboolean
+choose_for_whole_gang (Pass *p, WorkStep *step, PoolWorker **chosen)
 {
   if (choose_gang_workers (p, step, chosen) ||
       choose_with_quarantined (p, step, chosen))
@@ -292,11 +315,43 @@
   if (!takes_any_worker (p, step->tasks))
     return FALSE;
   reset_placed (p);
-  return place_anywhere (p,
-                         choose_request (p->d, step, (guint)step->spec->count),
+  return place_anywhere (p, request_in_pass (p, step, (guint)step->spec->count),
                          chosen);
 }
 
+/* Tells whether COUNT tasks of STEP, which found no worker, may exceed the ramp
+   of cold workers, and notes in P whether only that ramp keeps them from free
+   room.  Urgent work may, as it never waits for warmth, and so may what no warm
+   worker could take even when idle. */
+static gboolean
+may_exceed_ramp (Pass *p, const WorkStep *step, guint count)
+{
+  gint64 priority = step->job->entry->job->priority;
+  FitRequest rq = request_in_pass (p, step, count);
+
+  rq.beyond_ramp = TRUE;
+  rq.ignore_racks = TRUE;
+  if (!p->ramp || (p->suitable_only && priority > 0) ||
+      !fit_feasible (&rq, p->candidates, p->n_candidates))
+    return FALSE;
+  if (priority == 0 || !is_feasible (p, &rq, priority, 0))
+    return TRUE;
+  p->held_by_ramp = TRUE;
+  return FALSE;
+}
+
+/* Chooses workers for all tasks of STEP, a gang, into CHOSEN, which has room
+   for one each.  Returns FALSE, with nothing taken, if there are none. */
+gboolean
+choose_for_gang (Pass *p, WorkStep *step, PoolWorker **chosen)
+{
+  p->held_by_ramp = p->beyond_ramp = FALSE;
+  if (choose_for_whole_gang (p, step, chosen))
+    return TRUE;
+  p->beyond_ramp = may_exceed_ramp (p, step, (guint)step->spec->count);
+  return p->beyond_ramp && choose_for_whole_gang (p, step, chosen);
+}
+
 /* Returns for how long TASK may be kept from the worker on which it failed. */
 static ClockMs
 failed_worker_wait (const WorkTask *task, gboolean has_other_worker)
@@ -322,6 +377,8 @@
   guint i;
 
   any.trust = FIT_ANY;
+  any.min_warm_up = 0;
+  any.max_warm_up = CLOCK_NEVER;
   for (i = 0; i < pool_size (pool); i++)
     {
       const PoolWorker *w = pool_at (pool, i);
@@ -350,16 +407,17 @@
   return TRUE;
 }
 
-/* Chooses a worker for TASK, of at least MIN_TRUST: another one than that on
-   which it failed lately, unless no other can ever run it. */
-gboolean
-choose_for_task (Pass *p,
-                 WorkTask *task,
-                 FitTrust min_trust,
-                 PoolWorker **chosen)
+/* Chooses a worker for TASK, of at least MIN_TRUST, as P's ramp lets it:
+   another one than that on which it failed lately, unless no other can ever run
+   it. */
+static gboolean
+choose_for_one_task (Pass *p,
+                     WorkTask *task,
+                     FitTrust min_trust,
+                     PoolWorker **chosen)
 {
   WorkStep *step = task->step;
-  FitRequest rq = choose_request (p->d, step, 1);
+  FitRequest rq = request_in_pass (p, step, 1);
   ClockMs age_ms = p->d->now - step->job->accepted_at;
 
   if (choose_waits_after_failure (p, task))
@@ -375,3 +433,18 @@
     return TRUE;
   return takes_any_worker (p, task) && place_anywhere (p, rq, chosen);
 }
+
+/* Chooses a worker for TASK, of at least MIN_TRUST.  Returns FALSE, with
+   nothing taken, if there is none. */
+gboolean
+choose_for_task (Pass *p,
+                 WorkTask *task,
+                 FitTrust min_trust,
+                 PoolWorker **chosen)
+{
+  p->held_by_ramp = p->beyond_ramp = FALSE;
+  if (choose_for_one_task (p, task, min_trust, chosen))
+    return TRUE;
+  p->beyond_ramp = may_exceed_ramp (p, task->step, 1);
+  return p->beyond_ramp && choose_for_one_task (p, task, min_trust, chosen);
+}
--- a/queue/delay.c
+++ b/queue/delay.c
@@ -241,6 +241,8 @@
     cause = delay->cause;
   if (cause == delay->cause)
     return;
+  if (cause == DELAY_COLD)
+    p->d->cold.n_held += work_step_unplaced (step);
   delay->cause = cause;
   delay->since = p->d->now;
 }
--- a/queue/dispatch.c
+++ b/queue/dispatch.c
@@ -94,6 +94,7 @@
   g_clear_pointer (&d->pending_calls, g_hash_table_unref);
   g_hash_table_unref (d->orphans);
   waiting_clear_save (d);
+  cold_domains_clear (d);
   due_clear (d);
   pace_clear (&d->pace);
   service_table_free (d->services);
@@ -136,6 +137,7 @@
             strcmp (w->entry->address, entry->address) != 0))
     roster_mark_dirty (d, entry->id);
   w = pool_update (&d->pool, entry);
+  cold_on_entry (w, &d->bounds, d->now);
   if (entry->draining)
     {
       w->leaves_at = d->now + entry->drain_remaining;
@@ -400,6 +402,7 @@
   purge_tick (d);
   standing_tick (d);
   delay_tick (d);
+  cold_domains_tick (d);
   reap (d);
 }
 
@@ -466,4 +469,5 @@
   grant_append_metrics (d, text);
   standing_append_metrics (d, text);
   delay_append_metrics (d, text);
+  cold_domains_append_metrics (d, text);
 }
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -98,6 +98,17 @@
   gint64 n_lost_starts; /* start orders without an answer */
 } GrantCounts;
 
+/* The domains that are cold, and what became of work because of that; see
+   cold_domains.c. */
+typedef struct ColdDomains
+{
+  ClockMs next_look;
+  GHashTable *domains; /* set of names of the cold ones; NULL before any */
+  guint n_workers;     /* cold at the last look */
+  gint64 n_starts;     /* runs started on cold workers, for metrics */
+  gint64 n_held; /* tasks that the ramp kept from free room, for metrics */
+} ColdDomains;
+
 struct Dispatch
 {
   Effects *fx;
@@ -141,6 +152,7 @@
   ClockMs next_scarcity;    /* next count of scarce connections */
   Standing standing;
   DelayLook delays;
+  ColdDomains cold;
   gint64 n_starts;  /* runs started, for metrics */
   gint64 n_evicted; /* runs evicted for more urgent jobs, for metrics */
   GrantCounts grants;
@@ -322,6 +334,11 @@
 void delay_tick (Dispatch *d);
 void delay_append_metrics (const Dispatch *d, GString *text);
 
+/* cold_domains.c; the rest is in pass.h */
+void cold_domains_tick (Dispatch *d);
+void cold_domains_append_metrics (const Dispatch *d, GString *text);
+void cold_domains_clear (Dispatch *d);
+
 /* orphans.c */
 gboolean orphans_are_on (const Dispatch *d, const PoolWorker *w);
 void orphans_stop (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
--- a/queue/fit.c
+++ b/queue/fit.c
@@ -24,6 +24,8 @@
 fit_is_eligible (const FitRequest *rq, const PoolWorker *w)
 {
   return meets_trust (rq, w) && w != rq->excluded_worker &&
+         cold_time_left (w, rq->now) >= rq->min_warm_up &&
+         cold_time_left (w, rq->now) <= rq->max_warm_up &&
          (rq->allow_quarantined || w->quarantined_until <= rq->now) &&
          strcmp (w->entry->service, rq->service) == 0 &&
          pool_has_label (w, rq->label);
@@ -58,7 +60,8 @@
   return rq->prefer_fast ? (int)pace_class (w) : -(int)pace_class (w);
 }
 
-/* Tells whether A is preferred to B.  Workers with failures come last, before
+/* Tells whether A is preferred to B.  Warm workers come first, then those with
+   the least time left.  Among equals workers with failures come last, before
    them slow ones.  Then those of the preferred pace come first; otherwise the
    one with less free room wins (best fit), by accelerators first, as they are
    scarcest, then by cores. */
@@ -69,7 +72,11 @@
   guint penalty_b = worker_penalty (rq, b->worker);
   int pace_a = pace_penalty (rq, a->worker);
   int pace_b = pace_penalty (rq, b->worker);
+  ClockMs cold_a = cold_time_left (a->worker, rq->now);
+  ClockMs cold_b = cold_time_left (b->worker, rq->now);
 
+  if (cold_a != cold_b)
+    return cold_a < cold_b;
   if (penalty_a != penalty_b)
     return penalty_a < penalty_b;
   if (pace_a != pace_b)
@@ -86,6 +93,14 @@
   guint to; /* exclusive */
 } WorkerRange;
 
+/* Returns how many of the SLOTS that RQ has on F the ramp leaves, beyond those
+   counted before. */
+static guint
+count_slots (const FitRequest *rq, const FitWorker *f, guint slots)
+{
+  return rq->beyond_ramp ? slots : cold_group_count (f->cold, slots);
+}
+
 /* Returns how many of RQ's tasks fit on the workers of G, up to RQ's count. */
 static guint
 range_slots (const FitRequest *rq, const FitWorker *workers, WorkerRange g)
@@ -93,11 +108,40 @@
   guint n = 0;
   guint i;
 
+  cold_ramp_begin_count (rq->ramp);
   for (i = g.from; i < g.to && n < rq->count; i++)
-    n += slots_on_worker (rq, &workers[i]);
+    n += count_slots (rq, &workers[i], slots_on_worker (rq, &workers[i]));
   return n;
 }
 
+/* Returns the longest time left of the workers that RQ's tasks need on G, which
+   must have room for all, if they take those with the least. */
+static ClockMs
+longest_needed_warm_up (const FitRequest *rq,
+                        const FitWorker *workers,
+                        WorkerRange g)
+{
+  FitRequest warmer = *rq;
+  ClockMs longest = 0;
+  guint i;
+
+  if (!rq->ramp)
+    return 0;
+  for (warmer.max_warm_up = 0; range_slots (&warmer, workers, g) < rq->count;
+       warmer.max_warm_up = longest)
+    {
+      longest = CLOCK_NEVER;
+      for (i = g.from; i < g.to; i++)
+        {
+          ClockMs left = cold_time_left (workers[i].worker, rq->now);
+
+          if (left > warmer.max_warm_up)
+            longest = MIN (longest, left);
+        }
+    }
+  return longest;
+}
+
 /* Returns the free accelerators on those workers of G that are of RQ's
    service. */
 static gint64
@@ -136,6 +180,13 @@
   return n_fast + n_average >= rq->count ? PACE_AVERAGE : PACE_SLOW;
 }
 
+/* Tells whether the ramp lets RQ place another task on F. */
+static gboolean
+has_ramp_room (const FitRequest *rq, const FitWorker *f)
+{
+  return rq->beyond_ramp || !f->cold || f->cold->room > 0;
+}
+
 /* Returns the preferred worker of G that has room for a task, or NULL. */
 static FitWorker *
 best_fit_worker (const FitRequest *rq, FitWorker *workers, WorkerRange g)
@@ -145,6 +196,7 @@
 
   for (i = g.from; i < g.to; i++)
     if (slots_on_worker (rq, &workers[i]) > 0 &&
+        has_ramp_room (rq, &workers[i]) &&
         (!best || is_better_fit (rq, &workers[i], best)))
       best = &workers[i];
   return best;
@@ -165,6 +217,8 @@
 
       pool_resources_subtract (&f->room, &rq->need);
       f->n_placed++;
+      if (f->cold && f->cold->room > 0)
+        f->cold->room--;
       chosen[i] = f->worker;
     }
 }
@@ -189,9 +243,9 @@
          g_strcmp0 (workers[g.from].worker->entry->rack, rq->data_rack) == 0;
 }
 
-/* Tells whether A is preferred to B as the rack of RQ's tasks: the one with
-   faster workers if RQ asks for such, otherwise the one with fewer free
-   accelerators. */
+/* Tells whether A is preferred to B as the rack of RQ's tasks: the one that is
+   warm first, then the one with faster workers if RQ asks for such, otherwise
+   the one with fewer free accelerators. */
 static gboolean
 is_better_rack (const FitRequest *rq,
                 const FitWorker *workers,
@@ -202,7 +256,11 @@
       rq->prefer_fast ? slowest_needed (rq, workers, a) : PACE_AVERAGE;
   PaceClass pace_b =
       rq->prefer_fast ? slowest_needed (rq, workers, b) : PACE_AVERAGE;
+  ClockMs cold_a = longest_needed_warm_up (rq, workers, a);
+  ClockMs cold_b = longest_needed_warm_up (rq, workers, b);
 
+  if (cold_a != cold_b)
+    return cold_a < cold_b;
   if (pace_a != pace_b)
     return pace_a < pace_b;
   return range_free_accelerators (rq, workers, a) <
--- a/queue/fit.h
+++ b/queue/fit.h
@@ -1,6 +1,7 @@
 #ifndef FIT_H
 #define FIT_H
 
+#include "cold.h"
 #include "pool.h"
 
 /* Chooses workers for tasks by best fit.  Only the FitWorker array passed in
@@ -12,6 +13,7 @@
   PoolWorker *worker;
   PoolResources room; /* still free for placement */
   guint n_placed;     /* tasks of the current step already here */
+  ColdGroup *cold;    /* limits tasks on it while it is cold; NULL: nothing */
 } FitWorker;
 
 /* How reliable a worker must have been lately; each level includes the ones
@@ -44,6 +46,10 @@
   gboolean ignore_racks;             /* disregard DATA_RACK and SAME_RACK */
   const PoolWorker *excluded_worker; /* NULL: none */
   gboolean allow_quarantined;        /* workers in quarantine may be used */
+  ClockMs min_warm_up;               /* least time left: 1 for cold workers */
+  ClockMs max_warm_up;               /* longest time left of a cold worker */
+  const ColdRamp *ramp;              /* NULL while no worker is cold */
+  gboolean beyond_ramp;              /* it does not limit the tasks */
 } FitRequest;
 
 gboolean fit_place (const FitRequest *rq,
--- a/queue/pace.c
+++ b/queue/pace.c
@@ -92,7 +92,8 @@
   return w->pace.log_slowness < -class_limit ? PACE_FAST : PACE_AVERAGE;
 }
 
-/* Tells whether PLACEMENT's worker alone sets its pace, as far as is known. */
+/* Tells whether PLACEMENT's worker alone sets its pace, as far as is known.  A
+   run that began on a cold worker tells nothing of its pace when warm. */
 static gboolean
 shows_pace (const WorkPlacement *placement, ClockMs now)
 {
@@ -102,6 +103,7 @@
           placement->state == PLACEMENT_RUNNING) &&
          !placement->pace_measured && placement->from_zero &&
          !speed_is_slow (placement->worker, now) &&
+         placement->started_at >= placement->worker->warm_up.ends_at &&
          (!*spec->rack ||
           g_strcmp0 (spec->rack, placement->worker->entry->rack) == 0);
 }
--- a/queue/pass.h
+++ b/queue/pass.h
@@ -16,8 +16,16 @@
   gboolean link_full;  /* the pass stopped short and must be repeated */
   guint batch_left;    /* tasks that are not urgent and may start */
   gboolean batch_held; /* some of them may not start yet */
+  ColdRamp *ramp;      /* NULL while no worker is cold */
+  /* Work that is not urgent gets only the cold workers that suit it; a second
+     round gives it the others. */
+  gboolean suitable_only;
   /* Of the step that is being placed. */
   ServiceRoom *room;
+  gboolean cold_only;    /* the reserve keeps it from the warm workers */
+  guint n_cold_started;  /* of its tasks, in room that counts as cold */
+  gboolean beyond_ramp;  /* it may exceed the ramp of cold workers */
+  gboolean held_by_ramp; /* only that ramp keeps it from free room */
   /* Lasting and overdue: placed first, however short the link, the processor
      and the room for urgent work are. */
   WorkStep *first;
@@ -27,6 +35,9 @@
 void room_sum_heard (Dispatch *d);
 void room_count_usable (Dispatch *d);
 
+/* cold_domains.c */
+ColdRamp *cold_domains_ramp (const Dispatch *d);
+
 /* delay.c */
 void delay_note (Pass *p, WorkStep *step, DelayCause cause);
 gboolean delay_is_overdue (const WorkStep *step, ClockMs now);
--- a/queue/pool.h
+++ b/queue/pool.h
@@ -30,7 +30,8 @@
   PoolResources capacity;
   gint64 incarnation; /* start of the worker process, Unix milliseconds */
   gboolean draining;
-  ClockMs drain_remaining; /* while draining: minimum time until it exits */
+  ClockMs drain_remaining;   /* while draining: minimum time until it exits */
+  ClockMs warm_up_remaining; /* time for which it stays slow after its start */
 } PoolEntry;
 
 typedef struct WorkPlacement WorkPlacement;
@@ -64,6 +65,14 @@
   double variance;     /* of that; 0 before the first sample */
 } PoolPace;
 
+/* Until when a worker is slow after its start; see cold.c. */
+typedef struct PoolWarmUp
+{
+  gboolean known;     /* an entry of the worker was received */
+  gint64 incarnation; /* of the process in that entry */
+  ClockMs ends_at;    /* 0: it was never cold */
+} PoolWarmUp;
+
 /* The job of an end that a worker has listed, but not been acknowledged. */
 typedef struct PoolUnackedEnd
 {
@@ -156,6 +165,7 @@
   ClockMs slow_until;      /* considered slow before */
   PoolPace pace;
   PaceClass logged_pace; /* in the last log line */
+  PoolWarmUp warm_up;
   /* Cost of the evictions that make room for one more task here, in the current
      plan. */
   double evict_cost;
--- a/queue/room.c
+++ b/queue/room.c
@@ -72,6 +72,7 @@
 count_worker (const Dispatch *d, ServiceRoom *room, const PoolWorker *w)
 {
   PoolResources available = pool_available (w);
+  double free = reserve_free_fraction (&available, &room->largest);
 
   if (w->quarantined_until > d->now)
     {
@@ -79,7 +80,25 @@
       return;
     }
   room->n_usable++;
-  room->free_workers += reserve_free_fraction (&available, &room->largest);
+  if (cold_time_left (w, d->now) > 0)
+    {
+      room->n_cold++;
+      room->free_cold += free;
+    }
+  else
+    room->free_workers += free;
+}
+
+/* Counts the cold workers of ROOM with the others if there are no others. */
+static void
+separate_cold (ServiceRoom *room)
+{
+  room->cold_is_apart = room->n_cold > 0 && room->n_cold < room->n_usable;
+  if (room->cold_is_apart)
+    return;
+  room->free_workers += room->free_cold;
+  room->n_cold = 0;
+  room->free_cold = 0.0;
 }
 
 /* Counts, by service, D's usable workers, how much of them is free, and how
@@ -95,6 +114,8 @@
     {
       s->room.n_usable = 0;
       s->room.has_quarantined = FALSE;
+      s->room.n_cold = 0;
+      s->room.free_cold = 0.0;
       s->room.free_workers = 0.0;
     }
   for (i = 0; i < pool_size (&d->pool); i++)
@@ -105,6 +126,9 @@
         count_worker (d, room_of_worker (d, w), w);
     }
   APR_RING_FOREACH (s, &d->services->all, Service, link)
-    s->room.reserved_workers =
-        reserve_size (&s->reserve, d->now, s->room.n_usable);
+    {
+      separate_cold (&s->room);
+      s->room.reserved_workers =
+          reserve_size (&s->reserve, d->now, s->room.n_usable - s->room.n_cold);
+    }
 }
--- a/queue/runs.c
+++ b/queue/runs.c
@@ -200,6 +200,7 @@
   placement->started_at = d->now;
   placement->progressed_at = d->now;
   d->n_starts++;
+  d->cold.n_starts += cold_time_left (placement->worker, d->now) > 0;
   placement->worker->next_poll = MIN (placement->worker->next_poll, d->now);
   due_mark (d, placement->worker);
   send_start (d, placement);
--- a/queue/service.h
+++ b/queue/service.h
@@ -20,8 +20,13 @@
   PoolResources largest;    /* largest amount of each resource on any worker */
   guint n_usable;           /* usable workers, out of quarantine */
   gboolean has_quarantined; /* some usable worker is in quarantine */
-  double free_workers;      /* free room of the usable workers */
-  double reserved_workers;  /* of it, the part kept for urgent work */
+  /* Some usable workers are cold and others are not: urgent work then finds its
+     room on the warm ones, and what is free on the cold ones counts apart. */
+  gboolean cold_is_apart;
+  guint n_cold;            /* usable workers that are cold */
+  double free_cold;        /* with COLD_IS_APART: their free room */
+  double free_workers;     /* free room of the other usable workers */
+  double reserved_workers; /* of it, the part kept for urgent work */
 } ServiceRoom;
 
 typedef struct Service
--- a/queue/speed.c
+++ b/queue/speed.c
@@ -1,5 +1,6 @@
 #include "speed.h"
 
+#include "cold.h"
 #include "work.h"
 
 enum
@@ -94,9 +95,18 @@
   return TRUE;
 }
 
+/* Starts the next sample of PLACEMENT at NOW, without a verdict on the last. */
+static void
+skip_sample (WorkPlacement *placement, ClockMs now)
+{
+  placement->sample_at = now;
+  placement->sample_percent = placement->percent;
+}
+
 /* Evaluates W after its progress report has been applied.  W is slow only if
    every run that gives a verdict is held up, since a gang member may also be
-   held up by another member's worker.  Returns whether W's state changed. */
+   held up by another member's worker.  A cold worker is not judged.  Returns
+   whether W's state changed. */
 gboolean
 speed_evaluate (PoolWorker *w, ClockMs now)
 {
@@ -109,6 +119,8 @@
     {
       gboolean slow;
 
+      if (cold_time_left (w, now) > 0)
+        skip_sample (placement, now);
       if (!evaluate_part (placement, now, &slow))
         continue;
       any_evaluated = TRUE;
--- a/src/why.c
+++ b/src/why.c
@@ -155,6 +155,8 @@
     { "lease_awaited", LINE_OF_WORKER },
     { "worker_speed", LINE_OF_WORKER },
     { "reserve", LINE_OF_ALL },
+    { "domain_cold", LINE_OF_ALL },
+    { "domain_warm", LINE_OF_ALL },
     { "lines_dropped", LINE_OF_LOG },
   };
   guint i;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -259,6 +259,26 @@
     }
 }
 
+/* Guards against a time left that is dropped, or lost in rounding to 0. */
+TEST_F (PlatformCodec, TimeLeftOfAColdWorkerIsHandedOn)
+{
+  const std::pair<const char *, ClockMs> cases[] = { { "", 0 },
+                                                     { "-0.5", 0 },
+                                                     { "0.2", 1 },
+                                                     { "8000", 8000 } };
+
+  for (auto &c : cases)
+    {
+      GBytes *value = make_bytes (entry_with ("coldRemainingMs", c.first));
+      PoolEntry *e = platform_codec.decode_worker ("i-1", value, &findings);
+
+      ASSERT_TRUE (e) << c.first;
+      EXPECT_EQ (e->warm_up_remaining, c.second) << c.first;
+      pool_entry_free (e);
+      g_bytes_unref (value);
+    }
+}
+
 TEST_F (PlatformCodec, JobWithStepsIsDecoded)
 {
   GBytes *body = make_bytes (
--- a/tests/queue_world.cc
+++ b/tests/queue_world.cc
@@ -161,6 +161,9 @@
              ",\"gpu\":" + std::to_string (w.capacity.accelerators) +
              "},\"labels\":[\"a\",\"" + w.rack +
              "\"],\"born\":" + std::to_string (w.incarnation) +
+             (now_ < w.warm_at
+                  ? ",\"coldRemainingMs\":" + std::to_string (w.warm_at - now_)
+                  : "") +
              (w.draining ? ",\"drainRemainingMs\":2500}" : "}"),
          0);
 }
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -86,6 +86,8 @@
   ClockMs fails_after = CLOCK_NEVER;
   bool hangs = false;
   double slowdown = 1.0;         /* factor on the run time of its tasks */
+  ClockMs warm_at = 0;           /* its entry names the time left until then */
+  double cold_slowdown = 3.0;    /* further factor until then */
   double progress_factor = 1.0;  /* reported / true progress */
   std::string checkpoint;        /* that its runs report; empty: none */
   ClockMs reply_delay = 0;       /* added to the normal latency */
@@ -120,6 +122,13 @@
   PoolResources capacity { 64000, 256000, 8 };
   int max_connections = 0;    /* more are refused; 0: unlimited */
   ClockMs last_fault_at = -1; /* when it last had a fault; -1: never */
+
+  /* Returns the factor on the run time of its tasks at NOW. */
+  double
+  slowness (ClockMs now) const
+  {
+    return now < warm_at ? slowdown * cold_slowdown : slowdown;
+  }
   /* By host and its incarnation. */
   std::map<std::pair<int, int>, WorldConnections> connections;
 };
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -577,7 +577,7 @@
       double slowness = 1.0;
 
       for (auto &m : g.second)
-        slowness = std::max (slowness, m.first->slowdown);
+        slowness = std::max (slowness, m.first->slowness (now_));
       for (auto &m : g.second)
         m.second->slowdown = slowness;
       for (auto &m : g.second)
@@ -607,10 +607,10 @@
         {
           ClockMs span = now_ - std::max (last_work_at_, r.second.started_at);
           double slowness =
-              r.second.plan.gang_size ? r.second.slowdown : w.slowdown;
+              r.second.plan.gang_size ? r.second.slowdown : w.slowness (now_);
 
           r.second.work_done += (double)span / slowness;
-          r.second.own_work_done += (double)span / w.slowdown;
+          r.second.own_work_done += (double)span / w.slowness (now_);
         }
   last_work_at_ = now_;
 }
