Evacuation: admission, the cause of a delay, what operators see

While all domains that the settings name are evacuated, jobs that can't be in time waited and were late. They are now refused with 503 and a Retry-After that is spread over callers. The store is read first, since a job that an earlier try has stored must not be refused.

A step that only evacuated domains could hold is delayed by the cause evacuation, which is logged; wagtailpass why shows it with the lines about evacuations. Each start that is withdrawn has a line.

--- a/queue/delay.c
+++ b/queue/delay.c
@@ -177,6 +177,47 @@
          p->d->now - step->delay.probed_at >= interval;
 }
 
+/* Returns the workers that stay and, unless WITH_EVACUATED, are in service,
+   each with all of its capacity.  The caller frees it. */
+static FitWorker *
+idle_workers (const Dispatch *d, gboolean with_evacuated, guint *n)
+{
+  FitWorker *workers = g_new0 (FitWorker, pool_size (&d->pool) + 1);
+  guint i;
+
+  *n = 0;
+  for (i = 0; i < pool_size (&d->pool); i++)
+    {
+      PoolWorker *w = pool_at (&d->pool, i);
+
+      if (w->registered && !w->entry->draining &&
+          (with_evacuated || !w->evacuated))
+        workers[(*n)++] =
+            (FitWorker) { .worker = w, .room = w->entry->capacity };
+    }
+  return workers;
+}
+
+/* Tells whether only workers in evacuated domains could ever hold STEP. */
+static gboolean
+needs_evacuated (const Dispatch *d, const WorkStep *step)
+{
+  FitRequest one = request_for_room (d, step, unit_size (step));
+  gboolean fits[2];
+  guint i, n;
+
+  if (!evacuation_is_any_closed (d->evacuations))
+    return FALSE;
+  for (i = 0; i < G_N_ELEMENTS (fits); i++)
+    {
+      FitWorker *workers = idle_workers (d, i > 0, &n);
+
+      fits[i] = fit_feasible (&one, workers, n);
+      g_free (workers);
+    }
+  return !fits[0] && fits[1];
+}
+
 /* Looks worker by worker whether there is room for STEP, and corrects CAUSE by
    what it finds. */
 static DelayCause
@@ -208,6 +249,8 @@
   const ServiceRoom *room = &choose_service (p->d, step->job)->room;
 
   step->delay.probed_at = p->d->now;
+  if (cause == DELAY_ROOM && needs_evacuated (p->d, step))
+    cause = DELAY_EVACUATION;
   if (pool_resources_count (&room->free, &step->need) >= unit_size (step))
     return probe_workers (p, step, cause);
   end_hold (p->d, step);
@@ -219,7 +262,7 @@
 is_found_by_probe (DelayCause cause)
 {
   return cause == DELAY_ROOM ||
-         (cause >= DELAY_TRUST && cause <= DELAY_EXCLUSION);
+         (cause >= DELAY_TRUST && cause <= DELAY_EVACUATION);
 }
 
 /* Notes that P has left tasks of STEP unplaced because of CAUSE, or none with
@@ -291,7 +334,8 @@
     choose_service (d, step->job)->n_reserve_delayed +=
         work_step_unplaced (step);
   look->longest_hold = MAX (look->longest_hold, held);
-  if (*lines == 0 || held < LONG_HOLD_MS || delay->cause == DELAY_FORMER)
+  if (*lines == 0 || delay->cause == DELAY_FORMER ||
+      (held < LONG_HOLD_MS && delay->cause != DELAY_EVACUATION))
     return;
   --*lines;
   log_delay (d, step);
--- a/queue/intake.c
+++ b/queue/intake.c
@@ -81,6 +81,19 @@
   in->conf = conf_ref (conf);
 }
 
+/* Has IN refuse jobs that can't be in time while SET has all of DOMAINS, a
+   NULL-terminated array or NULL.  All outlive IN. */
+void
+intake_set_evacuations (Intake *in,
+                        const EvacuationSet *set,
+                        const char *const *domains,
+                        GRand *rng)
+{
+  in->evacuations = set;
+  in->domains = domains;
+  in->rng = rng;
+}
+
 /* Sets whether the job cache has the current state of every job.  While it
    does, questions about jobs are answered without a read from the store. */
 void
@@ -199,35 +212,49 @@
   job->target_ms = route->target_latency;
 }
 
-static GBytes *
-build_record (Intake *in,
-              const Request *request,
-              const char *id,
-              const ConfRoute *route,
-              const ConfWorkspace *workspace)
+/* Returns the job that REQUEST submits, or NULL, after a log line, if it can't
+   be read.  The caller frees it. */
+static SpecJob *
+read_submitted (Intake *in,
+                const Request *request,
+                const char *id,
+                const ConfRoute *route,
+                const ConfWorkspace *workspace)
 {
   SpecJob *job = rec_new (spec_job_desc ());
-  GBytes *record = NULL;
   Findings findings;
+  gboolean valid = FALSE;
 
   findings_init (&findings);
   if (request->body && in->decode_job (request->body, job, &findings))
     {
       set_accepted_fields (in, job, id, route, workspace);
       spec_job_check (job, &findings);
-      if (findings_count (&findings) == 0)
-        record = rec_pack (spec_job_desc (), job);
+      valid = findings_count (&findings) == 0;
     }
-  if (!record)
+  if (!valid)
     {
       char *text = findings_line (&findings);
 
       effects_log (in->fx, "event=job_invalid job=%s reason=\"%s\"", id, text);
       g_free (text);
+      rec_free (spec_job_desc (), job);
     }
   findings_clear (&findings);
-  rec_free (spec_job_desc (), job);
-  return record;
+  return valid ? job : NULL;
+}
+
+/* Returns for how many milliseconds more all domains are expected to be
+   evacuated if that is too long for JOB to be in time, else 0. */
+static ClockMs
+evacuated_for_too_long (const Intake *in, const SpecJob *job)
+{
+  ClockMs left =
+      evacuation_expected_left (in->evacuations, in->domains, in->now);
+  ClockMs due_in =
+      job->run_count > 0 ? MAX (job->first_run_ms - in->wall, 0) : 0;
+
+  return due_in + spec_job_objective (job) < left ? left : 0;
 }
 
 static void
@@ -238,7 +265,7 @@
         const ConfWorkspace *workspace)
 {
   const JobEntry *known = job_cache_find (in->job_cache, id);
-  GBytes *record;
+  SpecJob *job;
   Pending *p;
 
   if (known && known->job)
@@ -247,17 +274,21 @@
       intake_answer (in, request->id, &(Answer) { .status = HTTP_OK });
       return;
     }
-  record = build_record (in, request, id, route, workspace);
-  if (!record)
+  job = read_submitted (in, request, id, route, workspace);
+  if (!job)
     {
       intake_refuse (in, request->id, HTTP_BAD_REQUEST,
                      "the job cannot be read");
       return;
     }
   p = pending_new (in, request, id);
-  p->record = record;
   p->workspace = g_strdup (workspace ? workspace->name : "");
-  enter_stage (in, p, STAGE_WRITE);
+  p->evacuated_for = evacuated_for_too_long (in, job);
+  if (!p->evacuated_for)
+    p->record = rec_pack (spec_job_desc (), job);
+  rec_free (spec_job_desc (), job);
+  /* A job that an earlier try has stored must not be refused. */
+  enter_stage (in, p, p->evacuated_for ? STAGE_READ : STAGE_WRITE);
 }
 
 /* Answers P, or goes on with its cancellation, now that its job, ENTRY, is
--- a/queue/intake.h
+++ b/queue/intake.h
@@ -4,6 +4,7 @@
 #include "job_cache.h"
 #include "conf.h"
 #include "effects.h"
+#include "evacuation.h"
 #include "store_health.h"
 #include "waiting.h"
 
@@ -45,6 +46,10 @@
                     ClockMs max_conf_age);
 void intake_free (Intake *in);
 void intake_set_time (Intake *in, ClockMs now, ClockMs wall);
+void intake_set_evacuations (Intake *in,
+                             const EvacuationSet *set,
+                             const char *const *domains,
+                             GRand *rng);
 void intake_on_conf (Intake *in, Conf *conf);
 void intake_set_job_cache_complete (Intake *in, gboolean job_cache_complete);
 void intake_on_request (Intake *in, const Request *request, ClockMs conf_age);
--- a/queue/intake_answer.c
+++ b/queue/intake_answer.c
@@ -2,6 +2,11 @@
 
 /* The answers to callers, and the log lines about them. */
 
+/* Part of an evacuation's expected rest after which a refused caller returns.
+ */
+static const double min_retry_factor = 0.75;
+static const double max_retry_factor = 1.25;
+
 /* Queues A as the answer to REQUEST. */
 void
 intake_answer (Intake *in, gint64 request, const Answer *a)
@@ -40,6 +45,26 @@
                              .retry_after = after });
 }
 
+/* Refuses P, whose job is not stored and can't be in time as all domains are
+   evacuated.  Callers come back spread over half of the time that this is
+   expected to last. */
+void
+intake_refuse_evacuated (Intake *in, Pending *p)
+{
+  double factor =
+      g_rand_double_range (in->rng, min_retry_factor, max_retry_factor);
+
+  in->counters[INTAKE_REFUSED_EVACUATED]++;
+  intake_log_outcome (in, p, "request_refused", HTTP_UNAVAILABLE);
+  effects_log (in->fx,
+               "event=evacuation_refused job=%s expected_ms=%" CLOCK_MS_FORMAT,
+               p->job_id, p->evacuated_for);
+  intake_refuse_temporarily (in, p->request_id,
+                             (ClockMs)((double)p->evacuated_for * factor),
+                             "all failure domains are evacuated");
+  intake_pending_free (in, p);
+}
+
 /* Answers REQUEST with the state of ENTRY's job. */
 void
 intake_answer_state (Intake *in, gint64 request, const JobEntry *entry)
--- a/queue/intake_reply.c
+++ b/queue/intake_reply.c
@@ -75,7 +75,14 @@
 
   apply_items (in, reply);
   entry = job_cache_find (in->job_cache, p->job_id);
-  if (entry && entry->job)
+  if (p->op == REQUEST_SUBMIT && entry && entry->job)
+    {
+      in->counters[INTAKE_REPEATED]++;
+      intake_finish (in, p, HTTP_OK);
+    }
+  else if (p->op == REQUEST_SUBMIT)
+    intake_refuse_evacuated (in, p);
+  else if (entry && entry->job)
     intake_continue (in, p, entry);
   else
     intake_finish (in, p, HTTP_GONE);
--- a/queue/intake_state.h
+++ b/queue/intake_state.h
@@ -26,7 +26,8 @@
   X (INTAKE_CANCELLED, "cancelled")                                            \
   X (INTAKE_REFUSED, "refused")                                                \
   X (INTAKE_OUTCOME_UNKNOWN, "unsure")                                         \
-  X (INTAKE_INVALID, "invalid")
+  X (INTAKE_INVALID, "invalid")                                                \
+  X (INTAKE_REFUSED_EVACUATED, "refused_evacuated")
 
 #define INTAKE_ENUM(kind, name) kind,
 typedef enum IntakeCounter
@@ -53,6 +54,10 @@
   char *workspace;
   GBytes *record;
   gint64 call_id;
+  /* With REQUEST_SUBMIT and STAGE_READ: the job can't be in time, as all
+     domains are expected to be evacuated for so many milliseconds more.  It is
+     refused unless it is stored already. */
+  ClockMs evacuated_for;
   gboolean outcome_unknown; /* a write may have been executed, or still be */
   guint attempts;
   ClockMs received_at;
@@ -76,6 +81,9 @@
       job_cache_complete; /* JOB_CACHE has the current state of every job */
   IntakeDecodeJob decode_job;
   ClockMs max_conf_age;
+  const EvacuationSet *evacuations;
+  const char *const *domains; /* all failure domains; NULL: not known */
+  GRand *rng;                 /* spreads the retries of refused callers */
   Conf *conf;
   ClockMs now;
   ClockMs wall;
@@ -99,6 +107,7 @@
                                 gint64 request,
                                 ClockMs after,
                                 const char *why);
+void intake_refuse_evacuated (Intake *in, Pending *p);
 void intake_answer_state (Intake *in, gint64 request, const JobEntry *entry);
 void intake_log_outcome (Intake *in,
                          const Pending *p,
--- a/queue/node.c
+++ b/queue/node.c
@@ -291,6 +291,8 @@
   n->intake = intake_new (&n->fx, n->job_cache, &n->job_cache_feed, &n->waiting,
                           &n->store_health, codec->decode_job, s->max_conf_age);
   intake_set_time (n->intake, now, wall);
+  intake_set_evacuations (n->intake, &n->evacuations.set,
+                          (const char *const *)n->domains, n->rng);
   return n;
 }
 
--- a/queue/spec.c
+++ b/queue/spec.c
@@ -3,6 +3,8 @@
 /* The weight of an accelerator in cores, in comparisons of work. */
 static const double cores_per_accelerator = 8.0;
 static const double milli_per_unit = 1000.0;
+/* What SpecJob.stretch_milli is counted in. */
+static const ClockMs stretch_one = 1000;
 
 REC_DEFINE (SpecAfter, spec_after, SPEC_AFTER_FIELDS)
 REC_DEFINE (SpecStep, spec_step, SPEC_STEP_FIELDS)
@@ -119,6 +121,15 @@
   return longest;
 }
 
+/* Returns the target time from JOB's acceptance to its completion, in
+   milliseconds. */
+ClockMs
+spec_job_objective (const SpecJob *job)
+{
+  return job->stretch_milli * spec_job_critical_path_ms (job) / stretch_one +
+         job->target_ms;
+}
+
 /* Returns the size of CPU_MILLI thousandths of a core and ACCELERATORS in
    cores; an accelerator counts as cores_per_accelerator. */
 double
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -193,6 +193,7 @@
 guint spec_job_occurrences (const SpecJob *job);
 void spec_job_check (const SpecJob *job, Findings *findings);
 ClockMs spec_job_critical_path_ms (const SpecJob *job);
+ClockMs spec_job_objective (const SpecJob *job);
 double spec_cores (gint64 cpu_milli, gint64 accelerators);
 double spec_step_cores (const SpecStep *step);
 double spec_step_core_ms (const SpecStep *step);
--- a/queue/withdraw.c
+++ b/queue/withdraw.c
@@ -115,6 +115,21 @@
   return NULL;
 }
 
+/* Logs that PLACEMENT, and its gang, is withdrawn for REASON. */
+static void
+log_withdrawn (Dispatch *d, const WorkPlacement *placement, const char *reason)
+{
+  const WorkStep *step = placement->task->step;
+
+  effects_log_detail (
+      d->fx,
+      "event=withdrawn job=%s step=%u.%u task=%u run=%" G_GINT64_FORMAT
+      " worker=%s state=%s gang=%" G_GINT64_FORMAT " reason=%s",
+      step->job->entry->id, step->occurrence, step->number,
+      placement->task->index, placement->run, placement->worker->entry->id,
+      work_placement_state_name (placement->state), step->spec->gang, reason);
+}
+
 /* Withdraws the placements on W that FILTER chooses, with their gangs: those
    that were never sent end at once, others are stopped.  No failure is counted.
    Returns how many there were. */
@@ -136,6 +151,7 @@
 
       n += step->spec->gang ? step->n_placements : 1;
       recall_unit (d, placement);
+      log_withdrawn (d, placement, reason);
       runs_stop_unit (d, placement, reason);
     }
   return n;
--- a/queue/work.c
+++ b/queue/work.c
@@ -9,8 +9,6 @@
   MAX_OPEN_STEPS = 2000
 };
 
-static const ClockMs milli_per_unit = 1000;
-
 static WorkStep *
 step_new (WorkJob *job, guint occurrence, guint number)
 {
@@ -93,9 +91,7 @@
   job->state = entry->progress ? (JobState)entry->progress->state : JOB_QUEUED;
   job->accepted_at =
       now - CLAMP (wall - spec->accepted_ms, 0, (ClockMs)G_MAXINT32);
-  job->objective =
-      spec->stretch_milli * spec_job_critical_path_ms (spec) / milli_per_unit +
-      spec->target_ms;
+  job->objective = spec_job_objective (spec);
   work_job_add_due (job, wall);
   for (i = 0; entry->progress && i < entry->progress->steps.n; i++)
     restore_step (job, rec_list_at (progress_step_desc (),
--- a/queue/work.h
+++ b/queue/work.h
@@ -85,6 +85,7 @@
   C (DELAY_FAILED_ON, "failed_on")   /* room is where they failed */           \
   C (DELAY_QUARANTINE, "quarantine") /* room is on workers in quarantine */    \
   C (DELAY_EXCLUSION, "exclusion")   /* room is where an order failed */       \
+  C (DELAY_EVACUATION, "evacuation") /* its workers are evacuated */           \
   C (DELAY_LINK, "link")             /* the host's link is full */             \
   C (DELAY_PROCESSOR, "processor")   /* the host's processor is busy */        \
   C (DELAY_FORMER, "former")         /* a former scheduler's runs may go on */
--- a/src/why.c
+++ b/src/why.c
@@ -155,6 +155,14 @@
     { "lease_awaited", LINE_OF_WORKER },
     { "worker_speed", LINE_OF_WORKER },
     { "reserve", LINE_OF_ALL },
+    { "evacuation_seen", LINE_OF_ALL },
+    { "evacuation_in_force", LINE_OF_ALL },
+    { "evacuation_last_start", LINE_OF_ALL },
+    { "evacuation_ended", LINE_OF_ALL },
+    { "evacuation_unreadable", LINE_OF_ALL },
+    { "evacuation_unknown_domain", LINE_OF_ALL },
+    { "starts_held", LINE_OF_ALL },
+    { "starts_released", LINE_OF_ALL },
     { "lines_dropped", LINE_OF_LOG },
   };
   guint i;
@@ -286,8 +294,11 @@
   const WhyLine *accepted;
   const WhyLine *refused; /* the last one */
   const WhyLine *first_start;
-  const WhyLine *last; /* its final state */
-  const WhyLine *held; /* the longest time beside free room */
+  const WhyLine *last;      /* its final state */
+  const WhyLine *held;      /* the longest time beside free room */
+  const WhyLine *evacuated; /* the longest wait for evacuated workers */
+  const WhyLine *refused_evacuated;
+  guint withdrawn; /* from evacuated domains */
   guint evicted;
   guint failed;
   guint stalled;
@@ -309,6 +320,13 @@
 static void
 count_hold (Sum *s, const WhyLine *l)
 {
+  if (strcmp (value_of (l, "cause"), "evacuation") == 0)
+    {
+      if (!s->evacuated ||
+          number_of (l, "for_ms") > number_of (s->evacuated, "for_ms"))
+        s->evacuated = l;
+      return;
+    }
   if (!s->held || number_of (l, "held_ms") > number_of (s->held, "held_ms"))
     s->held = l;
 }
@@ -328,6 +346,10 @@
     count_stop (s, l);
   else if (strcmp (l->event, "held") == 0 || strcmp (l->event, "delayed") == 0)
     count_hold (s, l);
+  else if (strcmp (l->event, "evacuation_refused") == 0)
+    s->refused_evacuated = l;
+  else if (strcmp (l->event, "withdrawn") == 0)
+    s->withdrawn += strcmp (value_of (l, "reason"), "evacuation") == 0;
   else if (strcmp (l->event, "task_failed") == 0)
     s->failed++;
   else if (strcmp (l->event, "stalled") == 0)
@@ -360,6 +382,13 @@
         s->refused->host, value_of (s->refused, "status"),
         value_of (s->refused, "tries"), value_of (s->refused, "conf"),
         value_of (s->refused, "conf_age_ms"));
+  if (s->refused_evacuated)
+    g_string_append_printf (
+        out,
+        "all failure domains were evacuated, for %s ms more "
+        "as %s expected\n",
+        value_of (s->refused_evacuated, "expected_ms"),
+        s->refused_evacuated->host);
 }
 
 static void
@@ -399,6 +428,13 @@
     g_string_append_printf (out, "held for %s ms beside free room by: %s\n",
                             value_of (s->held, "held_ms"),
                             value_of (s->held, "cause"));
+  if (s->evacuated)
+    g_string_append_printf (
+        out,
+        "waited for %s ms for workers in evacuated domains: "
+        "evacuation\n",
+        value_of (s->evacuated, "for_ms"));
+  append_count (out, s->withdrawn, "start(s) withdrawn from evacuated domains");
   append_count (out, s->evicted, "task(s) stopped for more urgent work");
   append_count (out, s->failed, "run(s) failed");
   append_count (out, s->stalled, "task(s) moved because they stood still");
--- a/tests/queue_world_standing.cc
+++ b/tests/queue_world_standing.cc
@@ -87,6 +87,7 @@
 
       if ((w.last_fault_at >= 0 && now_ - w.last_fault_at < calm_ms) ||
           !has_worker_entry ((int)i) || w.service != service ||
+          evacuated_.count (w.domain) ||
           (!label.empty () && label != "a" && label != w.rack))
         continue;
       pool_resources_add (&total, &w.capacity);
--- a/tests/why_test.cc
+++ b/tests/why_test.cc
@@ -146,3 +146,24 @@
   EXPECT_TRUE (contains (s, "held for 5000 ms beside free room by: reserve\n"))
       << s;
 }
+
+TEST (Why, EvacuationsAreShownWithWhatTheyDidToTheJob)
+{
+  std::string s = report (
+      { log_with_acceptance,
+        "ts=1100 host=h2 event=evacuation_seen domain=a revision=7 workers=9 "
+        "known=1\n"
+        "ts=1101 host=h2 event=withdrawn job=00000000000000a1 step=0.0 task=0 "
+        "run=1 worker=w1 state=starting gang=0 reason=evacuation\n"
+        "ts=3000 host=h2 event=delayed job=00000000000000a1 cause=evacuation "
+        "for_ms=1800 held_ms=0\n"
+        "ts=8000 host=h2 event=delayed job=00000000000000a1 cause=evacuation "
+        "for_ms=6800 held_ms=0\n" });
+
+  EXPECT_TRUE (contains (s, "evacuation_seen")) << s;
+  EXPECT_TRUE (contains (s, "1 start(s) withdrawn from evacuated domains"))
+      << s;
+  EXPECT_TRUE (contains (
+      s, "waited for 6800 ms for workers in evacuated domains: evacuation"))
+      << s;
+}
