--- a/queue/work.h
+++ b/queue/work.h
@@ -86,6 +86,7 @@
   C (DELAY_QUARANTINE, "quarantine") /* room is on workers in quarantine */    \
   C (DELAY_EXCLUSION, "exclusion")   /* room is where an order failed */       \
   C (DELAY_COLD, "cold")             /* room is on cold workers; see cold.c */ \
+  C (DELAY_EVACUATION, "evacuation") /* its workers are evacuated */           \
   C (DELAY_LINK, "link")             /* the host's link is full */             \
   C (DELAY_PROCESSOR, "processor")   /* the host's processor is busy */        \
   C (DELAY_FORMER, "former")         /* a former scheduler's runs may go on */
