Lasting steps: evictions keep the tasks that must run

Cause: the platform's number of tasks of a lasting step that may be missing at once was not read, and an eviction could stop all of them together. Change: the number is read as SpecStep.min_running, an optional last field of the stored record: records without it are read as before, and steps without it are written as before. queue/lasting.c tells whether an eviction may stop a task; queue/evict.c asks it, and drops the cached costs of workers that the answer concerns. Idle room in queue/choose.c leaves such tasks out.

--- a/queue/choose.c
+++ b/queue/choose.c
@@ -19,14 +19,15 @@
 };
 
 /* Tells whether PLACEMENT's room never becomes free for a job of PRIORITY: it
-   lasts, and is not evicted for that job. */
+   lasts, and is not evicted for that job, or may not be. */
 static gboolean
 is_lasting (const WorkPlacement *placement, gint64 priority)
 {
   const WorkStep *step = placement->task->step;
 
   return step->spec->perpetual &&
-         (priority > 0 || step->job->entry->job->priority == 0);
+         (priority > 0 || step->job->entry->job->priority == 0 ||
+          step->spec->min_running > 0);
 }
 
 /* Returns the room on W for a job of PRIORITY once all else that runs there has
--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -346,6 +346,11 @@
 orphans_send_stop (Dispatch *d, PoolWorker *w, const char *task, gint64 run);
 void orphans_forget (Dispatch *d, PoolWorker *w);
 
+/* lasting.c */
+gboolean lasting_may_stop (const WorkPlacement *placement,
+                           GHashTable *victims,
+                           GHashTable *new_victims);
+
 /* evict.c */
 gboolean evict_for (Dispatch *d, WorkStep *step);
 
--- a/queue/evict.c
+++ b/queue/evict.c
@@ -169,6 +169,7 @@
 
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     if (may_evict (p, placement) &&
+        lasting_may_stop (placement, p->victims, new_victims) &&
         !g_hash_table_contains (p->victims, victim_key (placement)) &&
         !g_hash_table_contains (new_victims, victim_key (placement)) &&
         (!best || victim_cost (p->d, placement) < victim_cost (p->d, best)))
@@ -252,7 +253,7 @@
 }
 
 /* Invalidates the cached cost of W, and of all workers that run a gang among
-   NEW_VICTIMS. */
+   NEW_VICTIMS, or other tasks of a step whose tasks can't all be stopped. */
 static void
 invalidate_costs (PoolWorker *w, GHashTable *new_victims)
 {
@@ -264,7 +265,11 @@
       const WorkStep *step = placement->task->step;
       guint i;
 
-      if (!step->spec->gang || !g_hash_table_contains (new_victims, step))
+      if (!g_hash_table_contains (new_victims, step->spec->gang
+                                                   ? (gconstpointer)step
+                                                   : (gconstpointer)placement))
+        continue;
+      if (!step->spec->gang && step->spec->min_running == 0)
         continue;
       for (i = 0; i < step->spec->count; i++)
         if (step->tasks[i].placement)
--- a/queue/spec.c
+++ b/queue/spec.c
@@ -5,7 +5,7 @@
 static const double milli_per_unit = 1000.0;
 
 REC_DEFINE (SpecAfter, spec_after, SPEC_AFTER_FIELDS)
-REC_DEFINE (SpecStep, spec_step, SPEC_STEP_FIELDS)
+REC_DEFINE_OPTIONAL (SpecStep, spec_step, SPEC_STEP_FIELDS, 1)
 REC_DEFINE (SpecJob, spec_job, SPEC_JOB_FIELDS)
 REC_DEFINE (ProgressRun, progress_run, PROGRESS_RUN_FIELDS)
 REC_DEFINE (ProgressStep, progress_step, PROGRESS_STEP_FIELDS)
--- a/queue/spec.h
+++ b/queue/spec.h
@@ -24,7 +24,9 @@
 REC_DECLARE (SpecAfter, spec_after, SPEC_AFTER_FIELDS)
 
 /* A step of COUNT equal tasks; amounts are per task.  The worker must have
-   LABEL, unless it is empty.  RACK is the rack that holds the input data. */
+   LABEL, unless it is empty.  RACK is the rack that holds the input data.
+   MIN_RUNNING is how many tasks of a lasting step the scheduler keeps running;
+   0: any may be stopped. */
 #define SPEC_STEP_FIELDS(INT, STR, BYTES, LIST)                                \
   INT (count, 1, SPEC_MAX_TASKS)                                               \
   INT (cpu_milli, 0, G_MAXINT32)                                               \
@@ -39,7 +41,8 @@
   INT (max_per_worker, 0, SPEC_MAX_TASKS)                                      \
   STR (label, 0, SPEC_MAX_NAME)                                                \
   STR (rack, 0, SPEC_MAX_NAME)                                                 \
-  LIST (after, 0, SPEC_MAX_STEPS, spec_after)
+  LIST (after, 0, SPEC_MAX_STEPS, spec_after)                                  \
+  INT (min_running, 0, SPEC_MAX_TASKS)
 REC_DECLARE (SpecStep, spec_step, SPEC_STEP_FIELDS)
 
 /* A job.  Occurrence K, from 0, is due at FIRST_RUN_MS + K * INTERVAL_MS of
--- a/src/rec.h
+++ b/src/rec.h
@@ -18,7 +18,11 @@
      REC_DEFINE (Ping, ping, PING_FIELDS)         in one source file
 
    INT gives the least and greatest value, STR and LIST the least and
-   greatest length, BYTES the greatest length. */
+   greatest length, BYTES the greatest length.
+
+   REC_DEFINE_OPTIONAL takes the number of INT fields at the end that stored
+   records may lack.  They are 0 where they lack, and are left out of msgpack
+   where they are 0, so that older programs read such records too. */
 
 typedef enum RecType
 {
@@ -46,6 +50,7 @@
   const char *name;
   gsize size;
   guint n_fields;
+  guint n_optional; /* of them, at the end */
   const RecField *fields;
 };
 
@@ -87,6 +92,9 @@
   },
 
 #define REC_DEFINE(Type, prefix, FIELDS)                                       \
+  REC_DEFINE_OPTIONAL (Type, prefix, FIELDS, 0)
+
+#define REC_DEFINE_OPTIONAL(Type, prefix, FIELDS, n)                           \
   const RecDesc *prefix##_desc (void)                                          \
   {                                                                            \
     typedef Type RecSelf;                                                      \
@@ -96,6 +104,7 @@
     static const RecDesc desc = { .name = #Type,                               \
                                   .size = sizeof (Type),                       \
                                   .n_fields = G_N_ELEMENTS (fields),           \
+                                  .n_optional = (n),                           \
                                   .fields = fields };                          \
     return &desc;                                                              \
   }
--- a/src/rec_pack.c
+++ b/src/rec_pack.c
@@ -38,15 +38,29 @@
     }
 }
 
+/* Returns the number of REC's fields without the optional ones at its end that
+   are 0. */
+static guint
+count_needed (const RecDesc *d, const void *rec)
+{
+  guint n = d->n_fields;
+
+  while (n > d->n_fields - d->n_optional &&
+         *REC_AT (rec, &d->fields[n - 1], const gint64) == 0)
+    n--;
+  return n;
+}
+
 /* A record is an array of its fields in their order: both ends hold the
    same list, and names would double a heartbeat's size. */
 static void
 pack (msgpack_packer *pk, const RecDesc *d, const void *rec)
 {
+  guint n = count_needed (d, rec);
   guint i;
 
-  msgpack_pack_array (pk, d->n_fields);
-  for (i = 0; i < d->n_fields; i++)
+  msgpack_pack_array (pk, n);
+  for (i = 0; i < n; i++)
     pack_field (pk, &d->fields[i], rec);
 }
 
@@ -154,12 +168,13 @@
 {
   guint i;
 
-  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != d->n_fields)
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > d->n_fields ||
+      o->via.array.size < d->n_fields - d->n_optional)
     {
       findings_add (findings, d->name, "expected %u fields", d->n_fields);
       return FALSE;
     }
-  for (i = 0; i < d->n_fields; i++)
+  for (i = 0; i < o->via.array.size; i++)
     if (!unpack_field (&d->fields[i], rec, &o->via.array.ptr[i], findings))
       return FALSE;
   return TRUE;
@@ -239,8 +254,9 @@
 }
 
 /* Reads REC, which has been made by rec_new, from the N bytes of msgpack at
-   DATA.  Extra, missing, mistyped and out-of-range fields are refused:
-   returns FALSE and adds a finding that names the first one. */
+   DATA.  Extra, missing (but for optional ones), mistyped and out-of-range
+   fields are refused: returns FALSE and adds a finding that names the first
+   one. */
 gboolean
 rec_unpack (const RecDesc *d,
             void *rec,
