Cold workers: a takeover under load is played

Cause: the tests played a takeover while workers are cold only with little load. Change: QueueCold.TakeoverWhileColdUnderLoad kills the scheduler as a third of 24 workers come back cold under full load.

--- a/tests/queue_cold_test.cc
+++ b/tests/queue_cold_test.cc
@@ -441,3 +441,23 @@
     }
   EXPECT_LT (n_late[true], n_late[false]);
 }
+
+/* Guards against jobs that are lost, or urgent ones that are late, after a
+   takeover while domains are cold. */
+TEST (QueueCold, TakeoverWhileColdUnderLoad)
+{
+  Site s (6);
+  int former = s.scheduler ();
+
+  s.load (3000);
+  s.return_cold (0, 8, 20000);
+  s.kill_host (former);
+  s.run (6000);
+  s.start_host (former);
+  s.urgent.clear ();
+  s.load (6000);
+  EXPECT_EQ (s.n_late (), 0);
+  s.run (40000);
+  s.expect_all_final ();
+  s.expect_no_violations ();
+}
