Tests of what callers can make a host hold, which fail

Cause: crowds of callers that send bodies of legal size and stop short of their end made a host hold several times the memory that it may use, and no test runs a host before such a crowd.

--- /dev/null
+++ b/tests/callers/processes.py
@@ -0,0 +1,184 @@
+"""The processes of a test of callers: started, and ended by their own ids."""
+import http.client
+import json
+import os
+import socket
+import subprocess
+import time
+
+BUILD = os.environ.get("BUILD", "build")
+HOST = "127.0.0.1"
+MIB = 1 << 20
+TOKEN = "callers-token"
+START_S = 20  # a process that is not up by then has failed
+CONFIG = {"version": 1, "limits": {}, "services": [{"name": "render"}],
+          "routes": [{"name": "q1", "host": "callers.example", "prefix": "/q1/",
+                      "service": "render", "priority": 1, "attempts": 3, "stretch": 3,
+                      "targetLatencyMs": 1000}],
+          "tenants": [{"name": "alpha", "apiKeys": [TOKEN], "guaranteed": {"gpu": 8}}]}
+
+
+def free_ports(n):
+    """Returns N ports of loopback that no program listens on."""
+    sockets = [socket.create_server((HOST, 0)) for _ in range(n)]
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+def ask(port, method, path, body=None, headers=None):
+    """Returns status and text of an answer on a connection of its own; None where no
+    answer came."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=10)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.read().decode()
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def until(condition, what, seconds=START_S):
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise RuntimeError(what)
+        time.sleep(0.05)
+
+
+class Host:
+    """A host and what it needs around it.  Its kind says how it is set up."""
+
+    def __init__(self, work):
+        self.work, self.processes = work, []
+        self.host = None  # the process under test
+
+    def start(self, name, *argv):
+        with open("%s/%s.log" % (self.work, name), "ab") as log:
+            process = subprocess.Popen(argv, stdout=log, stderr=log)
+        self.processes.append(process)
+        return process
+
+    def write(self, name, settings):
+        path = "%s/%s.json" % (self.work, name)
+        with open(path, "w", encoding="utf-8") as f:
+            json.dump(settings, f)
+        return path
+
+    def end(self):
+        for process in self.processes:
+            process.kill()
+            process.wait()
+
+    def is_alive(self):
+        return self.host.poll() is None
+
+    def resident(self, name):
+        """The bytes of memory that the process has (VmRSS), or the most that it has had at
+        once (VmHWM)."""
+        with open("/proc/%d/status" % self.host.pid, encoding="ascii") as f:
+            for line in f:
+                if line.startswith(name):
+                    return int(line.split()[1]) * 1024
+        return 0
+
+    def descriptors(self):
+        return len(os.listdir("/proc/%d/fd" % self.host.pid))
+
+    def queued(self):
+        """The bytes that wait in the kernel on the callers' connections."""
+        local = "0100007F:%04X" % self.port
+        n = 0
+        with open("/proc/net/tcp", encoding="ascii") as f:
+            for line in f:
+                field = line.split()
+                if field[1] == local and field[3] != "0A":
+                    sent, received = field[4].split(":")
+                    n += int(sent, 16) + int(received, 16)
+        return n
+
+
+class NodeHost(Host):
+    """wagtailpass-node before a stand-in of its platform."""
+
+    def __init__(self, work, limits, configured=True):
+        super().__init__(work)
+        self.limits, self.configured = limits, configured
+
+    def begin(self):
+        store, self.port, self.ready_port, self.metrics_port = free_ports(4)
+        self.start("platform", BUILD + "/wagtailpass-standin", "platform", "--port",
+                   str(store), "--runners", "0", "--seconds", "300")
+        until(lambda: ask(store, "GET", "/"), "the store does not answer")
+        if self.configured:
+            ask(store, "POST", "/standin/config", json.dumps(CONFIG))
+        path = self.write("host", {
+            "node": "h0", "zone": "z", "ip": HOST, "limits": self.limits,
+            "listen": {"front": "%s:%d" % (HOST, self.port),
+                       "readiness": "%s:%d" % (HOST, self.ready_port)},
+            "portRange": [self.metrics_port, self.metrics_port + 1],
+            "platform": {"address": "%s:%d" % (HOST, store)}})
+        self.host = self.start("host", BUILD + "/wagtailpass-node", "--settings", path)
+        expected = 200 if self.configured else 503
+        until(lambda: (ask(self.ready_port, "GET", "/api/readyz") or [0])[0] == expected,
+              "the host is not ready")
+
+    head = ("POST /q1/%016x HTTP/1.1\r\nHost: callers.example\r\n"
+            "Authorization: Bearer " + TOKEN + "\r\n")
+    question = ("GET /q1/ HTTP/1.1\r\nHost: callers.example\r\n"
+                "Authorization: Bearer " + TOKEN + "\r\n\r\n")
+
+    def serves(self):
+        """Whether an ordinary request is answered as it should be."""
+        job = {"spec": "ms=1", "steps": [{"count": 1, "cpu": 1000, "estimateMs": 1}]}
+        answer = ask(self.port, "POST", "/q1/00000000000000ff", json.dumps(job),
+                     {"Host": "callers.example", "Authorization": "Bearer " + TOKEN})
+        return answer is not None and answer[0] == (200 if self.configured else 503)
+
+    def is_watched(self):
+        return all(ask(port, "GET", path) is not None for port, path in
+                   ((self.ready_port, "/api/readyz"), (self.metrics_port, "/metrics")))
+
+
+class DaemonHost(Host):
+    """wagtailpassd before stand-ins of its store and one upstream."""
+
+    def __init__(self, work, limits):
+        super().__init__(work)
+        self.limits = limits
+
+    def begin(self):
+        store, upstream, self.port, self.operators, peers = free_ports(5)
+        for name, port in (("store", store), ("upstream", upstream)):
+            self.start(name, BUILD + "/wagtailpass-standin", name, "--port", str(port),
+                       "--seconds", "300")
+        path = self.write("host", dict(self.limits, **{
+            "host": "m1", "domain": "a", "callers_address": HOST, "callers_port": self.port,
+            "operators_address": HOST, "operators_port": self.operators,
+            "peer_key": "callers-key-0123456789", "store_address": HOST, "store_port": store,
+            "hosts": [{"name": "m1", "domain": "a", "address": HOST, "port": peers}],
+            "upstreams": [{"name": "up-1", "domain": "a", "address": HOST, "port": upstream,
+                           "slots": 8, "connections": 60}], "workers": []}))
+        self.host = self.start("host", BUILD + "/wagtailpassd", "--settings", path)
+        until(lambda: (ask(self.operators, "GET", "/healthz") or [0])[0] == 200,
+              "the host is not ready")
+        table = self.work + "/table.csv"
+        with open(table, "w", encoding="utf-8") as f:
+            f.write("workspace,weight\nalpha,1\n")
+        self.start("table", BUILD + "/wagtailpass", "-o", "%s:%d" % (HOST, self.operators),
+                   "table", "apply", table).wait()
+        until(self.serves, "the table is not in force")
+
+    head = ("POST /v1/requests HTTP/1.1\r\nHost: h\r\nX-Workspace: alpha\r\n"
+            "X-Repeatable: 1\r\nX-Caller: c%d\r\n")
+
+    def serves(self):
+        answer = ask(self.port, "POST", "/v1/requests", "hello",
+                     {"X-Workspace": "alpha", "X-Repeatable": "1"})
+        return answer is not None and answer[0] == 200
+
+    def is_watched(self):
+        return ask(self.operators, "GET", "/metrics") is not None
