One budget covers what callers make a host hold

Cause: a host bounded a single request, and neither all of them together nor what stands unread in the kernel. It collected bodies for calls that it refuses by their head.

A body without configuration, route or key, or too long, is answered by its head; the rest is read and dropped, so that no reset hides the answer.

wagtailpassd: the limits are those of its settings; max_bodies_bytes held for the bodies before, not for what stood unread and was kept afterwards.

--- a/daemons/wagtailpass-node.c
+++ b/daemons/wagtailpass-node.c
@@ -1,5 +1,6 @@
 #include "host.h"
 #include "input.h"
+#include "memory.h"
 
 #include <apr_signal.h>
 #include <signal.h>
@@ -69,8 +70,10 @@
 serve (BootSettings *boot, const char *file)
 {
   GError *error = NULL;
-  Host *host = host_new (boot, file, &error);
+  Host *host;
 
+  memory_init ();
+  host = host_new (boot, file, &error);
   if (!host)
     {
       fprintf (stderr, "wagtailpass-node: %s\n", error->message);
--- a/daemons/wagtailpassd.c
+++ b/daemons/wagtailpassd.c
@@ -1,5 +1,6 @@
 #include "input.h"
 #include "io.h"
+#include "memory.h"
 
 #include <apr_signal.h>
 #include <errno.h>
@@ -119,9 +120,11 @@
 serve (const Settings *s, FILE *trace)
 {
   GError *error = NULL;
-  Io *io = io_new (s, trace, &error);
+  Io *io;
   gboolean ok;
 
+  memory_init ();
+  io = io_new (s, trace, &error);
   if (!io)
     {
       fprintf (stderr, "wagtailpassd: %s\n", error->message);
--- a/src/http.c
+++ b/src/http.c
@@ -1,6 +1,7 @@
 #include "http.h"
 
 #include "http_state.h"
+#include "memory.h"
 #include "mhd.h"
 
 #include <errno.h>
@@ -13,7 +14,7 @@
 
 enum
 {
-  LISTEN_BACKLOG = 1024,
+  LISTEN_BACKLOG = 256, /* those that wait to be accepted hold bytes, too */
   MEMORY_PER_CONNECTION = 16 << 10, /* headers and answer's head */
   SPARE_CONNECTIONS = 64, /* accepted while the oldest idle ones close */
   MAX_REASON = 1024
@@ -81,6 +82,15 @@
     refuse_body (call);
 }
 
+static void
+enter (HttpCall *call, CallerPhase phase)
+{
+  Listener *l = call->listener;
+
+  caller_budget_enter (&l->budget, &call->conn->hold, phase, 0,
+                       io_now (l->http->io));
+}
+
 static HttpCall *
 call_new (Listener *l, struct MHD_Connection *connection)
 {
@@ -98,6 +108,8 @@
       (gint64)MHD_get_connection_info (connection,
                                        MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
           ->header_size;
+  call->conn->call = call;
+  enter (call, CALLER_BODY);
   call->max_body = (gsize)s->max_body_bytes;
   if (l->operators)
     call->max_body = MAX (call->max_body, TABLE_MAX_BYTES);
@@ -106,14 +118,14 @@
   return call;
 }
 
-static void
-drop_body (HttpCall *call)
+/* Frees what has been kept of CALL's body. */
+void
+http_drop_body (HttpCall *call)
 {
   Http *h = call->listener->http;
 
   if (!call->body)
     return;
-  h->body_bytes -= call->body->len;
   io_count (h->io, SHELL_BODY_BYTES, -(gint64)call->body->len);
   g_byte_array_unref (call->body);
   call->body = NULL;
@@ -122,24 +134,28 @@
 static void
 take_upload (HttpCall *call, const char *data, gsize n)
 {
-  Http *h = call->listener->http;
-  gsize most = (gsize)io_settings (h->io)->max_bodies_bytes;
+  Listener *l = call->listener;
+  CallerHold *hold = &call->conn->hold;
 
   call->conn->n_requests += (gint64)n;
-  if (call->overflow || call->over_total)
-    return;
-  if (!call->body)
-    call->body = g_byte_array_new ();
-  call->overflow = call->body->len + n > call->max_body;
-  call->over_total = h->body_bytes + n > most;
-  if (call->overflow || call->over_total)
+  if (!call->overflow && !call->over_total)
     {
-      drop_body (call);
-      return;
+      if (!call->body)
+        call->body = g_byte_array_new ();
+      call->overflow = call->body->len + n > call->max_body;
+      if (call->overflow)
+        {
+          http_drop_body (call);
+          enter (call, CALLER_DROPPED);
+        }
+      else
+        {
+          g_byte_array_append (call->body, (const guint8 *)data, (guint)n);
+          io_count (l->http->io, SHELL_BODY_BYTES, (gint64)n);
+        }
     }
-  g_byte_array_append (call->body, (const guint8 *)data, (guint)n);
-  h->body_bytes += n;
-  io_count (h->io, SHELL_BODY_BYTES, (gint64)n);
+  caller_budget_receive (&l->budget, hold, n, io_now (l->http->io));
+  http_keep_within_limits (l, hold);
 }
 
 /* Sends CALL's answer.  One of a host that drains ends its connection, so
@@ -150,6 +166,7 @@
   if (io_draining (call->listener->http->io))
     MHD_add_response_header (call->answer, MHD_HTTP_HEADER_CONNECTION, "close");
   http_conn_unlink (call->conn);
+  enter (call, CALLER_ANSWER);
   return MHD_queue_response (call->connection, call->status, call->answer);
 }
 
@@ -176,11 +193,13 @@
   if (call->overflow)
     refuse_body (call);
   else if (call->over_total)
-    http_refuse (call, STATUS_UNAVAILABLE,
-                 "too many bodies are being received");
+    http_refuse (call, STATUS_UNAVAILABLE, http_no_room);
   else
-    call->route->handle (call);
-  drop_body (call);
+    {
+      enter (call, CALLER_WAITING);
+      call->route->handle (call);
+    }
+  http_drop_body (call);
 }
 
 static enum MHD_Result
@@ -229,7 +248,9 @@
       g_hash_table_remove (h->pending, &call->number);
       io_post (h->io, EV_CALLER_GONE, &(CallerGone) { .conn = call->number });
     }
-  drop_body (call);
+  http_drop_body (call);
+  call->conn->call = NULL;
+  enter (call, CALLER_HEAD);
   loop_unwatch (io_loop (h->io), call->hangup);
   if (call->answer)
     MHD_destroy_response (call->answer);
@@ -305,6 +326,8 @@
   guint n_reopened;
 
   http_close_overdue (l, now);
+  if (caller_budget_takes_trim (&l->budget, now))
+    memory_give_back ();
   if (library_deadline (l) > now)
     return;
   l->due = FALSE;
@@ -445,9 +468,13 @@
 static gboolean
 listen_on (Listener *l, const char *address, gint64 port, GError **error)
 {
+  const Settings *s = io_settings (l->http->io);
+  const CallerLimits limits = { .bytes = (gsize)s->max_bodies_bytes,
+                                .connections = l->http->max_conns };
   const union MHD_DaemonInfo *info;
   Address a;
 
+  caller_budget_init (&l->budget, &limits);
   APR_RING_INIT (&l->idle, HttpConn, link);
   APR_RING_INIT (&l->receiving, HttpConn, link);
   l->kept = g_array_new (FALSE, FALSE, sizeof (int));
@@ -460,6 +487,7 @@
                    port, g_strerror (errno));
       return FALSE;
     }
+  mhd_bound_buffers (l->daemon, 0);
   info = MHD_get_daemon_info (l->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   l->watch = loop_watch (io_loop (l->http->io), info->epoll_fd, APR_POLLIN,
                          on_listener_ready, l);
--- a/src/http_answer.c
+++ b/src/http_answer.c
@@ -1,5 +1,7 @@
 #include "http_state.h"
 
+#include "mhd.h"
+
 #include <string.h>
 
 enum
@@ -8,6 +10,7 @@
 };
 
 const char http_json_type[] = "application/json";
+const char http_no_room[] = "too many bodies are being received";
 
 /* The body of every answer that is no plain success. */
 #define HTTP_ERROR_FIELDS(INT, STR, BYTES, LIST)                               \
@@ -84,6 +87,20 @@
   http_set_answer (call, status, http_json_type, answer);
 }
 
+/* Refuses CALL, whose body has not come to its end, for want of room. */
+void
+http_refuse_early (HttpCall *call)
+{
+  HttpError error = { .outcome = outcome_name (OUTCOME_NOT_RUN),
+                      .reason = http_no_room };
+  char *text = rec_to_json (http_error_desc (), &error);
+
+  io_count (call->listener->http->io, SHELL_HTTP_REFUSED, 1);
+  mhd_write_answer (call->conn->fd, STATUS_UNAVAILABLE, text,
+                    REFUSAL_RETRY_MS / 1000);
+  g_free (text);
+}
+
 /* Refuses what has not reached the core. */
 void
 http_refuse (HttpCall *call, guint status, const char *reason)
--- a/src/http_conn.c
+++ b/src/http_conn.c
@@ -4,6 +4,12 @@
 
 #include <sys/socket.h>
 
+enum
+{
+  /* Of what bodies may hold this part may stand unread in the kernel. */
+  UNREAD_DIVISOR = 4
+};
+
 /* Takes CONN out of the ring in which it stands, if any. */
 void
 http_conn_unlink (HttpConn *conn)
@@ -64,6 +70,55 @@
   return TRUE;
 }
 
+/* Closes CONN, of which nothing is worked on.  A body of it is refused. */
+static void
+close_conn (HttpConn *conn)
+{
+  HttpCall *call = conn->call;
+  gboolean receiving = call && !call->answer;
+
+  if (receiving)
+    {
+      http_drop_body (call);
+      call->over_total = TRUE;
+      http_refuse_early (call);
+    }
+  io_count (conn->listener->http->io, SHELL_HTTP_CLOSED, 1);
+  caller_budget_close (&conn->listener->budget, &conn->hold);
+  if (call)
+    cut (conn);
+  else
+    end_idle (conn);
+}
+
+/* Makes CALL's body, which is being received, be read to its end without being
+   kept, and then refused. */
+static void
+refuse_body (HttpCall *call)
+{
+  Listener *l = call->listener;
+
+  http_drop_body (call);
+  call->over_total = TRUE;
+  caller_budget_enter (&l->budget, &call->conn->hold, CALLER_DROPPED, 0,
+                       io_now (l->http->io));
+}
+
+/* Brings L back within its limits, after ASKING has taken more. */
+void
+http_keep_within_limits (Listener *l, CallerHold *asking)
+{
+  ClockMs now = io_now (l->http->io);
+  CallerVerdict v = caller_budget_next (&l->budget, asking, now);
+
+  for (; v.action != CALLER_KEEP;
+       v = caller_budget_next (&l->budget, asking, now))
+    if (v.action == CALLER_CLOSE)
+      close_conn (v.hold->owner);
+    else
+      refuse_body (((HttpConn *)v.hold->owner)->call);
+}
+
 static void
 on_conn_opened (Listener *l, struct MHD_Connection *connection, void **slot)
 {
@@ -77,13 +132,12 @@
   *slot = conn;
   l->n_conns++;
   io_count (l->http->io, SHELL_HTTP_CONNECTIONS, 1);
-  if (l->n_conns > l->http->max_conns &&
-      !APR_RING_EMPTY (&l->idle, HttpConn, link))
-    {
-      io_count (l->http->io, SHELL_HTTP_CLOSED, 1);
-      end_idle (APR_RING_FIRST (&l->idle));
-    }
+  mhd_share_unread (l->daemon, conn->fd,
+                    l->budget.limits.bytes / UNREAD_DIVISOR, l->n_conns);
   http_conn_set_idle (conn);
+  conn->hold.owner = conn;
+  caller_budget_open (&l->budget, &conn->hold, io_now (l->http->io));
+  http_keep_within_limits (l, &conn->hold);
 }
 
 /* Tells whether the library has read nothing from CONN but the requests that
@@ -103,6 +157,7 @@
   if (conn->answered && !conn->reading_ended && is_between_requests (conn) &&
       !mhd_keep_unread (l->kept, conn->fd))
     io_count (l->http->io, SHELL_HTTP_CLOSED, 1);
+  caller_budget_close (&l->budget, &conn->hold);
   http_conn_unlink (conn);
   l->n_conns--;
   io_count (l->http->io, SHELL_HTTP_CONNECTIONS, -1);
--- a/src/http_state.h
+++ b/src/http_state.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_STATE_H
 #define HTTP_STATE_H
 
+#include "caller_budget.h"
 #include "http.h"
 
 #include <apr_ring.h>
@@ -42,6 +43,8 @@
   gint64 n_requests;      /* bytes that were passed on of requests */
   gboolean body_left; /* the last request was answered before its body came */
   ClockMs until;
+  CallerHold hold;
+  HttpCall *call; /* NULL between two requests */
 } HttpConn;
 
 APR_RING_HEAD (HttpConnRing, HttpConn);
@@ -57,6 +60,7 @@
   struct HttpConnRing idle;
   struct HttpConnRing receiving;
   GArray *kept; /* descriptors of connections to be reopened */
+  CallerBudget budget;
 };
 
 /* What is done with one kind of request once it is whole: an answer is set
@@ -97,11 +101,11 @@
   GHashTable *pending; /* number to HttpCall */
   guint n_calls;       /* from their head to the last byte of their answer */
   gint64 last_number;
-  gsize body_bytes;
   guint max_conns;
 };
 
 extern const char http_json_type[];
+extern const char http_no_room[];
 
 gint64 http_wait_for_reply (HttpCall *call);
 
@@ -112,6 +116,7 @@
                    struct MHD_Connection *connection,
                    void **slot,
                    enum MHD_ConnectionNotificationCode code);
+void http_keep_within_limits (Listener *l, CallerHold *asking);
 void http_close_overdue (Listener *l, ClockMs now);
 void http_conns_end_idle (Listener *l);
 ClockMs http_ring_deadline (struct HttpConnRing *ring);
@@ -130,6 +135,8 @@
                      const char *reason,
                      const char *id,
                      gint64 retry_after_ms);
+void http_drop_body (HttpCall *call);
+void http_refuse_early (HttpCall *call);
 void http_refuse (HttpCall *call, guint status, const char *reason);
 
 #endif
--- a/src/mhd.c
+++ b/src/mhd.c
@@ -4,12 +4,18 @@
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 enum
 {
+  /* Unread bytes of one connection; the kernel doubles the number for its own
+     bookkeeping.  At least a head of usual size, at most a body of one. */
+  LEAST_UNREAD = 4 << 10,
+  MOST_UNREAD = 32 << 10,
+  MAX_EARLY_HEAD = 512,  /* bytes of an early answer, usually */
   MAX_LAST_ACCEPTS = 200 /* runs of a daemon that stops to listen */
 };
 
@@ -109,12 +115,68 @@
   g_array_unref (kept);
 }
 
+static int
+listen_fd (struct MHD_Daemon *daemon)
+{
+  return MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+}
+
+static void
+bound_unread (int fd, int bytes)
+{
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
+/* Bounds what the kernel keeps of each connection that DAEMON will accept:
+   bytes that are unread, and SENT bytes that the client has not taken; 0 is the
+   system's own bound. */
+void
+mhd_bound_buffers (struct MHD_Daemon *daemon, int sent)
+{
+  bound_unread (listen_fd (daemon), MOST_UNREAD);
+  if (sent > 0)
+    setsockopt (listen_fd (daemon), SOL_SOCKET, SO_SNDBUF, &sent, sizeof sent);
+}
+
+/* Bounds what may stand unread on FD, the newest of DAEMON's N connections, and
+   on those to come, by an equal share of TOTAL bytes: the more connections, the
+   less on each. */
+void
+mhd_share_unread (struct MHD_Daemon *daemon, int fd, gsize total, guint n)
+{
+  int bytes = (int)CLAMP (total / n, LEAST_UNREAD, MOST_UNREAD);
+
+  bound_unread (fd, bytes);
+  bound_unread (listen_fd (daemon), bytes);
+}
+
+/* Writes the answer TEXT, JSON, to FD and ends the sending; RETRY_AFTER_S is -1
+   for none.  For a request whose body has not come to its end: until then the
+   library writes nothing and takes no answer.  What does not fit into the
+   kernel's buffer is lost. */
+void
+mhd_write_answer (int fd, guint status, const char *text, gint64 retry_after_s)
+{
+  GString *answer = g_string_sized_new (MAX_EARLY_HEAD);
+
+  g_string_printf (answer,
+                   "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+                   "Content-Length: %" G_GSIZE_FORMAT
+                   "\r\nConnection: close\r\n",
+                   status, MHD_get_reason_phrase_for (status), strlen (text));
+  if (retry_after_s >= 0)
+    g_string_append_printf (answer, "Retry-After: %" G_GINT64_FORMAT "\r\n",
+                            retry_after_s);
+  g_string_append_printf (answer, "\r\n%s", text);
+  if (send (fd, answer->str, answer->len, MSG_DONTWAIT | MSG_NOSIGNAL) >= 0)
+    shutdown (fd, SHUT_WR);
+  g_string_free (answer, TRUE);
+}
+
 static gboolean
 has_waiting (struct MHD_Daemon *daemon)
 {
-  const union MHD_DaemonInfo *info =
-      MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  struct pollfd p = { .fd = info->listen_fd, .events = POLLIN };
+  struct pollfd p = { .fd = listen_fd (daemon), .events = POLLIN };
 
   return poll (&p, 1, 0) == 1;
 }
--- a/src/mhd.h
+++ b/src/mhd.h
@@ -18,6 +18,10 @@
 gboolean mhd_keep_unread (GArray *kept, int fd);
 guint mhd_reopen_kept (struct MHD_Daemon *daemon, GArray *kept);
 void mhd_free_kept (GArray *kept);
+void mhd_bound_buffers (struct MHD_Daemon *daemon, int sent);
+void mhd_share_unread (struct MHD_Daemon *daemon, int fd, gsize total, guint n);
+void
+mhd_write_answer (int fd, guint status, const char *text, gint64 retry_after_s);
 void mhd_stop_accepting (struct MHD_Daemon *daemon);
 
 #endif
