Runs on a leaving worker are stopped early enough to be reported

Cause: they were stopped 300 ms before it leaves, while a stop may take 200 or 400 ms and its report needs a round trip. The end, with its last checkpoint, was then lost, and the worker stayed in the roster, so that a successor waited for its lease before it started any job that it had not accepted itself. Change: the margin is the time of a stop by the settings, the worker's round trip and 100 ms, and at least 300 ms as before. The new test fails without it.

--- a/queue/dispatch_state.h
+++ b/queue/dispatch_state.h
@@ -256,7 +256,7 @@
 void holds_ignore_reply (Dispatch *d, PoolWorker *w);
 void holds_ask_again (Dispatch *d, PoolWorker *w);
 gboolean holds_runs_are_known (const PoolWorker *w);
-ClockMs holds_drain_stop_at (const PoolWorker *w);
+ClockMs holds_drain_stop_at (const Dispatch *d, const PoolWorker *w);
 ClockMs holds_lease_duration (const Dispatch *d, const PoolWorker *w);
 gboolean holds_is_long_step (const SpecStep *spec);
 gboolean holds_wants_long_lease (const Dispatch *d, const PoolWorker *w);
--- a/queue/due.c
+++ b/queue/due.c
@@ -55,8 +55,8 @@
 
   if (w->polls_unanswered && !w->lease_expired && d->now <= w->lease_expiry)
     next = MIN (next, w->lease_expiry + 1);
-  if (w->n_placements > 0 && holds_drain_stop_at (w) > d->now)
-    next = MIN (next, holds_drain_stop_at (w));
+  if (w->n_placements > 0 && holds_drain_stop_at (d, w) > d->now)
+    next = MIN (next, holds_drain_stop_at (d, w));
   APR_RING_FOREACH (placement, &w->placements, WorkPlacement, on_worker)
     {
       next = MIN (next, placement->retry_at);
--- a/queue/holds.c
+++ b/queue/holds.c
@@ -35,7 +35,10 @@
   RETRY_LAPSED_MS = 1000, /* ... and up to this from then on */
   /* Between holds while a run is being stopped or poll_immediately is set. */
   STOPPING_INTERVAL_MS = 60,
-  DRAIN_MARGIN_MS = 300, /* to receive a run's end before its worker leaves */
+  /* To receive a run's end before its worker leaves: at least, and beyond the
+     time that the stop and its messages take. */
+  MIN_DRAIN_MARGIN_MS = 300,
+  END_REPORT_MS = 100,
   /* Limit of first holds in flight.  A new leader has thousands of workers to
      poll.  If it sent more polls at once than it can process replies for within
      the time-out, the excess would time out. */
@@ -390,11 +393,16 @@
 }
 
 /* Returns when all remaining runs on W, if it drains, have to be stopped.  The
-   report of a run that ends later might be lost when W leaves. */
+   report of a run that ends later, and its last checkpoint, might be lost when
+   W leaves. */
 ClockMs
-holds_drain_stop_at (const PoolWorker *w)
+holds_drain_stop_at (const Dispatch *d, const PoolWorker *w)
 {
-  return w->entry->draining ? w->leaves_at - DRAIN_MARGIN_MS : CLOCK_NEVER;
+  ClockMs margin = d->bounds.stop + rtt_bound (&w->rtt) + END_REPORT_MS;
+
+  return w->entry->draining
+             ? w->leaves_at - MAX (margin, (ClockMs)MIN_DRAIN_MARGIN_MS)
+             : CLOCK_NEVER;
 }
 
 /* Returns a placement on W that runs or starts, or NULL. */
@@ -427,7 +435,7 @@
 {
   if (w->polls_unanswered && d->now > w->lease_expiry && !w->lease_expired)
     runs_end_lapsed (d, w);
-  if (holds_drain_stop_at (w) <= d->now)
+  if (holds_drain_stop_at (d, w) <= d->now)
     stop_draining (d, w);
   if (holds_next (d, w) <= d->now)
     send_or_queue (d, w);
--- a/queue/run_list.c
+++ b/queue/run_list.c
@@ -128,7 +128,7 @@
   if (placement->state == PLACEMENT_RUNNING && is_stalled (d, placement))
     runs_stop_stalled (d, placement);
   else if (placement->state == PLACEMENT_RUNNING && w->entry->draining &&
-           d->now + time_left (d, placement) > holds_drain_stop_at (w))
+           d->now + time_left (d, placement) > holds_drain_stop_at (d, w))
     runs_stop (d, placement, "worker_leaves");
 }
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -702,7 +702,8 @@
       "\"maxFds\":4100},\"zones\":{\"z\":\"r\",\"y\":\"r\"},"
       "\"bounds\":{\"revokeMs\":5000,\"evacuateMs\":5000,"
       "\"coldOverage\":1.5,\"coldSlack\":5,\"checkpointIntervalS\":2,"
-      "\"restoreMs\":600,\"graceS\":6.5},\"platform\":{\"address\":\"10.2.0.7:"
+      "\"restoreMs\":600,\"stopMs\":400,\"graceS\":6.5},\"platform\":{"
+      "\"address\":\"10.2.0.7:"
       "8524\","
       "\"ttlMinMs\":1300,\"valueBytes\":70000},\"new\":{}"
       "}";
@@ -723,6 +724,7 @@
   EXPECT_DOUBLE_EQ (b->bounds.cold_slack, 5.0);
   EXPECT_EQ (b->bounds.checkpoint_interval, 2000);
   EXPECT_EQ (b->bounds.restore, 600);
+  EXPECT_EQ (b->bounds.stop, 400);
   EXPECT_STREQ (b->store_address, "10.2.0.7:8524");
   boot_free (b);
 }
--- a/tests/queue_operations_test.cc
+++ b/tests/queue_operations_test.cc
@@ -204,3 +204,28 @@
   EXPECT_EQ (w.n_starts (), 4 * n_submitted);
   w.expect_no_violations ();
 }
+
+/* A stop that takes its full time must be reported before its worker leaves,
+   here of a run that seemed to end in time. */
+TEST (QueueOperations, RunsOnALeavingWorkerAreStoppedEarlyEnoughToReport)
+{
+  QueueWorld w (2, 1);
+
+  w.bounds.stop = 400;
+  for (int i = 0; i < 2; i++)
+    {
+      w.kill_host (i);
+      w.start_host (i);
+    }
+  w.run (9000);
+  w.workers[0].progress_factor = 3;
+  w.submit (0, { "q1/00000000000000f1",
+                 world_body (world_step (1, 1000, 0), "ms=6000") });
+  w.run (500);
+  ASSERT_EQ (w.workers[0].runs.size (), 1u);
+  w.drain_worker (0);
+  w.run (1800);
+  EXPECT_EQ (w.workers[0].runs.size (), 1u);
+  w.run (350);
+  EXPECT_EQ (w.workers[0].runs.size (), 0u);
+}
