The soak evacuates failure domains and checks rule EVAC

Change: the stand-in platform takes POST and DELETE of /standin/evacuate/DOMAIN. The soak has a series `evacuate` (evacuations.py) beside kills of the scheduler, outages of the store and cuts. checks.find_evacuated_starts judges the runners' own record of starts. The generated deployment has three failure domains and evacuateMs.

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -11,8 +11,10 @@
 /* Stands in for the users' platform on loopback: the metadata store on PORT,
    a runner on each port after it.  Tasks take the time that their text
    names, "ms=N".  The operator's configuration is replaced by a POST to
-   /standin/config on the store's port.  The store and each runner inject the
-   faults that a POST to /standin/fault on their port asks for.
+   /standin/config on the store's port; a POST to /standin/evacuate/DOMAIN
+   evacuates a failure domain, a DELETE returns it to service.  The store and
+   each runner inject the faults that a POST to /standin/fault on their port
+   asks for.
    XXX: leases of keys are kept, other leases are not. */
 
 enum
@@ -29,6 +31,8 @@
   HTTP_PRECONDITION = 412
 };
 
+static const char evacuate_path[] = "/standin/evacuate/";
+
 typedef struct Item
 {
   char *key;
@@ -498,6 +502,27 @@
           g_str_has_prefix (x->path, "/standin/entry/"));
 }
 
+/* Writes the operator's request to evacuate the domain that X names, or deletes
+   it.  Replies with the store's revision. */
+static void
+handle_evacuate (Platform *p, Exchange *x)
+{
+  char *key =
+      g_strconcat ("op/evacuate/", x->path + strlen (evacuate_path), NULL);
+  json_object *answer = json_object_new_object ();
+
+  if (strcmp (x->method, MHD_HTTP_METHOD_POST) == 0)
+    put_text (p, key, "{}");
+  else if (revision_of (p, key) > 0)
+    {
+      p->revision++;
+      put (p, key, NULL, 0);
+    }
+  json_put_int (answer, "revision", p->revision);
+  standin_reply (x, HTTP_OK, answer);
+  g_free (key);
+}
+
 static void
 on_store (Exchange *x, void *data)
 {
@@ -507,6 +532,8 @@
     handle_fault (p, x);
   else if (meets_faults (p, x) && faults_strike (&p->faults, x))
     return;
+  else if (g_str_has_prefix (x->path, evacuate_path))
+    handle_evacuate (p, x);
   else if (strcmp (x->method, "POST") == 0)
     handle_post (p, x);
   else if (g_str_has_prefix (x->path, "/standin/entry/"))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -423,6 +423,44 @@
         asyncio.run(asyncio.wait_for(crash(), 5))
 
 
+class EvacuatedTest(unittest.TestCase):
+    SINCE, UNTIL = ACKED, ACKED + 9000
+    EVACUATED = (SINCE, UNTIL, "za", "evacuated")
+
+    def judge(self, after_ms, *spans, late=False, domain="za"):
+        run = checks.Run("a.0.0.0", "1", "w0", self.SINCE + after_ms)
+        run.late = late
+        ledger = make_ledger(self.EVACUATED, *spans)
+        ledger.bounds = ledger.bounds | {"evacuateMs": 5000}
+        starts = checks.find_evacuated_starts([run], domain, "runner 0", ledger)
+        return len(checks.check_evacuated(starts, 5000))
+
+    def test_start_after_the_bound(self):
+        self.assertEqual([self.judge(ms) for ms in (4999, 5000, 5001, 8999)], [0, 0, 1, 1])
+
+    def test_start_outside_the_evacuation(self):
+        self.assertEqual([self.judge(ms) for ms in (-1, 9000)], [0, 0])
+        self.assertEqual(self.judge(6000, domain="zb"), 0)
+
+    def test_domain_evacuated_again_has_a_bound_of_its_own(self):
+        again = (self.UNTIL + 500, self.UNTIL + 9500, "za", "evacuated")
+        self.assertEqual(self.judge(9000 + 500 + 5000, again), 0)
+        self.assertEqual(self.judge(9000 + 500 + 5001, again), 1)
+
+    def test_start_that_was_held_back(self):
+        self.assertEqual(self.judge(6000, late=True), 0)
+        for until, expected in (5600, 0), (4900, 1):
+            trouble = (self.SINCE + 4000, self.SINCE + until, "runner 0", "link 1")
+            self.assertEqual(self.judge(6000, trouble), expected)
+        self.assertEqual(self.judge(6000, (ACKED + 5500, ACKED + 5900, "runner 0", "stop")), 1)
+        self.assertEqual(self.judge(6000, (ACKED, NEVER, "h0", "stop")), 1)
+
+    def test_evacuation_is_no_trouble(self):
+        ledger = make_ledger(self.EVACUATED)
+        self.assertEqual(ledger.calm_spans(0, self.UNTIL), [(0, self.UNTIL)])
+        self.assertTrue(ledger.in_touch("h0", self.SINCE, self.UNTIL))
+
+
 class LedgerTest(unittest.TestCase):
     def test_link_that_is_cut(self):
         async def cut(kind, ledger):
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -17,6 +17,7 @@
         self.task, self.number, self.runner, self.start = task, number, runner, start
         self.end, self.how, self.acked = NEVER, "runs", None
         self.lapsed = False  # its lease, between its end and the acknowledgement
+        self.late = False  # the runner carried out its start late by itself
         self.life, self.gone = None, NEVER  # its runner's life, and the end of that
 
     def __str__(self):
@@ -33,6 +34,7 @@
         self.name, self.key = name, "%s in %s" % (name, path)
         self.born, self.leaves, self.gone = NEVER, NEVER, killed_at or NEVER
         self.lapses, self.runs = [], {}
+        self.closed = []  # from when to when its domain was evacuated
         with open(path, encoding="utf-8") as f:
             for line in f:
                 self.read(line)
@@ -68,13 +70,15 @@
             run.end <= at <= run.acked for at in self.lapses)
 
     def serves(self, at):
-        return self.born <= at < min(self.leaves, self.gone)
+        return (self.born <= at < min(self.leaves, self.gone)
+                and not any(since <= at < until for since, until in self.closed))
 
 
 def read_line(runs, runner, m):
     at, what, key = int(m.group(1)), m.group(2), (m.group(3), m.group(4))
     if what == "start":
         runs[key] = Run(key[0], key[1], runner, at)
+        runs[key].late = m.group(6) == "late"
     elif what == "end":
         runs[key].end, runs[key].how = at, m.group(6)
     else:
@@ -123,6 +127,27 @@
     return broken
 
 
+def find_evacuated_starts(runs, domain, subject, ledger):
+    """Returns the starts while DOMAIN was evacuated, each as milliseconds after
+    the request and the run.  RUNS are of a runner there, whose trouble is SUBJECT's.
+    Left out are those that the runner carried out late, and those that trouble may
+    have held back from the bound on."""
+    found = []
+    for since, until in ledger.evacuated(domain):
+        bound = since + ledger.bounds["evacuateMs"]
+        found += [(run.start - since, run) for run in runs
+                  if since <= run.start < until and not run.late
+                  and not (run.start > bound and ledger.held(subject, bound, run.start))]
+    return found
+
+
+def check_evacuated(starts, bound_ms):
+    """Returns those of STARTS in evacuated domains that came later than BOUND_MS
+    after the request."""
+    return ["EVAC start %d ms after the request: %s" % (ms, run)
+            for ms, run in starts if ms > bound_ms]
+
+
 def find_freed(runs, host_logs, offset):
     """Returns the lines by which a host freed all runs of a runner while some
     of them went on: tasks may start twice after it, or were lucky.  OFFSET is
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -12,6 +12,8 @@
 USUAL_ROOM = {"cpu": 64000, "memMb": 256000, "gpu": 8}
 USUAL_BOUNDS = {"graceS": 6, "stableMs": 4000, "configApplyMs": 2500, "visibleMs": 3000,
                 "finishS": 14, "holdMaxMs": 10000, "revokeMs": 5000}
+USUAL_EVACUATE_MS = 5000
+USUAL_DOMAINS = ("za", "zb", "zc")
 USUAL_ATTEMPTS = 4
 N_QUEUES = 3
 RUNNERS_PER_RACK = 4
@@ -20,19 +22,24 @@
 
 
 class Deployment:
-    """The usual one: runners that are processes of their own, four a rack, in
-    one zone, and jobs that are drawn by jobs.py."""
+    """The usual one: runners that are processes of their own, four a rack, racks
+    and hosts in turn in three failure domains of a region, and jobs that are drawn by
+    jobs.py."""
 
     def __init__(self, hosts, runners, link_mbps):
-        self.bounds = dict(USUAL_BOUNDS)
+        self.bounds = USUAL_BOUNDS | {"evacuateMs": USUAL_EVACUATE_MS}
         self.room = USUAL_ROOM
-        self.hosts = [Place("z", "z", link_mbps, 0.25)] * hosts
-        self.groups = [Rack("z", 1)] * runners
+        self.regions = dict.fromkeys(USUAL_DOMAINS, "r")
+        self.hosts = [Place(usual_domain(i), "r", link_mbps, 0.25) for i in range(hosts)]
+        self.groups = [Rack(usual_domain(i // RUNNERS_PER_RACK), 1) for i in range(runners)]
         self.per_rack = RUNNERS_PER_RACK
         self.tenants, self.guaranteed = 1, 8
         self.classes = []
         self.per_s = max(1.0, runners / 8) / 0.3
-        self.regions = {"z": "z"}
+
+    def domains(self):
+        """Returns the failure domains that have runners and may be evacuated."""
+        return sorted({rack.zone for rack in self.groups}) if "evacuateMs" in self.bounds else []
 
     def queues(self):
         """Returns priority, attempts, stretch and target of each queue."""
@@ -77,6 +84,10 @@
         return self.net["cross_zone_ms" if near else "cross_region_ms"]
 
 
+def usual_domain(i):
+    return USUAL_DOMAINS[i % len(USUAL_DOMAINS)]
+
+
 def scaled(count, scale):
     return max(1, round(count * scale))
 
@@ -90,6 +101,8 @@
     found = {"graceS": bounds["grace_s"], "stableMs": bounds["touch_ms"],
              "configApplyMs": bounds["config_ms"], "finishS": timing["finish_s"],
              "holdMaxMs": int(timing["hold_max_ms"])}
+    if "evacuate_ms" in bounds:
+        found["evacuateMs"] = bounds["evacuate_ms"]
     return USUAL_BOUNDS | found
 
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -6,6 +6,7 @@
 import time
 
 from crashes import CRASH_SERIES, Crashes
+from evacuations import EVACUATE_SERIES, Evacuations
 from site_faults import ALONE, SITE_SERIES, SiteFaults
 
 STALL_S = (0.05, 0.9)
@@ -17,7 +18,7 @@
                  "drain_kill", "cut_kill", "cut_stall", "drain_cut_kill", "restart_stall",
                  "stutter_cut"]
 GROUPS = {"hosts": HOST_SERIES, "runners": RUNNER_SERIES, "crashes": CRASH_SERIES,
-          "site": SITE_SERIES}
+          "site": SITE_SERIES, "evacuate": EVACUATE_SERIES}
 HOST_SHARE = 0.35
 GROUP_S = 4  # of faults, before a stretch of calm
 
@@ -28,7 +29,7 @@
     return [s for s in series if s in names]
 
 
-class Faults(Crashes, SiteFaults):
+class Faults(Crashes, Evacuations, SiteFaults):
     def __init__(self, soak, seed, only=None, calm_s=0):
         """Plays the series that ONLY names, all of them without it, at once or
         in groups with CALM_S between them."""
@@ -38,10 +39,12 @@
         self.calm_s = calm_s
         self.of_hosts = chosen(HOST_SERIES, only)
         self.of_runners = chosen(RUNNER_SERIES, only)
-        self.of_site = chosen(SITE_SERIES + CRASH_SERIES, only)
+        evacuate = EVACUATE_SERIES if soak.deployment.domains() else []
+        self.of_site = chosen(SITE_SERIES + CRASH_SERIES + evacuate, only)
         self.rng = random.Random(seed)
         self.site_rng = random.Random("%d/site" % seed)
         self.victims = set()  # processes that a series is about
+        self.evacuating = set()  # failure domains that a series is about
         self.enough = asyncio.Event()
         self.series = []
 
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -6,6 +6,8 @@
 NEVER = 1 << 60
 STORE = "store"  # the subject of what concerns all hosts
 PLANNED = {"term", "hup", "config"}  # all else is unplanned
+EVACUATED = "evacuated"  # kind of a span whose subject is a failure domain; not trouble
+HELD_MS = 1000  # for which a call may be on its way after trouble has ended
 
 
 def now_ms():
@@ -57,11 +59,24 @@
         return not any(s[3] not in ("hup", "config")
                        for s in self.during(since - self.stable_ms, until, (host, STORE)))
 
+    def evacuated(self, domain):
+        """Returns from when to when DOMAIN was evacuated, each time."""
+        return [(s[0], s[1]) for s in self.spans if s[2:] == [domain, EVACUATED]]
+
+    def held(self, subject, since, until):
+        """Tells whether trouble of SUBJECT can have held back until UNTIL what was
+        sent by SINCE: it lasted all the while, with gaps of HELD_MS at most."""
+        reach = None
+        for start, end, _, _ in sorted(self.during(since - HELD_MS, until, (subject,))):
+            if start <= (since if reach is None else reach + HELD_MS):
+                reach = max(end, reach or end)
+        return reach is not None and until <= reach + HELD_MS
+
     def calm_spans(self, since, until):
         """Returns the spans in which nothing at all was disturbed, nor for
         stable_ms before them."""
         calm, begin = [], since
-        for start, end, _, _ in sorted(self.spans):
+        for start, end, _, _ in sorted(s for s in self.spans if s[3] != EVACUATED):
             if start > begin:
                 calm.append((begin, min(start, until)))
             begin = max(begin, end + self.stable_ms)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -27,7 +27,7 @@
 from closing import Closing
 from deployment import LINK_MBPS, Deployment, read_site
 from jobs import CANCEL_SHARE, FINAL, LASTING_SHARE, draw_job, draw_of_class, hand_in
-from ledger import Ledger, now_ms
+from ledger import EVACUATED, Ledger, now_ms
 from processes import BUILD, Ports, Runner, RunnerPlace, free_ports, make_host, make_platform
 from proxy import Link
 
@@ -59,6 +59,7 @@
         self.doubts = []
         self.freed = []
         self.stands = []
+        self.evacuated_starts = []
         self.jobs = {}  # by name, in the order in which they came
         self.accepted = []
         self.waiters = []  # for the next acceptance
@@ -289,12 +290,25 @@
         return ["LOST %s is %s at h%d" % (name, state, i)
                 for i, names in enumerate(left) for name, state in names.items()]
 
+    def read_lives(self, runner):
+        """Returns the lives of RUNNER, and takes note of their starts while its
+        domain was evacuated."""
+        domain = runner.place.zone
+        lives = [checks.Life(*life) for life in runner.each_life()]
+        for life in lives:
+            life.closed = self.ledger.evacuated(domain)
+            self.evacuated_starts += checks.find_evacuated_starts(
+                life.runs.values(), domain, runner.subject, self.ledger)
+        return lives
+
     def check_logs(self, since):
         """What the runners logged and callers were told, against the rules."""
-        lives = [checks.Life(*life) for runner in self.runners for life in runner.each_life()]
+        lives = [life for runner in self.runners for life in self.read_lives(runner)]
         runs = [run for life in lives for run in life.runs.values()]
         broken, self.doubts = checks.check_twice(runs, self.jobs)
         broken += checks.check_asked(runs, self.jobs)
+        broken += checks.check_evacuated(self.evacuated_starts,
+                                         self.deployment.bounds.get("evacuateMs"))
         broken += answers.check_states(self.requests, self.jobs, runs)
         calm = self.ledger.calm_spans(since, now_ms())
         self.stands = standing.find_stands(self.jobs, runs, lives, calm, self.deployment.room)
@@ -351,12 +365,14 @@
     def summary(self):
         longest = max(self.stands, key=lambda stand: stand.ms, default=None)
         closing = "; " + self.closing.summary() if self.closing else ""
+        evacuations = sum(span[3] == EVACUATED for span in self.ledger.spans)
+        last_ms = max([ms for ms, _ in self.evacuated_starts], default=0)
         return ("%d jobs, %d accepted, %d faults, %d freed early, %d in doubt; longest stand %s; "
-                "answers: %s" % (
+                "%d evacuations, last start there after %d ms; answers: %s" % (
                     len(self.jobs), len(self.accepted), len(self.log), len(self.freed),
                     len(self.doubts),
                     "%d ms, %s" % (longest.ms, longest.name) if longest else "none",
-                    answers.describe(self.requests)) + closing)
+                    evacuations, last_ms, answers.describe(self.requests)) + closing)
 
 
 def main():
@@ -388,7 +404,8 @@
         print("\n".join(lines))
     if options.keep:
         keep(work, options, lines, soak.ledger)
-    print("soak: seed %d %s, %s" % (options.seed, "BROKEN" if broken else "ok", soak.summary()))
+    result = "BROKEN (%d)" % len(broken) if broken else "ok"
+    print("soak: seed %d %s, %s" % (options.seed, result, soak.summary()))
     shutil.rmtree(work)
     sys.exit(1 if broken else 0)
 
