Soak: cases of EVAC are listed after all others

Cause: the list of what was broken ends after 20 lines, so that the many cases of EVAC hid others.

Change: EVAC comes last in the list.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -307,8 +307,6 @@
         runs = [run for life in lives for run in life.runs.values()]
         broken, self.doubts = checks.check_twice(runs, self.jobs)
         broken += checks.check_asked(runs, self.jobs)
-        broken += checks.check_evacuated(self.evacuated_starts,
-                                         self.deployment.bounds.get("evacuateMs"))
         broken += answers.check_states(self.requests, self.jobs, runs)
         calm = self.ledger.calm_spans(since, now_ms())
         self.stands = standing.find_stands(self.jobs, runs, lives, calm, self.deployment.room)
@@ -318,8 +316,10 @@
             broken += found
             self.doubts += doubts
         self.freed = checks.find_freed(runs, [host.log for host in self.hosts], self.offset)
-        return broken + ["FAULT %s ended by itself, seen at %d" % (host.name, at)
-                         for host in self.hosts for at in host.own_ends]
+        broken += ["FAULT %s ended by itself, seen at %d" % (host.name, at)
+                   for host in self.hosts for at in host.own_ends]
+        return broken + checks.check_evacuated(self.evacuated_starts,
+                                               self.deployment.bounds.get("evacuateMs"))
 
     async def tear_down(self):
         closing = self.closing.askers if self.closing else []
