--- a/tests/queue_evacuation_faults_test.cc
+++ b/tests/queue_evacuation_faults_test.cc
@@ -91,7 +91,7 @@
   EXPECT_NEAR (metric (*w, "wagtailpass_scheduler_free_workers"), 2, 0.01);
 }
 
-TEST (QueueEvacuationFaults, NoLineTellsThatAnUnsentStartOfAJobIsWithdrawn)
+TEST (QueueEvacuationFaults, UnsentStartIsWithdrawnWithoutALineOfItsJob)
 {
   auto w = make_world (2, 1);
   int n = 0;
@@ -110,3 +110,32 @@
          line.find ("evacuation") != std::string::npos;
   EXPECT_GE (n, 1);
 }
+
+TEST (QueueEvacuationFaults,
+      SuccessorTellsTheLastStartBeforeItHasHeardTheDomain)
+{
+  auto w = make_world (2, 1);
+  int n;
+
+  w->evacuate ("a");
+  w->run (100);
+  n = w->count_lines ("event=evacuation_last_start domain=a");
+  w->workers[0].unreachable_until = w->now () + 20000;
+  w->kill_host (w->scheduler ());
+  w->run (4000);
+  ASSERT_GE (w->scheduler (), 0);
+  EXPECT_EQ (w->count_lines ("event=evacuation_last_start domain=a"), n);
+}
+
+TEST (QueueEvacuationFaults, LeaderCutOffFromTheRequestsAloneKeepsTheRole)
+{
+  auto w = make_world (2, 1);
+
+  w->hosts[w->scheduler ()].operators_silent_until = w->now () + 60000;
+  w->run (6000);
+  w->submit (1 - w->scheduler (),
+             { "q0/" + job_id, world_body (world_step (1, 1000, 1)) });
+  w->run (20000);
+  ASSERT_EQ (w->count_lines ("event=job_accepted"), 1);
+  EXPECT_EQ (w->starts (job_id + ".0.0.0"), 1);
+}
--- a/tools/soak/evacuations.py
+++ b/tools/soak/evacuations.py
@@ -19,6 +19,8 @@
 
     async def evacuate(self, rng):
         """Evacuates one or two failure domains."""
+        if self.enough.is_set():
+            return
         domains = [d for d in self.soak.deployment.domains() if d not in self.evacuating]
         domains = rng.sample(domains, min(len(domains), rng.choice([1, 1, 2])))
         self.evacuating |= set(domains)
