--- a/queue/assign.c
+++ b/queue/assign.c
@@ -510,5 +510,7 @@
   if (p.batch_held)
     d->replan = TRUE;
   g_free (p.candidates);
+  g_free (p.idle[FALSE]);
+  g_free (p.idle[TRUE]);
   g_array_unref (ranked);
 }
--- a/queue/delay.c
+++ b/queue/delay.c
@@ -198,24 +198,26 @@
   return workers;
 }
 
-/* Tells whether only workers in evacuated domains could ever hold STEP. */
+/* Tells whether STEP fits on P's idle workers, those of evacuated domains
+   included if WITH_EVACUATED. */
 static gboolean
-needs_evacuated (const Dispatch *d, const WorkStep *step)
+fits_idle (Pass *p, const WorkStep *step, gboolean with_evacuated)
 {
-  FitRequest one = request_for_room (d, step, unit_size (step));
-  gboolean fits[2];
-  guint i, n;
+  FitRequest one = request_for_room (p->d, step, unit_size (step));
 
-  if (!evacuation_is_any_closed (d->evacuations))
-    return FALSE;
-  for (i = 0; i < G_N_ELEMENTS (fits); i++)
-    {
-      FitWorker *workers = idle_workers (d, i > 0, &n);
+  if (!p->idle[with_evacuated])
+    p->idle[with_evacuated] =
+        idle_workers (p->d, with_evacuated, &p->n_idle[with_evacuated]);
+  return fit_feasible (&one, p->idle[with_evacuated],
+                       p->n_idle[with_evacuated]);
+}
 
-      fits[i] = fit_feasible (&one, workers, n);
-      g_free (workers);
-    }
-  return !fits[0] && fits[1];
+/* Tells whether only workers in evacuated domains could ever hold STEP. */
+static gboolean
+needs_evacuated (Pass *p, const WorkStep *step)
+{
+  return evacuation_is_any_closed (p->d->evacuations) &&
+         !fits_idle (p, step, FALSE) && fits_idle (p, step, TRUE);
 }
 
 /* Looks worker by worker whether there is room for STEP, and corrects CAUSE by
@@ -249,7 +251,7 @@
   const ServiceRoom *room = &choose_service (p->d, step->job)->room;
 
   step->delay.probed_at = p->d->now;
-  if (cause == DELAY_ROOM && needs_evacuated (p->d, step))
+  if (cause == DELAY_ROOM && needs_evacuated (p, step))
     cause = DELAY_EVACUATION;
   if (pool_resources_count (&room->free, &step->need) >= unit_size (step))
     return probe_workers (p, step, cause);
--- a/queue/pass.h
+++ b/queue/pass.h
@@ -12,6 +12,10 @@
   FitWorker *candidates; /* with room for some waiting task */
   guint n_candidates;
   PoolResources min_need; /* least amount of each resource that a task needs */
+  /* Workers with all of their capacity: those in service, and those of
+     evacuated domains too; NULL until needed. */
+  FitWorker *idle[2];
+  guint n_idle[2];
   guint evictions;
   gboolean link_full;  /* the pass stopped short and must be repeated */
   guint batch_left;    /* tasks that are not urgent and may start */
--- a/tests/queue_world.h
+++ b/tests/queue_world.h
@@ -43,6 +43,7 @@
   std::string task;
   gint64 run;
   TaskPlan plan;
+  std::string checkpoint; /* that it began from; empty: none */
   ClockMs arrived_at;
   ClockMs started_at = CLOCK_NEVER; /* for a gang: once it is complete */
   double work_done = 0;             /* ms, out of plan.duration */
--- a/tests/queue_world_workers.cc
+++ b/tests/queue_world_workers.cc
@@ -145,6 +145,7 @@
   r.task = call.task;
   r.run = call.run;
   r.plan = parse_task_plan (call.text ? call.text : "");
+  r.checkpoint = call.checkpoint ? call.checkpoint : "";
   r.arrived_at = now_;
   r.slowdown = w.slowdown;
   auto job = jobs_.find (task_job_id (call.task));
@@ -274,6 +275,7 @@
   c->task = g_strdup (call->task);
   c->run = call->run;
   c->text = g_strdup (call->text);
+  c->checkpoint = g_strdup (call->checkpoint);
   c->lease_deadline = call->lease_deadline;
   c->fence = call->fence;
   c->ack = call->ack;
