A leader that is cut off from op/ alone gives up the role

Cause: a leader that can't read the requests to evacuate starts nothing, yet renews its role for as long as that lasts, while another host could start tasks. A host that can't list op/ in its term has no scheduler at all, so nothing renews leases.

Hosts whose requests are too old claim a free role 2 s later than others.

--- a/queue/evacuation.c
+++ b/queue/evacuation.c
@@ -4,7 +4,8 @@
 {
   /* Bounds of the expected rest of an evacuation, in milliseconds. */
   MIN_EXPECTED_MS = 1000,
-  MAX_EXPECTED_MS = 30000
+  MAX_EXPECTED_MS = 30000,
+  START_ARRIVAL_MS = 1000 /* in which a start that is sent reaches its worker */
 };
 
 /* Initializes SET without evacuated domains. */
@@ -42,6 +43,14 @@
   return evacuation_find (set, domain) != NULL;
 }
 
+/* Returns how old, in milliseconds, a host's set may be when it sends a start,
+   so that the start arrives within BOUND after a request that the set lacks. */
+ClockMs
+evacuation_max_age (ClockMs bound)
+{
+  return MAX (bound - START_ARRIVAL_MS, 0);
+}
+
 static gboolean
 close_domain (EvacuationSet *set,
               const char *domain,
--- a/queue/node.c
+++ b/queue/node.c
@@ -3,6 +3,7 @@
 #include "dispatch.h"
 #include "in_flight.h"
 #include "term.h"
+#include "yield.h"
 
 #include <string.h>
 
@@ -43,6 +44,8 @@
   Bounds bounds;
   char **domains; /* names of all failure domains; NULL: not known */
   EvacuationFeed evacuations;
+  gboolean evacuations_unlisted; /* requests, in the term that has begun */
+  Yield yield;                   /* of that term */
   Conf *conf;
   Term term;
   Intake *intake;
@@ -421,6 +424,23 @@
                g_hash_table_size (job_cache_entries (n->job_cache)));
 }
 
+/* Returns how many milliseconds ago a request to evacuate may have been written
+   that this host doesn't know. */
+static ClockMs
+evacuations_age (const Node *n)
+{
+  return n->evacuations_unlisted ? CLOCK_NEVER
+                                 : feed_age (&n->conf_feed, n->now);
+}
+
+/* Tells whether a scheduler on this host could start no task now. */
+static gboolean
+holds_starts (const Node *n)
+{
+  return n->bounds.evacuation &&
+         evacuations_age (n) > evacuation_max_age (n->bounds.evacuation);
+}
+
 /* Has what the scheduler of the term that has begun must know listed anew. */
 static void
 relist_for_term (Node *n)
@@ -429,17 +449,21 @@
   feed_relist (&n->job_cache_feed);
   feed_relist (&n->worker_feed);
   feed_relist (&n->roster_feed);
+  yield_init (&n->yield);
+  n->evacuations_unlisted = n->bounds.evacuation > 0;
   if (n->bounds.evacuation)
     feed_relist (&n->conf_feed);
 }
 
-/* Tells whether that has been listed. */
+/* Tells whether that has been listed.  Without the requests to evacuate, which
+   can't be listed now, the scheduler does all but start tasks. */
 static gboolean
 is_listed_for_term (const Node *n)
 {
   return n->job_cache_feed.list_complete && n->worker_feed.list_complete &&
          n->roster_feed.list_complete &&
-         (n->conf_feed.list_complete || !n->bounds.evacuation);
+         (n->conf_feed.list_complete || n->conf_feed.failures > 0 ||
+          !n->bounds.evacuation);
 }
 
 /* Starts the scheduler when a term has begun, and stops it when the term has
@@ -560,11 +584,27 @@
     }
 }
 
+/* Tells the scheduler how old what it knows of evacuations is, and gives up the
+   role if that has kept it from starting tasks for too long. */
+static void
+check_evacuations_age (Node *n)
+{
+  dispatch_set_evacuations_age (n->dispatch, evacuations_age (n));
+  yield_set_held (&n->yield, holds_starts (n), n->now);
+  if (!yield_is_due (&n->yield, &n->term, n->now))
+    return;
+  term_step_down (&n->term, n->now);
+  stop_dispatch (n, "evacuations_unknown");
+}
+
 /* Starts the store and worker calls that are due and expires requests. */
 void
 node_tick (Node *n)
 {
   give_up_overdue_calls (n);
+  if (n->conf_feed.list_complete)
+    n->evacuations_unlisted = FALSE;
+  term_set_last_resort (&n->term, holds_starts (n));
   term_poll (&n->term, n->now, &n->fx);
   sync_dispatch_with_term (n);
   feed_poll (&n->conf_feed, n->now, &n->fx);
@@ -579,11 +619,9 @@
   intake_tick (n->intake);
   reset_unused_job_cache (n);
   if (n->dispatch)
-    {
-      dispatch_set_evacuations_age (n->dispatch,
-                                    feed_age (&n->conf_feed, n->now));
-      dispatch_tick (n->dispatch);
-    }
+    check_evacuations_age (n);
+  if (n->dispatch)
+    dispatch_tick (n->dispatch);
 }
 
 /* Places waiting tasks if that is due; to be called after node_tick.  Returns
--- a/queue/term.c
+++ b/queue/term.c
@@ -21,7 +21,9 @@
      processor below large_host_cores: longer than hosts learn apart that the
      role is free, for most of them. */
   DELAY_PER_HALVING_MS = 300,
-  MAX_CLAIM_DELAY_MS = 600
+  MAX_CLAIM_DELAY_MS = 600,
+  /* By then every other host that can claim a free role has done so. */
+  LAST_RESORT_DELAY_MS = 2000
 };
 
 static const double large_host_cores = 0.25;
@@ -75,8 +77,12 @@
 void
 term_on_role (Term *t, const KvItem *item, ClockMs now, ClockMs jitter)
 {
+  gboolean is_held = !item->deleted && item->revision > 0;
+
+  if (!is_held && (t->role_is_held || !t->role_known))
+    t->free_since = now;
   t->role_known = TRUE;
-  t->role_is_held = !item->deleted && item->revision > 0;
+  t->role_is_held = is_held;
   t->role_revision = item->revision;
   if (t->state == TERM_FOLLOWER && !t->role_is_held)
     t->next_at = now + jitter;
@@ -113,6 +119,18 @@
   h->seen[h->n++] = (TermSeen) { (gint64)epoch, now };
 }
 
+/* Returns how many terms, of any host, were first seen after SINCE. */
+guint
+term_n_begun_since (const TermHistory *history, ClockMs since)
+{
+  guint n = 0;
+  guint i;
+
+  for (i = 0; i < history->n; i++)
+    n += history->seen[i].at > since;
+  return n;
+}
+
 /* Returns a time by which the term EPOCH had ended, as a later one had begun,
    or CLOCK_NEVER if none was seen. */
 ClockMs
@@ -146,6 +164,24 @@
   t->eligible = eligible;
 }
 
+/* Sets whether this host, which may lead, claims a free role only after
+   LAST_RESORT_DELAY_MS: it could not start any task. */
+void
+term_set_last_resort (Term *t, gboolean last_resort)
+{
+  t->last_resort = last_resort;
+}
+
+/* Returns when T's next call is due. */
+static ClockMs
+call_due_at (const Term *t)
+{
+  if (t->state == TERM_FOLLOWER && t->last_resort && t->role_known &&
+      !t->role_is_held)
+    return MAX (t->next_at, t->free_since + LAST_RESORT_DELAY_MS);
+  return t->next_at;
+}
+
 static KvCall *
 make_call (Term *t, KvOp op, const char *key)
 {
@@ -256,7 +292,7 @@
       end_lease (t, now, fx);
       return;
     }
-  if (t->call_id || t->next_at > now)
+  if (t->call_id || call_due_at (t) > now)
     return;
   t->call_late = now - t->next_at;
   call = next_call (t, fx);
@@ -421,6 +457,14 @@
   return t->state == TERM_LEADER;
 }
 
+/* Tells whether this host is the leader and its lease, as last renewed, has not
+   run out at NOW: the store answers it. */
+gboolean
+term_is_renewed (const Term *t, ClockMs now)
+{
+  return term_is_leader (t) && now - t->renewed_at <= t->lease_ttl;
+}
+
 /* Tells whether this host, as the leader, may start and stop tasks and renew
    their leases at NOW. */
 gboolean
@@ -474,5 +518,5 @@
   if (t->state == TERM_LEADER)
     return MIN (t->next_at, t->renewed_at + t->lease_ttl + term_order_grace +
                                 renew_only_span + 1);
-  return t->next_at;
+  return call_due_at (t);
 }
--- a/queue/term.h
+++ b/queue/term.h
@@ -41,6 +41,8 @@
   gboolean eligible;     /* this host may become or stay leader */
   gboolean role_known;   /* the role key's state has been received */
   gboolean role_is_held; /* the role key exists, written by any host */
+  ClockMs free_since;    /* since when it is known not to exist */
+  gboolean last_resort;  /* claim the role only if no other host does */
   gint64 role_revision;  /* last revision received of the role key */
   gint64 lease_id;       /* of this host's lease; 0: none */
   ClockMs lease_ttl;
@@ -62,13 +64,16 @@
 void term_clear (Term *t);
 void term_on_role (Term *t, const KvItem *item, ClockMs now, ClockMs jitter);
 void term_on_epoch (Term *t, const KvItem *item, ClockMs now);
+guint term_n_begun_since (const TermHistory *history, ClockMs since);
 ClockMs term_ended_by (const TermHistory *history, gint64 epoch);
 void term_poll (Term *t, ClockMs now, Effects *fx);
 gboolean
 term_on_reply (Term *t, const KvReply *reply, ClockMs now, Effects *fx);
 void term_step_down (Term *t, ClockMs now);
 void term_set_eligible (Term *t, gboolean eligible);
+void term_set_last_resort (Term *t, gboolean last_resort);
 gboolean term_is_leader (const Term *t);
+gboolean term_is_renewed (const Term *t, ClockMs now);
 gboolean term_may_send_orders (const Term *t, ClockMs now);
 void term_require_renewal (Term *t, ClockMs now);
 void term_check_expiry (Term *t, ClockMs now);
--- a/queue/withdraw.c
+++ b/queue/withdraw.c
@@ -5,12 +5,6 @@
 /* Withdrawal of what is in flight to the workers of an evacuated domain.  What
    runs there goes on. */
 
-enum
-{
-  /* Time in which a start that is sent reaches its worker. */
-  START_ARRIVAL_MS = 1000
-};
-
 /* Takes PLACEMENT's start back if it has not left the host yet.  The link is no
    longer charged for it. */
 static void
@@ -334,8 +328,8 @@
 void
 withdraw_set_age (Dispatch *d, ClockMs age)
 {
-  ClockMs limit = MAX (d->bounds.evacuation - START_ARRIVAL_MS, 0);
-  gboolean held = d->bounds.evacuation && age > limit;
+  gboolean held =
+      d->bounds.evacuation && age > evacuation_max_age (d->bounds.evacuation);
 
   if (held == d->starts_held)
     return;
--- a/tests/queue_evacuation_faults_test.cc
+++ b/tests/queue_evacuation_faults_test.cc
@@ -139,3 +139,62 @@
   ASSERT_EQ (w->count_lines ("event=job_accepted"), 1);
   EXPECT_EQ (w->starts (job_id + ".0.0.0"), 1);
 }
+
+/* Returns how often a host of W has taken the role. */
+static int
+n_terms (const QueueWorld &w)
+{
+  return w.count_lines ("event=role_taken");
+}
+
+TEST (QueueEvacuationFaults, RoleGoesToAndFroWhenNoHostReadsTheRequests)
+{
+  auto w = make_world (2, 1);
+  int n = n_terms (*w);
+
+  for (WorldHost &h : w->hosts)
+    h.operators_silent_until = w->now () + 150000;
+  w->run (120000);
+  EXPECT_LE (n_terms (*w) - n, 4);
+  EXPECT_GE (n_terms (*w) - n, 2);
+}
+
+TEST (QueueEvacuationFaults, RunningTaskIsLostWhileNoHostReadsTheRequests)
+{
+  auto w = make_world (2, 1);
+
+  w->submit (0, { "q1/" + job_id,
+                  world_body (world_step (1, 30000, 1), "ms=30000") });
+  w->run (1000);
+  for (WorldHost &h : w->hosts)
+    h.operators_silent_until = w->now () + 40000;
+  w->run (50000);
+  EXPECT_EQ (w->state_of (job_id), "completed");
+  EXPECT_EQ (w->starts (job_id + ".0.0.0"), 1);
+  w->expect_no_violations ();
+}
+
+TEST (QueueEvacuationFaults, HostThatCanNotReadTheRequestsTakesAFreeRole)
+{
+  auto w = make_world (2, 1, 5000, 1, 3);
+  int leader = w->scheduler ();
+  int blind = (leader + 1) % 3;
+
+  w->hosts[blind].operators_silent_until = w->now () + 60000;
+  w->run (6000);
+  w->kill_host (leader);
+  w->run (8000);
+  EXPECT_EQ (w->scheduler (), 3 - leader - blind);
+}
+
+TEST (QueueEvacuationFaults, LeaderGivesUpTheRoleForAnOutageOfTheWholeStore)
+{
+  auto w = make_world (2, 1);
+  int n;
+
+  for (WorldHost &h : w->hosts)
+    h.store_silent_until = w->now () + 9000;
+  w->run (15000);
+  n = w->count_lines ("event=role_left reason=evacuations_unknown");
+  EXPECT_EQ (n, 0);
+}
