Domains named in UTF-8 or with spaces can be evacuated

Cause: workers' entries accept any text as a domain, requests only printable ASCII without spaces: such a domain's workers got starts while it was evacuated.

Change: a request's domain is refused only if it is empty, no UTF-8 or has control characters. Log lines about domains escape the name as keys are, those about cold domains too.

--- a/queue/cold_domains.c
+++ b/queue/cold_domains.c
@@ -86,12 +86,14 @@
   while (g_hash_table_iter_next (&i, &domain, &value))
     {
       const DomainCount *count = value;
+      char *name = evacuation_log_name (domain);
 
       if (!g_hash_table_contains (d->cold.domains, domain))
         effects_log (d->fx,
                      "event=domain_cold domain=%s workers=%u "
                      "longest_ms=%" CLOCK_MS_FORMAT,
-                     (const char *)domain, count->n_workers, count->longest);
+                     name, count->n_workers, count->longest);
+      g_free (name);
       g_hash_table_add (d->cold.domains, g_strdup (domain));
     }
 }
@@ -106,9 +108,13 @@
   g_hash_table_iter_init (&i, d->cold.domains);
   while (g_hash_table_iter_next (&i, &domain, NULL))
     {
+      char *name;
+
       if (g_hash_table_contains (counts, domain))
         continue;
-      effects_log (d->fx, "event=domain_warm domain=%s", (const char *)domain);
+      name = evacuation_log_name (domain);
+      effects_log (d->fx, "event=domain_warm domain=%s", name);
+      g_free (name);
       g_hash_table_iter_remove (&i);
     }
 }
--- a/queue/evacuation.c
+++ b/queue/evacuation.c
@@ -47,6 +47,29 @@
   return evacuation_find (set, domain) != NULL;
 }
 
+/* Tells whether DOMAIN can name a failure domain, as the workers' entries do:
+   it is valid UTF-8 without control characters, and not empty. */
+gboolean
+evacuation_is_domain (const char *domain)
+{
+  const char *p;
+
+  if (!*domain || !g_utf8_validate (domain, -1, NULL))
+    return FALSE;
+  for (p = domain; *p; p = g_utf8_next_char (p))
+    if (g_unichar_iscntrl (g_utf8_get_char (p)))
+      return FALSE;
+  return TRUE;
+}
+
+/* Returns DOMAIN, escaped as in an URI, so that it may stand unquoted in a log
+   line; the caller frees it. */
+char *
+evacuation_log_name (const char *domain)
+{
+  return g_uri_escape_string (domain, "/", FALSE);
+}
+
 /* Returns how old, in milliseconds, a host's set may be when it sends a start,
    so that the start arrives within BOUND after a request that the set lacks. */
 ClockMs
--- a/queue/evacuation.h
+++ b/queue/evacuation.h
@@ -27,6 +27,8 @@
 gboolean evacuation_is_closed (const EvacuationSet *set, const char *domain);
 const Evacuation *evacuation_find (const EvacuationSet *set,
                                    const char *domain);
+gboolean evacuation_is_domain (const char *domain);
+char *evacuation_log_name (const char *domain);
 ClockMs evacuation_max_age (ClockMs bound);
 ClockMs evacuation_watch_wait (ClockMs bound);
 ClockMs evacuation_expected_left (const EvacuationSet *set,
--- a/queue/evacuation_feed.c
+++ b/queue/evacuation_feed.c
@@ -71,10 +71,11 @@
   const Evacuation *known = evacuation_find (&f->set, domain);
 
   *lasted = known ? now - known->since : 0;
-  if (!util_is_printable (domain))
+  if (!evacuation_is_domain (domain))
     {
       if (!item->deleted)
-        note_unreadable (f, item, "domain is empty or not printable");
+        note_unreadable (f, item,
+                         "domain is empty, no UTF-8 or has control characters");
       return EVACUATION_UNCHANGED;
     }
   if (!item->deleted)
@@ -90,8 +91,11 @@
 void
 evacuation_feed_note_unknown (EvacuationFeed *f, const char *domain)
 {
+  char *name = evacuation_log_name (domain);
+
   f->n_unknown++;
-  effects_log (f->fx, "event=evacuation_unknown_domain domain=%s", domain);
+  effects_log (f->fx, "event=evacuation_unknown_domain domain=%s", name);
+  g_free (name);
 }
 
 /* Appends F's metrics to TEXT, one per line. */
--- a/queue/withdraw.c
+++ b/queue/withdraw.c
@@ -257,17 +257,19 @@
 {
   const Evacuation *e = evacuation_find (d->evacuations, domain);
   guint n_workers = mark_workers (d, domain, TRUE);
+  char *name = evacuation_log_name (domain);
   guint n;
 
   effects_log (d->fx,
                "event=evacuation_seen domain=%s revision=%" G_GINT64_FORMAT
                " workers=%u known=%d",
-               domain, e->revision, n_workers, is_named || n_workers > 0);
+               name, e->revision, n_workers, is_named || n_workers > 0);
   n = withdraw_from_domain (d, domain);
   effects_log (d->fx,
                "event=evacuation_in_force domain=%s withdrawn=%u in_flight=%u "
                "age_ms=%" CLOCK_MS_FORMAT,
-               domain, n, count_outstanding (d, domain), d->now - e->since);
+               name, n, count_outstanding (d, domain), d->now - e->since);
+  g_free (name);
   g_ptr_array_add (d->unsettled, g_strdup (domain));
   return n_workers;
 }
@@ -285,11 +287,25 @@
 void
 withdraw_on_evacuation_ended (Dispatch *d, const char *domain, ClockMs lasted)
 {
+  char *name = evacuation_log_name (domain);
+
   mark_workers (d, domain, FALSE);
   settle (d, domain);
   effects_log (d->fx,
                "event=evacuation_ended domain=%s lasted_ms=%" CLOCK_MS_FORMAT,
-               domain, lasted);
+               name, lasted);
+  g_free (name);
+}
+
+static void
+log_last_start (Dispatch *d, const char *domain)
+{
+  char *name = evacuation_log_name (domain);
+
+  effects_log (d->fx,
+               "event=evacuation_last_start domain=%s age_ms=%" CLOCK_MS_FORMAT,
+               name, d->now - evacuation_find (d->evacuations, domain)->since);
+  g_free (name);
 }
 
 /* Logs for each evacuated domain when its last outstanding start is over. */
@@ -304,10 +320,7 @@
 
       if (count_outstanding (d, domain))
         continue;
-      effects_log (
-          d->fx,
-          "event=evacuation_last_start domain=%s age_ms=%" CLOCK_MS_FORMAT,
-          domain, d->now - evacuation_find (d->evacuations, domain)->since);
+      log_last_start (d, domain);
       g_ptr_array_remove_index_fast (d->unsettled, i);
     }
 }
--- a/tests/queue_evacuation_faults_test.cc
+++ b/tests/queue_evacuation_faults_test.cc
@@ -206,3 +206,25 @@
   w->run (10000);
   EXPECT_EQ (w->count_lines ("event=starts_held"), 0);
 }
+
+TEST (QueueEvacuationFaults, DomainWithASpaceMakesALineThatCanNotBeParsed)
+{
+  auto w = make_world (1, 1);
+
+  w->workers[0].domain = "north 2";
+  w->put_worker (0);
+  w->evacuate ("north 2");
+  w->run (1000);
+  EXPECT_EQ (w->count_lines ("event=evacuation_seen domain=north%202 "), 1);
+}
+
+TEST (QueueEvacuationFaults, RequestForADomainOfControlCharactersIsServed)
+{
+  auto w = make_world (1, 1);
+
+  for (const char *name : { "", "a\nb", "a\xc2\x85", "a\xff" })
+    w->evacuate (name);
+  w->run (1000);
+  EXPECT_EQ (metric (*w, "wagtailpass_evacuations_unreadable_total"), 4);
+  EXPECT_EQ (metric (*w, "wagtailpass_evacuated_domains"), 0);
+}
