Evacuated workers don't set the unit of free and reserved room

Cause: find_largest took the capacity of evacuated workers too, so two idle workers of half the size counted as one.

Change: it leaves out evacuated workers.

--- a/queue/room.c
+++ b/queue/room.c
@@ -50,7 +50,8 @@
   max->accelerators = MAX (max->accelerators, room->accelerators);
 }
 
-/* Finds the largest amounts of each resource on any worker of each service. */
+/* Finds the largest amounts of each resource on any worker in service of each
+   service. */
 static void
 find_largest (Dispatch *d)
 {
@@ -63,7 +64,8 @@
     {
       const PoolWorker *w = pool_at (&d->pool, i);
 
-      raise_to_max (&room_of_worker (d, w)->largest, &w->entry->capacity);
+      if (!w->evacuated)
+        raise_to_max (&room_of_worker (d, w)->largest, &w->entry->capacity);
     }
 }
 
