A successor reports the last start only once the domain's runs are known

Cause: a new scheduler logged evacuation_last_start at once, while starts of its predecessor might still begin on workers that it had not heard.

Change: the line waits until it is certain what runs on each worker of the domain that a former scheduler has recorded: it listed its runs, or its lease expired.

--- a/queue/withdraw.c
+++ b/queue/withdraw.c
@@ -308,6 +308,25 @@
   g_free (name);
 }
 
+/* Tells whether it is certain what runs on each worker of DOMAIN, which is
+   evacuated.  Until then, starts of a former scheduler may be outstanding
+   there. */
+static gboolean
+runs_are_known_in (const Dispatch *d, const char *domain)
+{
+  guint i;
+
+  for (i = 0; i < pool_size (&d->pool); i++)
+    {
+      const PoolWorker *w = pool_at (&d->pool, i);
+
+      if (w->evacuated && w->recorded && !holds_runs_are_known (w) &&
+          strcmp (w->entry->domain, domain) == 0)
+        return FALSE;
+    }
+  return TRUE;
+}
+
 /* Logs for each evacuated domain when its last outstanding start is over. */
 void
 withdraw_tick (Dispatch *d)
@@ -318,7 +337,7 @@
     {
       const char *domain = g_ptr_array_index (d->unsettled, i);
 
-      if (count_outstanding (d, domain))
+      if (!runs_are_known_in (d, domain) || count_outstanding (d, domain))
         continue;
       log_last_start (d, domain);
       g_ptr_array_remove_index_fast (d->unsettled, i);
