Evacuated workers don't count when failures are judged

Cause: few_workers_fail compared the failing workers with all of the service, though evacuated ones get no tasks that could fail: where two thirds are evacuated, a fault of the jobs quarantined the rest.

Change: it leaves out evacuated workers, but for the one that is judged.

Result: a new test, with 11 quarantines before, has none.

--- a/queue/quarantine.c
+++ b/queue/quarantine.c
@@ -37,8 +37,9 @@
   return !*name_a || !*name_b || strcmp (name_a, name_b) == 0;
 }
 
-/* Returns whether only few workers of W's service fail.  If many do, the cause
-   is probably in its jobs and not in the workers. */
+/* Returns whether only few workers of W's service fail, without evacuated ones,
+   which get no new tasks.  If many do, the cause is probably in its jobs and
+   not in the workers. */
 static gboolean
 few_workers_fail (const Dispatch *d, const PoolWorker *w)
 {
@@ -50,7 +51,7 @@
     {
       const PoolWorker *other = pool_at (&d->pool, i);
 
-      if (!may_share_service (w, other))
+      if (!may_share_service (w, other) || (other != w && other->evacuated))
         continue;
       n++;
       failing += other->consecutive_failures > 0;
--- a/tests/queue_evacuation_faults_test.cc
+++ b/tests/queue_evacuation_faults_test.cc
@@ -228,3 +228,20 @@
   EXPECT_EQ (metric (*w, "wagtailpass_evacuations_unreadable_total"), 4);
   EXPECT_EQ (metric (*w, "wagtailpass_evacuated_domains"), 0);
 }
+
+TEST (QueueEvacuationFaults, EvacuatedWorkersMakeFailuresOfJobsThoseOfWorkers)
+{
+  auto w = make_world (3, 2);
+
+  w->evacuate ("a");
+  w->evacuate ("b");
+  w->run (100);
+  w->workers[4].fails_all = w->workers[5].fails_all = true;
+  w->workers[4].fails_after = w->workers[5].fails_after = 200;
+  for (int i = 0; i < 8; i++)
+    w->submit (0, { "q1/" + std::to_string (480000 + i),
+                    world_body (world_step (1, 1000, 8), "ms=800"), 4 });
+  w->run (3000);
+  EXPECT_GE (w->starts ("480001.0.0.0"), 1);
+  EXPECT_EQ (w->count_lines ("event=quarantine "), 0);
+}
