--- a/queue/evacuation.c
+++ b/queue/evacuation.c
@@ -47,6 +47,14 @@
   return evacuation_find (set, domain) != NULL;
 }
 
+/* Tells whether C is a control character of Unicode: of its two blocks, or
+   DEL. */
+static gboolean
+is_control (gunichar c)
+{
+  return c < 0x20 || (c >= 0x7f && c < 0xa0);
+}
+
 /* Tells whether DOMAIN can name a failure domain, as the workers' entries do:
    it is valid UTF-8 without control characters, and not empty. */
 gboolean
@@ -57,7 +65,7 @@
   if (!*domain || !g_utf8_validate (domain, -1, NULL))
     return FALSE;
   for (p = domain; *p; p = g_utf8_next_char (p))
-    if (g_unichar_iscntrl (g_utf8_get_char (p)))
+    if (is_control (g_utf8_get_char (p)))
       return FALSE;
   return TRUE;
 }
