Lines about jobs refused in an evacuation may be dropped

Cause: evacuation_refused was a second line for each refused request that the log never drops.

Change: it is one of the lines that are dropped first when the log exceeds its rate. wagtailpass_intake_refused_evacuated_total counts all.

Result: no test of its own; QueueEvacuation passes.

--- a/queue/intake_answer.c
+++ b/queue/intake_answer.c
@@ -56,9 +56,9 @@
 
   in->counters[INTAKE_REFUSED_EVACUATED]++;
   intake_log_outcome (in, p, "request_refused", HTTP_UNAVAILABLE);
-  effects_log (in->fx,
-               "event=evacuation_refused job=%s expected_ms=%" CLOCK_MS_FORMAT,
-               p->job_id, p->evacuated_for);
+  effects_log_detail (
+      in->fx, "event=evacuation_refused job=%s expected_ms=%" CLOCK_MS_FORMAT,
+      p->job_id, p->evacuated_for);
   intake_refuse_temporarily (in, p->request_id,
                              (ClockMs)((double)p->evacuated_for * factor),
                              "all failure domains are evacuated");
