--- a/queue/assign.c
+++ b/queue/assign.c
@@ -563,5 +563,7 @@
     d->replan = TRUE;
   cold_ramp_free (p.ramp);
   g_free (p.candidates);
+  g_free (p.idle[FALSE]);
+  g_free (p.idle[TRUE]);
   g_array_unref (ranked);
 }
--- a/queue/evacuation.c
+++ b/queue/evacuation.c
@@ -4,7 +4,12 @@
 {
   /* Bounds of the expected rest of an evacuation, in milliseconds. */
   MIN_EXPECTED_MS = 1000,
-  MAX_EXPECTED_MS = 30000
+  MAX_EXPECTED_MS = 30000,
+  START_ARRIVAL_MS =
+      1000, /* in which a start that is sent reaches its worker */
+  /* Two round trips to the store and the pause between two watches. */
+  WATCH_MARGIN_MS = 500,
+  MIN_WATCH_WAIT_MS = 100
 };
 
 /* Initializes SET without evacuated domains. */
@@ -42,6 +47,55 @@
   return evacuation_find (set, domain) != NULL;
 }
 
+/* Tells whether C is a control character of Unicode: of its two blocks, or
+   DEL. */
+static gboolean
+is_control (gunichar c)
+{
+  return c < 0x20 || (c >= 0x7f && c < 0xa0);
+}
+
+/* Tells whether DOMAIN can name a failure domain, as the workers' entries do:
+   it is valid UTF-8 without control characters, and not empty. */
+gboolean
+evacuation_is_domain (const char *domain)
+{
+  const char *p;
+
+  if (!*domain || !g_utf8_validate (domain, -1, NULL))
+    return FALSE;
+  for (p = domain; *p; p = g_utf8_next_char (p))
+    if (is_control (g_utf8_get_char (p)))
+      return FALSE;
+  return TRUE;
+}
+
+/* Returns DOMAIN, escaped as in an URI, so that it may stand unquoted in a log
+   line; the caller frees it. */
+char *
+evacuation_log_name (const char *domain)
+{
+  return g_uri_escape_string (domain, "/", FALSE);
+}
+
+/* Returns how old, in milliseconds, a host's set may be when it sends a start,
+   so that the start arrives within BOUND after a request that the set lacks. */
+ClockMs
+evacuation_max_age (ClockMs bound)
+{
+  return MAX (bound - START_ARRIVAL_MS, 0);
+}
+
+/* Returns for how many milliseconds at most a watch for requests may wait with
+   BOUND, so that no start is held while nothing fails.  Until a watch is
+   answered, the set is as old as that watch and the one before. */
+ClockMs
+evacuation_watch_wait (ClockMs bound)
+{
+  return MAX ((evacuation_max_age (bound) - WATCH_MARGIN_MS) / 2,
+              MIN_WATCH_WAIT_MS);
+}
+
 static gboolean
 close_domain (EvacuationSet *set,
               const char *domain,
--- a/queue/withdraw.c
+++ b/queue/withdraw.c
@@ -5,12 +5,6 @@
 /* Withdrawal of what is in flight to the workers of an evacuated domain.  What
    runs there goes on. */
 
-enum
-{
-  /* Time in which a start that is sent reaches its worker. */
-  START_ARRIVAL_MS = 1000
-};
-
 /* Takes PLACEMENT's start back if it has not left the host yet.  The link is no
    longer charged for it. */
 static void
@@ -263,17 +257,19 @@
 {
   const Evacuation *e = evacuation_find (d->evacuations, domain);
   guint n_workers = mark_workers (d, domain, TRUE);
+  char *name = evacuation_log_name (domain);
   guint n;
 
   effects_log (d->fx,
                "event=evacuation_seen domain=%s revision=%" G_GINT64_FORMAT
                " workers=%u known=%d",
-               domain, e->revision, n_workers, is_named || n_workers > 0);
+               name, e->revision, n_workers, is_named || n_workers > 0);
   n = withdraw_from_domain (d, domain);
   effects_log (d->fx,
                "event=evacuation_in_force domain=%s withdrawn=%u in_flight=%u "
                "age_ms=%" CLOCK_MS_FORMAT,
-               domain, n, count_outstanding (d, domain), d->now - e->since);
+               name, n, count_outstanding (d, domain), d->now - e->since);
+  g_free (name);
   g_ptr_array_add (d->unsettled, g_strdup (domain));
   return n_workers;
 }
@@ -291,11 +287,44 @@
 void
 withdraw_on_evacuation_ended (Dispatch *d, const char *domain, ClockMs lasted)
 {
+  char *name = evacuation_log_name (domain);
+
   mark_workers (d, domain, FALSE);
   settle (d, domain);
   effects_log (d->fx,
                "event=evacuation_ended domain=%s lasted_ms=%" CLOCK_MS_FORMAT,
-               domain, lasted);
+               name, lasted);
+  g_free (name);
+}
+
+static void
+log_last_start (Dispatch *d, const char *domain)
+{
+  char *name = evacuation_log_name (domain);
+
+  effects_log (d->fx,
+               "event=evacuation_last_start domain=%s age_ms=%" CLOCK_MS_FORMAT,
+               name, d->now - evacuation_find (d->evacuations, domain)->since);
+  g_free (name);
+}
+
+/* Tells whether it is certain what runs on each worker of DOMAIN, which is
+   evacuated.  Until then, starts of a former scheduler may be outstanding
+   there. */
+static gboolean
+runs_are_known_in (const Dispatch *d, const char *domain)
+{
+  guint i;
+
+  for (i = 0; i < pool_size (&d->pool); i++)
+    {
+      const PoolWorker *w = pool_at (&d->pool, i);
+
+      if (w->evacuated && w->recorded && !holds_runs_are_known (w) &&
+          strcmp (w->entry->domain, domain) == 0)
+        return FALSE;
+    }
+  return TRUE;
 }
 
 /* Logs for each evacuated domain when its last outstanding start is over. */
@@ -308,12 +337,9 @@
     {
       const char *domain = g_ptr_array_index (d->unsettled, i);
 
-      if (count_outstanding (d, domain))
+      if (!runs_are_known_in (d, domain) || count_outstanding (d, domain))
         continue;
-      effects_log (
-          d->fx,
-          "event=evacuation_last_start domain=%s age_ms=%" CLOCK_MS_FORMAT,
-          domain, d->now - evacuation_find (d->evacuations, domain)->since);
+      log_last_start (d, domain);
       g_ptr_array_remove_index_fast (d->unsettled, i);
     }
 }
@@ -329,13 +355,14 @@
                      "evacuations_unknown");
 }
 
-/* Holds starts back while a request that was written AGE milliseconds ago may
-   not be known here, and a start that is sent now could be late for it. */
+/* Holds starts back while a request that was written AGE milliseconds ago, or
+   at any time if CLOCK_NEVER, may not be known here, and a start that is sent
+   now could be late for it. */
 void
 withdraw_set_age (Dispatch *d, ClockMs age)
 {
-  ClockMs limit = MAX (d->bounds.evacuation - START_ARRIVAL_MS, 0);
-  gboolean held = d->bounds.evacuation && age > limit;
+  gboolean held =
+      d->bounds.evacuation && age > evacuation_max_age (d->bounds.evacuation);
 
   if (held == d->starts_held)
     return;
@@ -345,7 +372,7 @@
       effects_log (d->fx,
                    "event=starts_held reason=evacuations_unknown "
                    "age_ms=%" CLOCK_MS_FORMAT,
-                   age);
+                   age == CLOCK_NEVER ? -1 : age);
       withdraw_unsent (d);
     }
   else
