--- a/queue/bounds.h
+++ b/queue/bounds.h
@@ -19,9 +19,7 @@
                           evacuation was requested */
   double cold_overage; /* load of cold workers, relative to warm ones */
   double cold_slack;   /* tasks on cold workers of a domain beyond that */
-  ClockMs checkpoint_interval; /* work between two checkpoints of a run */
-  ClockMs restore;             /* to resume a run from a checkpoint */
-  ClockMs stop;                /* to stop a run, at most */
+  ClockMs stop;        /* to stop a run, at most */
 } Bounds;
 
 #endif
