--- a/tests/callers/crowd.py
+++ b/tests/callers/crowd.py
@@ -6,6 +6,8 @@
 
 HOST = "127.0.0.1"
 SEND_S = 40  # a crowd that has not sent all by then is stopped there
+STAY_S = 1.5  # of a caller that comes again
+RETURN_S = 10
 QUIET_S = 1.5  # nothing more is taken for so long: the rest will not be
 
 
@@ -66,6 +68,45 @@
             caller.socket.close()
 
 
+class ReturningCrowd(Crowd):
+    """Each of its callers leaves STAY_S after it has come, and comes again at once."""
+
+    def send(self, sample, condition=None):
+        """Keeps coming for RETURN_S, or until CONDITION comes true."""
+        selector = selectors.DefaultSelector()
+        rng = random.Random(2)
+        for text in self.texts:
+            caller = Caller(self.port, text, self.piece)
+            caller.until = time.monotonic() + STAY_S * rng.uniform(0.5, 1)
+            self.callers.append(caller)
+            selector.register(caller.socket, selectors.EVENT_WRITE, caller)
+        end = time.monotonic() + RETURN_S
+        looked = 0
+        while not condition() if condition else time.monotonic() < end:
+            for key, _ in selector.select(0.05):
+                key.data.send()
+                if key.data.is_done():
+                    selector.unregister(key.fileobj)
+            now = time.monotonic()
+            for i, caller in enumerate(self.callers):
+                if now > caller.until:
+                    self.callers[i] = self.replace(caller, selector, now)
+            if now > looked + 0.2:
+                sample()
+                looked = now
+        selector.close()
+        sample()
+
+    def replace(self, caller, selector, now):
+        if not caller.is_done():
+            selector.unregister(caller.socket)
+        caller.socket.close()
+        fresh = Caller(self.port, caller.text, self.piece)
+        fresh.until = now + STAY_S
+        selector.register(fresh.socket, selectors.EVENT_WRITE, fresh)
+        return fresh
+
+
 def whole_body(head, size):
     return (head + "Content-Length: %d\r\n\r\n" % size).encode() + b"x" * size
 
--- a/tests/callers/processes.py
+++ b/tests/callers/processes.py
@@ -88,14 +88,18 @@
     def descriptors(self):
         return len(os.listdir("/proc/%d/fd" % self.host.pid))
 
+    def doors(self):
+        """The port of each listener of the process under test, by its name."""
+        raise NotImplementedError
+
     def queued(self):
-        """The bytes that wait in the kernel on the callers' connections."""
-        local = "0100007F:%04X" % self.port
+        """The bytes that wait in the kernel on the connections of all its listeners."""
+        local = {"0100007F:%04X" % port for port in self.doors().values()}
         n = 0
         with open("/proc/net/tcp", encoding="ascii") as f:
             for line in f:
                 field = line.split()
-                if field[1] == local and field[3] != "0A":
+                if field[1] in local and field[3] != "0A":
                     sent, received = field[4].split(":")
                     n += int(sent, 16) + int(received, 16)
         return n
@@ -131,6 +135,12 @@
     question = ("GET /q1/ HTTP/1.1\r\nHost: callers.example\r\n"
                 "Authorization: Bearer " + TOKEN + "\r\n\r\n")
 
+    page = "POST /api/readyz HTTP/1.1\r\nHost: h\r\n"
+
+    def doors(self):
+        return {"callers": self.port, "readiness": self.ready_port,
+                "metrics": self.metrics_port}
+
     def serves(self):
         """Whether an ordinary request is answered as it should be."""
         job = {"spec": "ms=1", "steps": [{"count": 1, "cpu": 1000, "estimateMs": 1}]}
@@ -151,18 +161,18 @@
         self.limits = limits
 
     def begin(self):
-        store, upstream, self.port, self.operators, peers = free_ports(5)
+        store, upstream, self.port, self.operators, self.peers = free_ports(5)
         for name, port in (("store", store), ("upstream", upstream)):
             self.start(name, BUILD + "/wagtailpass-standin", name, "--port", str(port),
                        "--seconds", "300")
-        path = self.write("host", dict(self.limits, **{
-            "host": "m1", "domain": "a", "callers_address": HOST, "callers_port": self.port,
-            "operators_address": HOST, "operators_port": self.operators,
+        self.fleet = {
+            "domain": "a", "callers_address": HOST, "operators_address": HOST,
             "peer_key": "callers-key-0123456789", "store_address": HOST, "store_port": store,
-            "hosts": [{"name": "m1", "domain": "a", "address": HOST, "port": peers}],
+            "hosts": [{"name": "m1", "domain": "a", "address": HOST, "port": self.peers}] +
+                     self.other_hosts(),
             "upstreams": [{"name": "up-1", "domain": "a", "address": HOST, "port": upstream,
-                           "slots": 8, "connections": 60}], "workers": []}))
-        self.host = self.start("host", BUILD + "/wagtailpassd", "--settings", path)
+                           "slots": 8, "connections": 60}], "workers": []}
+        self.host = self.start_daemon("m1", self.port, self.operators)
         until(lambda: (ask(self.operators, "GET", "/healthz") or [0])[0] == 200,
               "the host is not ready")
         table = self.work + "/table.csv"
@@ -172,13 +182,58 @@
                    "table", "apply", table).wait()
         until(self.serves, "the table is not in force")
 
+    def other_hosts(self):
+        return []
+
+    def start_daemon(self, name, callers, operators):
+        path = self.write(name, dict(self.fleet, **self.limits, host=name,
+                                     callers_port=callers, operators_port=operators))
+        return self.start(name, BUILD + "/wagtailpassd", "--settings", path)
+
     head = ("POST /v1/requests HTTP/1.1\r\nHost: h\r\nX-Workspace: alpha\r\n"
             "X-Repeatable: 1\r\nX-Caller: c%d\r\n")
 
+    page = "POST /metrics HTTP/1.1\r\nHost: h\r\n"
+
+    def doors(self):
+        return {"callers": self.port, "operators": self.operators, "peers": self.peers}
+
+    expected = (200,)
+
     def serves(self):
         answer = ask(self.port, "POST", "/v1/requests", "hello",
                      {"X-Workspace": "alpha", "X-Repeatable": "1"})
-        return answer is not None and answer[0] == 200
+        return answer is not None and answer[0] in self.expected
 
     def is_watched(self):
         return ask(self.operators, "GET", "/metrics") is not None
+
+
+class BusyDaemonHost(DaemonHost):
+    """wagtailpassd with more requests of a workspace than its upstream takes: to refuse the
+    next one is an answer, too."""
+    expected = (200, 503)
+
+
+class PairedHost(DaemonHost):
+    """wagtailpassd, and another host of its domain that starts once a crowd is there."""
+
+    def __init__(self, work, limits):
+        super().__init__(work, limits)
+        self.other_callers, self.other_operators, self.other_peers = free_ports(3)
+
+    def other_hosts(self):
+        return [{"name": "m2", "domain": "a", "address": HOST, "port": self.other_peers}]
+
+    def is_watched(self):
+        """Whether the other host reaches this one as its peer."""
+        self.start_daemon("m2", self.other_callers, self.other_operators)
+        try:
+            until(self.is_linked, "no link")
+        except RuntimeError:
+            return False
+        return super().is_watched()
+
+    def is_linked(self):
+        answer = ask(self.other_operators, "GET", "/metrics")
+        return answer is not None and "\nwagtailpass_wire_peers 1\n" in answer[1]
