Connections whose callers have left are closed at once

Callers saw a host whose connections, descriptors and memory were still taken after a crowd had gone, until the idle time-out (15 s; 10 and 30 in wagtailpassd); the next crowd came on top.

Cause: libmicrohttpd waits for the next event of a socket after a read that returned less than it asked for. Where the end of the stream has arrived with the last bytes, that event has been and none follows. With a host stopped while five clients send and close, each kind of unfinished request was kept for 15 to 16 s; connections without any byte ended at once.

Now each connection is also watched for its end (src/hangup.c). When it has come and all bytes were read, reading is ended on the socket: this changes nothing there and brings the library one more event. A caller that ends only its sending still gets its answer.

--- a/src/http.c
+++ b/src/http.c
@@ -346,7 +346,9 @@
 http_run (Http *h)
 {
   run_listener (&h->callers);
+  h->callers.due |= hangups_tell (h->callers.hangups);
   run_listener (&h->operators);
+  h->operators.due |= hangups_tell (h->operators.hangups);
 }
 
 static ClockMs
@@ -479,7 +481,9 @@
   APR_RING_INIT (&l->receiving, HttpConn, link);
   l->kept = g_array_new (FALSE, FALSE, sizeof (int));
   set_address (&a, address, port);
-  l->daemon = start_daemon (l, &a);
+  l->hangups = hangups_new (io_loop (l->http->io));
+  if (l->hangups)
+    l->daemon = start_daemon (l, &a);
   if (!l->daemon)
     {
       g_set_error (error, IO_ERROR, IO_ERROR_LISTEN,
@@ -543,6 +547,7 @@
       loop_unwatch (io_loop (l->http->io), l->watch);
       MHD_stop_daemon (l->daemon);
     }
+  hangups_free (l->hangups);
   if (l->kept)
     mhd_free_kept (l->kept);
 }
--- a/src/http_conn.c
+++ b/src/http_conn.c
@@ -130,6 +130,7 @@
           ->connect_fd;
   conn->n_before = mhd_n_read (conn->fd);
   *slot = conn;
+  hangups_watch (l->hangups, &conn->hangup, conn->fd);
   l->n_conns++;
   io_count (l->http->io, SHELL_HTTP_CONNECTIONS, 1);
   mhd_share_unread (l->daemon, conn->fd,
@@ -154,6 +155,7 @@
 static void
 on_conn_closed (Listener *l, HttpConn *conn)
 {
+  hangups_unwatch (l->hangups, &conn->hangup);
   if (conn->answered && !conn->reading_ended && is_between_requests (conn) &&
       !mhd_keep_unread (l->kept, conn->fd))
     io_count (l->http->io, SHELL_HTTP_CLOSED, 1);
--- a/src/http_state.h
+++ b/src/http_state.h
@@ -2,6 +2,7 @@
 #define HTTP_STATE_H
 
 #include "caller_budget.h"
+#include "hangup.h"
 #include "http.h"
 
 #include <apr_ring.h>
@@ -44,6 +45,7 @@
   gboolean body_left; /* the last request was answered before its body came */
   ClockMs until;
   CallerHold hold;
+  Hangup hangup;
   HttpCall *call; /* NULL between two requests */
 } HttpConn;
 
@@ -55,6 +57,7 @@
   gboolean operators;
   struct MHD_Daemon *daemon;
   LoopWatch *watch;
+  Hangups *hangups;
   gboolean due;
   guint n_conns;
   struct HttpConnRing idle;
--- a/tests/http_callers_test.cc
+++ b/tests/http_callers_test.cc
@@ -216,4 +216,33 @@
              std::string::npos);
 }
 
+// The end brings no event of its own, and the library asks for none.
+TEST_F (HttpCallers, EndThatCameWithTheLastBytesIsNoticed)
+{
+  for (const std::string &text : { head (2000) + std::string (1000, 'x'),
+                                   std::string ("POST /q/1 HTTP/1.1\r\n") })
+    {
+      int fd = connect_caller ();
+
+      step ();
+      send (fd, text.data (), text.size (), MSG_NOSIGNAL);
+      shutdown (fd, SHUT_WR);
+      for (int i = 0; i < 50; i++)
+        step ();
+      EXPECT_NE (metrics ().find ("wagtailpass_callers_connections 0\n"),
+                 std::string::npos);
+    }
+}
+
+TEST_F (HttpCallers, CallerThatEndsItsSendingGetsItsAnswer)
+{
+  int fd = connect_caller ();
+  std::string text = head (3) + "abc";
+
+  step ();
+  send (fd, text.data (), text.size (), MSG_NOSIGNAL);
+  shutdown (fd, SHUT_WR);
+  EXPECT_EQ (answer (fd).find ("HTTP/1.1 200"), 0U);
+}
+
 } // namespace
--- a/tests/shell_http_test.cc
+++ b/tests/shell_http_test.cc
@@ -142,6 +142,18 @@
   EXPECT_EQ (answer (next).substr (next.in.size () - 3), "own");
 }
 
+// The end brings no event of its own, and the library asks for none.
+TEST_F (Shell, EndThatCameWithTheLastBytesIsNoticed)
+{
+  settings->idle_ms = settings->receive_ms = 600000;
+  Io *io = start ();
+  Peer c = caller ("");
+  until ([&] { return io_shell_counter (io, SHELL_HTTP_CONNECTIONS) == 1; });
+  c.send ("POST /v1/requests HTTP/1.1\r\nContent-Length: 9\r\n\r\nab");
+  c.hang_up ();
+  until ([&] { return io_shell_counter (io, SHELL_HTTP_CONNECTIONS) == 0; });
+}
+
 // Heads and bodies that drip in are cut off, and others served meanwhile.
 // What drips in stays below the size at which a head is refused.
 TEST_F (Shell, SlowCallersAreCutOff)
