Readiness and metrics are answered beside any crowd at their doors

Callers saw hosts that were sound go out of service: a crowd of 100 connections at the readiness listener shut it, for as long as the crowd stayed and longer.

Cause: these listeners took 64 connections and kept each until the idle time-out; whoever came later waited to be accepted. They also read bodies, which no page of theirs has, and kept them.

A request that announces a body is answered by its head, and its connection ends.

--- a/tests/http_callers_test.cc
+++ b/tests/http_callers_test.cc
@@ -36,6 +36,7 @@
       t->passed_on.push_back (r->id);
       t->bodies.push_back (r->body ? g_bytes_get_size (r->body) : 0);
     };
+    ops.is_ready = [] (void *) -> gboolean { return TRUE; };
     ops.disconnect = [] (void *, gint64) {};
     ops.max_body_bytes = [] (void *) -> gsize { return 262144; };
     ops.may_keep_body = [] (void *owner, const Request *) {
@@ -44,8 +45,8 @@
     s = http_server_new (loop, &ops, this);
     // 2/5 of 5 MiB: eight bodies of legal size.
     http_server_limit (s, 5 << 20, 0);
-    ASSERT_TRUE (http_server_listen (s, HTTP_LISTENER_CALLERS, "127.0.0.1", 0,
-                                     nullptr));
+    for (HttpListenerId id : { HTTP_LISTENER_CALLERS, HTTP_LISTENER_READINESS })
+      ASSERT_TRUE (http_server_listen (s, id, "127.0.0.1", 0, nullptr));
   }
 
   void
@@ -58,15 +59,14 @@
   }
 
   int
-  connect_caller ()
+  connect_caller (HttpListenerId id = HTTP_LISTENER_CALLERS)
   {
     int fd = socket (AF_INET, SOCK_STREAM, 0);
     sockaddr_in address = {};
 
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    address.sin_port =
-        htons ((guint16)http_server_port (s, HTTP_LISTENER_CALLERS));
+    address.sin_port = htons ((guint16)http_server_port (s, id));
     EXPECT_EQ (connect (fd, (sockaddr *)&address, sizeof address), 0);
     fds.push_back (fd);
     return fd;
@@ -245,4 +245,31 @@
   EXPECT_EQ (answer (fd).find ("HTTP/1.1 200"), 0U);
 }
 
+TEST_F (HttpCallers, ReadinessIsToldBesideConnectionsThatSayNothing)
+{
+  for (int i = 0; i < 150; i++)
+    {
+      connect_caller (HTTP_LISTENER_READINESS);
+      step ();
+    }
+  int fd = connect_caller (HTTP_LISTENER_READINESS);
+  send_all (fd, "GET /api/readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ (answer (fd).find ("HTTP/1.1 200"), 0U);
+}
+
+TEST_F (HttpCallers, BodyOfAReadinessCheckIsNotReceived)
+{
+  for (const char *method : { "GET", "POST" })
+    {
+      int fd = connect_caller (HTTP_LISTENER_READINESS);
+      char byte;
+
+      send_all (fd, std::string (method) +
+                        " /api/readyz HTTP/1.1\r\nHost: h\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n");
+      EXPECT_EQ (answer (fd).find ("HTTP/1.1 200"), 0U) << method;
+      EXPECT_EQ (recv (fd, &byte, 1, MSG_DONTWAIT), 0) << method;
+    }
+}
+
 } // namespace
