A caller is served beside an unending row of callers with new names

Callers of wagtailpassd saw requests that were neither served nor refused within 10 s while 300 connections sent 200 requests each, all of one workspace and each under a caller's name of its own.

Cause: the virtual time at which a newcomer begins was the greatest tag served. Newcomers begin there, are served there, and so it stands still; whoever was served before has a tag above it and waits for ever. The upstream served 385 requests a second meanwhile, with 300 waiting: 0.8 s for each, had the order been that of their coming.

Now that time moves on with the service given, by its amount over the callers that wait and one more, corrected costs included. The naive queue has the same rule.

--- a/src/fair.c
+++ b/src/fair.c
@@ -30,7 +30,7 @@
 typedef struct FairLevel
 {
   GSequence *active; /* of FairFlow, by tag */
-  gint64 vtime;      /* greatest tag served */
+  gint64 vtime;      /* where one begins who comes now */
 } FairLevel;
 
 typedef struct FairWorkspace FairWorkspace;
@@ -137,6 +137,17 @@
     g_sequence_sort_changed (w->iter, by_tag, NULL);
 }
 
+/* Moves the place at which newcomers begin on by AMOUNT of service, which those
+   who wait share.  A little less than their even share, so that a newcomer
+   still goes before whoever has much waiting.  Were it moved by the tags served
+   alone, an unending row of newcomers would all begin before one who has been
+   served. */
+static void
+level_advance (FairLevel *l, gint64 amount)
+{
+  l->vtime += amount / (1 + g_sequence_get_length (l->active));
+}
+
 static FairFlow *
 level_first (const FairLevel *l)
 {
@@ -521,6 +532,7 @@
   f->classes[s->work_class].running--;
   flow_charge (&caller->flow, more * TAG_SCALE);
   flow_charge (&s->flow, more * TAG_SCALE / w->weight);
+  level_advance (&s->callers, cost * TAG_SCALE);
   workspace_update (f, w);
 }
 
--- a/tests/callers/callers.py
+++ b/tests/callers/callers.py
@@ -126,6 +126,7 @@
     "daemon-large-chunks-returning": Case(daemon, chunks(1500, 250000, 16000), returns=True),
     "daemon-tiny-chunks-returning": Case(daemon, chunks(1500, 40000, 4), returns=True),
     "daemon-heads-by-the-byte": Case(daemon, heads(1500, 12000), HEADS),
+    "daemon-pipelined": Case(busy_daemon, pipelined(300, 200, 400, 4)),
     "daemon-operators-chunks": Case(daemon, door_chunks(700, 250000, 16000),
                                     door="operators"),
     "daemon-stop": Case(daemon, chunks(700, 250000, 16000), stops=True),
--- a/tests/naive/fair_naive.h
+++ b/tests/naive/fair_naive.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -77,6 +78,8 @@
             more * 1024;
         flows[{ it->work_class, it->workspace, "" }].tag +=
             more * 1024 / limits[it->workspace].first;
+        vtime[{ it->work_class, it->workspace }] +=
+            cost * 1024 / (1 + waiting_callers (it->work_class, it->workspace));
       }
     items.erase (it);
     refresh ();
@@ -114,6 +117,16 @@
         }));
   }
 
+  gint64
+  waiting_callers (int k, const std::string &w)
+  {
+    std::set<std::string> callers;
+    for (auto &i : items)
+      if (i.state == FAIR_WAITING && i.work_class == k && i.workspace == w)
+        callers.insert (i.caller);
+    return static_cast<gint64> (callers.size ());
+  }
+
   /* What runs, and waits as far as its workspace's limit allows. */
   int
   demand (int k)
--- a/tests/req_fair_test.cc
+++ b/tests/req_fair_test.cc
@@ -230,4 +230,34 @@
   EXPECT_GE (got[1], 16 * 100000);
 }
 
+TEST (ReqFairTest, CallerOfBeforeIsServedBesideAnUnendingRowOfNewOnes)
+{
+  constexpr int waiting = 30;
+  Fair *f = fair_new ();
+  std::vector<std::unique_ptr<Entry> > entries;
+  auto push = [&] (const std::string &caller) {
+    FairPlace p = { CLASS_NORMAL, "a", caller.c_str (), 1, -1 };
+    entries.push_back (std::make_unique<Entry> ());
+    entries.back ()->it.cost = 20;
+    fair_push (f, &entries.back ()->it, &p, 0);
+    return &entries.back ()->it;
+  };
+  FairItem *first = push ("before");
+  ASSERT_EQ (fair_pop (f, 1, 0), first);
+  fair_finish (f, first, 20);
+  int n = 0;
+  for (; n < waiting; n++)
+    push ("new" + std::to_string (n));
+  FairItem *again = push ("before");
+  int served = 0;
+  for (; served < 3 * waiting && again->state == FAIR_WAITING; served++)
+    {
+      FairItem *it = fair_pop (f, 1, served);
+      fair_finish (f, it, 20);
+      push ("new" + std::to_string (n++));
+    }
+  EXPECT_LE (served, 2 * waiting);
+  fair_free (f);
+}
+
 } // namespace
