A host links with its peers beside connections that say nothing

Operators saw a restarted host of wagtailpassd without links while somebody kept 64 silent connections open at a peers' door and came again each time they were closed: the other hosts' dials were closed as they came.

Cause: up to 64 connections may be there whose key is not proven; a further one was closed, for up to 3 s, whoever it was.

Now the oldest of the unproven gives way to it: a host's handshake takes two round trips, so those who say nothing go first. Their number, and each one's 3 s, stay.

--- a/src/wire.c
+++ b/src/wire.c
@@ -627,6 +627,20 @@
   send_frame (w, p, wire_frame_new (e, stamp));
 }
 
+/* Returns the accepted connection that has taken longest to prove a key, of
+   which there is one.  A host's own takes two round trips, so that those who
+   say nothing give way to it. */
+static Link *
+oldest_unproven (Wire *w)
+{
+  Link *l;
+
+  APR_RING_FOREACH (l, &w->links, Link, link)
+    if (!l->dialled && l->state != LINK_OPEN)
+      return l;
+  g_assert_not_reached ();
+}
+
 static void
 on_accept (void *owner, int events)
 {
@@ -637,12 +651,16 @@
 
   (void)events;
   apr_pool_create (&pool, io_pool (w->io));
-  if (apr_socket_accept (&socket, w->socket, pool) != APR_SUCCESS ||
-      w->n_unproven >= MAX_UNPROVEN)
+  if (apr_socket_accept (&socket, w->socket, pool) != APR_SUCCESS)
     {
       apr_pool_destroy (pool);
       return;
     }
+  if (w->n_unproven >= MAX_UNPROVEN)
+    {
+      io_count (w->io, SHELL_WIRE_REFUSED, 1);
+      link_close (oldest_unproven (w));
+    }
   l = link_new (w, pool, socket, NULL);
   l->watch =
       loop_watch (io_loop (w->io), link_fd (l), APR_POLLIN, on_link_ready, l);
--- a/tests/callers/callers.py
+++ b/tests/callers/callers.py
@@ -129,6 +129,8 @@
     "daemon-pipelined": Case(busy_daemon, pipelined(300, 200, 400, 4)),
     "daemon-operators-chunks": Case(daemon, door_chunks(700, 250000, 16000),
                                     door="operators"),
+    "daemon-peers-silent": Case(paired_daemon, silent(150), door="peers", returns=True,
+                                beside=True),
     "daemon-stop": Case(daemon, chunks(700, 250000, 16000), stops=True),
 }
 
