Callers between two calls no longer pay for a crowd of bodies

Callers saw their kept connections end without an answer, which doesn't say whether the request was run, while a crowd sent bodies short of their end, stayed for a second and a half and came again.

Cause: where connections were short and nothing had stalled for a second, the one that had waited longest for a head was closed, before any body: an ordinary caller between two calls, or one whose request stood unread in the kernel.

Now the kind of which most connections are open gives way (waiting for a head, bodies, answers), in it the oldest progress; a connection on which a request has arrived is passed over. A crowd so pays for itself, whatever it does.

The decision is tested without a network; two of the four new tests fail with the former order.

--- a/src/caller_budget.c
+++ b/src/caller_budget.c
@@ -10,6 +10,8 @@
   STALLED_MS = 1000,
   /* Without progress for this long it gives way to a quicker one. */
   SLOW_MS = 100,
+  /* Connections that are looked at for unread bytes before one is closed. */
+  MAX_PASSED_OVER = 8,
   MIN_CONNECTIONS = 16,
   MAX_CONNECTIONS = 3000,
   /* For files, listeners, peers, the store and calls to workers. */
@@ -53,13 +55,17 @@
   };
 }
 
-/* Initializes B without connections. */
+/* Initializes B without connections; HAS_UNREAD is asked about them. */
 void
-caller_budget_init (CallerBudget *b, const CallerLimits *limits)
+caller_budget_init (CallerBudget *b,
+                    const CallerLimits *limits,
+                    CallerHasUnread has_unread)
 {
   guint i;
 
-  *b = (CallerBudget) { .limits = *limits, .trim_at = CLOCK_NEVER };
+  *b = (CallerBudget) { .limits = *limits,
+                        .has_unread = has_unread,
+                        .trim_at = CLOCK_NEVER };
   for (i = 0; i < N_CALLER_PHASES; i++)
     APR_RING_INIT (&b->phases[i], CallerHold, link);
 }
@@ -97,6 +103,7 @@
 caller_budget_open (CallerBudget *b, CallerHold *hold, ClockMs now)
 {
   hold->phase = CALLER_HEAD;
+  b->n_in[CALLER_HEAD]++;
   hold->bytes = 0;
   mark_progress (b, hold, now);
   b->n_connections++;
@@ -115,6 +122,8 @@
   if (hold->phase == CALLER_GONE)
     return;
   APR_RING_REMOVE (hold, link);
+  b->n_in[hold->phase]--;
+  b->n_in[phase]++;
   hold->phase = phase;
   mark_progress (b, hold, now);
   set_bytes (b, hold, b->limits.connection_bytes + bytes);
@@ -143,6 +152,7 @@
     return;
   APR_RING_REMOVE (hold, link);
   set_bytes (b, hold, 0);
+  b->n_in[hold->phase]--;
   hold->phase = CALLER_GONE;
   b->n_connections--;
 }
@@ -164,49 +174,133 @@
   return NULL;
 }
 
-/* An order in which connections are closed. */
+/* A kind of connections that may be closed, and why they are. */
 typedef struct Closing
 {
   CallerPhase phase;
   CallerCause cause;
 } Closing;
 
+static const CallerVerdict keep = { CALLER_KEEP, NULL, CALLER_NO_ROOM };
+
+/* Those that have stalled, the least loss first: what they sent is refused
+   already, cannot be carried out, or has been. */
+static const Closing stalled_order[] = {
+  { CALLER_DROPPED, CALLER_STALLED_BODY },
+  { CALLER_BODY, CALLER_STALLED_BODY },
+  { CALLER_ANSWER, CALLER_UNREAD_ANSWER },
+};
+
 static CallerVerdict
-close_first (CallerBudget *b,
-             const Closing *order,
-             gsize n,
-             const CallerHold *asking,
-             ClockMs span,
-             ClockMs now)
+close_stalled (CallerBudget *b, const CallerHold *asking, ClockMs now)
 {
   gsize i;
 
-  for (i = 0; i < n; i++)
+  for (i = 0; i < G_N_ELEMENTS (stalled_order); i++)
     {
-      CallerHold *hold = oldest (b, order[i].phase, asking, span, now);
+      CallerHold *hold =
+          oldest (b, stalled_order[i].phase, asking, STALLED_MS, now);
 
       if (hold)
-        return (CallerVerdict) { CALLER_CLOSE, hold, order[i].cause };
+        return (CallerVerdict) { CALLER_CLOSE, hold, stalled_order[i].cause };
     }
-  return (CallerVerdict) { CALLER_KEEP, NULL, CALLER_NO_ROOM };
+  return keep;
 }
 
-/* Those that have stalled, the least loss first: what they sent is refused
-   already, cannot be carried out, or has been. */
-static const Closing stalled_order[] = {
-  { CALLER_DROPPED, CALLER_STALLED_BODY },
-  { CALLER_BODY, CALLER_STALLED_BODY },
-  { CALLER_ANSWER, CALLER_UNREAD_ANSWER },
-};
+/* Returns the connection that has waited longest for a head, other than ASKING.
+   One whose request has arrived is passed over: the host is late, not its
+   caller. */
+static CallerHold *
+idlest (CallerBudget *b, const CallerHold *asking)
+{
+  CallerHold *hold;
+  CallerHold *first = NULL;
+  guint n = 0;
 
-/* Where none has stalled.  A request that is worked on is in no list: nobody
-   could say truly that it was not run. */
-static const Closing any_order[] = {
-  { CALLER_HEAD, CALLER_NO_REQUEST },
-  { CALLER_DROPPED, CALLER_SLOW_BODY },
-  { CALLER_BODY, CALLER_SLOW_BODY },
-  { CALLER_ANSWER, CALLER_UNREAD_ANSWER },
-};
+  APR_RING_FOREACH (hold, &b->phases[CALLER_HEAD], CallerHold, link)
+    {
+      if (hold == asking)
+        continue;
+      if (!b->has_unread (hold))
+        return hold;
+      if (!first)
+        first = hold;
+      if (++n == MAX_PASSED_OVER)
+        break;
+    }
+  return first;
+}
+
+static CallerVerdict
+close_idle (CallerBudget *b, const CallerHold *asking, ClockMs now)
+{
+  CallerHold *hold = idlest (b, asking);
+
+  (void)now;
+  return hold ? (CallerVerdict) { CALLER_CLOSE, hold, CALLER_NO_REQUEST }
+              : keep;
+}
+
+/* Bodies that are not kept come first: they are refused already. */
+static CallerVerdict
+close_body (CallerBudget *b, const CallerHold *asking, ClockMs now)
+{
+  CallerHold *hold = oldest (b, CALLER_DROPPED, asking, 0, now);
+
+  if (!hold)
+    hold = oldest (b, CALLER_BODY, asking, 0, now);
+  return hold ? (CallerVerdict) { CALLER_CLOSE, hold, CALLER_SLOW_BODY } : keep;
+}
+
+static CallerVerdict
+close_answer (CallerBudget *b, const CallerHold *asking, ClockMs now)
+{
+  CallerHold *hold = oldest (b, CALLER_ANSWER, asking, 0, now);
+
+  return hold ? (CallerVerdict) { CALLER_CLOSE, hold, CALLER_UNREAD_ANSWER }
+              : keep;
+}
+
+/* Connections that do the same. */
+typedef struct Kind
+{
+  guint n;
+  CallerVerdict (*close) (CallerBudget *b,
+                          const CallerHold *asking,
+                          ClockMs now);
+} Kind;
+
+static gint
+by_number (gconstpointer a, gconstpointer b, gpointer unused)
+{
+  const Kind *x = a;
+  const Kind *y = b;
+
+  (void)unused;
+  return x->n == y->n ? 0 : x->n > y->n ? -1 : 1;
+}
+
+/* Where none has stalled, the kind of which most are open gives way, so that a
+   crowd pays for itself: callers that wait between two calls don't pay for one
+   of bodies, nor bodies for one that says nothing.  A request that is worked on
+   is of no kind: nobody could say truly that it was not run. */
+static CallerVerdict
+close_of_largest (CallerBudget *b, const CallerHold *asking, ClockMs now)
+{
+  Kind kinds[] = {
+    { b->n_in[CALLER_HEAD], close_idle },
+    { b->n_in[CALLER_DROPPED] + b->n_in[CALLER_BODY], close_body },
+    { b->n_in[CALLER_ANSWER], close_answer },
+  };
+  CallerVerdict v = keep;
+  gsize i;
+
+  g_qsort_with_data (kinds, G_N_ELEMENTS (kinds), sizeof *kinds, by_number,
+                     NULL);
+  for (i = 0; i < G_N_ELEMENTS (kinds) && v.action == CALLER_KEEP; i++)
+    v = kinds[i].close (b, asking, now);
+  return v;
+}
 
 /* Bytes are short and nothing has stalled: a slow body gives way, then the body
    or the request that asks for room. */
@@ -219,7 +313,7 @@
     return (CallerVerdict) { CALLER_REFUSE, slow, CALLER_SLOW_BODY };
   if (asking->phase == CALLER_BODY || asking->phase == CALLER_WAITING)
     return (CallerVerdict) { CALLER_REFUSE, asking, CALLER_NO_ROOM };
-  return (CallerVerdict) { CALLER_KEEP, NULL, CALLER_NO_ROOM };
+  return keep;
 }
 
 /* Returns what to do next for B to be within its limits, with KEEP if that is
@@ -230,17 +324,16 @@
 caller_budget_next (CallerBudget *b, CallerHold *asking, ClockMs now)
 {
   gboolean crowded = b->n_connections > b->limits.connections;
-  CallerVerdict v = { CALLER_KEEP, NULL, CALLER_NO_ROOM };
+  CallerVerdict v;
 
   if (asking->phase == CALLER_GONE || (!crowded && b->held <= b->limits.bytes))
-    return v;
-  v = close_first (b, stalled_order, G_N_ELEMENTS (stalled_order), asking,
-                   STALLED_MS, now);
+    return keep;
+  v = close_stalled (b, asking, now);
   if (v.action == CALLER_KEEP && !crowded)
     v = refuse_one (b, asking, now);
   /* Closing an idle connection frees bytes only where it costs some. */
   if (v.action == CALLER_KEEP && (crowded || b->limits.connection_bytes > 0))
-    v = close_first (b, any_order, G_N_ELEMENTS (any_order), asking, 0, now);
+    v = close_of_largest (b, asking, now);
   return v;
 }
 
--- a/src/caller_budget.h
+++ b/src/caller_budget.h
@@ -56,10 +56,16 @@
   gsize connection_bytes; /* what each connection costs, whatever it does */
 } CallerLimits;
 
+/* Tells whether bytes of HOLD's connection have arrived that the host has not
+   read yet. */
+typedef gboolean (*CallerHasUnread) (const CallerHold *hold);
+
 typedef struct CallerBudget
 {
   CallerLimits limits;
+  CallerHasUnread has_unread;
   struct CallerHoldRing phases[N_CALLER_PHASES]; /* oldest progress first */
+  guint n_in[N_CALLER_PHASES];
   guint n_connections;
   gsize held;
   gsize peak;      /* of all that was held since memory was given back */
@@ -82,7 +88,9 @@
 } CallerVerdict;
 
 CallerLimits caller_budget_limits (gint64 memory_bytes, guint max_descriptors);
-void caller_budget_init (CallerBudget *b, const CallerLimits *limits);
+void caller_budget_init (CallerBudget *b,
+                         const CallerLimits *limits,
+                         CallerHasUnread has_unread);
 void caller_budget_open (CallerBudget *b, CallerHold *hold, ClockMs now);
 void caller_budget_enter (CallerBudget *b,
                           CallerHold *hold,
--- a/src/http.c
+++ b/src/http.c
@@ -476,7 +476,7 @@
   const union MHD_DaemonInfo *info;
   Address a;
 
-  caller_budget_init (&l->budget, &limits);
+  caller_budget_init (&l->budget, &limits, http_conn_has_unread);
   APR_RING_INIT (&l->idle, HttpConn, link);
   APR_RING_INIT (&l->receiving, HttpConn, link);
   l->kept = g_array_new (FALSE, FALSE, sizeof (int));
--- a/src/http_conn.c
+++ b/src/http_conn.c
@@ -119,6 +119,15 @@
       refuse_body (((HttpConn *)v.hold->owner)->call);
 }
 
+/* Tells whether bytes stand unread on the connection of HOLD. */
+gboolean
+http_conn_has_unread (const CallerHold *hold)
+{
+  const HttpConn *conn = hold->owner;
+
+  return mhd_has_unread (conn->fd);
+}
+
 static void
 on_conn_opened (Listener *l, struct MHD_Connection *connection, void **slot)
 {
--- a/src/http_state.h
+++ b/src/http_state.h
@@ -119,6 +119,7 @@
                    struct MHD_Connection *connection,
                    void **slot,
                    enum MHD_ConnectionNotificationCode code);
+gboolean http_conn_has_unread (const CallerHold *hold);
 void http_keep_within_limits (Listener *l, CallerHold *asking);
 void http_close_overdue (Listener *l, ClockMs now);
 void http_conns_end_idle (Listener *l);
--- a/tests/caller_budget_test.cc
+++ b/tests/caller_budget_test.cc
@@ -11,7 +11,8 @@
 namespace
 {
 
-/* Connections of 10 bytes each that may hold 200 bytes, five at a time. */
+/* Connections of 10 bytes each that may hold 200 bytes, five at a time.  Those
+   that have an owner have unread bytes. */
 struct CallerBudgetOf : testing::Test
 {
   CallerBudget b;
@@ -21,7 +22,9 @@
   {
     const CallerLimits limits = { 200, 5, 10 };
 
-    caller_budget_init (&b, &limits);
+    caller_budget_init (&b, &limits, [] (const CallerHold *h) -> gboolean {
+      return h->owner != nullptr;
+    });
   }
 
   CallerHold *
@@ -125,6 +128,42 @@
   EXPECT_EQ (caller_budget_next (&b, &hold[5], 6).hold, &hold[1]);
 }
 
+// Callers between two calls paid for a crowd of bodies.
+TEST_F (CallerBudgetOf, CrowdOfBodiesGivesWayBeforeAConnectionBetweenTwoCalls)
+{
+  open (0, 0);
+  for (size_t i = 1; i < 5; i++)
+    body (i, 10, 900 + static_cast<ClockMs> (i));
+  CallerVerdict v = caller_budget_next (&b, open (5, 1000), 1000);
+
+  EXPECT_EQ (v.hold, &hold[1]);
+  EXPECT_EQ (v.cause, CALLER_SLOW_BODY);
+}
+
+TEST_F (CallerBudgetOf, CrowdThatSaysNothingGivesWayBeforeABody)
+{
+  body (0, 10, 900);
+  for (size_t i = 1; i < 5; i++)
+    open (i, 900);
+  EXPECT_EQ (caller_budget_next (&b, open (5, 1000), 1000).hold, &hold[1]);
+}
+
+// Its caller has done its part.
+TEST_F (CallerBudgetOf, ConnectionWhoseRequestHasArrivedIsPassedOver)
+{
+  for (size_t i = 0; i < 5; i++)
+    open (i, static_cast<ClockMs> (i));
+  hold[0].owner = hold[1].owner = this;
+  EXPECT_EQ (caller_budget_next (&b, open (5, 10), 10).hold, &hold[2]);
+}
+
+TEST_F (CallerBudgetOf, LongestIdleIsClosedWhereRequestsHaveArrivedOnAll)
+{
+  for (size_t i = 0; i < 6; i++)
+    open (i, static_cast<ClockMs> (i))->owner = this;
+  EXPECT_EQ (caller_budget_next (&b, &hold[5], 10).hold, &hold[0]);
+}
+
 TEST_F (CallerBudgetOf, NothingIsLeftOfClosedCallers)
 {
   for (size_t i = 0; i < 5; i++)
