--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 LDLIBS = $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lcsv
 
 # The shell: whatever touches sockets, clocks, files or threads.
-SHELL_MODULES = loop busy step_budget caller_budget memory hangup curl_loop fetch lines latency io wire wire_mac wire_message mhd http http_conn http_route http_answer log metrics timeline input settings client client_kinds cli cli_table cli_job cli_show cli_timeline cli_why why lanes
+SHELL_MODULES = loop busy step_budget caller_budget memory hangup curl_loop fetch lines latency io wire wire_handshake wire_mac wire_message mhd http http_conn http_route http_answer log metrics timeline input settings client client_kinds cli cli_table cli_job cli_show cli_timeline cli_why why lanes
 
 CORE_SRC = $(filter-out $(SHELL_MODULES:%=src/%.c),$(wildcard src/*.c)) $(wildcard queue/*.c)
 SHELL_SRC = $(wildcard $(SHELL_MODULES:%=src/%.c)) $(wildcard platform/*.c)
--- a/src/wire.c
+++ b/src/wire.c
@@ -1,10 +1,8 @@
-#include "wire.h"
+#include "wire_state.h"
 
 #include "wire_mac.h"
-#include "wire_message.h"
 
 #include <apr_general.h>
-#include <apr_network_io.h>
 #include <apr_portable.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,8 +11,6 @@
 
 enum
 {
-  LENGTH_BYTES = 4,
-  READ_BYTES = 64 << 10,
   LISTEN_BACKLOG = 128,
   MAX_UNPROVEN = 64, /* accepted connections that have not yet proved a key */
   MAX_WAITING = 64,  /* messages for a peer whose connection is being made */
@@ -28,65 +24,6 @@
   USER_TIMEOUT_MS = 5000
 };
 
-typedef enum LinkState
-{
-  LINK_CONNECTING,
-  LINK_HELLO,     /* accepted: waits for the hello */
-  LINK_CHALLENGE, /* dialled: waits for the challenge */
-  LINK_PROOF,     /* accepted: waits for the proof */
-  LINK_OPEN
-} LinkState;
-
-typedef struct Peer Peer;
-
-/* One connection.  Messages go from its dialler to its accepter only, so
-   two hosts that talk have two. */
-typedef struct Link
-{
-  APR_RING_ENTRY (Link) link;
-  Wire *wire;
-  Peer *peer; /* of an accepted one: once the hello has named it */
-  gboolean dialled;
-  LinkState state;
-  apr_pool_t *pool;
-  apr_socket_t *socket;
-  LoopWatch *watch;
-  ClockMs until; /* the handshake's end */
-  guint8 nonce[WIRE_NONCE];
-  guint8 peer_nonce[WIRE_NONCE];
-  guint8 key[WIRE_MAC];
-  gint64 sequence; /* of the next frame */
-  GByteArray *in;
-  GByteArray *out;
-  gsize sent; /* of OUT */
-} Link;
-
-APR_RING_HEAD (LinkRing, Link);
-
-struct Peer
-{
-  const ConfigHost *host;
-  Link *out;
-  Link *in;
-  GQueue waiting; /* of WireFrame */
-  ClockMs retry_at;
-  ClockMs back_off;
-  ClockMs wanted_until;
-};
-
-struct Wire
-{
-  Io *io;
-  const Settings *settings;
-  apr_socket_t *socket;
-  LoopWatch *watch;
-  GHashTable *peers; /* name to Peer */
-  struct LinkRing links;
-  guint n_unproven;
-  ClockMs sweep_at;
-  guint8 buffer[READ_BYTES];
-};
-
 static void
 random_bytes (guint8 *to, gsize n)
 {
@@ -104,32 +41,6 @@
   return span / 2 + (ClockMs)(r % (guint32)(span + 1));
 }
 
-/* Computes into MAC the MAC of LABEL and all that both ends of L said. */
-static void
-sign_handshake (const Link *l, const char *label, guint8 *mac)
-{
-  const char *self = l->wire->settings->host;
-  const char *other = l->peer->host->name;
-  WireHandshake h = { .key = l->wire->settings->peer_key,
-                      .dialler = l->dialled ? self : other,
-                      .accepter = l->dialled ? other : self,
-                      .dialler_nonce = l->dialled ? l->nonce : l->peer_nonce,
-                      .accepter_nonce = l->dialled ? l->peer_nonce : l->nonce };
-
-  wire_mac_handshake (&h, label, mac);
-}
-
-static gboolean
-proof_is_good (const Link *l, const char *label, GBytes *proof)
-{
-  guint8 mac[WIRE_MAC];
-
-  if (!proof || g_bytes_get_size (proof) != WIRE_MAC)
-    return FALSE;
-  sign_handshake (l, label, mac);
-  return wire_mac_equal (mac, g_bytes_get_data (proof, NULL));
-}
-
 static int
 link_fd (const Link *l)
 {
@@ -280,83 +191,12 @@
   return TRUE;
 }
 
-static void
-append (Link *l, const RecDesc *d, const void *rec, gboolean sign)
-{
-  GBytes *packed = rec_pack (d, rec);
-  gsize n;
-  gconstpointer data = g_bytes_get_data (packed, &n);
-  guint32 length = g_htonl ((guint32)n + (sign ? WIRE_MAC : 0));
-  guint8 mac[WIRE_MAC];
-
-  g_byte_array_append (l->out, (guint8 *)&length, LENGTH_BYTES);
-  g_byte_array_append (l->out, data, (guint)n);
-  if (sign)
-    {
-      wire_mac_frame (l->key, data, n, mac);
-      g_byte_array_append (l->out, mac, WIRE_MAC);
-    }
-  g_bytes_unref (packed);
-}
-
 static void
 append_frame (Link *l, WireFrame *f)
 {
   f->sequence = l->sequence++;
   io_count (l->wire->io, SHELL_WIRE_FRAMES_OUT, 1);
-  append (l, wire_frame_desc (), f, TRUE);
-}
-
-static void
-send_hello (Link *l)
-{
-  GBytes *nonce = g_bytes_new_static (l->nonce, WIRE_NONCE);
-
-  append (l, wire_hello_desc (),
-          &(WireHello) { .version = WIRE_VERSION,
-                         .host = l->wire->settings->host,
-                         .peer = l->peer->host->name,
-                         .nonce = nonce },
-          FALSE);
-  g_bytes_unref (nonce);
-  l->state = LINK_CHALLENGE;
-}
-
-static gboolean
-take_nonce (Link *l, GBytes *nonce)
-{
-  if (!nonce || g_bytes_get_size (nonce) != WIRE_NONCE)
-    return FALSE;
-  memcpy (l->peer_nonce, g_bytes_get_data (nonce, NULL), WIRE_NONCE);
-  return TRUE;
-}
-
-/* Each step of the handshake and each message takes one frame's content;
-   it returns NULL, or why the connection is to be closed. */
-
-static const char *
-take_hello (Link *l, gconstpointer rec)
-{
-  const WireHello *hello = rec;
-  const char *self = l->wire->settings->host;
-  guint8 mac[WIRE_MAC];
-  WireChallenge answer = { .version = WIRE_VERSION };
-
-  if (strcmp (hello->peer, self) != 0)
-    return "means another host";
-  l->peer = g_hash_table_lookup (l->wire->peers, hello->host);
-  if (!l->peer)
-    return "is no host of the settings";
-  if (!take_nonce (l, hello->nonce))
-    return "bad nonce";
-  sign_handshake (l, "accepter", mac);
-  answer.nonce = g_bytes_new_static (l->nonce, WIRE_NONCE);
-  answer.proof = g_bytes_new_static (mac, WIRE_MAC);
-  append (l, wire_challenge_desc (), &answer, FALSE);
-  g_bytes_unref (answer.nonce);
-  g_bytes_unref (answer.proof);
-  l->state = LINK_PROOF;
-  return NULL;
+  wire_append (l, wire_frame_desc (), f, TRUE);
 }
 
 static void
@@ -371,22 +211,16 @@
     }
 }
 
+/* Each step of the handshake and each message takes one frame's content;
+   it returns NULL, or why the connection is to be closed. */
+
 static const char *
-take_challenge (Link *l, gconstpointer rec)
+open_dialled (Link *l, gconstpointer challenge)
 {
-  const WireChallenge *challenge = rec;
-  guint8 mac[WIRE_MAC];
-  WireProof proof;
-
-  if (!take_nonce (l, challenge->nonce))
-    return "bad nonce";
-  if (!proof_is_good (l, "accepter", challenge->proof))
-    return "wrong key";
-  sign_handshake (l, "dialler", mac);
-  proof.proof = g_bytes_new_static (mac, WIRE_MAC);
-  append (l, wire_proof_desc (), &proof, FALSE);
-  g_bytes_unref (proof.proof);
-  sign_handshake (l, "session", l->key);
+  const char *why = wire_take_challenge (l, challenge);
+
+  if (why)
+    return why;
   l->state = LINK_OPEN;
   l->peer->back_off = 0;
   io_count (l->wire->io, SHELL_WIRE_PEERS, 1);
@@ -397,13 +231,12 @@
 }
 
 static const char *
-take_proof (Link *l, gconstpointer rec)
+open_accepted (Link *l, gconstpointer proof)
 {
-  const WireProof *proof = rec;
+  const char *why = wire_take_proof (l, proof);
 
-  if (!proof_is_good (l, "dialler", proof->proof))
-    return "wrong key";
-  sign_handshake (l, "session", l->key);
+  if (why)
+    return why;
   l->state = LINK_OPEN;
   l->wire->n_unproven--;
   if (l->peer->in)
@@ -442,9 +275,9 @@
 } LinkStep;
 
 static const LinkStep steps[] = {
-  [LINK_HELLO] = { wire_hello_desc, take_hello },
-  [LINK_CHALLENGE] = { wire_challenge_desc, take_challenge },
-  [LINK_PROOF] = { wire_proof_desc, take_proof },
+  [LINK_HELLO] = { wire_hello_desc, wire_take_hello },
+  [LINK_CHALLENGE] = { wire_challenge_desc, open_dialled },
+  [LINK_PROOF] = { wire_proof_desc, open_accepted },
   [LINK_OPEN] = { wire_frame_desc, take_frame },
 };
 
@@ -483,21 +316,21 @@
   const char *why = NULL;
   gsize used = 0;
 
-  while (!why && l->in->len - used >= LENGTH_BYTES)
+  while (!why && l->in->len - used >= WIRE_LENGTH_BYTES)
     {
       gsize most = l->state == LINK_OPEN
                        ? (gsize)l->wire->settings->max_frame_bytes
                        : WIRE_MAX_HANDSHAKE;
       guint32 length;
 
-      memcpy (&length, l->in->data + used, LENGTH_BYTES);
+      memcpy (&length, l->in->data + used, WIRE_LENGTH_BYTES);
       length = g_ntohl (length);
       if (length > most)
         return "frame too large";
-      if (l->in->len - used - LENGTH_BYTES < length)
+      if (l->in->len - used - WIRE_LENGTH_BYTES < length)
         break;
-      why = take_content (l, l->in->data + used + LENGTH_BYTES, length);
-      used += LENGTH_BYTES + length;
+      why = take_content (l, l->in->data + used + WIRE_LENGTH_BYTES, length);
+      used += WIRE_LENGTH_BYTES + length;
     }
   if (!why && used)
     g_byte_array_remove_range (l->in, 0, (guint)used);
@@ -510,7 +343,7 @@
 read_link (Link *l)
 {
   guint8 *buffer = l->wire->buffer;
-  apr_size_t n = READ_BYTES;
+  apr_size_t n = WIRE_READ_BYTES;
   apr_status_t rv = apr_socket_recv (l->socket, (char *)buffer, &n);
   const char *why;
 
@@ -552,7 +385,7 @@
           link_close (l);
           return;
         }
-      send_hello (l);
+      wire_send_hello (l);
     }
   else if (events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR) && !read_link (l))
     return;
