--- a/tests/http_callers_test.cc
+++ b/tests/http_callers_test.cc
@@ -152,6 +152,23 @@
   EXPECT_EQ (bodies, std::vector<gsize> { 6 });
 }
 
+TEST_F (HttpCallers, LargestBodyInChunksOfOneByteIsServedInCalm)
+{
+  int fd = connect_caller ();
+  std::string text = "POST /q/1 HTTP/1.1\r\nHost: h\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n";
+
+  for (size_t i = 0; i < 262144; i++)
+    text += "1\r\nx\r\n";
+  send_all (fd, text + "0\r\n\r\n");
+  text.clear ();
+  // The rest stands in the kernel's buffers.
+  for (int i = 0; i < 100 && text.empty (); i++)
+    text = answer (fd);
+  EXPECT_EQ (text.find ("HTTP/1.1 200"), 0U);
+  EXPECT_EQ (bodies, std::vector<gsize> { 262144 });
+}
+
 TEST_F (HttpCallers, BodyThatCannotMatterIsAnsweredByItsHead)
 {
   int fd = connect_caller ();
