--- a/tests/callers/processes.py
+++ b/tests/callers/processes.py
@@ -10,7 +10,7 @@
 HOST = "127.0.0.1"
 MIB = 1 << 20
 TOKEN = "callers-token"
-LISTENING, END_NOT_ACKNOWLEDGED = "0A", "04"  # states in /proc/net/tcp
+ESTABLISHED, LISTENING, END_NOT_ACKNOWLEDGED = "01", "0A", "04"  # states in /proc/net/tcp
 START_S = 20  # a process that is not up by then has failed
 CONFIG = {"version": 1, "limits": {}, "services": [{"name": "render"}],
           "routes": [{"name": "q1", "host": "callers.example", "prefix": "/q1/",
@@ -112,11 +112,14 @@
         return n
 
     def undelivered_ends(self):
-        """How many connections their clients have closed without the kernel having
-        delivered the end: it tries again ever later where the host's backlog was full."""
-        doors = self.addresses()
-        return sum(remote in doors and state == END_NOT_ACKNOWLEDGED
-                   for _, remote, state, _ in self.kernel_sockets())
+        """How many connections are open for the host that their clients have closed, as the
+        kernel has not delivered the end: it tries again ever later where the host's backlog
+        was full."""
+        doors, sockets = self.addresses(), list(self.kernel_sockets())
+        closed = {local for local, remote, state, _ in sockets
+                  if remote in doors and state == END_NOT_ACKNOWLEDGED}
+        return sum(local in doors and state == ESTABLISHED and remote in closed
+                   for local, remote, state, _ in sockets)
 
 
 class NodeHost(Host):
